Lay down the workspace, rings, state charts and domain types

Change: three modules (lib, root, standin); lib/ring is a bounded multi-producer ring whose consumer parks; lib/chart loads, checks and interprets TOML state charts through a dense table; pkg/core has positions that compare across terms; pkg/session has the messages of the session duty; docs/design.md gives modules, owners, messages, failures.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+MODULES = . ./lib ./standin
+GOBIN_DIR = $(CURDIR)/bin
+
+.PHONY: all build test lint demo bench fmt
+
+all: build
+
+# Builds the two shipped binaries and, for tests and the demo, the stand-ins.
+build:
+	go build -o $(GOBIN_DIR)/ ./cmd/...
+	cd standin && go build -o $(GOBIN_DIR)/ ./cmd/...
+
+lint:
+	@test -z "$$(gofmt -l . | tee /dev/stderr)"
+	@for m in $(MODULES); do (cd $$m && go vet ./... && go tool staticcheck ./...) || exit 1; done
+
+test: build
+	@bash .ci/test
+
+demo: build
+	@bash scripts/demo
+
+bench: build
+	@bash scripts/bench
+
+fmt:
+	gofmt -w .
--- /dev/null
+++ b/cmd/sassafrasshunt/main.go
@@ -0,0 +1,4 @@
+// Command sassafrasshunt runs one proxy instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/lib/chart/chart_test.go
@@ -0,0 +1,138 @@
+package chart
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const doorText = `
+name = "connection"
+initial = "opening"
+events = ["opened", "failed", "timed_out"]
+[[state]]
+name = "opening"
+timeout = "open"
+[[state.on]]
+event = "opened"
+guard = "allowed"
+to = "ready"
+actions = ["count"]
+[[state.on]]
+event = "opened"
+to = "closed"
+[[state.on]]
+event = "failed"
+to = "closed"
+[[state.on]]
+event = "timed_out"
+to = "closed"
+[[state]]
+name = "ready"
+timeout = "idle"
+ignored = ["opened"]
+[[state.on]]
+event = "failed"
+to = "closed"
+[[state.on]]
+event = "timed_out"
+to = "closed"
+[[state]]
+name = "closed"
+final = true
+`
+
+type subject struct {
+	state   State
+	allowed bool
+	count   int
+}
+
+func registry() Registry[*subject] {
+	return Registry[*subject]{
+		Guards:   map[string]func(*subject) bool{"allowed": func(s *subject) bool { return s.allowed }},
+		Actions:  map[string]func(*subject){"count": func(s *subject) { s.count++ }},
+		Timeouts: map[string]time.Duration{"open": time.Second, "idle": time.Minute},
+	}
+}
+
+func compile(t testing.TB) *Table[*subject] {
+	d, err := Parse("connection.toml", []byte(doorText))
+	require.NoError(t, err)
+	table, err := Compile(d, registry())
+	require.NoError(t, err)
+	return table
+}
+
+// Guards against a guarded row that is taken although its guard is false.
+func TestFireTakesFirstRowWhoseGuardHolds(t *testing.T) {
+	table := compile(t)
+	opened := table.Event("opened")
+	s := &subject{allowed: true}
+	table.Fire(s, &s.state, opened)
+	require.Equal(t, "ready", table.StateName(s.state))
+	require.Equal(t, 1, s.count)
+	table.Fire(s, &s.state, opened)
+	require.Equal(t, "ready", table.StateName(s.state))
+	refused := &subject{}
+	table.Fire(refused, &refused.state, opened)
+	require.True(t, table.Final(refused.state))
+	require.EqualValues(t, 1, table.Taken()["opening.opened.ready"])
+}
+
+// Guards against a broken chart that passes validation.
+func TestParseReportsEveryFault(t *testing.T) {
+	_, err := Parse("broken.toml", []byte(`
+name = "broken"
+initial = "first"
+events = ["go", "timed_out"]
+[[state]]
+name = "first"
+[[state.on]]
+event = "go"
+guard = "maybe"
+to = "nowhere"
+[[state]]
+name = "island"
+timeout = "x"
+ignored = ["go", "timed_out"]
+`))
+	var invalid *InvalidError
+	require.ErrorAs(t, err, &invalid)
+	require.Len(t, invalid.Faults, 5)
+}
+
+// Guards against names in a chart that no code implements, and the reverse.
+func TestCompileReportsUnboundNames(t *testing.T) {
+	d, err := Parse("connection.toml", []byte(doorText))
+	require.NoError(t, err)
+	r := registry()
+	delete(r.Guards, "allowed")
+	r.Actions["extra"] = func(*subject) {}
+	_, err = Compile(d, r)
+	var invalid *InvalidError
+	require.ErrorAs(t, err, &invalid)
+	require.Len(t, invalid.Faults, 2)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(doorText))
+	f.Add([]byte("name = \"x\"\n[[state]]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := Parse("fuzz.toml", text)
+		if err == nil {
+			require.NotEmpty(t, d.Graph())
+		}
+	})
+}
+
+func BenchmarkFire(b *testing.B) {
+	table := compile(b)
+	opened, failed := table.Event("opened"), table.Event("failed")
+	for b.Loop() {
+		s := subject{allowed: true}
+		table.Fire(&s, &s.state, opened)
+		table.Fire(&s, &s.state, failed)
+	}
+}
--- /dev/null
+++ b/pkg/core/names.go
@@ -0,0 +1,43 @@
+package core
+
+// AccountName names a client account.
+type AccountName string
+
+// EntryName names a catalogue entry.
+type EntryName string
+
+// DatabaseName names a group of targets.
+type DatabaseName string
+
+// MemberID names one target of a database; it is unique in the catalogue.
+type MemberID string
+
+// InstanceID names one run of an instance; a restarted instance has a new one.
+type InstanceID string
+
+// Domain names a failure domain.
+type Domain string
+
+// KeyID names a key of a client account. It is not secret.
+type KeyID string
+
+// Class is a class of traffic.
+type Class string
+
+// Classes of traffic, most urgent first.
+const (
+	ClassUrgent      Class = "urgent"
+	ClassInteractive Class = "interactive"
+	ClassBrowse      Class = "browse"
+)
+
+// Role is the role that a member reports.
+type Role string
+
+// Roles of a member.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+	// RoleFenced is a member that accepted a newer term and has no primary yet.
+	RoleFenced Role = "fenced"
+)
--- /dev/null
+++ b/pkg/core/position.go
@@ -0,0 +1,108 @@
+// Package core holds the domain types that every decision package shares. It
+// imports no codec, no platform client and no settings.
+package core
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Term numbers the reigns of a group's primaries; it grows by one for each
+// change of primary.
+type Term uint64
+
+// LSN is a log sequence number in bytes from the beginning of the log. It
+// continues across terms.
+type LSN uint64
+
+// Position is a point in a group's log.
+type Position struct {
+	Term Term
+	LSN  LSN
+}
+
+// IsZero reports whether p is the unset position.
+func (p Position) IsZero() bool {
+	return p == Position{}
+}
+
+// After reports whether p is of a later term than o, or of the same term and
+// beyond o.
+func (p Position) After(o Position) bool {
+	if p.Term != o.Term {
+		return p.Term > o.Term
+	}
+	return p.LSN > o.LSN
+}
+
+// String returns the position as "term/lsn" in decimal.
+func (p Position) String() string {
+	return fmt.Sprintf("%d/%d", p.Term, p.LSN)
+}
+
+// PositionError reports text that is not a position.
+type PositionError struct {
+	Text string
+}
+
+func (e *PositionError) Error() string {
+	return "invalid log position " + strconv.Quote(e.Text)
+}
+
+// ParsePosition parses "term/lsn" in decimal. It returns a *PositionError for
+// any other text.
+func ParsePosition(text string) (Position, error) {
+	term, lsn, found := strings.Cut(text, "/")
+	if !found {
+		return Position{}, &PositionError{Text: text}
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return Position{}, &PositionError{Text: text}
+	}
+	l, err := strconv.ParseUint(lsn, 10, 64)
+	if err != nil {
+		return Position{}, &PositionError{Text: text}
+	}
+	return Position{Term: Term(t), LSN: LSN(l)}, nil
+}
+
+// TermStart is the log position at which a term began.
+type TermStart struct {
+	Term  Term
+	Start LSN
+}
+
+// TermHistory lists the terms that a member knows, oldest first.
+type TermHistory []TermStart
+
+// Covers reports whether a member that follows term and has applied its log up
+// to applied has everything that floor stands for.
+//
+// A floor of an older term counts only up to the point where the next term
+// began: what the old primary logged beyond it was discarded.
+func (h TermHistory) Covers(term Term, applied LSN, floor Position) bool {
+	if floor.IsZero() {
+		return true
+	}
+	if term < floor.Term {
+		return false
+	}
+	if term == floor.Term {
+		return applied >= floor.LSN
+	}
+	need := floor.LSN
+	known := false
+	for _, s := range h {
+		if s.Term > floor.Term {
+			need = min(need, s.Start)
+			known = true
+			break
+		}
+	}
+	if !known {
+		return false
+	}
+	return applied >= need
+}
--- /dev/null
+++ b/pkg/session/output.go
@@ -0,0 +1,240 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// Outputs receives the commands that a decision produces. Each method puts one
+// item into the ring of a duty and reports whether there was room.
+type Outputs interface {
+	Caller(CallerCommand) bool
+	Target(TargetCommand) bool
+	Classify(ClassifyRequest) bool
+	Control(ControlReport) bool
+	Span(Span)
+}
+
+// CallerCommand is an item of the callerio duty's ring.
+type CallerCommand interface {
+	callerCommand()
+}
+
+// CallerAdmitted completes the startup of a caller.
+type CallerAdmitted struct {
+	Caller CallerID
+}
+
+// CallerWrite sends result frames to a caller.
+type CallerWrite struct {
+	Caller CallerID
+	Frames []byte
+	// Done is set on the last frames of an answer; the next pipelined request
+	// of the caller may then be delivered.
+	Done bool
+	// Position is reported as ParameterStatus before the last ReadyForQuery,
+	// unless zero.
+	Position core.Position
+}
+
+// CallerFail answers a request with an error and ReadyForQuery.
+type CallerFail struct {
+	Caller  CallerID
+	Refusal *core.Refusal
+	// TxStatus is the status that ReadyForQuery reports: 'I', 'T' or 'E'.
+	TxStatus byte
+}
+
+// CallerReply answers a request that the proxy runs itself (SET and SHOW of
+// its own parameters, transaction control without a target connection).
+type CallerReply struct {
+	Caller CallerID
+	// Tag is the command tag, for example "SET".
+	Tag string
+	// Column and Value form a single text row; Column is empty for none.
+	Column   string
+	Value    string
+	TxStatus byte
+}
+
+// CallerClose closes a caller's connection after an optional fatal error.
+type CallerClose struct {
+	Caller  CallerID
+	Refusal *core.Refusal
+}
+
+func (CallerAdmitted) callerCommand() {}
+func (CallerWrite) callerCommand()    {}
+func (CallerFail) callerCommand()     {}
+func (CallerReply) callerCommand()    {}
+func (CallerClose) callerCommand()    {}
+
+// TargetCommand is an item of the targetio duty's ring.
+type TargetCommand interface {
+	targetCommand()
+}
+
+// TargetOpen opens a connection to a member.
+type TargetOpen struct {
+	Target   TargetID
+	Database core.DatabaseName
+	Member   core.MemberID
+	// Address is IP:port.
+	Address string
+}
+
+// TargetSend sends one request on an idle connection.
+type TargetSend struct {
+	Target  TargetID
+	Payload *Payload
+	// Prelude is SQL that runs first and whose answer is not passed on.
+	Prelude string
+	// NotAfter is the time after which the request must not be written any
+	// more; targetio then reports TargetClosed with Unsent.
+	NotAfter time.Time
+}
+
+// TargetClose closes a connection.
+type TargetClose struct {
+	Target TargetID
+}
+
+// TargetCancel sends a cancel request for the running request.
+type TargetCancel struct {
+	Target TargetID
+}
+
+// TargetPause stops reading a connection; TargetResume reads it again.
+type TargetPause struct {
+	Target TargetID
+}
+
+// TargetResume undoes TargetPause.
+type TargetResume struct {
+	Target TargetID
+}
+
+func (TargetOpen) targetCommand()   {}
+func (TargetSend) targetCommand()   {}
+func (TargetClose) targetCommand()  {}
+func (TargetCancel) targetCommand() {}
+func (TargetPause) targetCommand()  {}
+func (TargetResume) targetCommand() {}
+
+// ClassifyRequest asks for the verdict on the texts of a request.
+type ClassifyRequest struct {
+	Caller   CallerID
+	Sequence uint64
+	Texts    []string
+}
+
+// Kind is what a request does.
+type Kind uint8
+
+// Kinds of request. A batch of several statements has the kind of its most
+// demanding one.
+const (
+	// KindRead only reads and may run on a replica.
+	KindRead Kind = iota
+	// KindWrite may write.
+	KindWrite
+	// KindBegin starts a transaction block.
+	KindBegin
+	// KindEnd ends a transaction block (COMMIT, ROLLBACK).
+	KindEnd
+	// KindSessionSet changes a setting of the session (SET, RESET).
+	KindSessionSet
+	// KindOwnSet sets a parameter of the proxy (SET sassafrasshunt.x).
+	KindOwnSet
+	// KindOwnShow shows a parameter of the proxy.
+	KindOwnShow
+	// KindRefused is not supported by the proxy (COPY, LISTEN).
+	KindRefused
+	// KindEmpty has no statement.
+	KindEmpty
+)
+
+// Verdict is the result of classification.
+type Verdict struct {
+	Kind Kind
+	// ReadOnly is set on BEGIN READ ONLY.
+	ReadOnly bool
+	// Commit is set on COMMIT.
+	Commit bool
+	// Name and Value are set for KindOwnSet and KindOwnShow.
+	Name  string
+	Value string
+	// Hints come from a leading comment /*+ name=value ... */.
+	Hints Hints
+	// Reason explains the verdict, for explain and traces.
+	Reason string
+}
+
+// Hints are the statement's own options.
+type Hints struct {
+	// MaxAge is the accepted staleness; negative when not given.
+	MaxAge time.Duration
+	// WriteID is the identity of a write, empty when not given.
+	WriteID string
+	// Idempotent marks the statement as safe to repeat.
+	Idempotent bool
+}
+
+// ControlReport is an item of the control duty's ring.
+type ControlReport interface {
+	controlReport()
+}
+
+// NeedFloor asks for a FloorAnswer with at least this round.
+type NeedFloor struct {
+	Database core.DatabaseName
+	Round    uint64
+}
+
+// NeedConfirm asks for a ConfirmedUpTo that covers Position.
+type NeedConfirm struct {
+	Database core.DatabaseName
+	Position core.Position
+}
+
+// NeedApplied asks control to refresh the view as soon as a replica has
+// applied Position.
+type NeedApplied struct {
+	Database core.DatabaseName
+	Position core.Position
+}
+
+// SuspectMember reports that a connection to the member failed.
+type SuspectMember struct {
+	Database core.DatabaseName
+	Member   core.MemberID
+}
+
+// Demand reports what was asked for since the last report.
+type Demand struct {
+	// Accounts is in statements per second, admitted and refused.
+	Accounts map[core.AccountName]float64
+	// Connections is the number of target connections that queued work could use.
+	Connections map[core.DatabaseName]int
+}
+
+// Drained reports that no caller is left after Drain.
+type Drained struct{}
+
+func (NeedFloor) controlReport()     {}
+func (NeedConfirm) controlReport()   {}
+func (NeedApplied) controlReport()   {}
+func (SuspectMember) controlReport() {}
+func (Demand) controlReport()        {}
+func (Drained) controlReport()       {}
+
+// Span is one hop of a statement, for the trace exporter.
+type Span struct {
+	Trace      string
+	Name       string
+	Caller     CallerID
+	Start      time.Time
+	End        time.Time
+	Attributes map[string]string
+}
--- /dev/null
+++ b/standin/cmd/loadtool/main.go
@@ -0,0 +1,4 @@
+// Command loadtool drives statements through the proxy and reports what the clients saw.
+package main
+
+func main() {}
