--- /dev/null
+++ b/pkg/rpc/codec.go
@@ -0,0 +1,83 @@
+// Package rpc carries JSON-RPC 2.0 over TCP, between instances and to the
+// members' status endpoints. Messages are framed by a Content-Length header.
+package rpc
+
+import (
+	"bytes"
+	"strconv"
+
+	"golang.org/x/exp/jsonrpc2"
+)
+
+const (
+	headerName = "Content-Length: "
+	headerEnd  = "\r\n\r\n"
+	// maxHeader bounds the header in bytes.
+	maxHeader = 64
+	// MaxMessage bounds one message in bytes: the platform's largest value
+	// (1 MB) with room for JSON quoting.
+	MaxMessage = 4 << 20
+)
+
+// FrameError reports bytes that are not a message. The connection cannot be
+// used any further.
+type FrameError struct {
+	Reason string
+}
+
+func (e *FrameError) Error() string {
+	return "invalid JSON-RPC frame: " + e.Reason
+}
+
+// Append appends the frame of m to buffer. It returns a *FrameError when the
+// message cannot be encoded or exceeds MaxMessage.
+func Append(buffer []byte, m jsonrpc2.Message) ([]byte, error) {
+	body, err := jsonrpc2.EncodeMessage(m)
+	if err != nil {
+		return buffer, &FrameError{Reason: err.Error()}
+	}
+	if len(body) > MaxMessage {
+		return buffer, &FrameError{Reason: "message is too large"}
+	}
+	buffer = append(buffer, headerName...)
+	buffer = strconv.AppendInt(buffer, int64(len(body)), 10)
+	buffer = append(buffer, headerEnd...)
+	return append(buffer, body...), nil
+}
+
+// Decode takes the first message from buffer and returns it with its length in
+// bytes. It returns a nil message and 0 when the frame is not complete, and a
+// *FrameError when the bytes are not a message.
+func Decode(buffer []byte) (jsonrpc2.Message, int, error) {
+	start, length, err := header(buffer)
+	if err != nil || start == 0 || len(buffer) < start+length {
+		return nil, 0, err
+	}
+	m, err := jsonrpc2.DecodeMessage(buffer[start : start+length])
+	if err != nil {
+		return nil, 0, &FrameError{Reason: err.Error()}
+	}
+	return m, start + length, nil
+}
+
+// header returns where the body starts and its length; 0 when the header is
+// not complete.
+func header(buffer []byte) (start, length int, err error) {
+	window := buffer[:min(len(buffer), maxHeader)]
+	end := bytes.Index(window, []byte(headerEnd))
+	if end < 0 {
+		if len(buffer) >= maxHeader {
+			return 0, 0, &FrameError{Reason: "header is too long"}
+		}
+		return 0, 0, nil
+	}
+	digits, found := bytes.CutPrefix(window[:end], []byte(headerName))
+	if !found {
+		return 0, 0, &FrameError{Reason: "no Content-Length"}
+	}
+	n, err := strconv.ParseUint(string(digits), 10, 31)
+	if err != nil || n > MaxMessage {
+		return 0, 0, &FrameError{Reason: "bad Content-Length"}
+	}
+	return end + len(headerEnd), int(n), nil
+}
