--- a/lib/ring/ring.go
+++ b/lib/ring/ring.go
@@ -36,7 +36,7 @@
 	_      [cacheLine]byte
 	parked atomic.Bool
 	waker  Waker
-	// room wakes a producer duty that waits for free cells.
+	// room lists the producer duties that wait for free cells.
 	room      atomic.Pointer[roomWaiter]
 	refusals  atomic.Uint64
 	highWater atomic.Uint64
@@ -44,6 +44,16 @@
 
 type roomWaiter struct {
 	waker Waker
+	next  *roomWaiter
+}
+
+func (w *roomWaiter) contains(waker Waker) bool {
+	for ; w != nil; w = w.next {
+		if w.waker == waker {
+			return true
+		}
+	}
+	return false
 }
 
 // New returns a ring that holds at least capacity items; the capacity is
@@ -102,7 +112,7 @@
 	c.value = zero
 	c.sequence.Store(head + r.mask + 1)
 	r.head.Store(head + 1)
-	r.wakeProducer()
+	r.wakeProducers()
 	return v, true
 }
 
@@ -112,9 +122,11 @@
 	}
 }
 
-func (r *Ring[T]) wakeProducer() {
-	w := r.room.Load()
-	if w != nil && r.Free() >= len(r.cells)/2 && r.room.CompareAndSwap(w, nil) {
+func (r *Ring[T]) wakeProducers() {
+	if r.room.Load() == nil || r.Free() < len(r.cells)/2 {
+		return
+	}
+	for w := r.room.Swap(nil); w != nil; w = w.next {
 		w.waker.Wake()
 	}
 }
@@ -136,12 +148,20 @@
 }
 
 // NotifyRoom asks for one call of w.Wake when at least half of the ring is
-// free. It reports false when that is already so, and then does not call.
-// One producer at a time can wait on a ring.
+// free. It reports false when that is already so; w may then be woken without
+// need. Several producers can wait at once.
 func (r *Ring[T]) NotifyRoom(w Waker) bool {
-	waiter := &roomWaiter{waker: w}
-	r.room.Store(waiter)
-	if r.Free() >= len(r.cells)/2 && r.room.CompareAndSwap(waiter, nil) {
+	for {
+		first := r.room.Load()
+		if first.contains(w) {
+			break
+		}
+		if r.room.CompareAndSwap(first, &roomWaiter{waker: w, next: first}) {
+			break
+		}
+	}
+	if r.Free() >= len(r.cells)/2 {
+		r.wakeProducers()
 		return false
 	}
 	return true
--- a/lib/ring/ring_test.go
+++ b/lib/ring/ring_test.go
@@ -61,12 +61,14 @@
 	for i := range 4 {
 		require.True(t, r.TryPush(i))
 	}
-	room := NewSignal()
+	room, other := NewSignal(), NewSignal()
 	require.True(t, r.NotifyRoom(room))
+	require.True(t, r.NotifyRoom(other))
 	r.Pop()
 	require.Len(t, room.wake, 0)
 	r.Pop()
 	require.Len(t, room.wake, 1)
+	require.Len(t, other.wake, 1)
 	require.False(t, r.NotifyRoom(room))
 }
 
