--- /dev/null
+++ b/pkg/platform/call.go
@@ -0,0 +1,65 @@
+package platform
+
+import "time"
+
+// Operation is one of the typed operations of a Call: GetOp, PutOp, DeleteOp,
+// CreateLeaseOp, RenewLeaseOp, RevokeLeaseOp, WatchOp, InstancesOp, AnnounceOp.
+type Operation interface {
+	run(c callContext) (any, error)
+}
+
+// GetOp reads a record. The result value is a Record.
+type GetOp struct{ Key Key }
+
+// PutOp writes a record. The result value is the new Record.
+type PutOp struct{ PutRequest }
+
+// DeleteOp removes a record. There is no result value.
+type DeleteOp struct {
+	Key      Key
+	Revision Revision
+}
+
+// CreateLeaseOp creates a lease. The result value is a LeaseID.
+type CreateLeaseOp struct{ TTL time.Duration }
+
+// RenewLeaseOp renews a lease. There is no result value.
+type RenewLeaseOp struct{ Lease LeaseID }
+
+// RevokeLeaseOp ends a lease. There is no result value.
+type RevokeLeaseOp struct{ Lease LeaseID }
+
+// WatchOp waits for changes. It belongs on the watch ring. The result value is
+// a WatchResult.
+type WatchOp struct{ WatchRequest }
+
+// InstancesOp reads the list of instances. The result value is []Instance.
+type InstancesOp struct{}
+
+// AnnounceOp puts an instance into the list. There is no result value.
+type AnnounceOp struct{ Instance Instance }
+
+// Call is one input of the platform duty.
+type Call struct {
+	// Tag is returned unchanged in the Result.
+	Tag any
+	// Timeout bounds the call from its start; a watch gets its own timeout on top.
+	Timeout time.Duration
+	Op      Operation
+}
+
+// Result is one output of the platform duty.
+type Result struct {
+	Tag any
+	// Op is the operation of the Call.
+	Op Operation
+	// Value is the operation's result; nil if Err is set or it has none.
+	Value any
+	// Err is one of the errors of Store.
+	Err error
+	// Sent is the time just before the call was sent. A renewed lease and a
+	// confirmed revision count from here.
+	Sent time.Time
+	// Received is the time when the call ended.
+	Received time.Time
+}
--- /dev/null
+++ b/pkg/share/lifecycle.go
@@ -0,0 +1,234 @@
+package share
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+)
+
+// States of the chart "share" that decisions outside the chart refer to.
+const (
+	StateVacant = "vacant"
+	StateLost   = "lost"
+)
+
+// slotSubject is one slot of a draft, as the chart's guards and actions see it.
+type slotSubject struct {
+	a       *Allocator
+	draft   *draft
+	index   int
+	slot    *Slot
+	state   chart.State
+	claim   Claim
+	refusal Refusal
+}
+
+type slotEvents struct {
+	claimed, released, shrunk, acknowledged  chart.Event
+	leaseEnded, deathReported, refused, time chart.Event
+}
+
+func resolveSlotEvents(t *chart.Table[*slotSubject]) slotEvents {
+	return slotEvents{
+		claimed:       t.Event("claimed"),
+		released:      t.Event("released"),
+		shrunk:        t.Event("shrunk"),
+		acknowledged:  t.Event("acknowledged"),
+		leaseEnded:    t.Event("lease_ended"),
+		deathReported: t.Event("death_reported"),
+		refused:       t.Event("refused"),
+		time:          t.Event(chart.TimeoutEvent),
+	}
+}
+
+func slotRegistry(s Settings) chart.Registry[*slotSubject] {
+	return chart.Registry[*slotSubject]{
+		Guards: map[string]func(*slotSubject) bool{
+			"same_holder":     (*slotSubject).sameHolder,
+			"successor":       (*slotSubject).successor,
+			"holder_returned": (*slotSubject).holderReturned,
+			"all_applied":     (*slotSubject).allApplied,
+			"no_inheritor":    (*slotSubject).noInheritor,
+			"cut_off":         (*slotSubject).cutOff,
+		},
+		Actions: map[string]func(*slotSubject){
+			"grant":        (*slotSubject).grant,
+			"update_claim": (*slotSubject).updateClaim,
+			"transfer":     (*slotSubject).transfer,
+			"vacate":       (*slotSubject).vacate,
+			"suspend":      (*slotSubject).suspend,
+			"restore":      (*slotSubject).restore,
+			"lower_held":   (*slotSubject).lowerHeld,
+			"count_late":   func(s *slotSubject) { s.a.late++ },
+		},
+		Timeouts: map[string]time.Duration{
+			"reclaim":         s.CutoffBound + s.CutoffMargin,
+			"acknowledgement": s.AcknowledgementBound,
+		},
+	}
+}
+
+func (s *slotSubject) sameHolder() bool {
+	return s.claim.Instance == s.slot.Instance
+}
+
+// successor holds for another instance at the holder's peer address. Only one
+// process can own the address, so the holder is dead.
+func (s *slotSubject) successor() bool {
+	return s.claim.Instance != s.slot.Instance && s.claim.PeerAddress == s.slot.PeerAddress
+}
+
+// holderReturned holds for a suspended holder that has a new lease or was heard
+// from after it was suspended.
+func (s *slotSubject) holderReturned() bool {
+	if !s.sameHolder() {
+		return false
+	}
+	if s.claim.Lease != s.slot.Lease {
+		return true
+	}
+	heard, ok := s.a.reportOf(s.index, s.slot)
+	return ok && heard.at.After(s.a.entered[s.index].since)
+}
+
+func (s *slotSubject) allApplied() bool {
+	heard, ok := s.a.reportOf(s.index, s.slot)
+	if !ok {
+		return false
+	}
+	return heard.RatesApplied >= s.slot.RatesLowered && heard.ConnectionsApplied >= s.slot.ConnectionsLowered
+}
+
+// noInheritor holds when the refused connection proves that nobody spends the
+// slot's share, now or later. An instance may inherit a slot from the table of
+// any living holder, and it listens before it asks for that table. So every
+// other holder must first have acknowledged the table in which this slot is
+// lost, or be proved dead itself; the refusal must be of a connection that
+// began after that.
+func (s *slotSubject) noInheritor() bool {
+	for i := range s.draft.table.Slots {
+		other := &s.draft.table.Slots[i]
+		if i == s.index || other.State == StateVacant {
+			continue
+		}
+		cleared, ok := s.a.clearedSince(other, s.index)
+		if !ok || s.refusal.Started.Before(cleared) {
+			return false
+		}
+	}
+	return !s.refusal.Started.Before(s.a.entered[s.index].since)
+}
+
+// cutOff holds when neither the holder nor an inheritor may spend any more:
+// the bound has passed since the lease was known to be over and since the slot
+// was known to be suspended.
+func (s *slotSubject) cutOff() bool {
+	ended, ok := s.a.ended[s.slot.Lease]
+	if !ok {
+		return false
+	}
+	bound := s.a.settings.CutoffBound + s.a.settings.CutoffMargin
+	suspended := s.a.entered[s.index].since
+	return s.draft.now.Sub(ended) >= bound && s.draft.now.Sub(suspended) >= bound
+}
+
+func (s *slotSubject) grant() {
+	*s.slot = Slot{
+		State:       s.slot.State,
+		Instance:    s.claim.Instance,
+		PeerAddress: s.claim.PeerAddress,
+		Domain:      s.claim.Domain,
+		Lease:       s.claim.Lease,
+		Granted:     s.draft.table.Revision,
+	}
+	s.draft.changed = true
+}
+
+func (s *slotSubject) updateClaim() {
+	if s.slot.Lease == s.claim.Lease && s.slot.PeerAddress == s.claim.PeerAddress {
+		return
+	}
+	s.slot.Lease = s.claim.Lease
+	s.slot.PeerAddress = s.claim.PeerAddress
+	s.draft.changed = true
+}
+
+func (s *slotSubject) transfer() {
+	s.slot.Instance = s.claim.Instance
+	s.slot.Domain = s.claim.Domain
+	s.slot.Lease = s.claim.Lease
+	s.slot.Granted = s.draft.table.Revision
+	s.draft.changed = true
+}
+
+func (s *slotSubject) vacate() {
+	*s.slot = Slot{State: s.slot.State}
+	s.draft.changed = true
+}
+
+func (s *slotSubject) suspend() {
+	for name, r := range s.slot.Accounts {
+		r.Limit = Rate{}
+		s.slot.Accounts[name] = r
+	}
+	for name, c := range s.slot.Databases {
+		c.Limit = 0
+		s.slot.Databases[name] = c
+	}
+	s.slot.RatesLowered = s.draft.table.Revision
+	s.slot.ConnectionsLowered = s.draft.table.Revision
+	s.draft.changed = true
+}
+
+func (s *slotSubject) restore() {
+	for name, r := range s.slot.Accounts {
+		r.Limit = r.Held
+		s.slot.Accounts[name] = r
+	}
+	for name, c := range s.slot.Databases {
+		c.Limit = c.Held
+		s.slot.Databases[name] = c
+	}
+	s.draft.changed = true
+}
+
+func (s *slotSubject) lowerHeld() {
+	heard, ok := s.a.reportOf(s.index, s.slot)
+	if !ok {
+		return
+	}
+	if heard.RatesApplied >= s.slot.RatesLowered {
+		s.lowerHeldRates()
+	}
+	if heard.ConnectionsApplied >= s.slot.ConnectionsLowered {
+		s.lowerHeldConnections()
+	}
+}
+
+func (s *slotSubject) lowerHeldRates() {
+	for name, r := range s.slot.Accounts {
+		if r.Held == r.Limit {
+			continue
+		}
+		r.Held = r.Limit
+		s.slot.Accounts[name] = r
+		if r == (RateShare{}) {
+			delete(s.slot.Accounts, name)
+		}
+		s.draft.changed = true
+	}
+}
+
+func (s *slotSubject) lowerHeldConnections() {
+	for name, c := range s.slot.Databases {
+		if c.Held == c.Limit {
+			continue
+		}
+		c.Held = c.Limit
+		s.slot.Databases[name] = c
+		if c == (ConnectionShare{}) {
+			delete(s.slot.Databases, name)
+		}
+		s.draft.changed = true
+	}
+}
--- /dev/null
+++ b/pkg/share/next.go
@@ -0,0 +1,158 @@
+package share
+
+import (
+	"maps"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+)
+
+// draft is the next table while it is computed.
+type draft struct {
+	a        *Allocator
+	now      time.Time
+	table    *Table
+	subjects []slotSubject
+	changed  bool
+}
+
+// Next computes the table that follows the adopted one. It reports false when
+// nothing is to be written. The caller compare-and-swaps the table from the
+// platform revision at which the adopted table was read, and passes it to Adopt
+// only when the platform has confirmed it; a lost response is resolved by
+// reading the table and adopting what was read.
+func (a *Allocator) Next(now time.Time) (*Table, bool) {
+	if a.limits == nil || a.limits.Version < a.table.CatalogueVersion {
+		return nil, false
+	}
+	d := a.newDraft(now)
+	d.runLifeCycles()
+	d.divide()
+	if !d.changed {
+		return nil, false
+	}
+	d.storeStates()
+	return d.table, true
+}
+
+func (a *Allocator) newDraft(now time.Time) *draft {
+	d := &draft{a: a, now: now, table: a.table.clone()}
+	d.table.Revision++
+	d.table.CatalogueVersion = a.limits.Version
+	for len(d.table.Slots) < a.settings.MaxInstances {
+		d.table.Slots = append(d.table.Slots, Slot{State: StateVacant})
+	}
+	d.subjects = make([]slotSubject, len(d.table.Slots))
+	for i := range d.table.Slots {
+		slot := &d.table.Slots[i]
+		d.subjects[i] = slotSubject{a: a, draft: d, index: i, slot: slot, state: a.chart.StateID(slot.State)}
+	}
+	return d
+}
+
+func (t *Table) clone() *Table {
+	c := *t
+	c.Slots = append([]Slot(nil), t.Slots...)
+	for i := range c.Slots {
+		c.Slots[i].Accounts = maps.Clone(c.Slots[i].Accounts)
+		c.Slots[i].Databases = maps.Clone(c.Slots[i].Databases)
+	}
+	return &c
+}
+
+func (d *draft) runLifeCycles() {
+	for i := range d.subjects {
+		d.runLifeCycle(&d.subjects[i])
+	}
+}
+
+func (d *draft) runLifeCycle(s *slotSubject) {
+	a := d.a
+	if claim, ok := a.claims[s.index]; ok {
+		d.fireClaim(s, claim)
+	}
+	if s.slot.State == StateVacant {
+		return
+	}
+	if _, ok := a.ended[s.slot.Lease]; ok {
+		d.fire(s, a.events.leaseEnded)
+	}
+	if a.reportedDead(s.index, s.slot) {
+		d.fire(s, a.events.deathReported)
+	}
+	if _, ok := a.reportOf(s.index, s.slot); ok {
+		d.fire(s, a.events.acknowledged)
+	}
+	if refusal, ok := a.refusals[s.slot.Instance]; ok {
+		s.refusal = refusal.last
+		d.fire(s, a.events.refused)
+	}
+	d.fireTimeout(s)
+}
+
+func (d *draft) fireClaim(s *slotSubject, claim Claim) {
+	s.claim = claim
+	if !claim.Released {
+		d.fire(s, d.a.events.claimed)
+		return
+	}
+	if s.sameHolder() {
+		d.fire(s, d.a.events.released)
+	}
+}
+
+func (d *draft) fireTimeout(s *slotSubject) {
+	entry := d.a.entered[s.index]
+	if entry.state != s.slot.State || entry.instance != s.slot.Instance {
+		return
+	}
+	if d.now.Sub(entry.since) >= d.a.chart.Timeout(s.state) {
+		d.fire(s, d.a.events.time)
+	}
+}
+
+func (d *draft) fire(s *slotSubject, event chart.Event) {
+	d.a.chart.Fire(s, &s.state, event)
+	name := d.a.chart.StateName(s.state)
+	if name != s.slot.State {
+		s.slot.State = name
+		d.changed = true
+	}
+}
+
+// storeStates fires "shrunk" for the slots whose limits divide has lowered.
+func (d *draft) storeStates() {
+	for i := range d.subjects {
+		s := &d.subjects[i]
+		if s.slot.RatesLowered == d.table.Revision || s.slot.ConnectionsLowered == d.table.Revision {
+			d.fire(s, d.a.events.shrunk)
+		}
+	}
+}
+
+// reportOf returns the last report of the slot's present holder.
+func (a *Allocator) reportOf(index int, s *Slot) (heardReport, bool) {
+	heard, ok := a.reports[index]
+	return heard, ok && heard.Instance == s.Instance
+}
+
+// reportedDead tells whether a peer reported the holder dead and nothing was
+// heard from it since.
+func (a *Allocator) reportedDead(index int, s *Slot) bool {
+	death, ok := a.deaths[s.Instance]
+	if !ok {
+		return false
+	}
+	heard, ok := a.reportOf(index, s)
+	return !ok || !heard.at.After(death)
+}
+
+// clearedSince returns since when the slot's holder cannot hand out a table in
+// which the lost slot is not lost.
+func (a *Allocator) clearedSince(other *Slot, lostIndex int) (time.Time, bool) {
+	if dead, ok := a.refusals[other.Instance]; ok && other.State == StateLost {
+		return dead.first, true
+	}
+	at, ok := a.entered[lostIndex].cleared[other.Instance]
+	return at, ok
+}
