--- /dev/null
+++ b/pkg/control/messages.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+// Input is an item of the control duty's ring.
+type Input interface {
+	controlInput()
+}
+
+// FromSession is a report of the session duty.
+type FromSession struct {
+	Report session.ControlReport
+}
+
+// FromStore is the result of a platform call.
+type FromStore struct {
+	Answer StoreAnswer
+}
+
+// FromMember is a member's status that answers a call.
+type FromMember struct {
+	Database core.DatabaseName
+	Answer   failover.MemberAnswered
+}
+
+// FromMemberFailed is a member call without a status.
+type FromMemberFailed struct {
+	Database core.DatabaseName
+	Failed   failover.MemberFailed
+}
+
+// FromPeer is a request of another instance.
+type FromPeer struct {
+	Reply   ReplyTo
+	Message PeerMessage
+}
+
+// FromPeerAnswer answers a PeerCall.
+type FromPeerAnswer struct {
+	Call PeerCall
+	// Answer is nil when the call failed.
+	Answer PeerMessage
+	// Refused is set when the host refused the connection.
+	Refused bool
+	// Asked is when the request was sent or the connection was tried.
+	Asked time.Time
+}
+
+// FromOperator is a request of the administration API. The answer goes to
+// Reply, which has room for one item.
+type FromOperator struct {
+	Request OperatorRequest
+	Reply   chan<- OperatorAnswer
+}
+
+// StopRequested starts the planned stop of the instance.
+type StopRequested struct{}
+
+func (FromSession) controlInput()      {}
+func (FromStore) controlInput()        {}
+func (FromMember) controlInput()       {}
+func (FromMemberFailed) controlInput() {}
+func (FromPeer) controlInput()         {}
+func (FromPeerAnswer) controlInput()   {}
+func (FromOperator) controlInput()     {}
+func (StopRequested) controlInput()    {}
+
+// Outputs receives the decisions of the control duty. Session reports whether
+// there was room; the other methods accept every item.
+type Outputs interface {
+	Store(StoreOperation)
+	Member(failover.MemberCall)
+	Peer(PeerCall)
+	Reply(ReplyTo, PeerMessage)
+	Session(session.Input) bool
+	// Callers publishes the catalogue to the duty that authenticates callers.
+	Callers(*catalogue.Catalogue)
+	// StopAccepting closes the listening socket for callers.
+	StopAccepting()
+	Ready(bool)
+	Finished(failover.Report)
+	Log(LogEvent)
+	// Stopped reports that the planned stop is complete.
+	Stopped()
+}
+
+// ReplyTo identifies a peer's request; its value is opaque to control.
+type ReplyTo any
+
+// LogEvent is a decision for the log.
+type LogEvent struct {
+	// Event is a stable name in snake case.
+	Event   string
+	Message string
+	Warning bool
+	Fields  map[string]any
+}
+
+// PeerMessage is a typed message between instances.
+type PeerMessage interface {
+	peerMessage()
+}
+
+// PeerCall sends a message to an instance. Every call is answered by one
+// FromPeerAnswer.
+type PeerCall struct {
+	Address string
+	Message PeerMessage
+}
+
+// Versions tells a peer what this instance has; the answer is the peer's own
+// Versions.
+type Versions struct {
+	Instance  core.InstanceID `json:"instance"`
+	Catalogue uint64          `json:"catalogue"`
+	Table     uint64          `json:"table"`
+	// Terms are the newest terms known for each database.
+	Terms map[core.DatabaseName]core.Term `json:"terms,omitempty"`
+	// Revoked are the key IDs revoked lately, as "account/key".
+	Revoked []string `json:"revoked,omitempty"`
+	// PlatformAge is the time in milliseconds since the platform last confirmed
+	// the sender's catalogue; it ages a receiver's knowledge of revoked keys.
+	PlatformAge int64 `json:"platform_age_ms"`
+}
+
+// CatalogueRequest asks for the catalogue in force; CatalogueMessage answers.
+type CatalogueRequest struct{}
+
+// CatalogueMessage carries a catalogue.
+type CatalogueMessage struct {
+	Catalogue *catalogue.Catalogue `json:"catalogue"`
+}
+
+// TableRequest asks for the share table; TableMessage answers.
+type TableRequest struct{}
+
+// TableMessage carries the share table as vouched for by its sender.
+type TableMessage struct {
+	Table *share.Table
+	// Age is the time since the platform last confirmed the table.
+	Age time.Duration
+	// Vouched is false when the sender cannot stand for the table.
+	Vouched bool
+}
+
+// ShareReport is a holder's report to the allocator; the answer is Accepted.
+type ShareReport struct {
+	Report share.Report
+}
+
+// DeathReport tells the allocator that the host refused a connection to the
+// peer address of an instance; the answer is Accepted.
+type DeathReport struct {
+	Instance core.InstanceID `json:"instance"`
+}
+
+// Accepted answers a message that needs no data.
+type Accepted struct{}
+
+func (Versions) peerMessage()         {}
+func (CatalogueRequest) peerMessage() {}
+func (CatalogueMessage) peerMessage() {}
+func (TableRequest) peerMessage()     {}
+func (TableMessage) peerMessage()     {}
+func (ShareReport) peerMessage()      {}
+func (DeathReport) peerMessage()      {}
+func (Accepted) peerMessage()         {}
+
+// OperatorRequest is an operation of the administration API.
+type OperatorRequest interface {
+	operatorRequest()
+}
+
+// GetCatalogue asks for the catalogue in force.
+type GetCatalogue struct{}
+
+// ApplyEdits changes the catalogue. The answer comes when the outcome is known.
+type ApplyEdits struct {
+	// Identity is chosen by the operator's client, so that a repeated request
+	// does not apply twice.
+	Identity string
+	Edits    []catalogue.Edit
+}
+
+// GetStatus asks for the state of the fleet as this instance sees it.
+type GetStatus struct{}
+
+// Switchover starts a planned change of primary.
+type Switchover struct {
+	Database core.DatabaseName
+	To       core.MemberID
+}
+
+func (GetCatalogue) operatorRequest() {}
+func (ApplyEdits) operatorRequest()   {}
+func (GetStatus) operatorRequest()    {}
+func (Switchover) operatorRequest()   {}
+
+// OperatorAnswer answers an OperatorRequest. Err is set when it failed.
+type OperatorAnswer struct {
+	Catalogue *catalogue.Catalogue
+	Status    *Status
+	Err       error
+}
+
+// Status is the state of the fleet as one instance sees it.
+type Status struct {
+	Instance         core.InstanceID `json:"instance"`
+	Domain           core.Domain     `json:"domain"`
+	State            string          `json:"state"`
+	Lease            string          `json:"lease"`
+	Slot             int             `json:"slot"`
+	CatalogueVersion uint64          `json:"catalogue_version"`
+	TableRevision    uint64          `json:"table_revision"`
+	Allocator        core.InstanceID `json:"allocator"`
+	Groups           []GroupStatus   `json:"groups"`
+	Peers            []PeerStatus    `json:"peers"`
+	Shares           ShareStatus     `json:"shares"`
+}
+
+// GroupStatus is the state of a database group.
+type GroupStatus struct {
+	Database core.DatabaseName `json:"database"`
+	State    string            `json:"state"`
+	Term     core.Term         `json:"term"`
+	Primary  core.MemberID     `json:"primary"`
+}
+
+// PeerStatus is what this instance knows of another one.
+type PeerStatus struct {
+	Instance    core.InstanceID `json:"instance"`
+	PeerAddress string          `json:"peer_address"`
+	Linked      bool            `json:"linked"`
+	Catalogue   uint64          `json:"catalogue_version"`
+}
+
+// ShareStatus is what this instance may spend.
+type ShareStatus struct {
+	Until       time.Time                    `json:"until"`
+	Rates       map[core.AccountName]float64 `json:"rates_per_second"`
+	Connections map[core.DatabaseName]int    `json:"connections"`
+}
--- /dev/null
+++ b/pkg/instance/doc.go
@@ -0,0 +1,3 @@
+// Package instance builds the duties of one proxy instance, joins them by
+// rings and starts and stops them.
+package instance
--- /dev/null
+++ b/pkg/instance/port.go
@@ -0,0 +1,48 @@
+package instance
+
+import "github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+
+// port sends the outputs of a decision duty into the ring of another duty. What
+// finds no room stays in a backlog, and the duty handles no further input until
+// the backlog is sent; so the backlog holds the outputs of one input at most.
+type port[T any] struct {
+	ring    *ring.Ring[T]
+	backlog []T
+	// keep bounds the backlog of a port that the duty does not wait for; the
+	// oldest outputs are dropped beyond it. Zero means that the duty waits.
+	keep int
+}
+
+func (p *port[T]) send(v T) {
+	if len(p.backlog) == 0 && p.ring.TryPush(v) {
+		return
+	}
+	if p.keep > 0 && len(p.backlog) >= p.keep {
+		p.backlog = append(p.backlog[:0], p.backlog[1:]...)
+	}
+	p.backlog = append(p.backlog, v)
+}
+
+// flush sends the backlog and reports whether the duty may go on.
+func (p *port[T]) flush() bool {
+	sent := 0
+	for sent < len(p.backlog) && p.ring.TryPush(p.backlog[sent]) {
+		sent++
+	}
+	p.backlog = append(p.backlog[:0], p.backlog[sent:]...)
+	return len(p.backlog) == 0 || p.keep > 0
+}
+
+// awaitRoom asks for a wake-up and reports whether the duty has to wait.
+func (p *port[T]) awaitRoom(w ring.Waker) bool {
+	if len(p.backlog) == 0 || p.keep > 0 {
+		return false
+	}
+	return p.ring.NotifyRoom(w)
+}
+
+// outlet is a port of any type.
+type outlet interface {
+	flush() bool
+	awaitRoom(ring.Waker) bool
+}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -181,6 +181,11 @@
 
 // ShareInForce publishes the shares that this instance may spend.
 type ShareInForce struct {
+	// Revision is the share table's revision, returned in ShareApplied.
+	Revision uint64
+	// Grant identifies the holding of the slot; buckets are emptied when it
+	// changes.
+	Grant    uint64
 	Accounts map[core.AccountName]RateShare
 	// Connections bounds the target connections of this instance.
 	Connections map[core.DatabaseName]int
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -219,6 +219,13 @@
 	Connections map[core.DatabaseName]int
 }
 
+// ShareApplied reports that a ShareInForce governs every later admission.
+type ShareApplied struct {
+	Revision uint64
+	// Open counts the target connections that are open or being opened.
+	Open map[core.DatabaseName]int
+}
+
 // Drained reports that no caller is left after Drain.
 type Drained struct{}
 
@@ -227,6 +234,7 @@
 func (NeedApplied) controlReport()   {}
 func (SuspectMember) controlReport() {}
 func (Demand) controlReport()        {}
+func (ShareApplied) controlReport()  {}
 func (Drained) controlReport()       {}
 
 // Span is one hop of a statement, for the trace exporter.
