--- /dev/null
+++ b/pkg/session/account.go
@@ -0,0 +1,201 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// account is a client account as this instance sees it.
+type account struct {
+	e       *Engine
+	name    core.AccountName
+	weight  int
+	keys    map[core.KeyID]bool
+	bucket  bucket
+	waiters []tokenWaiter
+	item    timerq.Item[timed]
+	// asked counts requests since the last demand report.
+	asked   int
+	metrics *AccountMetrics
+}
+
+// tokenWaiter is a statement of an open transaction that waits for a token. It
+// is out of date when the statement is answered or another has taken its place.
+type tokenWaiter struct {
+	s        *statement
+	sequence uint64
+}
+
+func (w *tokenWaiter) waits() bool {
+	return w.s.tokenWait && w.s.sequence == w.sequence
+}
+
+// holds reports whether the key is one of the account's live keys.
+func (a *account) holds(key core.KeyID) bool {
+	return a.keys[key]
+}
+
+// bucket is a token bucket. It starts empty and a larger share adds nothing to
+// it, so that capacity moved between instances is never spent twice.
+type bucket struct {
+	rate   float64
+	burst  float64
+	tokens float64
+	at     time.Time
+}
+
+// refill adds what the rate gives up to now, but nothing for the time after
+// the share may no longer be spent.
+func (b *bucket) refill(now, until time.Time) {
+	if now.After(until) {
+		now = until
+	}
+	elapsed := now.Sub(b.at)
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	b.tokens = min(b.tokens+elapsed.Seconds()*b.rate, b.burst)
+}
+
+// wait returns how long a token takes, and false if none will come.
+func (b *bucket) wait() (time.Duration, bool) {
+	if b.rate <= 0 || b.burst < 1 {
+		return 0, false
+	}
+	missing := max(1-b.tokens, 0)
+	return time.Duration(missing/b.rate*float64(time.Second)) + time.Microsecond, true
+}
+
+// admits counts a new request of the caller against its account's rate. A
+// request does not overtake those that already wait for a token.
+func (e *Engine) admits(c *caller) bool {
+	c.account.dropIdleWaiters()
+	return len(c.account.waiters) == 0 && e.keyTrusted(c) && e.takeToken(c.account)
+}
+
+func (e *Engine) takeToken(a *account) bool {
+	if e.now.After(e.shareUntil) {
+		return false
+	}
+	a.bucket.refill(e.now, e.shareUntil)
+	if a.bucket.tokens < 1 {
+		return false
+	}
+	a.bucket.tokens--
+	return true
+}
+
+// keyTrusted reports whether a key may be honoured: the revocations known here
+// are recent enough.
+func (e *Engine) keyTrusted(c *caller) bool {
+	return c.entry.definition.Open || e.keysUntil.IsZero() || !e.now.After(e.keysUntil)
+}
+
+func (a *account) dropIdleWaiters() {
+	for len(a.waiters) > 0 && !a.waiters[0].waits() {
+		a.waiters = a.waiters[1:]
+	}
+}
+
+// armAccount sets the time of the next token for which a statement waits.
+func (e *Engine) armAccount(a *account) {
+	a.bucket.refill(e.now, e.shareUntil)
+	after, ok := a.bucket.wait()
+	if !ok || e.now.After(e.shareUntil) {
+		e.timers.Disarm(&a.item)
+		return
+	}
+	e.timers.Arm(&a.item, e.now.Add(after))
+}
+
+// timeOut hands new tokens to the statements that wait for them.
+func (a *account) timeOut() {
+	e := a.e
+	for {
+		a.dropIdleWaiters()
+		if len(a.waiters) == 0 {
+			return
+		}
+		s := a.waiters[0].s
+		if !e.keyTrusted(s.c) || !e.takeToken(a) {
+			e.armAccount(a)
+			return
+		}
+		a.waiters = a.waiters[1:]
+		s.fire(e.charts.stmt.admitted)
+	}
+}
+
+// shareInForce replaces the shares of this instance.
+func (e *Engine) shareInForce(in ShareInForce) {
+	for name, a := range e.accounts {
+		a.bucket.refill(e.now, e.shareUntil)
+		share := in.Accounts[name]
+		a.bucket.rate = share.Rate
+		a.bucket.burst = share.Burst
+		a.bucket.tokens = min(a.bucket.tokens, share.Burst)
+		a.bucket.at = e.now
+	}
+	e.shareUntil = in.Until
+	e.shares = in.Accounts
+	for _, a := range e.accounts {
+		if len(a.waiters) > 0 {
+			e.armAccount(a)
+		}
+	}
+	for name, db := range e.databases {
+		db.setBound(in.Connections[name])
+	}
+	e.connections = in.Connections
+}
+
+// retryBudget lets a fraction of the requests be retries.
+type retryBudget struct {
+	fraction float64
+	limit    float64
+	saved    float64
+}
+
+func (b *retryBudget) earn() {
+	b.saved = min(b.saved+b.fraction, b.limit)
+}
+
+func (b *retryBudget) hasRoom() bool {
+	return b.saved >= 1
+}
+
+func (b *retryBudget) spend() {
+	b.saved--
+}
+
+// startReports begins the interval of the first demand report.
+func (e *Engine) startReports() {
+	e.demandFrom = e.now
+	e.timers.Arm(&e.reporter.item, e.now.Add(e.cfg.Bounds.DemandEvery))
+}
+
+// report tells control what was asked for. A report that finds no room is left
+// out; its requests count in the next one.
+func (e *Engine) report() {
+	seconds := e.now.Sub(e.demandFrom).Seconds()
+	demand := Demand{
+		Accounts:    make(map[core.AccountName]float64, len(e.accounts)),
+		Connections: make(map[core.DatabaseName]int, len(e.databases)),
+	}
+	for name, a := range e.accounts {
+		demand.Accounts[name] = float64(a.asked) / seconds
+	}
+	for name, db := range e.databases {
+		demand.Connections[name] = db.demand()
+	}
+	if e.box.out.Control(demand) {
+		for _, a := range e.accounts {
+			a.asked = 0
+		}
+		e.demandFrom = e.now
+	}
+	e.timers.Arm(&e.reporter.item, e.now.Add(e.cfg.Bounds.DemandEvery))
+}
--- /dev/null
+++ b/pkg/session/answers.go
@@ -0,0 +1,161 @@
+package session
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// SQLSTATEs of PostgreSQL that the proxy answers for its own parameters and
+// for a cancelled statement that was not sent.
+const (
+	stateQueryCanceled    = "57014"
+	stateInvalidParameter = "22023"
+	stateUnknownParameter = "42704"
+	stateActiveBlock      = "25001"
+)
+
+// refuse answers the statement with an error of the proxy.
+func (s *statement) refuse(refusal *core.Refusal) {
+	s.outcome = refusal.SQLState
+	s.c.account.metrics.Refused++
+	s.c.e.fail(s.c, refusal)
+}
+
+func (s *statement) notRun(state, message string) {
+	s.refuse(core.NotRun(state, message))
+}
+
+func (s *statement) refuseRate() {
+	e := s.c.e
+	if !e.keyTrusted(s.c) {
+		s.notRun(core.StateKeyRevoked, "it cannot be checked at present whether the key was revoked")
+		return
+	}
+	if e.now.After(e.shareUntil) || s.c.account.bucket.rate <= 0 {
+		e.metrics.RateUnknown++
+	}
+	s.notRun(core.StateRateExceeded, "the account's rate is exceeded")
+}
+
+func (s *statement) refuseUnsupported() {
+	s.notRun(core.StateNotSupported, "not supported by the proxy: "+s.verdict.Reason)
+}
+
+func (s *statement) refuseReadOnly() {
+	s.notRun(core.StateReadOnlyRoute, "the entry is read-only")
+}
+
+func (s *statement) refuseLeaving() {
+	s.notRun(core.StateDatabaseLeaving, "the database is leaving")
+}
+
+func (s *statement) refuseOverloaded() {
+	s.notRun(core.StateOverloaded, "this instance is overloaded")
+}
+
+func (s *statement) refuseDeadline() {
+	if s.member != nil && s.member.queue.Len() >= s.c.e.cfg.QueueLimit {
+		s.notRun(core.StateOverloaded, "the queue of the member is full")
+		return
+	}
+	s.notRun(core.StateDeadline, "the statement cannot be served before its deadline")
+}
+
+func (s *statement) refuseNoMember() {
+	s.notRun(core.StateNoMember, "no member can serve this read: "+s.reason)
+}
+
+func (s *statement) refuseNoPrimary() {
+	s.notRun(core.StateNoPrimary, "the database has no primary")
+}
+
+func (s *statement) refuseCancelled() {
+	s.notRun(stateQueryCanceled, "cancelled before it was sent to a target")
+}
+
+// answerUncertain reports that the statement may or may not have run. Results
+// that were held back are dropped.
+func (s *statement) answerUncertain() {
+	if !s.isRead() {
+		s.c.e.metrics.WritesUncertain++
+	}
+	if s.c.target == nil {
+		s.c.endTransaction()
+	}
+	s.refuse(core.Uncertain("the outcome of the statement is not known"))
+}
+
+// answerRolledBack reports a transaction that certainly did not commit.
+func (s *statement) answerRolledBack() {
+	s.c.endTransaction()
+	s.refuse(rolledBack("the connection to the target was lost before the commit"))
+}
+
+// answerHere answers transaction control without a transaction, and DISCARD
+// ALL, which only concerns the settings kept here.
+func (s *statement) answerHere() {
+	if s.verdict.Kind == KindSessionSet {
+		s.c.settings = settings{}
+		s.c.maxAge = -1
+	}
+	s.reply(strings.ToUpper(s.verdict.Name), "", "")
+}
+
+func (s *statement) reply(tag, column, value string) {
+	s.outcome = "answered by the proxy"
+	s.c.e.box.caller(CallerReply{
+		Caller:   s.c.id,
+		Tag:      tag,
+		Column:   column,
+		Value:    value,
+		TxStatus: s.c.txStatus,
+	})
+}
+
+// answerOwn runs SET and SHOW of the proxy's own parameters.
+func (s *statement) answerOwn() {
+	if s.verdict.Kind == KindOwnSet {
+		s.setOwn()
+		return
+	}
+	s.showOwn()
+}
+
+func (s *statement) setOwn() {
+	if s.verdict.Name != ownMaxAge {
+		s.unknownParameter()
+		return
+	}
+	if s.verdict.Value == "" {
+		s.c.maxAge = -1
+		s.reply("RESET", "", "")
+		return
+	}
+	millis, err := strconv.ParseUint(s.verdict.Value, 10, 31)
+	if err != nil {
+		s.notRun(stateInvalidParameter, "invalid value for "+ownMaxAge)
+		return
+	}
+	s.c.maxAge = time.Duration(millis) * time.Millisecond
+	s.reply("SET", "", "")
+}
+
+func (s *statement) showOwn() {
+	switch s.verdict.Name {
+	case ownMaxAge:
+		s.reply("SHOW", ownMaxAge, strconv.FormatInt(s.maxAge().Milliseconds(), 10))
+	case ownPosition:
+		s.reply("SHOW", ownPosition, s.c.floor.String())
+	case ownExplain:
+		s.reply("SHOW", ownExplain, s.c.last.String())
+	default:
+		s.unknownParameter()
+	}
+}
+
+func (s *statement) unknownParameter() {
+	s.notRun(stateUnknownParameter, "unrecognized configuration parameter "+strconv.Quote(s.verdict.Name))
+}
--- /dev/null
+++ b/pkg/session/caller.go
@@ -0,0 +1,192 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// Transaction statuses as ReadyForQuery reports them.
+const (
+	txIdle = 'I'
+	txOpen = 'T'
+)
+
+// caller is one session. Its only statement is part of it, because a caller
+// has at most one unanswered request.
+type caller struct {
+	e       *Engine
+	id      CallerID
+	key     core.KeyID
+	trace   string
+	entry   *entry
+	account *account
+	db      *database
+	state   chart.State
+	item    timerq.Item[timed]
+
+	// floor is the position that reads of the session must see.
+	floor      core.Position
+	floorKnown bool
+	// needRound is the first floor round that began after the session.
+	needRound uint64
+
+	// maxAge is the session's own staleness bound, negative when not set.
+	maxAge   time.Duration
+	settings settings
+	// txSettings collects the settings of the open transaction.
+	txSettings settings
+
+	// target runs the statement or is pinned by the open transaction.
+	target   *target
+	txStatus byte
+	blocked  bool
+	// ending is why the caller is told to go at the next clean boundary.
+	ending *core.Refusal
+	// incoming is the request that the event "request" carries.
+	incoming *Request
+	// last explains the last statement that was not about the proxy itself.
+	last explanation
+	stmt     statement
+}
+
+func callerRegistry(b *Bounds) chart.Registry[*caller] {
+	return chart.Registry[*caller]{
+		Guards: map[string]func(*caller) bool{
+			"stopping":            func(c *caller) bool { return c.e.stopping },
+			"in_transaction":      (*caller).inTransaction,
+			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil },
+			"transaction_expired": (*caller).transactionExpired,
+			"must_end":            func(c *caller) bool { return c.ending != nil },
+		},
+		Actions: map[string]func(*caller){
+			"start_statement":         (*caller).startStatement,
+			"abort_statement":         (*caller).abortStatement,
+			"abandon_target":          (*caller).abandonTarget,
+			"note_running":            (*caller).noteRunning,
+			"answer_lost_transaction": (*caller).answerLostTransaction,
+			"tell_stopping":           (*caller).tellStopping,
+			"tell_ended":              (*caller).tellEnded,
+			"tell_idle_too_long":      (*caller).tellIdleTooLong,
+			"tell_protocol_violation": (*caller).tellProtocolViolation,
+		},
+		Timeouts: b.callerTimeouts(),
+	}
+}
+
+// fire applies an event and keeps the deadline of the resulting state.
+func (c *caller) fire(ev event) {
+	table := c.e.charts.caller
+	before := c.state
+	table.Fire(c, &c.state, ev)
+	if c.state != before {
+		c.arm()
+	}
+}
+
+func (c *caller) arm() {
+	table := c.e.charts.caller
+	if table.Final(c.state) {
+		c.e.timers.Disarm(&c.item)
+		delete(c.e.callers, c.id)
+		return
+	}
+	c.e.timers.Arm(&c.item, c.e.now.Add(table.Timeout(c.state)))
+}
+
+func (c *caller) timeOut() {
+	before := c.state
+	c.fire(c.e.charts.on.timedOut)
+	if c.state == before {
+		c.arm()
+	}
+}
+
+func (c *caller) inTransaction() bool {
+	return c.txStatus != txIdle
+}
+
+func (c *caller) transactionExpired() bool {
+	return c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
+}
+
+// pinTo binds the caller and the connection to each other.
+func (c *caller) pinTo(t *target) {
+	c.target = t
+	t.caller = c
+}
+
+// unpin ends the bond and any transaction that depended on it.
+func (c *caller) unpin() {
+	if c.target == nil {
+		return
+	}
+	c.target.caller = nil
+	c.target = nil
+}
+
+// abandonTarget closes the connection of a request or transaction that nobody
+// waits for any more, so that a late answer reaches no other caller.
+func (c *caller) abandonTarget() {
+	t := c.target
+	c.unpin()
+	c.endTransaction()
+	if t != nil {
+		t.fire(c.e.charts.conn.abandon)
+	}
+}
+
+// endTransaction forgets the open transaction without its settings.
+func (c *caller) endTransaction() {
+	c.txStatus = txIdle
+	c.txSettings = settings{}
+}
+
+func (c *caller) abortStatement() {
+	c.stmt.fire(c.e.charts.stmt.aborted)
+	c.abandonTarget()
+}
+
+// noteRunning replaces the reason for the end of the session when a statement
+// is under way, whose outcome is then not known.
+func (c *caller) noteRunning() {
+	if !c.stmt.sent {
+		return
+	}
+	refusal := core.Uncertain(c.ending.Message + " while a statement was running")
+	refusal.Fatal = true
+	c.ending = refusal
+}
+
+func (c *caller) answerLostTransaction() {
+	c.endTransaction()
+	c.e.fail(c, rolledBack("the connection to the target was lost between two statements"))
+}
+
+func (c *caller) tellStopping() {
+	c.close(core.NotRun(core.StateStopping, "this instance is stopping, please reconnect"))
+}
+
+func (c *caller) tellEnded() {
+	c.close(c.ending)
+}
+
+func (c *caller) tellIdleTooLong() {
+	c.close(core.NotRun(core.StateStopping, "the session was idle for too long"))
+}
+
+func (c *caller) tellProtocolViolation() {
+	c.close(core.NotRun(core.StateProtocolViolation, "a request arrived before the last one was answered"))
+}
+
+func (c *caller) close(refusal *core.Refusal) {
+	refusal.Fatal = true
+	c.e.metrics.Refusals[refusal.SQLState]++
+	c.e.box.caller(CallerClose{Caller: c.id, Refusal: refusal})
+}
+
+func rolledBack(message string) *core.Refusal {
+	return core.NotRun(core.StateTransactionAborted, "transaction rolled back: "+message)
+}
--- /dev/null
+++ b/pkg/session/callers.go
@@ -0,0 +1,144 @@
+package session
+
+import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+
+// callerOpened admits or turns away a new caller.
+func (e *Engine) callerOpened(in CallerOpened) {
+	c := &caller{
+		e: e, id: in.Caller, key: in.Key, trace: in.Trace,
+		state: e.charts.caller.Initial(), maxAge: -1, txStatus: txIdle,
+		floor: in.Carried, floorKnown: !in.Carried.IsZero(),
+	}
+	refusal := e.refuseOpening(c, in)
+	if refusal != nil {
+		c.close(refusal)
+		return
+	}
+	c.needRound = c.db.askedRound + 1
+	c.item.Value = c
+	c.stmt.init(c)
+	e.callers[c.id] = c
+	c.arm()
+	e.box.caller(CallerAdmitted{Caller: c.id})
+}
+
+// refuseOpening resolves the caller's route, or returns why there is none.
+func (e *Engine) refuseOpening(c *caller, in CallerOpened) *core.Refusal {
+	if e.stopping {
+		return core.NotRun(core.StateStopping, "this instance is stopping, please reconnect")
+	}
+	c.entry = e.entries[in.Entry]
+	if c.entry == nil {
+		return core.NotRun(core.StateWrongKey, "no such entry for this account")
+	}
+	c.account = c.entry.account
+	c.db = c.entry.db
+	if !c.entry.definition.Open {
+		return e.refuseKey(c, in.Account)
+	}
+	return nil
+}
+
+func (e *Engine) refuseKey(c *caller, claimed core.AccountName) *core.Refusal {
+	if claimed != c.account.name || c.key == "" {
+		return core.NotRun(core.StateWrongKey, "no such entry for this account")
+	}
+	if !c.account.holds(c.key) {
+		return core.NotRun(core.StateKeyRevoked, "the key is revoked")
+	}
+	return nil
+}
+
+func (e *Engine) callerRequest(in CallerRequest) {
+	c, ok := e.callers[in.Caller]
+	if !ok {
+		return
+	}
+	c.incoming = in.Request
+	c.fire(e.charts.on.request)
+}
+
+func (e *Engine) callerClosed(in CallerClosed) {
+	if c, ok := e.callers[in.Caller]; ok {
+		c.fire(e.charts.on.closed)
+	}
+}
+
+func (e *Engine) callerCancel(in CallerCancel) {
+	if c, ok := e.callers[in.Caller]; ok {
+		c.stmt.fire(e.charts.stmt.cancelled)
+	}
+}
+
+// callerBlocked holds back or releases the connection that feeds the caller.
+func (e *Engine) callerBlocked(id CallerID, blocked bool) {
+	c, ok := e.callers[id]
+	if !ok || c.blocked == blocked {
+		return
+	}
+	c.blocked = blocked
+	if c.target != nil {
+		c.target.follow(blocked)
+	}
+}
+
+func (e *Engine) classified(in ClassifyResult) {
+	c, ok := e.callers[in.Caller]
+	if !ok || c.stmt.sequence != in.Sequence {
+		return
+	}
+	c.stmt.verdict = in.Verdict
+	c.stmt.fire(e.charts.stmt.classified)
+}
+
+// fail answers the caller's request with an error.
+func (e *Engine) fail(c *caller, refusal *core.Refusal) {
+	e.metrics.Refusals[refusal.SQLState]++
+	e.box.caller(CallerFail{Caller: c.id, Refusal: refusal, TxStatus: c.txStatus})
+}
+
+// drain starts the graceful stop.
+func (e *Engine) drain() {
+	if e.stopping {
+		return
+	}
+	e.stopping = true
+	e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.Drain))
+	for _, c := range e.callers {
+		c.fire(e.charts.on.drain)
+	}
+}
+
+// cutOff ends the callers that are left when the bound of the stop has passed.
+func (e *Engine) cutOff() {
+	for _, c := range e.callers {
+		c.end(core.NotRun(core.StateStopping, "this instance is stopping, please reconnect"))
+	}
+}
+
+// end closes the session now, whatever it is doing.
+func (c *caller) end(reason *core.Refusal) {
+	c.ending = reason
+	c.fire(c.e.charts.on.ended)
+}
+
+// endAtBoundary closes the session as soon as it is outside a transaction and
+// has no request.
+func (c *caller) endAtBoundary(reason *core.Refusal) {
+	c.ending = reason
+	if c.target == nil && !c.stmt.active {
+		c.fire(c.e.charts.on.ended)
+	}
+}
+
+func (e *Engine) finishDrain() {
+	if !e.stopping || e.drained || len(e.callers) > 0 {
+		return
+	}
+	e.drained = e.box.out.Control(Drained{})
+	if !e.drained {
+		e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.OutputRetry))
+		return
+	}
+	e.timers.Disarm(&e.drainTimer.item)
+}
--- /dev/null
+++ b/pkg/session/config.go
@@ -0,0 +1,194 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
+)
+
+// Policy names a way to choose the member of a read.
+type Policy string
+
+// Policies; the last two are baselines for measurements.
+const (
+	PolicyFactors    Policy = "factors"
+	PolicyRoundRobin Policy = "round_robin"
+	PolicyPrimary    Policy = "primary"
+)
+
+// Bounds are the durations that bound every wait.
+type Bounds struct {
+	// CallerIdle closes a caller that sends nothing outside a transaction.
+	CallerIdle time.Duration
+	// TransactionIdle closes a caller that sends nothing inside a transaction.
+	TransactionIdle time.Duration
+	// Classify is how long a statement waits for its verdict.
+	Classify time.Duration
+	// ReplicaWait is how long a read waits for a replica before it goes to the
+	// primary.
+	ReplicaWait time.Duration
+	// Confirm is how long a committed write waits for a majority.
+	Confirm time.Duration
+	// StreamStall cuts off a result that makes no progress.
+	StreamStall time.Duration
+	// ConnectionOpen bounds the opening of a target connection.
+	ConnectionOpen time.Duration
+	// ConnectionIdle closes a target connection that is not used.
+	ConnectionIdle time.Duration
+	// ConnectionBusy closes a target connection whose request never ends.
+	ConnectionBusy time.Duration
+	// ConnectionClose is when a close that was not reported is repeated.
+	ConnectionClose time.Duration
+	// Deadline applies to entries without a deadline of their own.
+	Deadline time.Duration
+	// FloorRepeat is when a floor round without an answer is asked for again.
+	FloorRepeat time.Duration
+	// Leaving is how long open transactions of a leaving database may go on.
+	Leaving time.Duration
+	// Drain bounds the graceful stop.
+	Drain time.Duration
+	// OpenBackoff is the pause before a member that failed is tried again.
+	OpenBackoff time.Duration
+	// DemandEvery is the interval of demand reports.
+	DemandEvery time.Duration
+	// OutputRetry is when reports that found a full ring are offered again.
+	OutputRetry time.Duration
+}
+
+// DefaultBounds returns the bounds of a normal deployment.
+func DefaultBounds() Bounds {
+	return Bounds{
+		CallerIdle:      24 * time.Hour,
+		TransactionIdle: time.Minute,
+		Classify:        time.Second,
+		ReplicaWait:     50 * time.Millisecond,
+		Confirm:         2 * time.Second,
+		StreamStall:     30 * time.Second,
+		ConnectionOpen:  2 * time.Second,
+		ConnectionIdle:  time.Minute,
+		ConnectionBusy:  time.Hour,
+		ConnectionClose: 5 * time.Second,
+		Deadline:        10 * time.Second,
+		FloorRepeat:     200 * time.Millisecond,
+		Leaving:         2 * time.Second,
+		Drain:           30 * time.Second,
+		OpenBackoff:     100 * time.Millisecond,
+		DemandEvery:     time.Second,
+		OutputRetry:     5 * time.Millisecond,
+	}
+}
+
+// Config configures an Engine.
+type Config struct {
+	// Domain is the failure domain of the instance.
+	Domain core.Domain
+	Bounds Bounds
+	// Policy chooses the member of a read; PolicyFactors when empty.
+	Policy Policy
+	// Queue is the queueing discipline; fairqueue.KindFair when empty.
+	Queue fairqueue.Kind
+	// AckAtCommit is a baseline that acknowledges a write without waiting for
+	// a majority. It loses acknowledged writes at a failover.
+	AckAtCommit bool
+	// OpenTime is the assumed time to open a target connection until one was
+	// measured.
+	OpenTime time.Duration
+	// SlowMember is the status round trip beyond which a replica gets no work.
+	SlowMember time.Duration
+	// RetryFraction is the part of the requests that may be retries.
+	RetryFraction float64
+	// RetryBurst is how many retries may be saved up.
+	RetryBurst float64
+	// HeldBytes bounds the result of one write that is held for confirmation.
+	HeldBytes int
+	// QueueLimit bounds the statements that wait for one member.
+	QueueLimit int
+	// SettingsBytes bounds the session settings of one caller, as SQL text.
+	SettingsBytes int
+}
+
+// DefaultConfig returns the configuration of a normal deployment.
+func DefaultConfig() Config {
+	return Config{
+		Bounds:        DefaultBounds(),
+		Policy:        PolicyFactors,
+		Queue:         fairqueue.KindFair,
+		OpenTime:      20 * time.Millisecond,
+		SlowMember:    250 * time.Millisecond,
+		RetryFraction: 0.1,
+		RetryBurst:    10,
+		HeldBytes:     1 << 20,
+		QueueLimit:    10_000,
+		SettingsBytes: 8 << 10,
+	}
+}
+
+// ConfigError reports a configuration that the engine cannot use.
+type ConfigError struct {
+	Field string
+}
+
+func (e *ConfigError) Error() string {
+	return "session configuration: " + e.Field + " must be positive"
+}
+
+func (c *Config) check() error {
+	durations := map[string]time.Duration{
+		"caller idle": c.Bounds.CallerIdle, "transaction idle": c.Bounds.TransactionIdle,
+		"classify": c.Bounds.Classify, "replica wait": c.Bounds.ReplicaWait,
+		"confirm": c.Bounds.Confirm, "stream stall": c.Bounds.StreamStall,
+		"connection open": c.Bounds.ConnectionOpen, "connection idle": c.Bounds.ConnectionIdle,
+		"connection busy": c.Bounds.ConnectionBusy, "connection close": c.Bounds.ConnectionClose,
+		"deadline": c.Bounds.Deadline, "floor repeat": c.Bounds.FloorRepeat,
+		"drain": c.Bounds.Drain, "open backoff": c.Bounds.OpenBackoff,
+		"demand every": c.Bounds.DemandEvery, "output retry": c.Bounds.OutputRetry,
+		"open time": c.OpenTime,
+	}
+	for field, value := range durations {
+		if value <= 0 {
+			return &ConfigError{Field: field}
+		}
+	}
+	if c.QueueLimit <= 0 {
+		return &ConfigError{Field: "queue limit"}
+	}
+	if c.HeldBytes <= 0 {
+		return &ConfigError{Field: "held bytes"}
+	}
+	return nil
+}
+
+func (b *Bounds) callerTimeouts() map[string]time.Duration {
+	return map[string]time.Duration{
+		"caller_idle":      b.CallerIdle,
+		"caller_active":    b.StreamStall,
+		"transaction_idle": b.TransactionIdle,
+	}
+}
+
+func (b *Bounds) statementTimeouts() map[string]time.Duration {
+	return map[string]time.Duration{
+		"deadline":     ownDeadline,
+		"classify":     b.Classify,
+		"replica_wait": b.ReplicaWait,
+		"stream_stall": b.StreamStall,
+		"confirm":      b.Confirm,
+	}
+}
+
+func (b *Bounds) targetTimeouts() map[string]time.Duration {
+	return map[string]time.Duration{
+		"connection_open":  b.ConnectionOpen,
+		"connection_idle":  b.ConnectionIdle,
+		"connection_busy":  b.ConnectionBusy,
+		"connection_close": b.ConnectionClose,
+	}
+}
+
+// ownDeadline stands in the chart's table for the statement's own deadline.
+const ownDeadline time.Duration = 0
+
+// event is a chart event resolved at start.
+type event = chart.Event
--- /dev/null
+++ b/pkg/session/database.go
@@ -0,0 +1,254 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/route"
+)
+
+// database is one group of members with its queues and connections.
+type database struct {
+	e            *Engine
+	name         core.DatabaseName
+	members      []*member
+	leaving      bool
+	leavingSince time.Time
+
+	term    core.Term
+	primary *member
+	// confirmed is the newest position that a majority is known to have.
+	confirmed core.Position
+
+	// askedRound is the newest floor round asked for, answeredRound the newest
+	// one answered, with its position. wanted is set when a further round is
+	// needed after the one under way.
+	askedRound    uint64
+	answeredRound uint64
+	answered      core.Position
+	wanted        bool
+	floorTimer    timer
+
+	waiting    []*statement
+	confirming []*statement
+	scratch    []*statement
+
+	targets     map[TargetID]*target
+	bound       int
+	connections int
+	// openTime is the smoothed time to open a connection.
+	openTime time.Duration
+	check    timer
+	checkAt  time.Time
+	reports  reports
+}
+
+func newDatabase(e *Engine, name core.DatabaseName) *database {
+	db := &database{
+		e:        e,
+		name:     name,
+		targets:  map[TargetID]*target{},
+		bound:    e.connections[name],
+		openTime: e.cfg.OpenTime,
+	}
+	db.check.run = db.checkMembers
+	db.check.item.Value = &db.check
+	db.floorTimer.run = db.repeatRound
+	db.floorTimer.item.Value = &db.floorTimer
+	return db
+}
+
+// configure applies the catalogue's definition.
+func (db *database) configure(def *catalogue.Database) {
+	for _, m := range db.members {
+		m.gone = true
+	}
+	for i := range def.Members {
+		m := db.member(def.Members[i].ID)
+		if m == nil {
+			m = newMember(db, &def.Members[i])
+			db.members = append(db.members, m)
+		}
+		m.configure(&def.Members[i])
+	}
+	for _, m := range db.members {
+		if m.gone {
+			m.retireAll()
+			m.reroute()
+		}
+	}
+	db.forgetGone()
+	db.setLeaving(def.State == catalogue.DatabaseLeaving)
+}
+
+// forgetGone drops members without connections that the catalogue no longer
+// names.
+func (db *database) forgetGone() {
+	kept := db.members[:0]
+	for _, m := range db.members {
+		if !m.gone || m.connections > 0 {
+			kept = append(kept, m)
+			continue
+		}
+		if db.primary == m {
+			db.primary = nil
+		}
+	}
+	clear(db.members[len(kept):])
+	db.members = kept
+}
+
+func (db *database) setLeaving(leaving bool) {
+	if leaving == db.leaving {
+		return
+	}
+	db.leaving = leaving
+	if !leaving {
+		db.wake()
+		return
+	}
+	e := db.e
+	db.leavingSince = e.now
+	db.eachWaiting(e.charts.stmt.leaving)
+	for _, m := range db.members {
+		m.refire(e.charts.stmt.leaving)
+		m.retireAll()
+	}
+}
+
+func (db *database) member(id core.MemberID) *member {
+	for _, m := range db.members {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (db *database) hasReplica() bool {
+	for _, m := range db.members {
+		if m != db.primary && m.reachable() {
+			return true
+		}
+	}
+	return false
+}
+
+// armCheck makes sure that the members are looked at again at the given time.
+func (db *database) armCheck(at time.Time) {
+	if db.checkAt.After(db.e.now) && db.checkAt.Before(at) {
+		return
+	}
+	db.checkAt = at
+	db.e.timers.Arm(&db.check.item, at)
+}
+
+func (db *database) checkMembers() {
+	db.checkAt = time.Time{}
+	db.wantDispatch()
+	db.wake()
+	for _, m := range db.members {
+		if db.e.now.Before(m.retryAt) {
+			db.armCheck(m.retryAt)
+		}
+	}
+}
+
+// wait lists the statement among those that look for a member.
+func (db *database) wait(s *statement) {
+	if s.waitIndex != notWaiting {
+		return
+	}
+	s.waitIndex = len(db.waiting)
+	db.waiting = append(db.waiting, s)
+}
+
+func (db *database) stopWaiting(s *statement) {
+	if s.waitIndex == notWaiting {
+		return
+	}
+	last := len(db.waiting) - 1
+	moved := db.waiting[last]
+	db.waiting[s.waitIndex] = moved
+	moved.waitIndex = s.waitIndex
+	db.waiting[last] = nil
+	db.waiting = db.waiting[:last]
+	s.waitIndex = notWaiting
+}
+
+// wake lets the waiting statements look for a member again.
+func (db *database) wake() {
+	db.eachWaiting(db.e.charts.stmt.viewChanged)
+}
+
+func (db *database) eachWaiting(ev event) {
+	db.scratch = append(db.scratch[:0], db.waiting...)
+	for _, s := range db.scratch {
+		if s.waitIndex != notWaiting {
+			s.fire(ev)
+		}
+	}
+	clear(db.scratch)
+}
+
+// chooseReplica asks the policy for a member and checks that it is in time.
+func (s *statement) chooseReplica() {
+	e := s.c.e
+	db := s.c.db
+	r := route.Request{Floor: s.c.floor, MaxAge: s.maxAge(), Home: e.cfg.Domain}
+	if s.readsNoData() {
+		r.Floor = core.Position{}
+	}
+	e.candidates = e.candidates[:0]
+	for _, m := range db.members {
+		e.candidates = append(e.candidates, m.candidate())
+	}
+	choice := e.policy.Choose(&r, e.candidates)
+	s.reason = choice.Reason
+	if choice.Index < 0 {
+		return
+	}
+	s.member = db.members[choice.Index]
+	s.fits = s.member.finishesBy(s)
+}
+
+func (m *member) candidate() route.Candidate {
+	db := m.db
+	c := route.Candidate{
+		Member:      m.id,
+		Domain:      m.domain,
+		Primary:     m == db.primary,
+		Reachable:   m.reachable(),
+		Latency:     m.view.Latency,
+		Service:     m.service,
+		Slots:       m.slots,
+		Running:     m.running(),
+		Queued:      m.waiting(),
+		Connections: m.connections,
+		Full:        db.connections >= db.bound,
+	}
+	if m.hasView {
+		c.Status = &m.view.Status
+		c.Age = m.view.AgeBound + db.e.now.Sub(m.view.SeenAt)
+	}
+	return c
+}
+
+// choosePrimary takes the primary unless the session has seen a newer term. A
+// replica that was chosen but is too busy is kept when the primary is no help.
+func (s *statement) choosePrimary() bool {
+	p := s.c.db.primary
+	if p == nil || !p.reachable() {
+		return false
+	}
+	if !s.readsNoData() && s.c.db.term < s.c.floor.Term {
+		return false
+	}
+	s.fits = p.finishesBy(s)
+	s.member = p
+	if !s.mayUseReplica() {
+		s.reason = "only the primary serves this"
+	}
+	return s.fits
+}
--- /dev/null
+++ b/pkg/session/engine.go
@@ -0,0 +1,204 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/route"
+)
+
+// Engine holds the state of the session duty. It has no I/O and no clock: the
+// time comes with each call and must not go backwards. It is not safe for
+// concurrent use.
+type Engine struct {
+	cfg    Config
+	charts *tables
+	box    outbox
+	now    time.Time
+	timers timerq.Queue[timed]
+
+	catalogue *catalogue.Catalogue
+	entries   map[core.EntryName]*entry
+	databases map[core.DatabaseName]*database
+	accounts  map[core.AccountName]*account
+	callers   map[CallerID]*caller
+	targets   map[TargetID]*target
+
+	shares      map[core.AccountName]RateShare
+	connections map[core.DatabaseName]int
+	shareUntil  time.Time
+	// toCheck are the members to serve at the end of the input.
+	toCheck []*member
+	states  targetStates
+	keysUntil  time.Time
+	stopping   bool
+	drained    bool
+	drainTimer timer
+	reporter   timer
+	demandFrom time.Time
+	budget     retryBudget
+	sequence   uint64
+	lastTarget TargetID
+	policy     route.Policy
+	candidates []route.Candidate
+	metrics    Metrics
+}
+
+// timed is anything with a deadline in the engine's queue.
+type timed interface {
+	timeOut()
+}
+
+// timer is a deadline that calls a method of the engine.
+type timer struct {
+	item timerq.Item[timed]
+	run  func()
+}
+
+func (t *timer) timeOut() {
+	t.run()
+}
+
+// New returns an engine that sends its commands to out. It returns a
+// *ConfigError for an unusable configuration, and the errors of the chart
+// loader for a chart that does not fit the code.
+func New(cfg Config, out Outputs) (*Engine, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	charts, err := loadTables(&cfg.Bounds)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		cfg:       cfg,
+		charts:    charts,
+		states:    charts.targetStates(),
+		box:       outbox{out: out},
+		entries:   map[core.EntryName]*entry{},
+		databases: map[core.DatabaseName]*database{},
+		accounts:  map[core.AccountName]*account{},
+		callers:   map[CallerID]*caller{},
+		targets:   map[TargetID]*target{},
+		budget:    retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
+		policy:    newPolicy(&cfg),
+		metrics:   newMetrics(),
+	}
+	e.drainTimer.run = e.cutOff
+	e.drainTimer.item.Value = &e.drainTimer
+	e.reporter.run = e.report
+	e.reporter.item.Value = &e.reporter
+	return e, nil
+}
+
+func newPolicy(cfg *Config) route.Policy {
+	switch cfg.Policy {
+	case PolicyRoundRobin:
+		return &route.RoundRobin{}
+	case PolicyPrimary:
+		return route.PrimaryOnly{}
+	}
+	latency := route.Latency{Slow: cfg.SlowMember}
+	return route.NewFactors(route.Lag{}, route.Slots{}, route.Domain{}, latency)
+}
+
+// Handle applies one input.
+func (e *Engine) Handle(now time.Time, in Input) {
+	e.now = now
+	if e.demandFrom.IsZero() {
+		e.startReports()
+	}
+	e.handle(in)
+	e.runDispatch()
+	e.finishDrain()
+}
+
+func (e *Engine) handle(in Input) {
+	switch in := in.(type) {
+	case CallerRequest:
+		e.callerRequest(in)
+	case TargetReady:
+		e.targetReady(in)
+	case TargetData:
+		e.targetData(in)
+	case ClassifyResult:
+		e.classified(in)
+	case ConfirmedUpTo:
+		e.confirmedUpTo(in)
+	case CallerOpened:
+		e.callerOpened(in)
+	case CallerClosed:
+		e.callerClosed(in)
+	case CallerCancel:
+		e.callerCancel(in)
+	case CallerBlocked:
+		e.callerBlocked(in.Caller, true)
+	case CallerDrained:
+		e.callerBlocked(in.Caller, false)
+	case TargetOpened:
+		e.targetOpened(in)
+	case TargetClosed:
+		e.targetClosed(in)
+	default:
+		e.handleControl(in)
+	}
+}
+
+func (e *Engine) handleControl(in Input) {
+	switch in := in.(type) {
+	case GroupView:
+		e.groupView(in)
+	case FloorAnswer:
+		e.floorAnswer(in)
+	case CatalogueInForce:
+		e.catalogueInForce(in.Catalogue)
+	case ShareInForce:
+		e.shareInForce(in)
+	case KeysTrusted:
+		e.keysUntil = in.Until
+	case Drain:
+		e.drain()
+	}
+}
+
+// Tick applies every deadline that is due and offers held commands again.
+func (e *Engine) Tick(now time.Time) {
+	e.now = now
+	e.Flush()
+	for {
+		item, ok := e.timers.PopDue(now)
+		if !ok {
+			break
+		}
+		item.Value.timeOut()
+	}
+	e.runDispatch()
+	e.finishDrain()
+}
+
+// NextDeadline returns when Tick is needed next, if at all.
+func (e *Engine) NextDeadline() (time.Time, bool) {
+	next, ok := e.timers.Next()
+	if !e.holdsOutput() {
+		return next, ok
+	}
+	retry := e.now.Add(e.cfg.Bounds.OutputRetry)
+	if !ok || retry.Before(next) {
+		return retry, true
+	}
+	return next, true
+}
+
+func (e *Engine) holdsOutput() bool {
+	if len(e.box.callers) > 0 || len(e.box.targets) > 0 {
+		return true
+	}
+	for _, db := range e.databases {
+		if db.reports.pending() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/session/explain.go
@@ -0,0 +1,62 @@
+package session
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// explanation is why a statement went where it went, and what became of it. It
+// refers to constant texts, so that keeping it costs nothing on the way.
+type explanation struct {
+	verdict string
+	member  core.MemberID
+	choice  string
+	repeats int
+	outcome string
+}
+
+func (s *statement) explanation() explanation {
+	x := explanation{
+		verdict: s.verdict.Reason,
+		choice:  s.reason,
+		repeats: s.repeats,
+		outcome: s.outcome,
+	}
+	if s.member != nil {
+		x.member = s.member.id
+	}
+	return x
+}
+
+// String returns one line for SHOW sassafrasshunt.explain and for traces.
+func (x explanation) String() string {
+	var parts []string
+	if x.verdict != "" {
+		parts = append(parts, x.verdict)
+	}
+	if x.member != "" {
+		parts = append(parts, "member "+string(x.member))
+	}
+	if x.choice != "" {
+		parts = append(parts, x.choice)
+	}
+	if x.repeats > 0 {
+		parts = append(parts, "sent again "+strconv.Itoa(x.repeats)+" times")
+	}
+	if x.outcome != "" {
+		parts = append(parts, x.outcome)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Explain tells why the last statement of a caller went where it went; empty
+// for an unknown caller or one without a statement.
+func (e *Engine) Explain(id CallerID) string {
+	c, ok := e.callers[id]
+	if !ok {
+		return ""
+	}
+	return c.last.String()
+}
--- /dev/null
+++ b/pkg/session/group.go
@@ -0,0 +1,216 @@
+package session
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// groupView applies a newer view of a database. A view of an older term than
+// the known one is out of date and dropped.
+func (e *Engine) groupView(in GroupView) {
+	db, ok := e.databases[in.Database]
+	if !ok || in.Term < db.term {
+		return
+	}
+	db.apply(in)
+	db.reroute()
+	db.supersede()
+	db.pollStatusQueries()
+	db.wake()
+	db.wantDispatch()
+}
+
+func (db *database) apply(in GroupView) {
+	for _, view := range in.Members {
+		if m := db.member(view.Status.Member); m != nil {
+			m.view = view
+			m.hasView = true
+		}
+	}
+	db.advance(in.Term, db.member(in.Primary))
+}
+
+// advance applies a change of term or primary.
+func (db *database) advance(term core.Term, primary *member) {
+	old := db.primary
+	changed := term > db.term
+	db.term = term
+	db.primary = primary
+	if changed && old != nil {
+		old.abandonTransactions()
+	}
+}
+
+// abandonTransactions ends the open transactions of a primary that was
+// replaced: they cannot commit any more. A request that runs is left to end.
+func (m *member) abandonTransactions() {
+	e := m.db.e
+	for _, t := range m.db.targets {
+		c := t.caller
+		if t.member != m || c == nil || t.state != e.states.pinned || c.stmt.active {
+			continue
+		}
+		c.unpin()
+		t.fire(e.charts.conn.abandon)
+		c.fire(e.charts.on.targetLost)
+	}
+}
+
+// reroute places the queued work again that the new view does not allow where
+// it is.
+func (db *database) reroute() {
+	for _, m := range db.members {
+		if m.queue.Len() > 0 && (!m.reachable() || m.wasDeposed()) {
+			m.reroute()
+		}
+	}
+}
+
+// wasDeposed reports a member that may hold work for a primary without being
+// one.
+func (m *member) wasDeposed() bool {
+	deposed := m.servesAsPrimary && m != m.db.primary
+	m.servesAsPrimary = m == m.db.primary
+	return deposed
+}
+
+// supersede answers the commits whose term is over before a majority had them.
+func (db *database) supersede() {
+	for _, s := range slices.Clone(db.confirming) {
+		if !s.position.IsZero() && s.position.Term < db.term {
+			s.fire(db.e.charts.stmt.superseded)
+		}
+	}
+}
+
+// confirm lists the statement among those that wait for a majority, ordered by
+// position. New commits are mostly the furthest.
+func (db *database) confirm(s *statement) {
+	i := sort.Search(len(db.confirming), func(i int) bool {
+		return db.confirming[i].position.After(s.position)
+	})
+	db.confirming = slices.Insert(db.confirming, i, s)
+	s.confirming = true
+}
+
+func (db *database) stopConfirming(s *statement) {
+	if !s.confirming {
+		return
+	}
+	s.confirming = false
+	i := slices.Index(db.confirming, s)
+	db.confirming = slices.Delete(db.confirming, i, i+1)
+}
+
+// confirms reports whether a majority is known to have the position.
+func (db *database) confirms(p core.Position) bool {
+	return db.confirmed.Term == p.Term && db.confirmed.LSN >= p.LSN
+}
+
+func (e *Engine) confirmedUpTo(in ConfirmedUpTo) {
+	db, ok := e.databases[in.Database]
+	if !ok || !in.Position.After(db.confirmed) {
+		return
+	}
+	db.confirmed = in.Position
+	for _, s := range db.covered() {
+		s.fire(e.charts.stmt.confirmed)
+	}
+	if in.Position.Term > db.term {
+		db.advance(in.Position.Term, nil)
+		db.reroute()
+		db.supersede()
+	}
+}
+
+// covered takes the statements that the newest confirmation covers out of the
+// list and returns them.
+func (db *database) covered() []*statement {
+	db.scratch = db.scratch[:0]
+	kept := db.confirming[:0]
+	for _, s := range db.confirming {
+		if s.position.IsZero() || !db.confirms(s.position) {
+			kept = append(kept, s)
+			continue
+		}
+		s.confirming = false
+		db.scratch = append(db.scratch, s)
+	}
+	clear(db.confirming[len(kept):])
+	db.confirming = kept
+	return db.scratch
+}
+
+// pollStatusQueries sets the position that the answers to status queries wait
+// for: the end of the primary's log in a view that was taken after the answer.
+func (db *database) pollStatusQueries() {
+	p := db.primary
+	if p == nil || len(db.confirming) == 0 {
+		return
+	}
+	for _, s := range slices.Clone(db.confirming) {
+		taken := p.view.SeenAt.Add(-2 * p.view.Latency)
+		if !s.position.IsZero() || !taken.After(s.readyAt) {
+			continue
+		}
+		db.stopConfirming(s)
+		s.position = core.Position{Term: db.term, LSN: p.view.Status.Received}
+		if db.confirms(s.position) {
+			s.fire(db.e.charts.stmt.confirmed)
+			continue
+		}
+		s.askConfirm()
+	}
+}
+
+// needRound asks for a floor round with at least the given number, unless it
+// is under way. Rounds that begin while one is under way are put together.
+func (db *database) needRound(round uint64) {
+	if round <= db.askedRound {
+		return
+	}
+	if db.askedRound > db.answeredRound {
+		db.wanted = true
+		return
+	}
+	db.askRound()
+}
+
+func (db *database) askRound() {
+	db.wanted = false
+	db.askedRound++
+	db.reports.floor = &NeedFloor{Database: db.name, Round: db.askedRound}
+	db.reports.flush(db.e.box.out)
+	db.e.timers.Arm(&db.floorTimer.item, db.e.now.Add(db.e.cfg.Bounds.FloorRepeat))
+}
+
+// repeatRound asks again when a round was not answered in time.
+func (db *database) repeatRound() {
+	if db.answeredRound < db.askedRound {
+		db.askRound()
+	}
+}
+
+func (e *Engine) floorAnswer(in FloorAnswer) {
+	db, ok := e.databases[in.Database]
+	if !ok || in.Round <= db.answeredRound || in.Round > db.askedRound {
+		return
+	}
+	db.answeredRound = in.Round
+	db.answered = in.Position
+	if db.answeredRound >= db.askedRound {
+		e.timers.Disarm(&db.floorTimer.item)
+		if db.wanted {
+			db.askRound()
+		}
+	}
+	db.scratch = append(db.scratch[:0], db.waiting...)
+	for _, s := range db.scratch {
+		if s.waitIndex != notWaiting && s.c.learnFloor() {
+			s.fire(e.charts.stmt.floorKnown)
+		}
+	}
+	clear(db.scratch)
+}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -197,6 +197,12 @@
 	Burst float64
 }
 
+// KeysTrusted publishes until when keys may be honoured without newer word of
+// revocations. Until it has been published once, keys are honoured.
+type KeysTrusted struct {
+	Until time.Time
+}
+
 // Drain starts the graceful stop: no new callers, and connected callers are
 // told to reconnect at a clean boundary.
 type Drain struct{}
@@ -217,4 +223,5 @@
 func (FloorAnswer) sessionInput()      {}
 func (ConfirmedUpTo) sessionInput()    {}
 func (ShareInForce) sessionInput()     {}
+func (KeysTrusted) sessionInput()      {}
 func (Drain) sessionInput()            {}
--- /dev/null
+++ b/pkg/session/member.go
@@ -0,0 +1,183 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
+)
+
+// member is one target of a database: its queue, its connections of this
+// instance, and the newest view of it.
+type member struct {
+	db      *database
+	id      core.MemberID
+	address string
+	domain  core.Domain
+	slots   int
+	// gone is set when the catalogue no longer names the member.
+	gone bool
+
+	view    MemberView
+	hasView bool
+	// retryAt is when a member that failed may be tried again.
+	retryAt  time.Time
+	failures uint
+
+	queue fairqueue.Queue[*statement]
+	// pinned are statements of open transactions that wait for a slot.
+	pinned      []*statement
+	idle        []*target
+	counts      []int
+	connections int
+	// service is the smoothed time that a statement takes on the member.
+	service time.Duration
+	// lastStart is when a queued statement was last sent.
+	lastStart  time.Time
+	wantsCheck bool
+	// servesAsPrimary is set while the newest view names the member primary.
+	servesAsPrimary bool
+}
+
+func newMember(db *database, m *catalogue.Member) *member {
+	fresh := &member{db: db, id: m.ID, queue: fairqueue.New[*statement](db.e.cfg.Queue)}
+	fresh.counts = make([]int, maxStates)
+	fresh.configure(m)
+	return fresh
+}
+
+// maxStates is above the number of states of the chart "target".
+const maxStates = 16
+
+func (m *member) configure(def *catalogue.Member) {
+	if m.address != "" && m.address != def.Address {
+		m.retireAll()
+	}
+	m.address = def.Address
+	m.domain = def.Domain
+	m.slots = max(def.Slots, 1)
+	m.gone = false
+}
+
+// moved keeps the counts and the list of idle connections.
+func (m *member) moved(t *target, before chart.State) {
+	states := &m.db.e.states
+	m.counts[before]--
+	m.counts[t.state]++
+	if before == states.idle {
+		m.removeIdle(t)
+	}
+	if t.state == states.idle {
+		t.idleIndex = len(m.idle)
+		t.idleSince = m.db.e.now
+		m.idle = append(m.idle, t)
+	}
+	if t.state == states.closed {
+		m.connections--
+		m.db.connections--
+	}
+}
+
+func (m *member) removeIdle(t *target) {
+	last := len(m.idle) - 1
+	moved := m.idle[last]
+	m.idle[t.idleIndex] = moved
+	moved.idleIndex = t.idleIndex
+	m.idle[last] = nil
+	m.idle = m.idle[:last]
+}
+
+// running is the number of statements in flight from this instance.
+func (m *member) running() int {
+	return m.counts[m.db.e.states.busy]
+}
+
+// serving is the number of connections that can take queued work sooner or
+// later: all but those that are pinned or closing.
+func (m *member) serving() int {
+	states := &m.db.e.states
+	return m.connections - m.counts[states.pinned] - m.counts[states.closing]
+}
+
+func (m *member) waiting() int {
+	return m.queue.Len() + len(m.pinned)
+}
+
+func (m *member) reachable() bool {
+	if m.gone || m.db.leaving || !m.hasView {
+		return false
+	}
+	return m.view.Reachable && !m.db.e.now.Before(m.retryAt)
+}
+
+// suspect keeps work away from a member that refused or lost a connection
+// while it was opening, twice as long after each failure, up to 16 times.
+func (m *member) suspect() {
+	e := m.db.e
+	m.retryAt = e.now.Add(e.cfg.Bounds.OpenBackoff << min(m.failures, 4))
+	m.failures++
+	e.box.out.Control(SuspectMember{Database: m.db.name, Member: m.id})
+	m.db.armCheck(m.retryAt)
+	m.reroute()
+}
+
+// reroute places the queued statements again. Statements of open transactions
+// stay with their connection.
+func (m *member) reroute() {
+	m.refire(m.db.e.charts.stmt.rerouted)
+}
+
+// refire empties the queue and sends the event to each statement in it.
+func (m *member) refire(ev event) {
+	var moved []*statement
+	for {
+		item, ok := m.queue.Pop()
+		if !ok {
+			break
+		}
+		moved = append(moved, item.Value)
+	}
+	for _, s := range moved {
+		s.fire(ev)
+	}
+}
+
+func (m *member) served(took time.Duration) {
+	m.service = smooth(m.service, took)
+}
+
+// finishesBy reports whether a new statement can be served before its deadline,
+// as far as recent service times tell. A statement with nothing ahead is always
+// let through, so that an overestimate corrects itself.
+func (m *member) finishesBy(s *statement) bool {
+	if m.queue.Len() >= m.db.e.cfg.QueueLimit {
+		return false
+	}
+	c := s.c
+	ahead := m.queue.Ahead(c.account.name, c.account.weight, c.entry.definition.Class)
+	if ahead == 0 {
+		return true
+	}
+	wait := time.Duration(ahead/m.parallel()+1) * m.service
+	if m.connections == 0 {
+		wait += m.db.openTime
+	}
+	return !m.db.e.now.Add(wait).After(s.deadline)
+}
+
+// parallel is how many statements can run at a time for this instance.
+func (m *member) parallel() int {
+	room := max(m.db.bound-m.db.connections, 0)
+	return max(min(m.slots, m.serving()+room), 1)
+}
+
+func (m *member) retireAll() {
+	e := m.db.e
+	for _, t := range m.db.targets {
+		if t.member == m {
+			t.fire(e.charts.conn.retire)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/session/outbox.go
@@ -0,0 +1,94 @@
+package session
+
+import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+
+// outbox holds commands that found a full ring. Order within each ring is kept.
+type outbox struct {
+	out     Outputs
+	callers []CallerCommand
+	targets []TargetCommand
+}
+
+func (o *outbox) caller(c CallerCommand) {
+	if len(o.callers) == 0 && o.out.Caller(c) {
+		return
+	}
+	o.callers = append(o.callers, c)
+}
+
+func (o *outbox) target(c TargetCommand) {
+	if len(o.targets) == 0 && o.out.Target(c) {
+		return
+	}
+	o.targets = append(o.targets, c)
+}
+
+// flush offers the held commands again and reports whether all were taken.
+func (o *outbox) flush() bool {
+	taken := 0
+	for taken < len(o.callers) && o.out.Caller(o.callers[taken]) {
+		taken++
+	}
+	o.callers = keepRest(o.callers, taken)
+	taken = 0
+	for taken < len(o.targets) && o.out.Target(o.targets[taken]) {
+		taken++
+	}
+	o.targets = keepRest(o.targets, taken)
+	return len(o.callers) == 0 && len(o.targets) == 0
+}
+
+func keepRest[C any](list []C, taken int) []C {
+	if taken == 0 {
+		return list
+	}
+	if taken == len(list) {
+		clear(list)
+		return list[:0]
+	}
+	return append([]C(nil), list[taken:]...)
+}
+
+// reports keeps the newest report of each kind until control has taken it.
+type reports struct {
+	floor   *NeedFloor
+	confirm *NeedConfirm
+	applied *NeedApplied
+}
+
+func (r *reports) pending() bool {
+	return r.floor != nil || r.confirm != nil || r.applied != nil
+}
+
+func (r *reports) flush(out Outputs) {
+	if r.floor != nil && out.Control(*r.floor) {
+		r.floor = nil
+	}
+	if r.confirm != nil && out.Control(*r.confirm) {
+		r.confirm = nil
+	}
+	if r.applied != nil && out.Control(*r.applied) {
+		r.applied = nil
+	}
+}
+
+func (r *reports) needConfirm(db core.DatabaseName, p core.Position) {
+	if r.confirm == nil || p.After(r.confirm.Position) {
+		r.confirm = &NeedConfirm{Database: db, Position: p}
+	}
+}
+
+func (r *reports) needApplied(db core.DatabaseName, p core.Position) {
+	if r.applied == nil || p.After(r.applied.Position) {
+		r.applied = &NeedApplied{Database: db, Position: p}
+	}
+}
+
+// Flush offers commands that found a full ring again, and reports whether none
+// is left. The duty takes no further input while it returns false.
+func (e *Engine) Flush() bool {
+	for _, db := range e.databases {
+		db.reports.flush(e.box.out)
+	}
+	return e.box.flush()
+}
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -162,7 +162,11 @@
 	ReadOnly bool
 	// Commit is set on COMMIT.
 	Commit bool
-	// Name and Value are set for KindOwnSet and KindOwnShow.
+	// LeavesState is set when the request leaves state on the connection that
+	// the proxy cannot replay (temporary tables, PREPARE, advisory locks).
+	LeavesState bool
+	// Name and Value are set for KindOwnSet and KindOwnShow. Name is also the
+	// parameter of a KindSessionSet; "all" stands for RESET ALL.
 	Name  string
 	Value string
 	// Hints come from a leading comment /*+ name=value ... */.
--- /dev/null
+++ b/pkg/session/pool.go
@@ -0,0 +1,256 @@
+package session
+
+import "time"
+
+// keepFactor is how long a connection is used at least before it gives way to
+// another member's queue, as a multiple of the time to open one. It bounds the
+// part of the time that is lost to opening to about a quarter.
+const keepFactor = 3
+
+// wantDispatch marks the member for a check at the end of the input.
+func (e *Engine) wantDispatch(m *member) {
+	if m.wantsCheck {
+		return
+	}
+	m.wantsCheck = true
+	e.toCheck = append(e.toCheck, m)
+}
+
+func (db *database) wantDispatch() {
+	for _, m := range db.members {
+		if m.waiting() > 0 {
+			db.e.wantDispatch(m)
+		}
+	}
+}
+
+// runDispatch serves every marked member.
+func (e *Engine) runDispatch() {
+	for i := 0; i < len(e.toCheck); i++ {
+		m := e.toCheck[i]
+		m.wantsCheck = false
+		m.dispatch()
+	}
+	e.toCheck = e.toCheck[:0]
+}
+
+// dispatch sends waiting statements while the member has slots for them and
+// connections.
+func (m *member) dispatch() {
+	m.dispatchPinned()
+	if m.queue.Len() > 0 && m.giveWay() {
+		return
+	}
+	for m.queue.Len() > 0 && m.running() < m.slots {
+		if len(m.idle) == 0 {
+			m.grow()
+			return
+		}
+		item, _ := m.queue.Pop()
+		m.start(item.Value)
+	}
+	if len(m.idle) > 0 {
+		m.offerIdle()
+	}
+}
+
+// start sends the statement on an idle connection, preferably one that has the
+// session's settings.
+func (m *member) start(s *statement) {
+	t := m.idle[len(m.idle)-1]
+	for i := len(m.idle) - 1; i >= 0; i-- {
+		if m.idle[i].applied == s.c.settings.replay {
+			t = m.idle[i]
+			break
+		}
+	}
+	m.lastStart = m.db.e.now
+	s.c.pinTo(t)
+	s.fire(m.db.e.charts.stmt.dispatched)
+}
+
+func (m *member) dispatchPinned() {
+	for len(m.pinned) > 0 && m.running() < m.slots {
+		s := m.pinned[0]
+		s.dequeue()
+		s.fire(m.db.e.charts.stmt.dispatched)
+	}
+}
+
+// grow opens a connection when the queue holds more than the open ones can
+// serve within the time to open one.
+func (m *member) grow() {
+	db := m.db
+	if db.leaving || m.gone || db.e.now.Before(m.retryAt) {
+		return
+	}
+	serving := m.serving()
+	if serving >= m.slots {
+		return
+	}
+	if serving > 0 && m.queue.Len() <= m.capacity(serving) && !m.overdue() {
+		db.armCheck(db.e.now.Add(db.openTime))
+		return
+	}
+	if db.connections < db.bound {
+		m.open()
+		return
+	}
+	db.replaceIdle(m)
+}
+
+// capacity is how many statements the given connections serve within the time
+// to open another one.
+func (m *member) capacity(connections int) int {
+	if m.service <= 0 {
+		return connections
+	}
+	return int(time.Duration(connections) * m.db.openTime / m.service)
+}
+
+// overdue reports that the connections have not become free for longer than it
+// takes to open one, so that the estimate of the capacity is wrong.
+func (m *member) overdue() bool {
+	return m.db.e.now.Sub(m.lastStart) >= m.db.openTime
+}
+
+func (m *member) open() {
+	db := m.db
+	e := db.e
+	e.lastTarget++
+	t := &target{
+		id:     e.lastTarget,
+		member: m,
+		state:  e.charts.target.Initial(),
+		asked:  e.now,
+	}
+	t.item.Value = t
+	e.targets[t.id] = t
+	db.targets[t.id] = t
+	m.connections++
+	db.connections++
+	m.counts[t.state]++
+	t.arm()
+	e.box.target(TargetOpen{Target: t.id, Database: db.name, Member: m.id, Address: m.address})
+}
+
+// replaceIdle closes an idle connection to another member. The new one is
+// opened when the close is reported, so that the bound holds meanwhile.
+func (db *database) replaceIdle(wanting *member) {
+	if db.closing() > 0 {
+		return
+	}
+	var oldest *target
+	for _, m := range db.members {
+		if m == wanting || len(m.idle) == 0 || m.queue.Len() > 0 {
+			continue
+		}
+		if oldest == nil || m.idle[0].idleSince.Before(oldest.idleSince) {
+			oldest = m.idle[0]
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	rested := db.e.now.Sub(oldest.idleSince) >= keepFactor*db.openTime
+	if rested || wanting.serving() == 0 {
+		oldest.fire(db.e.charts.conn.retire)
+	}
+}
+
+// giveWay closes one of the member's idle connections when the bound is reached
+// and another member has a queue but no connection. It reports whether that
+// left the member without an idle connection.
+func (m *member) giveWay() bool {
+	db := m.db
+	if len(m.idle) == 0 || db.connections < db.bound || db.closing() > 0 {
+		return false
+	}
+	t := m.idle[0]
+	if db.e.now.Sub(t.opened) < keepFactor*db.openTime {
+		return false
+	}
+	if !db.hasStarved(m) {
+		return false
+	}
+	t.fire(db.e.charts.conn.retire)
+	return len(m.idle) == 0
+}
+
+// offerIdle lets the members that wait for a connection look again.
+func (m *member) offerIdle() {
+	db := m.db
+	if db.connections < db.bound {
+		return
+	}
+	for _, other := range db.members {
+		if other != m && other.queue.Len() > 0 && other.serving() == 0 {
+			db.e.wantDispatch(other)
+		}
+	}
+}
+
+func (db *database) hasStarved(but *member) bool {
+	for _, m := range db.members {
+		if m != but && m.queue.Len() > 0 && m.serving() == 0 && !db.e.now.Before(m.retryAt) {
+			return true
+		}
+	}
+	return false
+}
+
+func (db *database) closing() int {
+	closing := 0
+	for _, m := range db.members {
+		closing += m.counts[db.e.states.closing]
+	}
+	return closing
+}
+
+// setBound applies a new share of the connections. A smaller one closes idle
+// connections at once and busy ones at their next boundary.
+func (db *database) setBound(bound int) {
+	db.bound = bound
+	surplus := db.connections - db.closing() - db.retiring() - bound
+	for _, idle := range []bool{true, false} {
+		for _, t := range db.targets {
+			if surplus <= 0 {
+				break
+			}
+			if t.retiring || t.isClosing() || t.isIdle() != idle {
+				continue
+			}
+			t.fire(db.e.charts.conn.retire)
+			surplus--
+		}
+	}
+	db.wantDispatch()
+}
+
+func (t *target) isIdle() bool {
+	return t.state == t.engine().states.idle
+}
+
+func (t *target) isClosing() bool {
+	return t.state == t.engine().states.closing
+}
+
+func (db *database) retiring() int {
+	count := 0
+	for _, t := range db.targets {
+		if t.retiring && !t.isClosing() {
+			count++
+		}
+	}
+	return count
+}
+
+// demand is the number of connections that the present work could use.
+func (db *database) demand() int {
+	sum := 0
+	for _, m := range db.members {
+		used := m.counts[db.e.states.pinned] + m.running()
+		sum += used + min(m.queue.Len(), m.slots)
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/session/routes.go
@@ -0,0 +1,135 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// entry is a catalogue entry with what it refers to.
+type entry struct {
+	definition *catalogue.Entry
+	account    *account
+	db         *database
+	deadline   time.Duration
+}
+
+// catalogueInForce applies a newer catalogue: callers whose key was revoked go
+// at once, those whose entry is gone or moved at their next clean boundary.
+func (e *Engine) catalogueInForce(cat *catalogue.Catalogue) {
+	if cat == nil || e.catalogue != nil && cat.Version <= e.catalogue.Version {
+		return
+	}
+	e.catalogue = cat
+	e.configureAccounts(cat)
+	e.configureDatabases(cat)
+	e.configureEntries(cat)
+	for _, c := range e.callers {
+		c.reconsider()
+	}
+}
+
+func (e *Engine) configureAccounts(cat *catalogue.Catalogue) {
+	named := map[core.AccountName]bool{}
+	for i := range cat.Accounts {
+		def := &cat.Accounts[i]
+		named[def.Name] = true
+		a := e.accounts[def.Name]
+		if a == nil {
+			a = e.newAccount(def.Name)
+			e.accounts[def.Name] = a
+		}
+		a.weight = max(def.Weight, 1)
+		a.keys = liveKeys(def)
+	}
+	for name, a := range e.accounts {
+		if !named[name] {
+			a.keys = nil
+			delete(e.accounts, name)
+		}
+	}
+}
+
+func (e *Engine) newAccount(name core.AccountName) *account {
+	share := e.shares[name]
+	a := &account{
+		e:       e,
+		name:    name,
+		bucket:  bucket{rate: share.Rate, burst: share.Burst, at: e.now},
+		metrics: e.metrics.account(name),
+	}
+	a.item.Value = a
+	return a
+}
+
+func liveKeys(def *catalogue.Account) map[core.KeyID]bool {
+	keys := map[core.KeyID]bool{}
+	for i := range def.Keys {
+		if !def.Keys[i].Revoked {
+			keys[def.Keys[i].ID] = true
+		}
+	}
+	return keys
+}
+
+func (e *Engine) configureDatabases(cat *catalogue.Catalogue) {
+	named := map[core.DatabaseName]bool{}
+	for i := range cat.Databases {
+		def := &cat.Databases[i]
+		named[def.Name] = true
+		db := e.databases[def.Name]
+		if db == nil {
+			db = newDatabase(e, def.Name)
+			e.databases[def.Name] = db
+		}
+		db.configure(def)
+	}
+	for name, db := range e.databases {
+		if named[name] {
+			continue
+		}
+		db.setLeaving(true)
+		if db.connections == 0 {
+			delete(e.databases, name)
+		}
+	}
+}
+
+func (e *Engine) configureEntries(cat *catalogue.Catalogue) {
+	entries := make(map[core.EntryName]*entry, len(cat.Entries))
+	for i := range cat.Entries {
+		def := &cat.Entries[i]
+		resolved := &entry{
+			definition: def,
+			account:    e.accounts[def.Account],
+			db:         e.databases[def.Database],
+			deadline:   def.Deadline(),
+		}
+		if resolved.deadline <= 0 {
+			resolved.deadline = e.cfg.Bounds.Deadline
+		}
+		if resolved.account != nil && resolved.db != nil {
+			entries[def.Name] = resolved
+		}
+	}
+	e.entries = entries
+}
+
+// reconsider applies a new catalogue to a connected caller.
+func (c *caller) reconsider() {
+	if c.key != "" && !c.account.holds(c.key) {
+		c.end(core.NotRun(core.StateKeyRevoked, "the key is revoked"))
+		return
+	}
+	now := c.e.entries[c.entry.definition.Name]
+	if now == nil || now.db != c.db || now.account != c.account {
+		c.endAtBoundary(core.NotRun(core.StateDatabaseLeaving, "the entry was changed, please reconnect"))
+		return
+	}
+	if !now.definition.Open && c.key == "" {
+		c.end(core.NotRun(core.StateWrongKey, "the entry now needs a key"))
+		return
+	}
+	c.entry = now
+}
--- /dev/null
+++ b/pkg/session/statement.go
@@ -0,0 +1,229 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
+)
+
+// statement is one request of a caller, from its arrival to its answer.
+type statement struct {
+	c     *caller
+	state chart.State
+	item  timerq.Item[timed]
+	queue fairqueue.Item[*statement]
+
+	request  *Request
+	verdict  Verdict
+	sequence uint64
+	deadline time.Time
+	// active is set until the statement is answered or aborted.
+	active bool
+
+	// member is where the statement goes; fits tells whether it can be served
+	// there before its deadline, and reason why it was chosen.
+	member *member
+	fits   bool
+	reason string
+	// primaryNow is set once the wait for a replica is over.
+	primaryNow   bool
+	askedApplied bool
+	// waitIndex is the place among the statements that wait for a view.
+	waitIndex int
+	// pinnedWait is set while a statement of a transaction waits for a slot,
+	// tokenWait while it waits for its account's rate.
+	pinnedWait bool
+	tokenWait  bool
+
+	// sent is set from the hand-over to a target until the answer.
+	sent     bool
+	sentAt   time.Time
+	unsent   bool
+	repeats  int
+	chunk    []byte
+	held     []byte
+	progress time.Time
+	// position is the log position reported with the answer.
+	position   core.Position
+	errorState string
+	txStatus   byte
+	// confirming is set while the statement waits for a majority.
+	confirming bool
+	readyAt    time.Time
+	outcome    string
+}
+
+// notWaiting is the index of a statement that is in no list.
+const notWaiting = -1
+
+func (s *statement) init(c *caller) {
+	s.c = c
+	s.state = c.e.charts.statement.StateID("done")
+	s.item.Value = s
+	s.queue.Value = s
+	s.waitIndex = notWaiting
+}
+
+// start makes the statement of a new request; the lists it was in are left.
+func (s *statement) start(r *Request) {
+	e := s.c.e
+	e.sequence++
+	s.request = r
+	s.verdict = Verdict{}
+	s.sequence = e.sequence
+	s.deadline = r.Arrived.Add(s.c.entry.deadline)
+	s.active = true
+	s.member, s.fits, s.reason = nil, false, ""
+	s.primaryNow, s.askedApplied = false, false
+	s.sent, s.unsent, s.repeats = false, false, 0
+	s.chunk, s.held = nil, nil
+	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
+	s.outcome = ""
+	s.state = e.charts.statement.Initial()
+	s.arm()
+}
+
+// fire applies an event, keeps the deadline of the resulting state, and tells
+// the caller's life cycle when the statement is over.
+func (s *statement) fire(ev event) {
+	e := s.c.e
+	before := s.state
+	e.charts.statement.Fire(s, &s.state, ev)
+	if s.state == before {
+		return
+	}
+	if e.charts.statement.Final(s.state) {
+		s.conclude()
+		return
+	}
+	s.arm()
+}
+
+func (s *statement) arm() {
+	e := s.c.e
+	after := e.charts.statement.Timeout(s.state)
+	if after == ownDeadline {
+		e.timers.Arm(&s.item, s.deadline)
+		return
+	}
+	e.timers.Arm(&s.item, e.now.Add(after))
+}
+
+func (s *statement) timeOut() {
+	before := s.state
+	s.fire(s.c.e.charts.stmt.timedOut)
+	if s.active && s.state == before {
+		s.arm()
+	}
+}
+
+// conclude leaves every list and lets the caller go on.
+func (s *statement) conclude() {
+	if !s.active {
+		return
+	}
+	e := s.c.e
+	s.active = false
+	s.sent = false
+	e.timers.Disarm(&s.item)
+	s.unlist()
+	if !s.isOwnParameter() {
+		s.c.last = s.explanation()
+	}
+	s.record()
+	s.request, s.chunk, s.held = nil, nil, nil
+	s.c.fire(e.charts.on.answered)
+}
+
+func (s *statement) unlist() {
+	s.c.db.stopWaiting(s)
+	s.c.db.stopConfirming(s)
+	s.dequeue()
+	s.tokenWait = false
+}
+
+func (s *statement) record() {
+	e := s.c.e
+	now := e.now
+	s.c.account.metrics.answered(now.Sub(s.request.Arrived))
+	if s.c.trace == "" {
+		return
+	}
+	e.box.out.Span(Span{
+		Trace:      s.c.trace,
+		Name:       "statement",
+		Caller:     s.c.id,
+		Start:      s.request.Arrived,
+		End:        now,
+		Attributes: map[string]string{"explain": s.explanation().String()},
+	})
+}
+
+// statementRegistry binds the chart "statement".
+func statementRegistry(b *Bounds) chart.Registry[*statement] {
+	return chart.Registry[*statement]{
+		Guards: map[string]func(*statement) bool{
+			"in_transaction":          func(s *statement) bool { return s.c.inTransaction() },
+			"unsupported":             func(s *statement) bool { return s.verdict.Kind == KindRefused },
+			"own_parameter":           (*statement).isOwnParameter,
+			"forbidden_write":         (*statement).isForbiddenWrite,
+			"answered_here":           (*statement).isAnsweredHere,
+			"database_leaving":        func(s *statement) bool { return s.c.db.leaving },
+			"needs_floor":             (*statement).needsFloor,
+			"placeable":               (*statement).placeable,
+			"cannot_finish_in_time":   (*statement).cannotFinishInTime,
+			"may_use_replica":         (*statement).mayUseReplica,
+			"primary_serves":          (*statement).primaryServes,
+			"from_replaced_primary":   (*statement).fromReplacedPrimary,
+			"unconfirmed":             (*statement).unconfirmed,
+			"hold_overflows":          (*statement).holdOverflows,
+			"holds_result":            (*statement).holdsResult,
+			"progressing":             (*statement).progressing,
+			"transaction_rolled_back": (*statement).transactionRolledBack,
+			"repeat_placeable":        func(s *statement) bool { return s.repeatable() && s.placeable() },
+			"repeat_read":             func(s *statement) bool { return s.repeatable() && s.mayUseReplica() },
+			"repeat_any":              (*statement).repeatable,
+			"unsent":                  func(s *statement) bool { return s.unsent },
+		},
+		Actions:  statementActions(),
+		Timeouts: b.statementTimeouts(),
+	}
+}
+
+func statementActions() map[string]func(*statement) {
+	return map[string]func(*statement){
+		"await_token":        (*statement).awaitToken,
+		"ask_verdict":        (*statement).askVerdict,
+		"ask_floor":          func(s *statement) { s.c.db.needRound(s.c.needRound) },
+		"ask_applied":        (*statement).askApplied,
+		"ask_confirm":        (*statement).askConfirm,
+		"await_view":         func(s *statement) { s.c.db.wait(s) },
+		"enqueue":            (*statement).enqueue,
+		"enqueue_pinned":     (*statement).enqueuePinned,
+		"dequeue":            (*statement).dequeue,
+		"send":               (*statement).send,
+		"hold":               (*statement).hold,
+		"hold_last":          (*statement).hold,
+		"forward":            (*statement).forward,
+		"forward_cancel":     (*statement).forwardCancel,
+		"finish":             (*statement).finish,
+		"abandon_target":     func(s *statement) { s.c.abandonTarget() },
+		"count_repeat":       (*statement).countRepeat,
+		"answer_own":         (*statement).answerOwn,
+		"answer_here":        (*statement).answerHere,
+		"answer_rolled_back": (*statement).answerRolledBack,
+		"answer_uncertain":   (*statement).answerUncertain,
+		"refuse_rate":        (*statement).refuseRate,
+		"refuse_unsupported": (*statement).refuseUnsupported,
+		"refuse_read_only":   (*statement).refuseReadOnly,
+		"refuse_leaving":     (*statement).refuseLeaving,
+		"refuse_overloaded":  (*statement).refuseOverloaded,
+		"refuse_deadline":    (*statement).refuseDeadline,
+		"refuse_no_member":   (*statement).refuseNoMember,
+		"refuse_no_primary":  (*statement).refuseNoPrimary,
+		"refuse_cancelled":   (*statement).refuseCancelled,
+	}
+}
--- /dev/null
+++ b/pkg/session/statement_guards.go
@@ -0,0 +1,202 @@
+package session
+
+import "time"
+
+// Names of the proxy's own parameters.
+const (
+	ownMaxAge      = "sassafrasshunt.max_age_ms"
+	ownPosition    = "sassafrasshunt.position"
+	ownWriteStatus = "sassafrasshunt.write_status"
+	ownExplain     = "sassafrasshunt.explain"
+)
+
+// isStatusQuery reports a question for the fate of a named write, which the
+// primary answers.
+func (s *statement) isStatusQuery() bool {
+	return s.verdict.Kind == KindOwnShow && s.verdict.Name == ownWriteStatus
+}
+
+func (s *statement) isOwnParameter() bool {
+	own := s.verdict.Kind == KindOwnSet || s.verdict.Kind == KindOwnShow
+	return own && !s.isStatusQuery()
+}
+
+func (s *statement) isForbiddenWrite() bool {
+	return s.verdict.Kind == KindWrite && s.c.entry.definition.ReadOnly
+}
+
+// isAnsweredHere reports transaction control without a transaction and
+// DISCARD ALL, which need no target.
+func (s *statement) isAnsweredHere() bool {
+	if s.verdict.Kind == KindEnd {
+		return s.verdict.Name != ""
+	}
+	return s.verdict.Kind == KindSessionSet && s.verdict.Name == discardAll
+}
+
+// readsNoData reports requests whose result does not depend on the log.
+func (s *statement) readsNoData() bool {
+	return s.verdict.Kind == KindSessionSet || s.verdict.Kind == KindEmpty
+}
+
+// needsFloor reports whether the session's floor has to be found out first.
+// Writes need it too: a transaction reads before it writes, and a group whose
+// majority is silent could not confirm them.
+func (s *statement) needsFloor() bool {
+	return !s.readsNoData() && !s.c.learnFloor()
+}
+
+// learnFloor takes the floor from a finished round that began after the
+// session did, and reports whether the floor is known.
+func (c *caller) learnFloor() bool {
+	if c.floorKnown {
+		return true
+	}
+	if c.db.answeredRound < c.needRound {
+		return false
+	}
+	c.floor = c.db.answered
+	c.floorKnown = true
+	return true
+}
+
+// mayUseReplica reports reads outside a transaction and read-only transactions.
+func (s *statement) mayUseReplica() bool {
+	if s.verdict.Kind == KindBegin {
+		return s.verdict.ReadOnly || s.c.entry.definition.ReadOnly
+	}
+	return s.verdict.Kind == KindRead || s.readsNoData()
+}
+
+// isRead reports requests that change nothing, so that they may be repeated.
+func (s *statement) isRead() bool {
+	return s.verdict.Kind == KindRead || s.readsNoData() || s.isStatusQuery()
+}
+
+// placeable chooses a member and reports whether the statement can be served
+// there in time.
+func (s *statement) placeable() bool {
+	s.member = nil
+	s.fits = false
+	if s.mayUseReplica() && !s.primaryNow {
+		s.chooseReplica()
+	}
+	if s.member != nil && s.fits {
+		return true
+	}
+	if s.member == nil && s.mayUseReplica() && !s.primaryNow && !s.waitIsHopeless() {
+		return false
+	}
+	return s.choosePrimary()
+}
+
+// cannotFinishInTime reports that the member chosen by placeable is too busy.
+func (s *statement) cannotFinishInTime() bool {
+	return s.member != nil && !s.fits
+}
+
+// primaryServes ends the wait for a replica.
+func (s *statement) primaryServes() bool {
+	s.primaryNow = true
+	return s.placeable()
+}
+
+// waitIsHopeless reports that no replica can come to qualify: the policy takes
+// none, none is reachable, or no staleness at all is accepted.
+func (s *statement) waitIsHopeless() bool {
+	return s.c.e.cfg.Policy == PolicyPrimary || s.maxAge() <= 0 || !s.c.db.hasReplica()
+}
+
+// maxAge returns the accepted staleness: of the statement, else of the
+// session, else of the entry.
+func (s *statement) maxAge() time.Duration {
+	if s.readsNoData() {
+		return anyAge
+	}
+	if s.verdict.Hints.MaxAge >= 0 {
+		return s.verdict.Hints.MaxAge
+	}
+	if s.c.maxAge >= 0 {
+		return s.c.maxAge
+	}
+	return s.c.entry.definition.MaxAge()
+}
+
+// anyAge accepts every replica.
+const anyAge = 1<<63 - 1
+
+// fromReplacedPrimary reports a commit of a term that is over.
+func (s *statement) fromReplacedPrimary() bool {
+	return s.committed() && s.c.db.term > s.position.Term
+}
+
+// unconfirmed reports a commit that a majority is not known to have.
+func (s *statement) unconfirmed() bool {
+	if s.isStatusQuery() && s.position.IsZero() && s.errorState == "" {
+		return !s.c.e.cfg.AckAtCommit
+	}
+	return s.committed() && !s.c.db.confirms(s.position)
+}
+
+// committed reports an answer that has to be confirmed. Without a log position
+// nothing was committed.
+func (s *statement) committed() bool {
+	if s.c.e.cfg.AckAtCommit || s.position.IsZero() {
+		return false
+	}
+	return s.verdict.Kind != KindRead && !s.readsNoData()
+}
+
+// holdsResult reports a request that may commit before it ends, so that none
+// of its result may be seen yet.
+func (s *statement) holdsResult() bool {
+	if s.c.e.cfg.AckAtCommit || s.verdict.Kind == KindRead || s.readsNoData() {
+		return false
+	}
+	return !s.c.inTransaction() || s.mayCommit()
+}
+
+// mayCommit reports a request that ends a transaction and keeps its changes.
+func (s *statement) mayCommit() bool {
+	return s.verdict.Commit
+}
+
+func (s *statement) holdOverflows() bool {
+	return s.holdsResult() && len(s.held)+len(s.chunk) > s.c.e.cfg.HeldBytes
+}
+
+// progressing reports that rows were forwarded within the stall bound.
+func (s *statement) progressing() bool {
+	return s.c.e.now.Sub(s.progress) < s.c.e.cfg.Bounds.StreamStall
+}
+
+// transactionRolledBack reports that the request was part of a transaction
+// which certainly did not commit when its connection broke.
+func (s *statement) transactionRolledBack() bool {
+	if s.verdict.Kind == KindBegin && !s.verdict.Commit && !s.unsent {
+		return true
+	}
+	if !s.c.inTransaction() {
+		return false
+	}
+	return s.unsent || !s.mayCommit()
+}
+
+// repeatable reports that the statement may be sent again: nothing of it was
+// written, or it changes nothing twice and the budget has room.
+func (s *statement) repeatable() bool {
+	if s.c.e.now.After(s.deadline) || s.c.inTransaction() {
+		return false
+	}
+	if s.unsent {
+		return true
+	}
+	if !s.isRead() && !s.idempotent() {
+		return false
+	}
+	return s.c.e.budget.hasRoom()
+}
+
+func (s *statement) idempotent() bool {
+	return s.verdict.Hints.Idempotent || s.c.entry.definition.Idempotent
+}
--- /dev/null
+++ b/pkg/session/tables.go
@@ -0,0 +1,102 @@
+package session
+
+import (
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+)
+
+// tables are the compiled life cycles with their events.
+type tables struct {
+	caller    *chart.Table[*caller]
+	statement *chart.Table[*statement]
+	target    *chart.Table[*target]
+	on        callerEvents
+	stmt      statementEvents
+	conn      targetEvents
+}
+
+type callerEvents struct {
+	request, answered, targetLost, closed, ended, drain, timedOut event
+}
+
+type statementEvents struct {
+	admitted, denied, classified, floorKnown, viewChanged, rerouted, dispatched event
+	data, ready, lost, confirmed, superseded                                    event
+	cancelled, leaving, aborted, timedOut                                       event
+}
+
+type targetEvents struct {
+	opened, sent, readyIdle, readyOpen, retire, abandon, lost, timedOut event
+}
+
+// targetStates are the states by which connections are counted.
+type targetStates struct {
+	idle, busy, pinned, closing, closed chart.State
+}
+
+func (t *tables) targetStates() targetStates {
+	id := t.target.StateID
+	return targetStates{
+		idle: id("idle"), busy: id("busy"), pinned: id("pinned"),
+		closing: id("closing"), closed: id("closed"),
+	}
+}
+
+// loadTables compiles the three charts. It returns the errors of charts.Load
+// and chart.Compile.
+func loadTables(b *Bounds) (*tables, error) {
+	t := &tables{}
+	var err error
+	if t.caller, err = compile("caller", callerRegistry(b)); err != nil {
+		return nil, err
+	}
+	if t.statement, err = compile("statement", statementRegistry(b)); err != nil {
+		return nil, err
+	}
+	if t.target, err = compile("target", targetRegistry(b)); err != nil {
+		return nil, err
+	}
+	t.resolve()
+	return t, nil
+}
+
+func compile[S any](name string, r chart.Registry[S]) (*chart.Table[S], error) {
+	definition, err := charts.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	return chart.Compile(definition, r)
+}
+
+func (t *tables) resolve() {
+	c, s, n := t.caller.Event, t.statement.Event, t.target.Event
+	t.on = callerEvents{
+		request: c("request"), answered: c("answered"), targetLost: c("target_lost"),
+		closed: c("closed"), ended: c("ended"), drain: c("drain"), timedOut: c(chart.TimeoutEvent),
+	}
+	t.stmt = statementEvents{
+		admitted: s("admitted"), denied: s("denied"), classified: s("classified"),
+		floorKnown: s("floor_known"), viewChanged: s("view_changed"), rerouted: s("rerouted"),
+		dispatched: s("dispatched"), data: s("data"), ready: s("ready"), lost: s("lost"),
+		confirmed: s("confirmed"), superseded: s("superseded"), cancelled: s("cancelled"),
+		leaving: s("leaving"), aborted: s("aborted"), timedOut: s(chart.TimeoutEvent),
+	}
+	t.conn = targetEvents{
+		opened: n("opened"), sent: n("sent"), readyIdle: n("ready_idle"), readyOpen: n("ready_open"),
+		retire: n("retire"), abandon: n("abandon"), lost: n("lost"), timedOut: n(chart.TimeoutEvent),
+	}
+}
+
+// Taken returns how often each transition of the named life cycle was taken,
+// for the metrics page; nil for an unknown name.
+func (e *Engine) Taken(name string) map[string]uint64 {
+	switch name {
+	case "caller":
+		return e.charts.caller.Taken()
+	case "statement":
+		return e.charts.statement.Taken()
+	case "target":
+		return e.charts.target.Taken()
+	}
+	return nil
+}
