--- a/pkg/failover/config.go
+++ b/pkg/failover/config.go
@@ -98,6 +98,9 @@
 	member  *chart.Table[*member]
 	events  groupEvents
 	reports memberEvents
+	// healthy and reachable are the states that outputs depend on.
+	healthy   chart.State
+	reachable chart.State
 }
 
 // NewRules compiles the charts "group" and "member". It returns a
--- /dev/null
+++ b/pkg/failover/detect.go
@@ -0,0 +1,164 @@
+package failover
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// watchPeriod is how often a healthy group looks whether the record was ever
+// read and names the primary in force.
+const watchPeriod = 5 * time.Second
+
+// silence returns how long the primary has left calls unanswered, or how long
+// no primary is known.
+func (g *Group) silence() time.Duration {
+	since := g.silentSince()
+	if since.IsZero() {
+		return 0
+	}
+	return g.now.Sub(since)
+}
+
+func (g *Group) silentSince() time.Time {
+	if !g.hasPrimary() {
+		return g.aloneSince
+	}
+	return g.primary.unansweredSince
+}
+
+func (g *Group) checkSilence() {
+	if g.silence() >= g.config.SilenceBound {
+		g.fire(g.rules.events.primarySilent)
+	}
+}
+
+func (g *Group) silenceDue() time.Time {
+	since := g.silentSince()
+	if since.IsZero() {
+		return time.Time{}
+	}
+	due := since.Add(g.config.SilenceBound)
+	if !due.After(g.now) {
+		return time.Time{}
+	}
+	return due
+}
+
+// lost reports whether a new term is needed. After a decider or a chosen member
+// stopped, the term in force is fenced and no primary has to be found silent.
+func (g *Group) lost() bool {
+	if g.reason == ReasonDecider || g.reason == ReasonMember {
+		return !g.hasPrimary() && g.answering() >= g.majority()
+	}
+	return g.silence() >= g.config.SilenceBound && g.corroborated() >= g.majority()
+}
+
+// answering counts the members that answered within the silence bound, because
+// a claim without a majority to fence only burns a term.
+func (g *Group) answering() int {
+	n := 0
+	for _, m := range g.members {
+		if m.fresh() {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *member) fresh() bool {
+	return m.seen && m.group.now.Sub(m.answered) < m.group.config.SilenceBound
+}
+
+// corroborated counts the replicas that have lost the primary's stream too.
+func (g *Group) corroborated() int {
+	n := 0
+	for _, m := range g.members {
+		if m != g.primary && m.fresh() && m.lostPrimary() {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *member) lostPrimary() bool {
+	if m.status.Role == core.RoleFenced {
+		return true
+	}
+	return m.status.Role == core.RoleReplica && m.status.PrimarySilence >= m.group.config.SilenceBound
+}
+
+func (g *Group) checkLost() {
+	if !g.lost() {
+		g.lostSince = time.Time{}
+		return
+	}
+	if g.lostSince.IsZero() {
+		g.lostSince = g.now
+	}
+}
+
+// stagger spreads instances that detect at once over StaggerMax; each instance
+// has another place in the order for each term.
+func (g *Group) stagger() time.Duration {
+	h := fnv.New64a()
+	h.Write([]byte(g.self))
+	h.Write([]byte{0})
+	h.Write(strconv.AppendUint(nil, uint64(g.known), 10))
+	const slots = 1 << 10
+	place := mix(h.Sum64()) % slots
+	return g.config.StaggerMax * time.Duration(place) / slots
+}
+
+// mix spreads the bits of a hash (finalizer of MurmurHash3), because FNV of
+// short inputs that differ in the last byte only is nearly linear.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func (g *Group) lostDue() time.Time {
+	if g.lostSince.IsZero() {
+		return time.Time{}
+	}
+	due := g.lostSince.Add(g.stagger())
+	if !due.After(g.now) {
+		return time.Time{}
+	}
+	return due
+}
+
+// mayClaim is the guard of the claim.
+func (g *Group) mayClaim() bool {
+	if !g.recordKnown || g.lostSince.IsZero() || g.now.Before(g.retryAt) {
+		return false
+	}
+	return g.now.Sub(g.lostSince) >= g.stagger()
+}
+
+func (g *Group) suspect() {
+	g.reason = ReasonSilent
+	id := core.MemberID("")
+	if g.primary != nil {
+		id = g.primary.id
+	}
+	g.note(EventPrimarySuspected, id, g.silence().String())
+	g.hurry()
+}
+
+// hurry asks the members more often, for a bounded time.
+func (g *Group) hurry() {
+	g.hurryUntil = g.now.Add(g.config.SilenceBound)
+	for _, m := range g.members {
+		m.probeNow()
+	}
+}
+
+func (g *Group) noteHeard() {
+	g.note(EventPrimaryHeard, g.primary.id, "")
+}
--- a/pkg/failover/record.go
+++ b/pkg/failover/record.go
@@ -22,6 +22,7 @@
 	Decider core.InstanceID
 	// Nonce identifies the claim, to resolve a lost answer.
 	Nonce string
-	// Start is the log position at which Term began, in PhaseServing.
+	// Start is the log position at which Term began, in PhaseServing, for
+	// operators. Members are told the position that the primary itself reports.
 	Start core.LSN
 }
