Test the group decisions on a simulated group of three members

Cause: failovers have to keep acknowledged writes under crashes, pauses, cuts, lost answers and platform outages.

--- /dev/null
+++ b/pkg/failover/failover_test.go
@@ -0,0 +1,237 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+const writePeriod = 10 * time.Millisecond
+
+// started returns a simulation with a primary in force and writes going on.
+func started(t testing.TB, seed uint64, instances int) *sim {
+	s := newSim(seed, instances)
+	s.run(time.Second)
+	for _, in := range s.instances {
+		require.Equal(t, "healthy", in.group.StateName())
+		in.writeEvery(writePeriod)
+	}
+	s.run(time.Second)
+	require.NotEmpty(t, s.acked)
+	return s
+}
+
+// serving reports whether every live instance knows the live primary.
+func (s *sim) serving(atLeast core.Term) bool {
+	leader := s.leader()
+	if leader == nil || leader.term < atLeast {
+		return false
+	}
+	for _, in := range s.instances {
+		if !in.dead && (in.view.Primary != leader.id || in.group.StateName() != "healthy") {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) requireSafe(t require.TestingT) {
+	require.Empty(t, s.faults)
+	if leader := s.leader(); leader != nil && leader.term == s.majorityTerm() {
+		require.Zero(t, s.missing(leader, s.acked))
+	}
+}
+
+// Guards against a group that stays without a primary after a crash, and
+// against acknowledged writes that the new primary lacks.
+func TestCrashOfThePrimary(t *testing.T) {
+	s := started(t, 1, 5)
+	acked := len(s.acked)
+	s.members[0].alive = false
+	require.True(t, s.runUntil(2*time.Second, func() bool { return s.serving(2) }))
+	s.run(time.Second)
+	require.Greater(t, len(s.acked), acked+100)
+	require.Len(t, s.reports, 1)
+	require.Less(t, s.reports[0].Gap(), time.Second)
+	require.Equal(t, PhaseServing, s.record.Phase)
+	s.members[0].alive = true
+	s.run(time.Second)
+	require.Equal(t, core.RoleReplica, s.members[0].role)
+	require.Equal(t, s.leader().log, s.members[0].log)
+	s.requireSafe(t)
+}
+
+// Guards against a needless promotion when the primary or the instance is
+// paused for less than the bound, and when only the instance's own path fails.
+func TestNoNeedlessPromotion(t *testing.T) {
+	s := started(t, 2, 3)
+	for range 10 {
+		s.members[0].paused = s.now.Add(590 * time.Millisecond)
+		s.run(1100 * time.Millisecond)
+	}
+	for _, in := range s.instances {
+		in.paused = s.now.Add(5 * time.Second)
+	}
+	s.run(7 * time.Second)
+	s.cut("i1", "m0", true)
+	s.run(5 * time.Second)
+	require.Len(t, s.promoted, 1)
+	require.Zero(t, s.revision)
+	s.requireSafe(t)
+}
+
+// Guards against a write acknowledged by a primary that was cut off together
+// with an instance.
+func TestPrimaryCutOffWithAnInstance(t *testing.T) {
+	s := started(t, 3, 3)
+	for _, other := range []string{"m1", "m2", "i1", "i2"} {
+		s.cut("m0", other, true)
+	}
+	s.cut("i0", "m1", true)
+	s.cut("i0", "m2", true)
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.leader().term == 2 }))
+	s.run(time.Second)
+	require.Greater(t, len(s.members[0].log), 200)
+	clear(s.cuts)
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.serving(2) }))
+	s.run(time.Second)
+	require.Equal(t, core.RoleReplica, s.members[0].role)
+	s.requireSafe(t)
+}
+
+// Guards against a write lost when the instance is paused between its check
+// and its answer while another instance changes the primary.
+func TestInstancePausedBetweenCheckAndAnswer(t *testing.T) {
+	s := started(t, 4, 2)
+	s.instances[0].paused = s.now.Add(4 * time.Second)
+	s.members[0].alive = false
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.leader() != nil }))
+	s.run(5 * time.Second)
+	require.True(t, s.serving(2))
+	s.requireSafe(t)
+}
+
+// Guards against a claim or an announcement that hangs or is repeated as a new
+// one when the answer of its compare-and-swap is lost.
+func TestLostSwapAnswers(t *testing.T) {
+	s := started(t, 5, 1)
+	s.loseAnswers = 2
+	s.members[0].alive = false
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.serving(2) }))
+	require.True(t, s.runUntil(3*time.Second, func() bool { return s.record.Phase == PhaseServing }))
+	require.Equal(t, core.Term(2), s.record.Term)
+	s.requireSafe(t)
+}
+
+// Guards against a promotion without the platform, a claim given up in an
+// outage, and a group that does not recover after it.
+func TestPlatformOutageAtEachStep(t *testing.T) {
+	for step, phase := range []Phase{"", PhaseFencing, PhaseServing} {
+		s := started(t, uint64(10+step), 3)
+		s.platformDown = phase == ""
+		s.onSwap = func(c RecordSwap) { s.platformDown = s.platformDown || c.Record.Phase == phase && step == 2 }
+		if step == 1 {
+			s.onSwap = func(RecordSwap) { s.after(3*time.Millisecond, func() { s.platformDown = true }) }
+		}
+		s.members[0].alive = false
+		s.run(4 * time.Second)
+		decided := s.revision > 0
+		require.Equal(t, decided, s.leader() != nil)
+		require.Equal(t, step > 0, decided)
+		s.onSwap = nil
+		s.platformDown = false
+		require.True(t, s.runUntil(5*time.Second, func() bool { return s.serving(2) && s.record.Phase == PhaseServing }))
+		s.requireSafe(t)
+	}
+}
+
+// Guards against two deciders that promote in one term, and against a claim
+// storm when many instances detect at once.
+func TestRacingInstances(t *testing.T) {
+	terms := core.Term(0)
+	for seed := range uint64(20) {
+		s := started(t, 100+seed, 7)
+		s.members[0].alive = false
+		require.True(t, s.runUntil(4*time.Second, func() bool { return s.serving(2) }))
+		terms += s.leader().term - 1
+		s.requireSafe(t)
+	}
+	require.Less(t, terms, core.Term(24))
+}
+
+// Guards against a group that waits for ever for a decider that died.
+func TestDeciderDies(t *testing.T) {
+	s := started(t, 6, 3)
+	s.onSwap = func(c RecordSwap) {
+		for _, in := range s.instances {
+			if in.id == c.Record.Decider && c.Record.Term == 2 {
+				s.after(4*time.Millisecond, func() { in.dead = true })
+			}
+		}
+	}
+	s.members[0].alive = false
+	require.True(t, s.runUntil(6*time.Second, func() bool { return s.serving(2) }))
+	s.requireSafe(t)
+}
+
+// Guards against a planned change that loses writes or ignores the member
+// that was asked for.
+func TestSwitchover(t *testing.T) {
+	s := started(t, 7, 2)
+	for _, in := range s.instances {
+		in.pending = nil
+	}
+	require.Error(t, s.instances[0].group.Switchover(s.now, "m0"))
+	require.NoError(t, s.instances[0].group.Switchover(s.now, "m2"))
+	require.True(t, s.runUntil(time.Second, func() bool { return s.serving(2) }))
+	require.Equal(t, ReasonPlanned, s.reports[0].Reason)
+	s.run(time.Second)
+	require.Equal(t, core.RoleReplica, s.members[0].role)
+	s.requireSafe(t)
+}
+
+// Guards against a floor that misses a write acknowledged before the round,
+// also while the primary changes.
+func TestFloorCoversAcknowledgedWrites(t *testing.T) {
+	s := started(t, 8, 3)
+	reader := s.instances[2]
+	for round := uint64(1); round < 60; round++ {
+		if round == 20 {
+			s.members[0].alive = false
+		}
+		last := s.acked[len(s.acked)-1].position
+		reader.input(func() { reader.group.NeedFloor(s.now, session.NeedFloor{Round: round}) })
+		require.True(t, s.runUntil(time.Second, func() bool { return reader.floor.Round >= round }))
+		require.False(t, last.After(reader.floor.Position))
+		s.run(40 * time.Millisecond)
+	}
+}
+
+// Guards against an age bound that is lower than the true staleness.
+func TestAgeBoundOfALaggingReplica(t *testing.T) {
+	s := started(t, 9, 1)
+	s.cut("m0", "m2", true)
+	lost := s.now
+	s.run(450 * time.Millisecond)
+	in := s.instances[0]
+	age := in.view.Members[2].AgeBound + s.now.Sub(in.view.Members[2].SeenAt)
+	require.GreaterOrEqual(t, age, s.now.Sub(lost))
+	require.Less(t, in.view.Members[1].AgeBound, 450*time.Millisecond)
+}
+
+// Guards against a call for each pending write.
+func TestOneWaitCoversPendingWrites(t *testing.T) {
+	s := started(t, 11, 1)
+	in := s.instances[0]
+	before, acked := in.calls[MethodWait], len(s.acked)
+	for range 500 {
+		in.write()
+	}
+	s.run(100 * time.Millisecond)
+	require.GreaterOrEqual(t, len(s.acked)-acked, 500)
+	require.Less(t, in.calls[MethodWait]-before, 200)
+}
