--- /dev/null
+++ b/pkg/wire/errors.go
@@ -0,0 +1,37 @@
+package wire
+
+import "fmt"
+
+// ProtocolError reports bytes that are not a valid PostgreSQL message.
+type ProtocolError struct {
+	// Message is the type byte of the message, 0 for a startup packet.
+	Message byte
+	Reason  string
+}
+
+func (e *ProtocolError) Error() string {
+	if e.Message == 0 {
+		return "invalid startup packet: " + e.Reason
+	}
+	return fmt.Sprintf("invalid message of type %q: %s", e.Message, e.Reason)
+}
+
+// SizeError reports a message that is longer than the bound.
+type SizeError struct {
+	// Size and Limit are in bytes, the length field included.
+	Size  int
+	Limit int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds the bound of %d bytes", e.Size, e.Limit)
+}
+
+// AuthError reports a failed SCRAM exchange. It holds no key and no proof.
+type AuthError struct {
+	Reason string
+}
+
+func (e *AuthError) Error() string {
+	return "authentication failed: " + e.Reason
+}
--- /dev/null
+++ b/pkg/wire/scramclient.go
@@ -0,0 +1,46 @@
+package wire
+
+import "github.com/xdg-go/scram"
+
+// ScramClient starts the client side of SCRAM-SHA-256 exchanges with targets.
+// It caches the derived keys of the password.
+type ScramClient struct {
+	client *scram.Client
+}
+
+// NewScramClient returns a client for one user. It returns an *AuthError for a
+// user or password that SASLprep forbids.
+func NewScramClient(user, password string) (*ScramClient, error) {
+	client, err := scram.SHA256.NewClient(user, password, "")
+	if err != nil {
+		return nil, &AuthError{Reason: "user or password is not valid for SASL"}
+	}
+	return &ScramClient{client: client}, nil
+}
+
+// ScramProof is one client-side exchange.
+type ScramProof struct {
+	conversation *scram.ClientConversation
+}
+
+// Begin starts an exchange and returns its client-first message.
+func (c *ScramClient) Begin() (*ScramProof, string, error) {
+	p := &ScramProof{conversation: c.client.NewConversation()}
+	first, err := p.Step("")
+	return p, first, err
+}
+
+// Step takes the server's message and returns the next client message. It
+// returns an *AuthError when the server's message is invalid.
+func (p *ScramProof) Step(message string) (string, error) {
+	reply, err := p.conversation.Step(message)
+	if err != nil {
+		return "", &AuthError{Reason: "the server's SCRAM message is invalid"}
+	}
+	return reply, nil
+}
+
+// Verified reports whether the server has proved that it knows the password.
+func (p *ScramProof) Verified() bool {
+	return p.conversation.Valid()
+}
