Add the target side

targetio opens connections, sends requests and passes results on. The startup is a chart that lib/chart interprets. Compiles; not yet tested.

--- a/pkg/callerio/caller.go
+++ b/pkg/callerio/caller.go
@@ -39,7 +39,11 @@
 	// gone is set once the socket is closed.
 	gone bool
 	// ending is set once the connection only sends what is buffered.
-	ending  bool
+	ending bool
+	// unread is set when the caller may still be sending. The socket is then
+	// closed by the caller or the linger timeout: closing it with unread input
+	// resets it, and the caller would lose the error that it was sent.
+	unread  bool
 	timeout timerq.Item[timer]
 	delay   timerq.Item[timer]
 	linger  timerq.Item[timer]
@@ -191,6 +195,7 @@
 func (c *caller) violate(reason string) {
 	c.duty.counts.violations.Add(1)
 	c.duty.report(c, NoteViolation, reason)
+	c.unread = true
 	c.fault = wire.Failure{
 		Severity: wire.SeverityFatal,
 		SQLState: core.StateProtocolViolation,
@@ -216,16 +221,19 @@
 	c.end()
 }
 
-// end closes the connection when its output is sent and the caller has closed
-// its side, at the latest after LingerTimeout. Until then input is dropped:
-// closing a socket with unread input resets it, and the caller would lose the
-// error that it was sent.
+// end closes the connection when its output is sent, at the latest after
+// LingerTimeout.
 func (c *caller) end() {
 	if c.gone || c.ending {
 		return
 	}
 	c.ending = true
-	c.duty.timers.Arm(&c.linger, time.Now().Add(c.duty.config.LingerTimeout))
+	if !c.unread {
+		c.conn.CloseAfterFlush()
+	}
+	if !c.gone {
+		c.duty.timers.Arm(&c.linger, time.Now().Add(c.duty.config.LingerTimeout))
+	}
 }
 
 func (c *caller) lingerOver() {
--- /dev/null
+++ b/pkg/targetio/duty.go
@@ -0,0 +1,213 @@
+package targetio
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
+)
+
+// drainBatch bounds the ring items handled between two polls, so that a burst
+// of commands does not starve the sockets.
+const drainBatch = 256
+
+// Duty owns the target connections. Run and everything below it work on one thread.
+type Duty struct {
+	config  Config
+	loop    *netloop.Loop
+	ring    *ring.Ring[Input]
+	outbox  *outbox.Outbox
+	startup *startupChart
+	scram   *wire.ScramClient
+	targets map[session.TargetID]*target
+	timers  timerq.Queue[func()]
+	// stalled are the targets whose sockets wait for room in the session ring.
+	stalled  []*target
+	stopping atomic.Bool
+	counts   counters
+}
+
+// counters are read by the metrics page.
+type counters struct {
+	opened   atomic.Uint64
+	open     atomic.Int64
+	refused  atomic.Uint64
+	requests atomic.Uint64
+	cancels  atomic.Uint64
+}
+
+// Stats describes the duty for the metrics page.
+type Stats struct {
+	Opened   uint64 `json:"opened"`
+	Open     int64  `json:"open"`
+	Refused  uint64 `json:"refused"`
+	Requests uint64 `json:"requests"`
+	Cancels  uint64 `json:"cancels"`
+}
+
+// New returns the duty. It returns a *ConfigError for a chart or credentials
+// that cannot be used.
+func New(config Config, deps Deps) (*Duty, error) {
+	if deps.Session == nil || deps.Chart == nil {
+		return nil, &ConfigError{Reason: "session ring and chart are required"}
+	}
+	config = config.withDefaults()
+	startup, err := compileStartup(deps.Chart, config)
+	if err != nil {
+		return nil, err
+	}
+	client, err := wire.NewScramClient(config.User, config.Password)
+	if err != nil {
+		return nil, &ConfigError{Reason: "credentials", Err: err}
+	}
+	loop, err := netloop.New()
+	if err != nil {
+		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
+	}
+	return &Duty{
+		config:  config,
+		loop:    loop,
+		ring:    ring.New[Input](config.RingCapacity, loop),
+		outbox:  outbox.New(deps.Session, loop),
+		startup: startup,
+		scram:   client,
+		targets: map[session.TargetID]*target{},
+	}, nil
+}
+
+// Ring returns the input ring of the duty.
+func (d *Duty) Ring() *ring.Ring[Input] {
+	return d.ring
+}
+
+// Transitions returns how often each transition of the startup chart was taken.
+func (d *Duty) Transitions() map[string]uint64 {
+	return d.startup.table.Taken()
+}
+
+// Stats returns the counters. It is safe for concurrent use.
+func (d *Duty) Stats() Stats {
+	return Stats{
+		Opened:   d.counts.opened.Load(),
+		Open:     d.counts.open.Load(),
+		Refused:  d.counts.refused.Load(),
+		Requests: d.counts.requests.Load(),
+		Cancels:  d.counts.cancels.Load(),
+	}
+}
+
+// Stop ends Run and closes every connection. It is safe for concurrent use.
+func (d *Duty) Stop() {
+	d.stopping.Store(true)
+	d.loop.Wake()
+}
+
+// Run serves the connections until Stop. It returns an error when the event loop fails.
+func (d *Duty) Run() error {
+	defer d.loop.Close()
+	for !d.stopping.Load() {
+		d.drainRing()
+		d.resumeStalled()
+		d.fireTimers(time.Now())
+		if err := d.wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Duty) wait() error {
+	if !d.ring.Park() {
+		return d.loop.Poll(0)
+	}
+	defer d.ring.Unpark()
+	next, armed := d.timers.Next()
+	if !armed {
+		return d.loop.Poll(-1)
+	}
+	return d.loop.Poll(max(time.Until(next), 0))
+}
+
+func (d *Duty) fireTimers(now time.Time) {
+	for {
+		item, due := d.timers.PopDue(now)
+		if !due {
+			return
+		}
+		item.Value()
+	}
+}
+
+func (d *Duty) drainRing() {
+	for range drainBatch {
+		input, ok := d.ring.Pop()
+		if !ok {
+			return
+		}
+		d.command(input.Command)
+	}
+}
+
+// resumeStalled reads the paused sockets again once the session ring has
+// taken every waiting event.
+func (d *Duty) resumeStalled() {
+	if d.outbox.Blocked() && !d.outbox.Flush() {
+		return
+	}
+	for len(d.stalled) > 0 && !d.outbox.Blocked() {
+		last := len(d.stalled) - 1
+		t := d.stalled[last]
+		d.stalled[last] = nil
+		d.stalled = d.stalled[:last]
+		t.stalled = false
+		t.balance()
+		t.process()
+	}
+}
+
+// command carries out one command of the session duty. A command for a
+// connection that is gone is dropped: TargetClosed is on its way.
+func (d *Duty) command(command session.TargetCommand) {
+	switch m := command.(type) {
+	case session.TargetOpen:
+		d.open(m)
+	case session.TargetSend:
+		d.withTarget(m.Target, func(t *target) { t.send(m) })
+	case session.TargetClose:
+		d.withTarget(m.Target, func(t *target) { t.fail("closed by the proxy") })
+	case session.TargetCancel:
+		d.withTarget(m.Target, (*target).cancel)
+	case session.TargetPause:
+		d.withTarget(m.Target, func(t *target) { t.setPaused(true) })
+	case session.TargetResume:
+		d.withTarget(m.Target, func(t *target) { t.setPaused(false) })
+	}
+}
+
+func (d *Duty) withTarget(id session.TargetID, do func(*target)) {
+	if t := d.targets[id]; t != nil {
+		do(t)
+	}
+}
+
+// open starts a connection. An attempt that fails at once is reported like
+// one that fails later.
+func (d *Duty) open(m session.TargetOpen) {
+	t := &target{duty: d, id: m.Target, address: m.Address, database: m.Database, state: d.startup.table.Initial()}
+	t.timeout.Value = t.timedOut
+	conn, err := d.loop.Connect(m.Address, t)
+	if err != nil {
+		d.counts.refused.Add(1)
+		d.outbox.Push(session.TargetClosed{Target: t.id, Unsent: true, Refused: true, Reason: err.Error()})
+		return
+	}
+	t.conn = conn
+	d.targets[t.id] = t
+	d.counts.open.Add(1)
+	t.armTimeout()
+}
