Add the state of the stand-in member

Tests and the demo need database members that expose terms and log positions. The store keeps log, rows, term and role of one member without I/O; the role chart is standin/store/charts/role.toml. A replica compares its last term with the primary's history of terms before it confirms anything, because two primaries that never met can have logged the same positions.

--- /dev/null
+++ b/standin/store/replicate.go
@@ -0,0 +1,138 @@
+package store
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// maxPull bounds the entries in one answer to a replica.
+const maxPull = 500
+
+type timedEntry struct {
+	entry Entry
+	at    time.Time
+}
+
+// Pull is a replica's request for entries.
+type Pull struct {
+	Member core.MemberID `json:"member"`
+	// Term is the term that the replica follows.
+	Term core.Term `json:"term"`
+	// After is the end of the replica's log and AfterTerm its last term.
+	After     core.LSN  `json:"after"`
+	AfterTerm core.Term `json:"after_term"`
+}
+
+// Batch answers a Pull.
+type Batch struct {
+	Term core.Term `json:"term"`
+	// Diverged asks the replica to drop its entries beyond Truncate and those
+	// newer than TruncateTerm.
+	Diverged     bool             `json:"diverged,omitempty"`
+	Truncate     core.LSN         `json:"truncate,omitempty"`
+	TruncateTerm core.Term        `json:"truncate_term,omitempty"`
+	Entries      []Entry          `json:"entries,omitempty"`
+	Terms        core.TermHistory `json:"terms,omitempty"`
+}
+
+// Commit appends a transaction to the log of a primary and returns its
+// position. It returns a *RoleError when the member is not a primary.
+func (s *Store) Commit(changes []Change, identities []string) (core.Position, error) {
+	if !s.Writable() {
+		return core.Position{}, &RoleError{Role: s.Role(), Command: "commit"}
+	}
+	e := Entry{Term: s.term, Changes: changes, Identities: identities}
+	e.LSN = s.log.End() + entrySize(changes, identities)
+	s.log.Append(e)
+	s.applyThrough(e.LSN)
+	return core.Position{Term: e.Term, LSN: e.LSN}, nil
+}
+
+// Answer returns the entries that follow the replica's log. ready is false
+// when there is nothing to send before the next heartbeat. It returns a
+// *TermError when the request is of a lower term, and a *RoleError when the
+// member is not the primary of the requested term.
+func (s *Store) Answer(p Pull) (batch Batch, ready bool, err error) {
+	if p.Term < s.term {
+		return Batch{}, false, &TermError{Accepted: s.term}
+	}
+	if p.Term > s.term || !s.Writable() {
+		return Batch{}, false, &RoleError{Role: s.Role(), Command: "replicate"}
+	}
+	batch.Term = s.term
+	batch.Terms = s.log.Terms()
+	if term, end := s.log.agreement(p.AfterTerm); p.After > 0 && (p.After > end || p.AfterTerm != term) {
+		batch.Diverged = true
+		batch.Truncate, batch.TruncateTerm = end, term
+		return batch, true, nil
+	}
+	from := s.log.after(p.After)
+	to := min(from+maxPull, len(s.log.entries))
+	batch.Entries = s.log.entries[from:to:to]
+	return batch, from < to, nil
+}
+
+// NextPull returns the request that continues the stream.
+func (s *Store) NextPull() Pull {
+	p := Pull{Member: s.config.Member, Term: s.term, After: s.log.End(), AfterTerm: s.log.LastTerm()}
+	if n := len(s.incoming); n > 0 {
+		p.After = s.incoming[n-1].entry.LSN
+		p.AfterTerm = s.incoming[n-1].entry.Term
+	}
+	return p
+}
+
+// Receive takes the answer to the pull p at time now. An answer for another
+// term or another end of the log is dropped.
+func (s *Store) Receive(p Pull, b Batch, now time.Time) {
+	if b.Term != s.term || s.Role() != core.RoleReplica || p != s.NextPull() {
+		return
+	}
+	s.lastHeard = now
+	if b.Diverged {
+		s.incoming = nil
+		s.log.truncate(b.TruncateTerm, b.Truncate)
+		s.rollBack()
+		return
+	}
+	s.verified = true
+	s.log.terms = b.Terms
+	for _, e := range b.Entries {
+		s.incoming = append(s.incoming, timedEntry{entry: e, at: now.Add(s.config.ReceiveDelay)})
+	}
+}
+
+// SetApplyLag sets the lag of entries that are received from now on.
+func (s *Store) SetApplyLag(lag time.Duration) {
+	s.applyLag = lag
+}
+
+// Advance receives and applies the entries whose delay has passed. It returns
+// whether anything changed.
+func (s *Store) Advance(now time.Time) bool {
+	received, applied := s.log.End(), s.applied
+	for len(s.incoming) > 0 && !s.incoming[0].at.After(now) {
+		t := s.incoming[0]
+		s.incoming = s.incoming[1:]
+		s.log.Append(t.entry)
+		s.unapplied = append(s.unapplied, timedEntry{entry: t.entry, at: t.at.Add(s.applyLag)})
+	}
+	for len(s.unapplied) > 0 && !s.unapplied[0].at.After(now) {
+		s.applyThrough(s.unapplied[0].entry.LSN)
+		s.unapplied = s.unapplied[1:]
+	}
+	return received != s.log.End() || applied != s.applied
+}
+
+// NextAdvance returns when Advance is due.
+func (s *Store) NextAdvance() (time.Time, bool) {
+	var next time.Time
+	if len(s.incoming) > 0 {
+		next = s.incoming[0].at
+	}
+	if len(s.unapplied) > 0 && (next.IsZero() || s.unapplied[0].at.Before(next)) {
+		next = s.unapplied[0].at
+	}
+	return next, !next.IsZero()
+}
--- /dev/null
+++ b/standin/store/role.go
@@ -0,0 +1,103 @@
+package store
+
+import (
+	"embed"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+//go:embed charts/*.toml
+var charts embed.FS
+
+const roleFile = "charts/role.toml"
+
+// HeartbeatInterval is the longest time between two answers of a primary to
+// the pull of a replica. It is well below the detection bound of 600 ms.
+const HeartbeatInterval = 50 * time.Millisecond
+
+// silenceCheckInterval is how often a member without a primary looks at its
+// timers.
+const silenceCheckInterval = 100 * time.Millisecond
+
+type roleEvents struct {
+	fence, promote, follow, timedOut chart.Event
+}
+
+func compileRole() (*chart.Table[*Store], roleEvents, error) {
+	text, err := charts.ReadFile(roleFile)
+	if err != nil {
+		return nil, roleEvents{}, err
+	}
+	definition, err := chart.Parse(roleFile, text)
+	if err != nil {
+		return nil, roleEvents{}, err
+	}
+	table, err := chart.Compile(definition, roleRegistry())
+	if err != nil {
+		return nil, roleEvents{}, err
+	}
+	events := roleEvents{
+		fence:    table.Event("fence"),
+		promote:  table.Event("promote"),
+		follow:   table.Event("follow"),
+		timedOut: table.Event(chart.TimeoutEvent),
+	}
+	return table, events, nil
+}
+
+func roleRegistry() chart.Registry[*Store] {
+	return chart.Registry[*Store]{
+		Guards: map[string]func(*Store) bool{
+			"is_newer":        func(s *Store) bool { return s.command.term > s.term },
+			"is_accepted":     func(s *Store) bool { return s.command.term == s.term },
+			"is_same_primary": func(s *Store) bool { return s.command.address == s.primary },
+		},
+		Actions: map[string]func(*Store){
+			"accept_term":     (*Store).acceptTerm,
+			"drop_stream":     (*Store).dropStream,
+			"begin_term":      (*Store).beginTerm,
+			"follow":          (*Store).followPrimary,
+			"refuse":          (*Store).refuse,
+			"count_heartbeat": func(s *Store) { s.heartbeats++ },
+		},
+		Timeouts: map[string]time.Duration{
+			"heartbeat":     HeartbeatInterval,
+			"silence_check": silenceCheckInterval,
+		},
+	}
+}
+
+func (s *Store) acceptTerm() {
+	s.term = s.command.term
+	s.verified = false
+	s.primary = ""
+}
+
+// dropStream forgets entries that were sent but are not yet received.
+func (s *Store) dropStream() {
+	s.incoming = nil
+	s.verified = false
+	s.primary = ""
+}
+
+// beginTerm applies the whole log, since the rows of a primary are those of
+// its last entry.
+func (s *Store) beginTerm() {
+	s.primary = ""
+	s.applyThrough(s.log.End())
+	s.unapplied = nil
+	s.log.BeginTerm(s.term)
+}
+
+func (s *Store) followPrimary() {
+	s.primary = s.command.address
+	s.lastHeard = s.command.now
+	s.log.truncateOlder(s.term, s.command.start)
+	s.rollBack()
+}
+
+func (s *Store) refuse() {
+	s.command.err = &RoleError{Role: core.Role(s.table.StateName(s.state)), Command: s.command.name}
+}
