--- /dev/null
+++ b/cmd/sassafrasshunt/commands.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/instance"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+)
+
+type runCommand struct {
+	path string
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run an instance until SIGTERM or SIGINT" }
+func (*runCommand) Usage() string {
+	return "run -settings FILE\n  Runs an instance. SIGTERM starts a graceful stop.\n  Exit codes: 0 stopped, 1 cannot start, 2 bad usage.\n"
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "sassafrasshunt.toml", "settings file")
+}
+
+func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	s, err := settings.Load(c.path)
+	if err != nil {
+		return fail(err)
+	}
+	i, err := instance.New(s, os.Stdout)
+	if err != nil {
+		return fail(err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		i.Stop()
+	}()
+	i.Run()
+	return subcommands.ExitSuccess
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitFailure
+}
+
+type checkCommand struct {
+	path string
+}
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a settings file and the built-in state charts" }
+func (*checkCommand) Usage() string {
+	return "check -settings FILE\n  Reports every fault. Exit codes: 0 no fault, 1 faults.\n"
+}
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "sassafrasshunt.toml", "settings file")
+}
+
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := settings.Load(c.path); err != nil {
+		return fail(err)
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
+
+type versionCommand struct{}
+
+func (*versionCommand) Name() string           { return "version" }
+func (*versionCommand) Synopsis() string       { return "print the version" }
+func (*versionCommand) Usage() string          { return "version\n" }
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fail(fmt.Errorf("no build information"))
+	}
+	fmt.Println("sassafrasshunt", info.Main.Version, info.GoVersion)
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/sassafrasshuntctl/fleet.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+type status struct{ target }
+
+func (*status) Name() string     { return "status" }
+func (*status) Synopsis() string { return "print the fleet as one instance sees it" }
+func (*status) Usage() string    { return "status [flags]\n" }
+
+func (c *status) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var s control.Status
+	if err := c.call(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
+		return exit(err)
+	}
+	return c.print(s, func() { printStatus(&s) })
+}
+
+func printStatus(s *control.Status) {
+	fmt.Printf("instance %s in %s: %s, lease %s, slot %d\n", s.Instance, s.Domain, s.State, s.Lease, s.Slot)
+	fmt.Printf("catalogue version %d, share table revision %d, allocator %s\n", s.CatalogueVersion, s.TableRevision, s.Allocator)
+	fmt.Printf("shares valid until %s\n", s.Shares.Until.Format(time.RFC3339))
+	for _, g := range s.Groups {
+		fmt.Printf("database %s: %s, term %d, primary %s\n", g.Database, g.State, g.Term, g.Primary)
+	}
+	for _, p := range s.Peers {
+		fmt.Printf("peer %s at %s: linked=%v, catalogue version %d\n", p.Instance, p.PeerAddress, p.Linked, p.Catalogue)
+	}
+}
+
+type explain struct {
+	target
+	account string
+}
+
+func (*explain) Name() string { return "explain" }
+func (*explain) Synopsis() string {
+	return "tell why the last statements of an account went where they went"
+}
+func (*explain) Usage() string { return "explain -account NAME [flags]\n" }
+
+func (c *explain) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.account, "account", "", "client account")
+}
+
+func (c *explain) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var lines []string
+	path := "/v1/explain?account=" + url.QueryEscape(c.account)
+	if err := c.call(ctx, http.MethodGet, path, nil, &lines); err != nil {
+		return exit(err)
+	}
+	return c.print(lines, func() {
+		for _, line := range lines {
+			fmt.Println(line)
+		}
+	})
+}
+
+type switchover struct {
+	target
+	database string
+	to       string
+}
+
+func (*switchover) Name() string     { return "switchover" }
+func (*switchover) Synopsis() string { return "start a planned change of primary" }
+func (*switchover) Usage() string    { return "switchover -database NAME -to MEMBER [flags]\n" }
+
+func (c *switchover) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.database, "database", "", "database")
+	f.StringVar(&c.to, "to", "", "preferred member")
+}
+
+func (c *switchover) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	body := admin.SwitchoverRequest{Database: core.DatabaseName(c.database), To: core.MemberID(c.to)}
+	if err := c.call(ctx, http.MethodPost, "/v1/switchover", body, &struct{}{}); err != nil {
+		return exit(err)
+	}
+	return c.print(body, func() { fmt.Println("change of primary started; see status") })
+}
--- /dev/null
+++ b/cmd/sassafrasshuntctl/keys.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+type keysGive struct {
+	target
+	account string
+}
+
+func (*keysGive) Name() string     { return "give" }
+func (*keysGive) Synopsis() string { return "make a key for an account and print it once" }
+func (*keysGive) Usage() string {
+	return "keys give -account NAME [flags]\n  The key is made here; only its verifier is sent.\n"
+}
+
+func (c *keysGive) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.account, "account", "", "client account")
+}
+
+func (c *keysGive) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	account, err := c.target.account(ctx, c.account)
+	if err != nil {
+		return exit(err)
+	}
+	key, add, err := catalogue.GiveKey(account)
+	if err != nil {
+		return exit(eris.Wrap(errRefused, err.Error()))
+	}
+	edit, err := admin.NewEdit("add_key", add)
+	if err != nil {
+		return exit(eris.Wrap(errRefused, err.Error()))
+	}
+	if status := c.apply(ctx, edit); status != subcommands.ExitSuccess {
+		return status
+	}
+	fmt.Printf("key id %s\nkey %s\n", add.Key.ID, key)
+	return subcommands.ExitSuccess
+}
+
+type keysRevoke struct {
+	target
+	account string
+	id      string
+}
+
+func (*keysRevoke) Name() string     { return "revoke" }
+func (*keysRevoke) Synopsis() string { return "revoke a key, also for connected callers" }
+func (*keysRevoke) Usage() string    { return "keys revoke -account NAME -id ID [flags]\n" }
+
+func (c *keysRevoke) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.account, "account", "", "client account")
+	f.StringVar(&c.id, "id", "", "key id")
+}
+
+func (c *keysRevoke) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	revoke := catalogue.RevokeKey{Account: core.AccountName(c.account), ID: core.KeyID(c.id)}
+	edit, err := admin.NewEdit("revoke_key", revoke)
+	if err != nil {
+		return exit(eris.Wrap(errRefused, err.Error()))
+	}
+	return c.apply(ctx, edit)
+}
+
+type keysList struct {
+	target
+	account string
+}
+
+func (*keysList) Name() string     { return "list" }
+func (*keysList) Synopsis() string { return "list the key ids of an account" }
+func (*keysList) Usage() string    { return "keys list -account NAME [flags]\n" }
+
+func (c *keysList) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.account, "account", "", "client account")
+}
+
+// listedKey leaves out the verifier.
+type listedKey struct {
+	ID      core.KeyID `json:"id"`
+	Revoked bool       `json:"revoked"`
+}
+
+func (c *keysList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	account, err := c.target.account(ctx, c.account)
+	if err != nil {
+		return exit(err)
+	}
+	keys := make([]listedKey, 0, len(account.Keys))
+	for _, k := range account.Keys {
+		keys = append(keys, listedKey{ID: k.ID, Revoked: k.Revoked})
+	}
+	return c.print(keys, func() {
+		for _, k := range keys {
+			fmt.Printf("%s\trevoked=%v\n", k.ID, k.Revoked)
+		}
+	})
+}
--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -9,18 +9,16 @@
 	"sync"
 )
 
-// Group is the set of running duties.
+// Group is the set of running duties. Start and Names are called from one
+// thread.
 type Group struct {
 	running sync.WaitGroup
-	mu      sync.Mutex
 	names   []string
 }
 
 // Start runs loop on a thread of its own until loop returns.
 func (g *Group) Start(name string, loop func()) {
-	g.mu.Lock()
 	g.names = append(g.names, name)
-	g.mu.Unlock()
 	g.running.Add(1)
 	go func() {
 		defer g.running.Done()
@@ -31,8 +29,6 @@
 
 // Names returns the names of the started duties in start order.
 func (g *Group) Names() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	return append([]string(nil), g.names...)
 }
 
--- /dev/null
+++ b/pkg/admin/handlers.go
@@ -0,0 +1,133 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// EditsRequest is the body of POST /v1/catalogue/edits.
+type EditsRequest struct {
+	// Identity makes a repeated request harmless; 16 or more random characters.
+	Identity string `json:"identity"`
+	Edits    []Edit `json:"edits"`
+}
+
+// SwitchoverRequest is the body of POST /v1/switchover.
+type SwitchoverRequest struct {
+	Database core.DatabaseName `json:"database"`
+	To       core.MemberID     `json:"to"`
+}
+
+// Accepted is the answer to an edit that is in force on this instance.
+type Accepted struct {
+	Version uint64 `json:"version"`
+}
+
+func (s *Server) ask(r *http.Request, request control.OperatorRequest) (control.OperatorAnswer, error) {
+	reply := make(chan control.OperatorAnswer, 1)
+	if !s.backend.Ask(request, reply) {
+		return control.OperatorAnswer{}, &Error{Status: http.StatusServiceUnavailable, Message: "instance is overloaded; not run"}
+	}
+	bound := time.NewTimer(answerBound)
+	defer bound.Stop()
+	select {
+	case answer := <-reply:
+		return answer, convert(answer.Err)
+	case <-r.Context().Done():
+		return control.OperatorAnswer{}, r.Context().Err()
+	case <-bound.C:
+		return control.OperatorAnswer{}, &Error{Status: http.StatusGatewayTimeout, Message: "no answer in time; outcome uncertain: repeat with the same identity"}
+	}
+}
+
+// convert turns errors of the layers below into HTTP errors.
+func convert(err error) error {
+	var check *catalogue.CheckError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &check):
+		e := &Error{Status: http.StatusUnprocessableEntity, Message: "the edit breaks rules"}
+		for _, f := range check.Faults {
+			e.Faults = append(e.Faults, f.String())
+		}
+		return e
+	}
+	return &Error{Status: http.StatusConflict, Message: err.Error()}
+}
+
+func decodeBody[T any](r *http.Request) (T, error) {
+	var body T
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return body, &Error{Status: http.StatusBadRequest, Message: "invalid body: " + err.Error()}
+	}
+	return body, nil
+}
+
+func (s *Server) getCatalogue(r *http.Request) (any, error) {
+	answer, err := s.ask(r, control.GetCatalogue{})
+	return answer.Catalogue, err
+}
+
+func (s *Server) getHistory(r *http.Request) (any, error) {
+	answer, err := s.ask(r, control.GetHistory{})
+	return answer.History, err
+}
+
+func (s *Server) getStatus(r *http.Request) (any, error) {
+	answer, err := s.ask(r, control.GetStatus{})
+	return answer.Status, err
+}
+
+func (s *Server) postEdits(r *http.Request) (any, error) {
+	body, err := decodeBody[EditsRequest](r)
+	if err != nil {
+		return nil, err
+	}
+	if len(body.Identity) < 16 {
+		return nil, &Error{Status: http.StatusBadRequest, Message: "identity must have at least 16 characters"}
+	}
+	request := control.ApplyEdits{Identity: body.Identity}
+	for _, e := range body.Edits {
+		edit, err := e.decode()
+		if err != nil {
+			return nil, err
+		}
+		request.Edits = append(request.Edits, edit)
+	}
+	answer, err := s.ask(r, request)
+	if err != nil {
+		return nil, err
+	}
+	return Accepted{Version: answer.Catalogue.Version}, nil
+}
+
+func (s *Server) postSwitchover(r *http.Request) (any, error) {
+	body, err := decodeBody[SwitchoverRequest](r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = s.ask(r, control.Switchover{Database: body.Database, To: body.To})
+	return struct{}{}, err
+}
+
+func (s *Server) getExplain(r *http.Request) (any, error) {
+	reply := make(chan []string, 1)
+	if !s.backend.Explain(r.URL.Query().Get("account"), reply) {
+		return nil, &Error{Status: http.StatusServiceUnavailable, Message: "instance is overloaded"}
+	}
+	select {
+	case lines := <-reply:
+		return lines, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -193,6 +193,9 @@
 // GetStatus asks for the state of the fleet as this instance sees it.
 type GetStatus struct{}
 
+// GetHistory asks for the edits that this instance saw, newest first.
+type GetHistory struct{}
+
 // Switchover starts a planned change of primary.
 type Switchover struct {
 	Database core.DatabaseName
@@ -202,15 +205,26 @@
 func (GetCatalogue) operatorRequest() {}
 func (ApplyEdits) operatorRequest()   {}
 func (GetStatus) operatorRequest()    {}
+func (GetHistory) operatorRequest()   {}
 func (Switchover) operatorRequest()   {}
 
 // OperatorAnswer answers an OperatorRequest. Err is set when it failed.
 type OperatorAnswer struct {
 	Catalogue *catalogue.Catalogue
 	Status    *Status
+	History   []HistoryItem
 	Err       error
 }
 
+// HistoryItem is one adopted version of the catalogue.
+type HistoryItem struct {
+	Version uint64    `json:"version"`
+	EditID  string    `json:"edit_id"`
+	Adopted time.Time `json:"adopted"`
+	// Changes are the differences from the version in force before.
+	Changes []string `json:"changes"`
+}
+
 // Status is the state of the fleet as one instance sees it.
 type Status struct {
 	Instance         core.InstanceID `json:"instance"`
@@ -224,6 +238,8 @@
 	Groups           []GroupStatus   `json:"groups"`
 	Peers            []PeerStatus    `json:"peers"`
 	Shares           ShareStatus     `json:"shares"`
+	// Failovers are the last changes of primary that this instance decided.
+	Failovers []failover.Report `json:"failovers"`
 }
 
 // GroupStatus is the state of a database group.
--- /dev/null
+++ b/pkg/control/mirror.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+const (
+	// watchHold is how long the platform holds a watch without a change. The
+	// platform counts each call, so a longer hold costs fewer calls.
+	watchHold = 10 * time.Second
+	// watchRetry is the delay after a failed watch; it doubles up to
+	// watchRetryMax, so that an outage is not followed by a burst of calls.
+	watchRetry    = 100 * time.Millisecond
+	watchRetryMax = 2 * time.Second
+	// listPeriod is the period of reads of the instance list.
+	listPeriod = 5 * time.Second
+)
+
+// mirror holds what this instance knows of the platform's records. One waiting
+// watch over all keys keeps it current.
+type mirror struct {
+	engine    *Engine
+	revision  Revision
+	complete  bool
+	backoff   time.Duration
+	retry     timer
+	confirmed time.Time
+
+	catalogueRevision Revision
+	tableRevision     Revision
+	table             *share.Table
+	groups            map[core.DatabaseName]failover.RecordSeen
+	claims            map[int]ClaimRecord
+	allocator         AllocatorRecord
+}
+
+func newMirror() mirror {
+	return mirror{
+		groups: map[core.DatabaseName]failover.RecordSeen{},
+		claims: map[int]ClaimRecord{},
+	}
+}
+
+func (m *mirror) start(e *Engine) {
+	m.engine = e
+	m.backoff = watchRetry
+	m.retry.Value = m.watch
+	m.watch()
+}
+
+func (m *mirror) watch() {
+	m.engine.out.Store(Watch{After: m.revision, Hold: watchHold})
+}
+
+// watched takes the result of a watch and starts the next one.
+func (m *mirror) watched(a StoreAnswer) {
+	if a.Outcome != Done {
+		m.engine.timers.arm(&m.retry, m.engine.now.Add(m.backoff))
+		m.backoff = min(2*m.backoff, watchRetryMax)
+		return
+	}
+	m.backoff = watchRetry
+	if a.Revision < m.revision {
+		// The platform went back to an older state. Versions and terms in force
+		// do not go back; the mirror is read again from the beginning.
+		*m = newMirror()
+		m.start(m.engine)
+		return
+	}
+	m.revision = a.Revision
+	m.complete = true
+	m.confirmed = a.Sent
+	m.apply(a.Records)
+	m.engine.mirrorChanged(a)
+	m.watch()
+}
+
+func (m *mirror) apply(records []Record) {
+	for _, r := range records {
+		m.applyOne(r)
+	}
+}
+
+func (m *mirror) applyOne(r Record) {
+	switch v := r.(type) {
+	case CatalogueRecord:
+		m.catalogueRevision = v.Revision
+	case GroupRecord:
+		m.groups[v.Database] = v.Seen
+	case TableRecord:
+		if v.Revision >= m.tableRevision {
+			m.tableRevision = v.Revision
+			m.table = v.Table
+		}
+	case ClaimRecord:
+		if v.Deleted {
+			delete(m.claims, v.Claim.Slot)
+			return
+		}
+		m.claims[v.Claim.Slot] = v
+	case AllocatorRecord:
+		m.allocator = v
+	}
+}
+
+func (m *mirror) claimList() []share.Claim {
+	claims := make([]share.Claim, 0, len(m.claims))
+	for _, c := range m.claims {
+		claims = append(claims, c.Claim)
+	}
+	return claims
+}
+
+// allocatorVacant reports that no instance has the allocator role.
+func (m *mirror) allocatorVacant() bool {
+	return m.allocator.Deleted || m.allocator.Allocator.Instance == ""
+}
+
+// mirrorChanged tells the decision modules what a watch brought.
+func (e *Engine) mirrorChanged(a StoreAnswer) {
+	for _, r := range a.Records {
+		switch v := r.(type) {
+		case CatalogueRecord:
+			e.catalogueRead(v, a.Sent)
+		case GroupRecord:
+			if g := e.groups[v.Database]; g != nil {
+				g.core.RecordSeen(e.now, v.Seen)
+			}
+		}
+	}
+	e.catalogueConfirmed(a.Sent)
+	e.shares.mirrorChanged(e, a.Sent)
+}
+
+func (e *Engine) storeAnswer(a StoreAnswer) {
+	switch op := a.Operation.(type) {
+	case Watch:
+		e.mirror.watched(a)
+	case ReadGroup:
+		e.groupRead(op, a)
+	case SwapGroup:
+		e.groupSwapped(op, a)
+	case ReadCatalogue, SwapCatalogue:
+		e.catalogueAnswer(a)
+	case SwapTable:
+		e.shares.tableSwapped(e, op, a)
+	case CreateLease, RenewLease, PutClaim:
+		e.lease.answer(a)
+	case PutAllocator:
+		e.mirror.apply(a.Records)
+	case ListInstances:
+		e.peers.listed(a)
+	}
+}
+
+func (e *Engine) groupRead(op ReadGroup, a StoreAnswer) {
+	g := e.groups[op.Database]
+	if g == nil {
+		return
+	}
+	result := failover.ReadResult{Call: op.Call, Failed: a.Outcome != Done && a.Outcome != NotFound}
+	for _, r := range a.Records {
+		if v, ok := r.(GroupRecord); ok {
+			result.Seen = v.Seen
+		}
+	}
+	g.core.ReadResult(e.now, result)
+}
+
+func (e *Engine) groupSwapped(op SwapGroup, a StoreAnswer) {
+	g := e.groups[op.Database]
+	if g == nil {
+		return
+	}
+	result := failover.SwapResult{Call: op.Call, Outcome: swapOutcomes[a.Outcome], Revision: uint64(a.Revision)}
+	for _, r := range a.Records {
+		if v, ok := r.(GroupRecord); ok {
+			result.Current = v.Seen
+		}
+	}
+	g.core.SwapResult(e.now, result)
+}
+
+var swapOutcomes = map[Outcome]failover.SwapOutcome{
+	Done:        failover.SwapWon,
+	Conflict:    failover.SwapConflict,
+	NotFound:    failover.SwapConflict,
+	Unavailable: failover.SwapUnavailable,
+	Unknown:     failover.SwapUnknown,
+}
--- /dev/null
+++ b/pkg/control/operator.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+)
+
+// keptFailovers bounds the changes of primary that the status lists.
+const keptFailovers = 64
+
+func (e *Engine) operatorRequest(m FromOperator) {
+	switch r := m.Request.(type) {
+	case GetCatalogue:
+		m.Reply <- OperatorAnswer{Catalogue: e.keeper.InForce()}
+	case GetHistory:
+		m.Reply <- OperatorAnswer{History: e.history}
+	case GetStatus:
+		m.Reply <- OperatorAnswer{Status: e.status()}
+	case ApplyEdits:
+		e.applyEdits(r, m.Reply)
+	case Switchover:
+		m.Reply <- OperatorAnswer{Err: e.switchover(r)}
+	}
+}
+
+// UnknownDatabaseError reports a database that the catalogue does not have.
+type UnknownDatabaseError struct {
+	Name core.DatabaseName
+}
+
+func (e *UnknownDatabaseError) Error() string {
+	return "database " + string(e.Name) + " does not exist"
+}
+
+func (e *Engine) switchover(r Switchover) error {
+	g := e.groups[r.Database]
+	if g == nil {
+		return &UnknownDatabaseError{Name: r.Database}
+	}
+	return g.core.Switchover(e.now, r.To)
+}
+
+func (e *Engine) noteFailover(r failover.Report) {
+	e.failovers = append(e.failovers, r)
+	if len(e.failovers) > keptFailovers {
+		e.failovers = e.failovers[1:]
+	}
+	e.out.Finished(r)
+}
+
+func (e *Engine) status() *Status {
+	spendable := e.holder.Spendable(e.now)
+	s := &Status{
+		Instance:  e.config.Self.Instance,
+		Domain:    e.config.Self.Domain,
+		State:     e.life.chart.StateName(e.life.state),
+		Lease:     e.lease.chart.StateName(e.lease.state),
+		Slot:      spendable.Slot,
+		Allocator: e.mirror.allocator.Allocator.Instance,
+		Peers:     e.peers.status(),
+		Failovers: append([]failover.Report(nil), e.failovers...),
+		Shares: ShareStatus{
+			Until:       spendable.Until,
+			Rates:       map[core.AccountName]float64{},
+			Connections: spendable.Connections,
+		},
+	}
+	for name, rate := range spendable.Accounts {
+		s.Shares.Rates[name] = rate.Rate.Float()
+	}
+	if c := e.keeper.InForce(); c != nil {
+		s.CatalogueVersion = c.Version
+	}
+	if t := e.holder.Table(); t != nil {
+		s.TableRevision = t.Revision
+	}
+	for name, g := range e.groups {
+		s.Groups = append(s.Groups, GroupStatus{
+			Database: name, State: g.core.State(), Term: g.last.Term, Primary: g.last.Primary,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/control/shares.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+const (
+	// reportPeriod is the period of a holder's reports to the allocator and of
+	// table writes by the allocator.
+	reportPeriod = time.Second
+	// roleStagger spreads the attempts of instances to become the allocator.
+	roleStagger = 200 * time.Millisecond
+)
+
+// shares joins the holder and the allocator with the platform and the peers.
+type shares struct {
+	demand session.Demand
+	// published is the newest table revision that session was given.
+	published uint64
+	// swapping is set while a table write has no answer.
+	swapping bool
+}
+
+func (s *shares) start(e *Engine) {
+	e.every(reportPeriod, func() {
+		s.report(e)
+		s.allocate(e)
+		s.publish(e)
+	})
+	e.every(reportPeriod+e.stagger(), func() { s.takeRole(e) })
+}
+
+func (e *Engine) stagger() time.Duration {
+	return time.Duration(startSlot(string(e.config.Self.Instance), int(roleStagger/time.Millisecond))) * time.Millisecond
+}
+
+// mirrorChanged adopts the table and the claims that the platform confirmed at sent.
+func (s *shares) mirrorChanged(e *Engine, sent time.Time) {
+	if e.mirror.table != nil {
+		e.holder.TableRead(e.mirror.table, sent)
+	}
+	e.allocator.Adopt(e.mirror.table, e.now)
+	e.allocator.SetClaims(e.mirror.claimList(), e.now)
+	s.publish(e)
+}
+
+// publish gives session what may be spent now. It is repeated every period,
+// because the right to spend is extended by each lease renewal.
+func (s *shares) publish(e *Engine) {
+	spendable := e.holder.Spendable(e.now)
+	in := session.ShareInForce{
+		Grant:       spendable.Grant,
+		Accounts:    map[core.AccountName]session.RateShare{},
+		Connections: spendable.Connections,
+		Until:       spendable.Until,
+	}
+	if table := e.holder.Table(); table != nil {
+		in.Revision = table.Revision
+	}
+	for name, rate := range spendable.Accounts {
+		in.Accounts[name] = session.RateShare{Rate: rate.Rate.Float(), Burst: rate.Burst.Float()}
+	}
+	if e.out.Session(in) {
+		s.published = in.Revision
+	}
+	if spendable.Slot >= 0 && e.keeper.InForce() != nil {
+		e.life.fire("configured")
+	}
+}
+
+// applied notes that session admits by the table of the given revision.
+func (s *shares) applied(e *Engine, m session.ShareApplied) {
+	e.holder.ConnectionsOpen(m.Open)
+	if table := e.holder.Table(); table != nil && m.Revision == table.Revision {
+		s.report(e)
+	}
+}
+
+// report sends the demand and the acknowledgement to the allocator.
+func (s *shares) report(e *Engine) {
+	report, ok := e.holder.Report()
+	if !ok || s.published < report.RatesApplied {
+		return
+	}
+	report.Accounts = s.demand.Accounts
+	report.Databases = s.demand.Connections
+	role := e.mirror.allocator.Allocator
+	if e.isAllocator() {
+		e.allocator.Report(report, e.now)
+		return
+	}
+	if role.PeerAddress != "" && !e.mirror.allocator.Deleted {
+		e.out.Peer(PeerCall{Address: role.PeerAddress, Message: ShareReport{Report: report}})
+	}
+}
+
+func (e *Engine) isAllocator() bool {
+	return !e.mirror.allocator.Deleted && e.mirror.allocator.Allocator.Instance == e.config.Self.Instance
+}
+
+// takeRole claims the allocator role when it is vacant. The role only avoids
+// needless conflicts: the compare-and-swap of the table keeps it right even
+// with two allocators.
+func (s *shares) takeRole(e *Engine) {
+	if !e.mirror.complete || !e.mirror.allocatorVacant() || e.lease.id == "" {
+		return
+	}
+	e.out.Store(PutAllocator{
+		Allocator: Allocator{Instance: e.config.Self.Instance, PeerAddress: e.config.Self.PeerAddress},
+		Lease:     e.lease.id,
+		Revision:  e.mirror.allocatorRevision(),
+	})
+}
+
+func (m *mirror) allocatorRevision() Revision {
+	if m.allocator.Deleted {
+		return 0
+	}
+	return m.allocator.Revision
+}
+
+// allocate writes the next table when there is something to change.
+func (s *shares) allocate(e *Engine) {
+	if !e.isAllocator() || !e.mirror.complete || s.swapping {
+		return
+	}
+	if c := e.keeper.InForce(); c != nil {
+		e.allocator.SetLimits(c)
+	}
+	e.allocator.Adopt(e.mirror.table, e.now)
+	for _, p := range e.allocator.Probes() {
+		e.out.Peer(PeerCall{Address: p.Address, Message: e.peers.versions()})
+	}
+	next, changed := e.allocator.Next(e.now)
+	if !changed {
+		return
+	}
+	s.swapping = true
+	e.out.Store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
+}
+
+// tableSwapped adopts a table that was written; a lost answer is resolved by
+// the watch, which brings the record as it is.
+func (s *shares) tableSwapped(e *Engine, op SwapTable, a StoreAnswer) {
+	s.swapping = false
+	if a.Outcome == Done {
+		e.mirror.applyOne(TableRecord{Table: op.Table, Revision: a.Revision})
+	}
+	e.mirror.apply(a.Records)
+	s.mirrorChanged(e, a.Sent)
+}
+
+// probeRefused tells the allocator that no process listens at the address of a
+// lost holder.
+func (s *shares) probeRefused(e *Engine, address string, asked time.Time) {
+	for _, p := range e.allocator.Probes() {
+		if p.Address == address {
+			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/instance/build.go
@@ -0,0 +1,148 @@
+package instance
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/classify"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
+)
+
+// reportBacklog bounds the reports that wait for the control ring; session
+// does not wait for control.
+const reportBacklog = 1024
+
+func (i *Instance) buildEdges() error {
+	callerChart, err := charts.Load("caller_startup")
+	if err != nil {
+		return err
+	}
+	targetChart, err := charts.Load("target_startup")
+	if err != nil {
+		return err
+	}
+	i.callers, err = callerio.New(callerio.Config{
+		Address: i.settings.CallerAddress, RingCapacity: i.settings.RingCapacity,
+		MaxCallers: i.settings.MaxCallers, MaxInput: i.settings.MaxMessage,
+	}, callerio.Deps{Session: i.sessions.input, Chart: callerChart, Note: i.callerNote})
+	if err != nil {
+		return err
+	}
+	i.targets, err = targetio.New(targetio.Config{
+		RingCapacity: i.settings.RingCapacity, User: i.settings.TargetUser, Password: i.settings.TargetPassword,
+	}, targetio.Deps{Session: i.sessions.input, Chart: targetChart})
+	if err != nil {
+		return err
+	}
+	return i.buildControlEdges()
+}
+
+func (i *Instance) buildControlEdges() error {
+	var err error
+	config := rpc.DefaultConfig()
+	config.RingCapacity = max(config.RingCapacity, i.settings.RingCapacity)
+	if i.rpc, err = rpc.New(config); err != nil {
+		return err
+	}
+	if i.peers, err = i.rpc.Listen(i.settings.PeerAddress); err != nil {
+		return err
+	}
+	store := platform.NewClient(i.settings.PlatformAddress)
+	i.platform = platform.NewDuty(store, platform.Output{
+		Deliver:   i.deliverPlatform,
+		CallRoom:  i.callRoom,
+		WatchRoom: i.watchRoom,
+	})
+	return nil
+}
+
+func (i *Instance) callerNote(n callerio.Note) {
+	i.log(logrus.WarnLevel, "caller_refused", string(n.Kind), telemetry.Fields{
+		"remote": n.Remote.String(), "account": n.Account, "entry": n.Entry, "reason": n.Reason,
+	})
+}
+
+func (i *Instance) buildSession() error {
+	i.classify = newClassifyDuty(i.settings.RingCapacity, classify.New(classifyCacheEntries), i.sessions.input)
+	out := &sessionOutputs{
+		callers:   &port[callerio.Input]{ring: i.callers.Ring()},
+		targets:   &port[session.TargetCommand]{ring: i.targets.Ring()},
+		classify:  &port[session.ClassifyRequest]{ring: i.classify.input},
+		control:   &port[control.Input]{ring: i.controls.input, keep: reportBacklog},
+		telemetry: i.telemetry,
+	}
+	config := session.DefaultConfig()
+	config.Domain = i.settings.Domain
+	config.Bounds.CallerIdle = i.settings.IdleCallerBound
+	config.Bounds.ReplicaWait = i.settings.ReplicaWait
+	config.Bounds.Confirm = i.settings.ConfirmBound
+	config.Bounds.ConnectionOpen = i.settings.TargetConnectTimeout
+	config.Bounds.ConnectionIdle = i.settings.TargetIdleClose
+	config.Bounds.Drain = i.settings.DrainBound
+	config.RetryFraction = i.settings.RetryBudget
+	config.AckAtCommit = i.settings.FailoverBaseline
+	engine, err := session.New(config, out)
+	if err != nil {
+		return err
+	}
+	i.engine = engine
+	i.sessions.engine = engine
+	i.sessions.outlets = []outlet{out.callers, out.targets, out.classify, out.control}
+	return nil
+}
+
+func (i *Instance) buildControl() error {
+	definitions, err := loadCharts()
+	if err != nil {
+		return err
+	}
+	out := i.controlOutputs()
+	timing := failover.DefaultConfig()
+	timing.Heartbeat = i.settings.HeartbeatPeriod
+	timing.SilenceBound = i.settings.DetectionBound
+	engine, err := control.New(control.Config{
+		Self:     i.self,
+		Failover: timing,
+		Share: share.Settings{
+			MaxInstances: i.settings.MaxInstances, FloorFraction: i.settings.FloorFraction,
+			CutoffBound: i.settings.CutoffBound, CutoffMargin: share.DefaultCutoffMargin,
+			AcknowledgementBound: share.DefaultAcknowledgementBound,
+		},
+		LeaseRenew:   i.settings.LeaseRenew,
+		CallTimeout:  i.settings.PlatformCallTimeout,
+		DrainBound:   i.settings.DrainBound,
+		KeyStaleness: i.settings.KeyStalenessBound,
+	}, definitions, out)
+	if err != nil {
+		return err
+	}
+	i.control = engine
+	i.controls.engine = engine
+	i.controls.outlets = []outlet{out.rpc, out.calls, out.watches, out.callers}
+	return nil
+}
+
+func loadCharts() (control.Charts, error) {
+	var c control.Charts
+	targets := map[string]**chart.Definition{
+		"group": &c.Group, "member": &c.Member, "share": &c.Share,
+		"lease": &c.Lease, "instance": &c.Instance, "configuration": &c.Configuration,
+	}
+	for name, target := range targets {
+		definition, err := charts.Load(name)
+		if err != nil {
+			return c, err
+		}
+		*target = definition
+	}
+	return c, nil
+}
--- a/pkg/instance/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package instance builds the duties of one proxy instance, joins them by
-// rings and starts and stops them.
-package instance
--- /dev/null
+++ b/pkg/instance/instance.go
@@ -0,0 +1,160 @@
+// Package instance builds the duties of one proxy instance, joins them by
+// rings and starts and stops them. It also translates between the typed
+// messages of the decisions and their encoded forms.
+package instance
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
+)
+
+// ErrStart reports an instance that cannot start.
+var ErrStart = eris.New("instance cannot start")
+
+const (
+	// classifyCacheEntries is the number of statement texts whose verdict is kept.
+	classifyCacheEntries = 10_000
+	// instanceIDBytes is the length of the random part of an instance's ID.
+	instanceIDBytes = 6
+)
+
+// Instance is one run of the proxy.
+type Instance struct {
+	settings  *settings.Settings
+	self      control.Identity
+	duties    duty.Group
+	telemetry *telemetry.Duty
+	callers   *callerio.Duty
+	targets   *targetio.Duty
+	sessions  *decisionDuty[session.Input]
+	engine    *session.Engine
+	classify  *classifyDuty
+	controls  *decisionDuty[control.Input]
+	control   *control.Engine
+	rpc       *rpc.Duty
+	peers     netip.AddrPort
+	platform  *platform.Duty
+	callRoom  *ring.Signal
+	watchRoom *ring.Signal
+	ready     atomic.Bool
+	stopped   chan struct{}
+}
+
+// New builds an instance and binds its addresses. It returns ErrStart,
+// wrapped, when an address, chart or setting cannot be used.
+func New(s *settings.Settings, output io.Writer) (*Instance, error) {
+	i := &Instance{
+		settings:  s,
+		self:      control.Identity{Instance: newInstanceID(s.Domain), Domain: s.Domain, PeerAddress: s.PeerAddress},
+		callRoom:  ring.NewSignal(),
+		watchRoom: ring.NewSignal(),
+		stopped:   make(chan struct{}),
+	}
+	i.sessions = newDecisionDuty[session.Input](s.RingCapacity)
+	i.controls = newDecisionDuty[control.Input](s.RingCapacity)
+	steps := []func() error{
+		func() error { return i.buildTelemetry(output) },
+		i.buildEdges,
+		i.buildSession,
+		i.buildControl,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, eris.Wrap(ErrStart, err.Error())
+		}
+	}
+	return i, nil
+}
+
+// newInstanceID returns an ID that no earlier run had: a restarted instance
+// must not be taken for its predecessor, whose share it does not hold.
+func newInstanceID(domain core.Domain) core.InstanceID {
+	var random [instanceIDBytes]byte
+	_, _ = rand.Read(random[:])
+	return core.InstanceID(string(domain) + "-" + hex.EncodeToString(random[:]))
+}
+
+func (i *Instance) buildTelemetry(output io.Writer) error {
+	base := telemetry.Fields{"instance": string(i.self.Instance), "domain": string(i.self.Domain)}
+	exporter, err := telemetry.NewExporter(i.settings.TraceExporter, i.settings.OTLPEndpoint, output, base)
+	if err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(i.settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	i.telemetry = telemetry.New(telemetry.Config{
+		Output: output, Level: level, Exporter: exporter, Base: base, Capacity: i.settings.RingCapacity,
+	})
+	return nil
+}
+
+// Run starts every duty and returns when the planned stop is complete.
+func (i *Instance) Run() {
+	i.duties.Start("telemetry", i.telemetry.Run)
+	i.platform.Start(&i.duties)
+	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
+	i.duties.Start("target-io", i.targets.Run)
+	i.duties.Start("classify", i.classify.run)
+	i.duties.Start("session", i.sessions.run)
+	i.duties.Start("control", func() {
+		i.control.Start(time.Now())
+		i.controls.run()
+	})
+	i.duties.Start("caller-io", i.callers.Run)
+	i.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
+		"callers": i.callers.Address().String(), "peers": i.settings.PeerAddress, "admin": i.settings.AdminAddress,
+	})
+	<-i.stopped
+	i.stopDuties()
+}
+
+// stopDuties ends the duties from the callers inward, so that the last answers
+// are still sent.
+func (i *Instance) stopDuties() {
+	i.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
+	i.callers.Stop()
+	i.sessions.stop()
+	i.classify.stop()
+	i.targets.Stop()
+	i.controls.stop()
+	i.platform.Stop()
+	i.rpc.Send(rpc.Stop{})
+	i.telemetry.Stop()
+	i.duties.Wait()
+}
+
+// Stop starts the planned stop: readiness falls, callers are asked to
+// reconnect, running work finishes. Run returns when it is complete.
+func (i *Instance) Stop() {
+	i.controls.input.TryPush(control.StopRequested{})
+}
+
+// Ready reports whether the balancer may send callers here.
+func (i *Instance) Ready() bool {
+	return i.ready.Load()
+}
+
+func (i *Instance) log(level logrus.Level, event, message string, fields telemetry.Fields) {
+	i.telemetry.Log(level, event, message, fields)
+}
--- /dev/null
+++ b/pkg/instance/memberbridge.go
@@ -0,0 +1,136 @@
+package instance
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+)
+
+// codeTermTooLow is the status endpoint's error for a term that was passed.
+const codeTermTooLow = 4001
+
+// memberTag finds the group of a member call again.
+type memberTag struct {
+	database core.DatabaseName
+	call     failover.CallID
+}
+
+type waitParams struct {
+	Term      uint64 `json:"term"`
+	Received  uint64 `json:"received"`
+	Applied   uint64 `json:"applied"`
+	TimeoutMS int64  `json:"timeout_ms"`
+}
+
+type termParams struct {
+	Term uint64 `json:"term"`
+}
+
+type followParams struct {
+	Term    uint64 `json:"term"`
+	Address string `json:"address"`
+	Start   uint64 `json:"start"`
+}
+
+type statusJSON struct {
+	Member           string      `json:"member"`
+	Role             string      `json:"role"`
+	Term             uint64      `json:"term"`
+	LogTerm          uint64      `json:"log_term"`
+	Received         uint64      `json:"received"`
+	Applied          uint64      `json:"applied"`
+	PrimarySilenceMS int64       `json:"primary_silence_ms"`
+	TermStarts       [][2]uint64 `json:"term_starts"`
+	SlotsBusy        int         `json:"slots_busy"`
+}
+
+func encodeMemberCall(c failover.MemberCall) rpc.Call {
+	return rpc.Call{
+		Tag:     memberTag{database: c.Database, call: c.Call},
+		Address: c.Address,
+		Method:  string(c.Method),
+		Params:  memberParams(c),
+		Timeout: c.Timeout,
+	}
+}
+
+func memberParams(c failover.MemberCall) any {
+	switch c.Method {
+	case failover.MethodWait:
+		return waitParams{
+			Term: uint64(c.Term), Received: uint64(c.Received), Applied: uint64(c.Applied),
+			TimeoutMS: c.Hold.Milliseconds(),
+		}
+	case failover.MethodFence, failover.MethodPromote:
+		return termParams{Term: uint64(c.Term)}
+	case failover.MethodFollow:
+		return followParams{Term: uint64(c.Term), Address: c.Primary, Start: uint64(c.Start)}
+	}
+	return nil
+}
+
+// decodeMemberResult turns the result of a member call into an input of control.
+func decodeMemberResult(tag memberTag, r rpc.Result) control.Input {
+	if r.Err != nil {
+		return memberFailed(tag, r.Err)
+	}
+	var s statusJSON
+	if err := json.Unmarshal(r.Raw, &s); err != nil {
+		return control.FromMemberFailed{
+			Database: tag.database,
+			Failed:   failover.MemberFailed{Call: tag.call, Failure: failover.FailureRejected},
+		}
+	}
+	return control.FromMember{
+		Database: tag.database,
+		Answer: failover.MemberAnswered{
+			Call: tag.call, Status: s.status(), Asked: r.Asked, Answered: r.Answered,
+		},
+	}
+}
+
+func (s *statusJSON) status() core.MemberStatus {
+	status := core.MemberStatus{
+		Member:         core.MemberID(s.Member),
+		Role:           core.Role(s.Role),
+		Term:           core.Term(s.Term),
+		LogTerm:        core.Term(s.LogTerm),
+		Received:       core.LSN(s.Received),
+		Applied:        core.LSN(s.Applied),
+		PrimarySilence: time.Duration(s.PrimarySilenceMS) * time.Millisecond,
+		SlotsBusy:      s.SlotsBusy,
+	}
+	for _, start := range s.TermStarts {
+		status.Terms = append(status.Terms, core.TermStart{Term: core.Term(start[0]), Start: core.LSN(start[1])})
+	}
+	return status
+}
+
+func memberFailed(tag memberTag, err error) control.Input {
+	failed := failover.MemberFailed{Call: tag.call, Failure: failover.FailureSilent}
+	var refused *rpc.RefusedError
+	var remote *rpc.RemoteError
+	switch {
+	case errors.As(err, &refused):
+		failed.Failure = failover.FailureRefused
+	case errors.As(err, &remote) && remote.Code == codeTermTooLow:
+		failed.Failure = failover.FailureTermTooLow
+		failed.Accepted = acceptedTerm(remote.Data)
+	case errors.As(err, &remote):
+		failed.Failure = failover.FailureRejected
+	}
+	return control.FromMemberFailed{Database: tag.database, Failed: failed}
+}
+
+func acceptedTerm(data json.RawMessage) core.Term {
+	var accepted termParams
+	if json.Unmarshal(data, &accepted) != nil {
+		return 0
+	}
+	return core.Term(accepted.Term)
+}
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -129,16 +129,22 @@
 	}
 }
 
-// shareInForce replaces the shares of this instance.
+// shareInForce replaces the shares of this instance. Another grant empties the
+// buckets: the tokens belonged to another holding of the slot.
 func (e *Engine) shareInForce(in ShareInForce) {
+	regranted := in.Grant != e.grant
 	for name, a := range e.accounts {
 		a.bucket.refill(e.now, e.shareUntil)
 		share := in.Accounts[name]
 		a.bucket.rate = share.Rate
 		a.bucket.burst = share.Burst
 		a.bucket.tokens = min(a.bucket.tokens, share.Burst)
+		if regranted {
+			a.bucket.tokens = 0
+		}
 		a.bucket.at = e.now
 	}
+	e.grant = in.Grant
 	e.shareUntil = in.Until
 	e.shares = in.Accounts
 	for _, a := range e.accounts {
@@ -150,6 +156,18 @@
 		db.setBound(in.Connections[name])
 	}
 	e.connections = in.Connections
+	e.shareRevision = in.Revision
+	e.reportShare()
+}
+
+// reportShare tells control that the share in force governs admission. It is
+// repeated with each share, so a report that found no room is made up for.
+func (e *Engine) reportShare() {
+	open := make(map[core.DatabaseName]int, len(e.databases))
+	for _, t := range e.targets {
+		open[t.member.db.name]++
+	}
+	e.box.out.Control(ShareApplied{Revision: e.shareRevision, Open: open})
 }
 
 // retryBudget lets a fraction of the requests be retries.
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -29,9 +29,12 @@
 	shares      map[core.AccountName]RateShare
 	connections map[core.DatabaseName]int
 	shareUntil  time.Time
+	// grant and shareRevision identify the share in force.
+	grant         uint64
+	shareRevision uint64
 	// toCheck are the members to serve at the end of the input.
-	toCheck []*member
-	states  targetStates
+	toCheck    []*member
+	states     targetStates
 	keysUntil  time.Time
 	stopping   bool
 	drained    bool
