--- a/pkg/classify/classify.go
+++ b/pkg/classify/classify.go
@@ -3,13 +3,9 @@
 package classify
 
 import (
-	pgquery "github.com/pganalyze/pg_query_go/v6"
-
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-var _ = pgquery.Parse
-
 // DefaultCacheEntries is the number of texts whose verdict is kept.
 const DefaultCacheEntries = 4096
 
--- a/pkg/classify/merge.go
+++ b/pkg/classify/merge.go
@@ -19,41 +19,45 @@
 	session.KindRefused:    8,
 }
 
-// merge returns the verdict on a batch that has both parts. Two different
-// kinds leave a state that cannot be followed from the outside when one of
-// them is a session-level change.
+// merge returns the verdict on a batch that has both parts. A change of the
+// session's settings is replayed as text on other connections, so it cannot
+// share a request with anything else.
 func merge(a, b session.Verdict) session.Verdict {
 	m, other := a, b
 	if demand[b.Kind] > demand[a.Kind] {
 		m, other = b, a
 	}
-	if isOwn(m.Kind) || isOwn(other.Kind) {
-		return refuseMix(m, other)
+	if other.Kind != session.KindEmpty && (standsAlone(m) || standsAlone(other)) && !bothSet(m, other) {
+		return refuseMix()
 	}
 	m.Commit = a.Commit || b.Commit
-	m.LeavesState = a.LeavesState || b.LeavesState || mixesSet(a.Kind, b.Kind)
+	m.LeavesState = a.LeavesState || b.LeavesState
 	m.ReadOnly = m.ReadOnly && (other.Kind == session.KindRead || other.ReadOnly)
-	m.Name, m.Value = "", ""
+	if other.Kind != session.KindEmpty {
+		m.Name, m.Value = "", ""
+	}
 	m.Hints = mergeHints(a, b)
 	return m
 }
 
-func mixesSet(a, b session.Kind) bool {
-	return (a == session.KindSessionSet) != (b == session.KindSessionSet)
+func standsAlone(v session.Verdict) bool {
+	return v.Kind == session.KindOwnSet || v.Kind == session.KindOwnShow || v.Kind == session.KindSessionSet
 }
 
-func isOwn(k session.Kind) bool {
-	return k == session.KindOwnSet || k == session.KindOwnShow
+// bothSet reports two changes of plain settings, which are replayed together.
+func bothSet(a, b session.Verdict) bool {
+	return isPlainSet(a) && isPlainSet(b)
 }
 
-func refuseMix(m, other session.Verdict) session.Verdict {
-	if other.Kind == session.KindEmpty {
-		return m
-	}
+func isPlainSet(v session.Verdict) bool {
+	return v.Kind == session.KindSessionSet && v.Name != "all" && v.Name != "discard all"
+}
+
+func refuseMix() session.Verdict {
 	return session.Verdict{
 		Kind:   session.KindRefused,
 		Hints:  noHints(),
-		Reason: "a parameter of the proxy cannot share a request with other statements",
+		Reason: "SET, RESET, DISCARD or a parameter of the proxy together with other statements",
 	}
 }
 
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -49,7 +49,7 @@
 	incoming *Request
 	// last explains the last statement that was not about the proxy itself.
 	last explanation
-	stmt     statement
+	stmt statement
 }
 
 func callerRegistry(b *Bounds) chart.Registry[*caller] {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -30,8 +30,8 @@
 	connections map[core.DatabaseName]int
 	shareUntil  time.Time
 	// toCheck are the members to serve at the end of the input.
-	toCheck []*member
-	states  targetStates
+	toCheck    []*member
+	states     targetStates
 	keysUntil  time.Time
 	stopping   bool
 	drained    bool
