--- a/charts/charts_test.go
+++ b/charts/charts_test.go
@@ -1,11 +1,20 @@
 package charts
 
-import "testing"
+import (
+	"testing"
 
-func TestLoad(t *testing.T) {
-	for _, n := range Names() {
-		if _, err := Load(n); err != nil {
-			t.Error(err)
-		}
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an embedded chart that breaks a rule of the interpreter.
+func TestEveryChartIsValid(t *testing.T) {
+	names := Names()
+	require.Subset(t, names, []string{"caller", "statement", "target"})
+	for _, name := range names {
+		definition, err := Load(name)
+		require.NoError(t, err)
+		require.Equal(t, name, definition.Name)
 	}
+	_, err := Load("unknown")
+	require.ErrorAs(t, err, new(*UnknownError))
 }
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -24,7 +24,13 @@
 	s.c.e.fail(s.c, refusal)
 }
 
+// notRun refuses the statement, unless a part of an earlier attempt may have
+// run: the outcome is then uncertain.
 func (s *statement) notRun(state, message string) {
+	if s.mayHaveRun {
+		s.answerUncertain()
+		return
+	}
 	s.refuse(core.NotRun(state, message))
 }
 
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -70,7 +70,7 @@
 			"tell_stopping":           (*caller).tellStopping,
 			"tell_ended":              (*caller).tellEnded,
 			"tell_idle_too_long":      (*caller).tellIdleTooLong,
-			"tell_protocol_violation": (*caller).tellProtocolViolation,
+			"note_violation":          (*caller).noteViolation,
 		},
 		Timeouts: b.callerTimeouts(),
 	}
@@ -152,7 +152,7 @@
 // noteRunning replaces the reason for the end of the session when a statement
 // is under way, whose outcome is then not known.
 func (c *caller) noteRunning() {
-	if !c.stmt.sent {
+	if !c.stmt.sent && !c.stmt.mayHaveRun {
 		return
 	}
 	refusal := core.Uncertain(c.ending.Message + " while a statement was running")
@@ -177,8 +177,8 @@
 	c.close(core.NotRun(core.StateStopping, "the session was idle for too long"))
 }
 
-func (c *caller) tellProtocolViolation() {
-	c.close(core.NotRun(core.StateProtocolViolation, "a request arrived before the last one was answered"))
+func (c *caller) noteViolation() {
+	c.ending = core.NotRun(core.StateProtocolViolation, "a request arrived before the last one was answered")
 }
 
 func (c *caller) close(refusal *core.Refusal) {
--- a/pkg/session/settings.go
+++ b/pkg/session/settings.go
@@ -84,15 +84,19 @@
 	return wanted
 }
 
-// tooManySettings refuses a SET that would let the replayed text grow without
-// bound.
-func (c *caller) tooManySettings(s *statement) *core.Refusal {
-	size := len(c.current().replay)
+// tooManySettings reports a SET that would let the replayed text grow beyond
+// its bound.
+func (s *statement) tooManySettings() bool {
+	if s.verdict.Kind != KindSessionSet {
+		return false
+	}
+	size := len(s.c.current().replay)
 	for _, text := range s.request.Texts {
 		size += len(text)
 	}
-	if size <= c.e.cfg.SettingsBytes {
-		return nil
-	}
-	return core.NotRun(core.StateOverloaded, "the session has too many settings")
+	return size > s.c.e.cfg.SettingsBytes
+}
+
+func (s *statement) refuseSettings() {
+	s.notRun(core.StateOverloaded, "the session has too many settings")
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -39,13 +39,16 @@
 	tokenWait  bool
 
 	// sent is set from the hand-over to a target until the answer.
-	sent     bool
-	sentAt   time.Time
-	unsent   bool
-	repeats  int
-	chunk    []byte
-	held     []byte
-	progress time.Time
+	sent bool
+	// mayHaveRun is set once a connection broke after a part was sent, so that
+	// no later refusal may say "not run".
+	mayHaveRun bool
+	sentAt     time.Time
+	unsent     bool
+	repeats    int
+	chunk      []byte
+	held       []byte
+	progress   time.Time
 	// position is the log position reported with the answer.
 	position   core.Position
 	errorState string
@@ -78,7 +81,7 @@
 	s.active = true
 	s.member, s.fits, s.reason = nil, false, ""
 	s.primaryNow, s.askedApplied = false, false
-	s.sent, s.unsent, s.repeats = false, false, 0
+	s.sent, s.unsent, s.repeats, s.mayHaveRun = false, false, 0, false
 	s.chunk, s.held = nil, nil
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
@@ -172,6 +175,7 @@
 			"forbidden_write":         (*statement).isForbiddenWrite,
 			"answered_here":           (*statement).isAnsweredHere,
 			"database_leaving":        func(s *statement) bool { return s.c.db.leaving },
+			"too_many_settings":       (*statement).tooManySettings,
 			"needs_floor":             (*statement).needsFloor,
 			"placeable":               (*statement).placeable,
 			"cannot_finish_in_time":   (*statement).cannotFinishInTime,
@@ -218,6 +222,7 @@
 		"answer_uncertain":   (*statement).answerUncertain,
 		"refuse_rate":        (*statement).refuseRate,
 		"refuse_unsupported": (*statement).refuseUnsupported,
+		"refuse_settings":    (*statement).refuseSettings,
 		"refuse_read_only":   (*statement).refuseReadOnly,
 		"refuse_leaving":     (*statement).refuseLeaving,
 		"refuse_overloaded":  (*statement).refuseOverloaded,
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -168,6 +168,7 @@
 		e.metrics.Requeued++
 		return
 	}
+	s.mayHaveRun = true
 	e.budget.spend()
 	e.metrics.Retries++
 }
