--- a/pkg/targetio/exchange.go
+++ b/pkg/targetio/exchange.go
@@ -200,13 +200,13 @@
 // exchangeFrame handles one frame of the answer. Rows and everything else
 // without a handler are passed on as they are.
 func (t *target) exchangeFrame(f wire.Frame) {
-	handle := answerFrames[f.Type]
 	if t.exchange.prelude {
-		handle = preludeFrames[f.Type]
-		if handle == nil {
-			return
+		if handle := preludeFrames[f.Type]; handle != nil {
+			handle(t, f)
 		}
+		return
 	}
+	handle := answerFrames[f.Type]
 	if handle == nil || handle(t, f) {
 		t.exchange.gathered = append(t.exchange.gathered, f.Raw...)
 	}
@@ -224,7 +224,7 @@
 	'Z': (*target).ready,
 }
 
-// preludeFrames are the answers to a prelude that matter.
+// preludeFrames are the answers to a prelude that matter; none is passed on.
 var preludeFrames = [256]func(*target, wire.Frame) bool{
 	'C': (*target).commandComplete,
 	'E': (*target).preludeFailed,
--- /dev/null
+++ b/pkg/targetio/target_test.go
@@ -0,0 +1,345 @@
+package targetio
+
+import (
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
+	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
+)
+
+// testWait bounds every wait of a test; it is not a figure under test.
+const testWait = 10 * time.Second
+
+// gatedRing is a session ring that a test can make full.
+type gatedRing struct {
+	*ring.Ring[session.Input]
+	full    atomic.Bool
+	refused atomic.Int64
+	room    atomic.Pointer[ring.Waker]
+}
+
+func (g *gatedRing) TryPush(v session.Input) bool {
+	if g.full.Load() {
+		g.refused.Add(1)
+		return false
+	}
+	return g.Ring.TryPush(v)
+}
+
+func (g *gatedRing) NotifyRoom(w ring.Waker) bool {
+	g.room.Store(&w)
+	return g.full.Load()
+}
+
+func (g *gatedRing) release() {
+	g.full.Store(false)
+	if w := g.room.Load(); w != nil {
+		(*w).Wake()
+	}
+}
+
+// harness runs the duty; the test plays the session duty.
+type harness struct {
+	t      testing.TB
+	duty   *Duty
+	events *gatedRing
+	signal *ring.Signal
+}
+
+func loadChart(t testing.TB, name string) *chart.Definition {
+	text, err := os.ReadFile("../../charts/" + name + ".toml")
+	require.NoError(t, err)
+	definition, err := chart.Parse(name, text)
+	require.NoError(t, err)
+	return definition
+}
+
+func start(t testing.TB, config Config) *harness {
+	h := &harness{t: t, signal: ring.NewSignal()}
+	h.events = &gatedRing{Ring: ring.New[session.Input](64, h.signal)}
+	duty, err := New(config, Deps{Session: h.events, Chart: loadChart(t, "target_startup")})
+	require.NoError(t, err)
+	h.duty = duty
+	done := make(chan error, 1)
+	go func() { done <- duty.Run() }()
+	t.Cleanup(func() {
+		duty.Stop()
+		require.NoError(t, <-done)
+	})
+	return h
+}
+
+func (h *harness) send(command session.TargetCommand) {
+	require.True(h.t, h.duty.Ring().TryPush(FromSession(command)))
+}
+
+func popWait(r *ring.Ring[session.Input], s *ring.Signal, wait time.Duration) (session.Input, bool) {
+	deadline := time.Now().Add(wait)
+	for time.Now().Before(deadline) {
+		if v, ok := r.Pop(); ok {
+			return v, true
+		}
+		if r.Park() {
+			s.Wait(time.Until(deadline))
+			r.Unpark()
+		}
+	}
+	return nil, false
+}
+
+func expect[T session.Input](h *harness) T {
+	h.t.Helper()
+	v, ok := popWait(h.events.Ring, h.signal, testWait)
+	require.True(h.t, ok, "no event arrived")
+	event, ok := v.(T)
+	require.True(h.t, ok, "unexpected event %T %+v", v, v)
+	return event
+}
+
+func (h *harness) open(m *member, id session.TargetID) {
+	h.t.Helper()
+	h.send(session.TargetOpen{Target: id, Database: "notices", Address: m.address()})
+	require.Equal(h.t, id, expect[session.TargetOpened](h).Target)
+}
+
+// finish returns the kinds of the answer's frames and its end.
+func (h *harness) finish() (string, session.TargetReady) {
+	h.t.Helper()
+	var frames []byte
+	for {
+		v, ok := popWait(h.events.Ring, h.signal, testWait)
+		require.True(h.t, ok, "no event arrived")
+		switch event := v.(type) {
+		case session.TargetData:
+			frames = append(frames, event.Frames...)
+		case session.TargetReady:
+			return kinds(h.t, append(frames, event.Frames...)), event
+		default:
+			h.t.Fatalf("unexpected event %T %+v", v, v)
+		}
+	}
+}
+
+func kinds(t testing.TB, frames []byte) string {
+	var out []byte
+	for len(frames) > 0 {
+		frame, complete, err := wire.Next(frames, len(frames))
+		require.NoError(t, err)
+		require.True(t, complete)
+		out = append(out, frame.Type)
+		frames = frames[len(frame.Raw):]
+	}
+	return string(out)
+}
+
+func simple(text string) *session.Payload {
+	return &session.Payload{Frames: wire.Append(nil, &pgproto3.Query{String: text})}
+}
+
+func prepared(name, text string, explicit bool) session.PreparedStatement {
+	return session.PreparedStatement{
+		Name:       name,
+		ParseFrame: wire.Append(nil, &pgproto3.Parse{Name: name, Query: text}),
+		Explicit:   explicit,
+	}
+}
+
+// batch is Bind, Execute and Sync for one statement, with its Parse in front
+// if it is explicit.
+func batch(s session.PreparedStatement) *session.Payload {
+	var frames []byte
+	if s.Explicit {
+		frames = append(frames, s.ParseFrame...)
+	}
+	frames = wire.Append(frames, &pgproto3.Bind{PreparedStatement: s.Name, Parameters: [][]byte{[]byte("v")}})
+	frames = wire.Append(frames, &pgproto3.Execute{})
+	frames = wire.Append(frames, &pgproto3.Sync{})
+	return &session.Payload{Frames: frames, Prepared: []session.PreparedStatement{s}}
+}
+
+// Guards against a log position that reaches the caller or is lost, and an
+// SQLSTATE that session does not learn.
+func TestSimpleQueries(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
+	got, ready := h.finish()
+	require.Equal(t, "TDCZ", got)
+	require.Equal(t, byte('I'), ready.TxStatus)
+	require.True(t, ready.Position.IsZero())
+	h.send(session.TargetSend{Target: 1, Payload: simple("write")})
+	got, ready = h.finish()
+	require.Equal(t, "CZ", got)
+	require.Equal(t, core.Position{Term: 2, LSN: 50}, ready.Position)
+	h.send(session.TargetSend{Target: 1, Payload: simple("error")})
+	got, ready = h.finish()
+	require.Equal(t, "EZ", got)
+	require.Equal(t, "22012", ready.ErrorState)
+}
+
+// Guards against a statement that is created twice on a connection, or is
+// missing there, and against answers the caller did not ask for (G8).
+func TestPreparedStatements(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{MaxStatements: 2})
+	h.open(m, 1)
+	steps := []struct {
+		statement session.PreparedStatement
+		answer    string
+		sent      string
+	}{
+		{prepared("a", "select $1", true), "12DCZ", "parse select $1"},
+		{prepared("a", "select $1", true), "12DCZ", "parse "},
+		{prepared("a", "select $1", false), "2DCZ", ""},
+		{prepared("b", "other $1", false), "2DCZ", "parse other $1"},
+		{prepared("c", "bad", true), "EZ", "parse bad"},
+		{prepared("c", "bad", false), "EZ", "parse bad"},
+		// The oldest statement was closed for c.
+		{prepared("a", "select $1", false), "2DCZ", "parse select $1"},
+	}
+	for i, s := range steps {
+		h.send(session.TargetSend{Target: 1, Payload: batch(s.statement)})
+		got, _ := h.finish()
+		require.Equal(t, s.answer, got, "step %d", i)
+		require.Equal(t, s.sent, strings.Join(m.sent(), "; "), "step %d", i)
+	}
+}
+
+// Guards against a connection that keeps using a statement which the member
+// has dropped or can no longer plan.
+func TestDoubtfulStatementsAreCreatedAgain(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	s := prepared("a", "select $1", false)
+	run := func(want string) {
+		h.send(session.TargetSend{Target: 1, Payload: batch(s)})
+		got, _ := h.finish()
+		require.Equal(t, want, got)
+	}
+	run("2DCZ")
+	for _, state := range []string{stateNoStatement, stateNotSupported} {
+		m.setFailBind(state)
+		run("EZ")
+		run("2DCZ")
+	}
+	h.send(session.TargetSend{Target: 1, Payload: simple("discard all")})
+	h.finish()
+	run("2DCZ")
+}
+
+// Guards against a request that runs without its prelude, a prelude whose
+// answer reaches the caller, and a claim of "unsent" that is wrong (G9).
+func TestPrelude(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetSend{Target: 1, Prelude: "begin", Payload: simple("select 1")})
+	got, _ := h.finish()
+	require.Equal(t, "TDCZ", got)
+	require.Equal(t, []string{"query begin", "query select 1"}, m.sent())
+	h.send(session.TargetSend{Target: 1, Prelude: "error", Payload: simple("select 2")})
+	closed := expect[session.TargetClosed](h)
+	require.True(t, closed.Unsent)
+	require.False(t, closed.Refused)
+	require.Equal(t, []string{"query error"}, m.sent())
+}
+
+// Guards against a request that is written after its time (G9, G10).
+func TestNotAfter(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetSend{Target: 1, Payload: simple("write"), NotAfter: time.Now().Add(-time.Second)})
+	require.True(t, expect[session.TargetClosed](h).Unsent)
+	require.Empty(t, m.sent())
+}
+
+// Guards against a request that was written and is reported as unsent (G9).
+func TestCloseWhileRunning(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetSend{Target: 1, Payload: simple("slow")})
+	h.send(session.TargetClose{Target: 1})
+	require.False(t, expect[session.TargetClosed](h).Unsent)
+}
+
+// Guards against a cancel that hits the request after the one it names.
+func TestCancelHoldsTheNextRequest(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetCancel{Target: 1})
+	h.send(session.TargetSend{Target: 1, Payload: simple("slow")})
+	h.send(session.TargetCancel{Target: 1})
+	got, ready := h.finish()
+	require.Equal(t, "EZ", got)
+	require.Equal(t, "57014", ready.ErrorState)
+	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
+	got, _ = h.finish()
+	require.Equal(t, "TDCZ", got)
+	require.EqualValues(t, 1, h.duty.Stats().Cancels)
+}
+
+// Guards against results that are read although session paused the
+// connection, and results lost while the session ring is full.
+func TestPauseAndFullRing(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.send(session.TargetPause{Target: 1})
+	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
+	require.Eventually(t, func() bool { return len(m.sent()) == 1 }, testWait, time.Millisecond)
+	require.Zero(t, h.events.Len())
+	h.events.full.Store(true)
+	h.send(session.TargetResume{Target: 1})
+	require.Eventually(t, func() bool { return h.events.refused.Load() > 0 }, testWait, time.Millisecond)
+	h.send(session.TargetClose{Target: 1})
+	h.events.release()
+	got, _ := h.finish()
+	require.Equal(t, "TDCZ", got)
+	require.Equal(t, session.TargetID(1), expect[session.TargetClosed](h).Target)
+}
+
+// Guards against a member that refuses, is silent or asks for credentials and
+// is not reported as such.
+func TestStartup(t *testing.T) {
+	client, err := scram.SHA256.NewClient("", "secret", "")
+	require.NoError(t, err)
+	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	require.NoError(t, err)
+	m := startMember(t)
+	m.account = &catalogue.Account{Name: "p", Salt: []byte("0123456789abcdef"), Iterations: 4096,
+		Keys: []catalogue.Key{{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}}}
+	start(t, Config{Password: "secret"}).open(m, 1)
+	for password, reason := range map[string]string{"wrong": "28P01", "": "not configured"} {
+		h := start(t, Config{Password: password})
+		h.send(session.TargetOpen{Target: 1, Address: m.address()})
+		closed := expect[session.TargetClosed](h)
+		require.True(t, closed.Refused)
+		require.True(t, closed.Unsent)
+		require.Contains(t, closed.Reason, reason)
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	h := start(t, Config{StartupTimeout: 20 * time.Millisecond})
+	h.send(session.TargetOpen{Target: 1, Address: silent.Addr().String()})
+	require.Contains(t, expect[session.TargetClosed](h).Reason, "in time")
+	h.send(session.TargetOpen{Target: 2, Address: "127.0.0.1:x"})
+	require.True(t, expect[session.TargetClosed](h).Refused)
+}
