--- a/pkg/targetio/member_test.go
+++ b/pkg/targetio/member_test.go
@@ -29,10 +29,14 @@
 }
 
 func startMember(t testing.TB) *member {
+	return startMemberWith(t, nil)
+}
+
+func startMemberWith(t testing.TB, account *catalogue.Account) *member {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	m := &member{t: t, listener: listener, cancelled: map[uint32]chan struct{}{}}
+	m := &member{t: t, listener: listener, account: account, cancelled: map[uint32]chan struct{}{}}
 	go m.accept()
 	return m
 }
--- a/pkg/targetio/target_test.go
+++ b/pkg/targetio/target_test.go
@@ -322,9 +322,8 @@
 	require.NoError(t, err)
 	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
 	require.NoError(t, err)
-	m := startMember(t)
-	m.account = &catalogue.Account{Name: "p", Salt: []byte("0123456789abcdef"), Iterations: 4096,
-		Keys: []catalogue.Key{{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}}}
+	m := startMemberWith(t, &catalogue.Account{Name: "p", Salt: []byte("0123456789abcdef"), Iterations: 4096,
+		Keys: []catalogue.Key{{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}}})
 	start(t, Config{Password: "secret"}).open(m, 1)
 	for password, reason := range map[string]string{"wrong": "28P01", "": "not configured"} {
 		h := start(t, Config{Password: password})
