--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -162,7 +162,11 @@
 	ReadOnly bool
 	// Commit is set on COMMIT.
 	Commit bool
-	// Name and Value are set for KindOwnSet and KindOwnShow.
+	// LeavesState is set when the request leaves state on the connection that
+	// the proxy cannot replay (temporary tables, PREPARE, advisory locks).
+	LeavesState bool
+	// Name and Value are set for KindOwnSet and KindOwnShow. Name is also the
+	// parameter of a KindSessionSet; "all" stands for RESET ALL.
 	Name  string
 	Value string
 	// Hints come from a leading comment /*+ name=value ... */.
@@ -219,6 +223,13 @@
 	Connections map[core.DatabaseName]int
 }
 
+// ShareApplied reports that a ShareInForce governs every later admission.
+type ShareApplied struct {
+	Revision uint64
+	// Open counts the target connections that are open or being opened.
+	Open map[core.DatabaseName]int
+}
+
 // Drained reports that no caller is left after Drain.
 type Drained struct{}
 
@@ -227,6 +238,7 @@
 func (NeedApplied) controlReport()   {}
 func (SuspectMember) controlReport() {}
 func (Demand) controlReport()        {}
+func (ShareApplied) controlReport()  {}
 func (Drained) controlReport()       {}
 
 // Span is one hop of a statement, for the trace exporter.
