Add the stand-in database member

The demo and the tests need members that speak PostgreSQL 3.0 and expose the status endpoint. One duty owns sockets, statements and replication, a second one the records. The charts connection, transaction and link describe the life cycles.

--- /dev/null
+++ b/standin/member/calls.go
@@ -0,0 +1,125 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/standin/store"
+)
+
+// waitingCalls are the calls that are answered later.
+type waitingCalls struct {
+	member *Member
+	waits  []*waitCall
+	pulls  []pullCall
+}
+
+type waitCall struct {
+	calls  *waitingCalls
+	params WaitParams
+	reply  replyTo
+	timer  timer
+}
+
+type pullCall struct {
+	pull  store.Pull
+	reply replyTo
+}
+
+func (c *waitingCalls) addWait(p WaitParams, reply replyTo) error {
+	w := &waitCall{calls: c, params: p, reply: reply}
+	w.timer.Value = w
+	if w.tryAnswer() {
+		return nil
+	}
+	c.waits = append(c.waits, w)
+	c.member.arm(&w.timer, time.Duration(p.TimeoutMS)*time.Millisecond)
+	return nil
+}
+
+// tryAnswer answers a call that is fulfilled or refused.
+func (w *waitCall) tryAnswer() bool {
+	m := w.calls.member
+	reached, err := m.store.Confirmed(w.params.Term, w.params.Received, w.params.Applied)
+	if err != nil {
+		w.reply.fail(err)
+		return true
+	}
+	if reached {
+		w.reply.answer(m.status())
+	}
+	return reached
+}
+
+func (w *waitCall) timedOut() {
+	w.calls.remove(w)
+	w.reply.answer(w.calls.member.status())
+}
+
+func (c *waitingCalls) remove(w *waitCall) {
+	c.member.timers.Disarm(&w.timer)
+	c.waits = slices.DeleteFunc(c.waits, func(other *waitCall) bool { return other == w })
+}
+
+// addPull answers a replica at once when there is something to send. A cut
+// replica gets no answer.
+func (c *waitingCalls) addPull(p store.Pull, reply replyTo) error {
+	if c.member.faults.cut[string(p.Member)] {
+		return nil
+	}
+	batch, ready, err := c.member.store.Answer(p)
+	if err != nil {
+		return err
+	}
+	if ready {
+		reply.answer(batch)
+		return nil
+	}
+	c.pulls = append(c.pulls, pullCall{pull: p, reply: reply})
+	return nil
+}
+
+// changed answers the calls that a new state of the store fulfils.
+func (c *waitingCalls) changed() {
+	c.waits = slices.DeleteFunc(c.waits, func(w *waitCall) bool {
+		answered := w.tryAnswer()
+		if answered {
+			c.member.timers.Disarm(&w.timer)
+		}
+		return answered
+	})
+	c.answerPulls(false)
+}
+
+// heartbeat answers every waiting replica.
+func (c *waitingCalls) heartbeat() {
+	c.answerPulls(true)
+}
+
+func (c *waitingCalls) answerPulls(all bool) {
+	c.pulls = slices.DeleteFunc(c.pulls, func(p pullCall) bool {
+		if c.member.faults.cut[string(p.pull.Member)] {
+			return true
+		}
+		batch, ready, err := c.member.store.Answer(p.pull)
+		if err != nil {
+			p.reply.fail(err)
+			return true
+		}
+		if ready || all {
+			p.reply.answer(batch)
+		}
+		return ready || all
+	})
+}
+
+// forget drops the calls of a closed connection.
+func (c *waitingCalls) forget(conn *statusConn) {
+	c.waits = slices.DeleteFunc(c.waits, func(w *waitCall) bool {
+		if w.reply.conn == conn {
+			c.member.timers.Disarm(&w.timer)
+		}
+		return w.reply.conn == conn
+	})
+	c.pulls = slices.DeleteFunc(c.pulls, func(p pullCall) bool { return p.reply.conn == conn })
+}
--- /dev/null
+++ b/standin/member/commands.go
@@ -0,0 +1,114 @@
+package member
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// memberSetting is the setting that tells which member answered.
+const memberSetting = "sassafrasshunt.member"
+
+// Identification is the JSON value of SHOW sassafrasshunt.member.
+type Identification struct {
+	Member core.MemberID `json:"member"`
+	Role   core.Role     `json:"role"`
+	Term   core.Term     `json:"term"`
+}
+
+func runBegin(s *session, e *execution) (*result, *SQLError) {
+	s.fireTx(s.m.transaction.begin)
+	if err := s.takeFailure(); err != nil {
+		return nil, err
+	}
+	s.tx.readOnly = s.tx.readOnly || e.statement.ReadOnly
+	return command("BEGIN"), nil
+}
+
+func runCommit(s *session, _ *execution) (*result, *SQLError) {
+	failed := s.txState == s.m.transaction.failed
+	s.fireTx(s.m.transaction.commit)
+	if err := s.takeFailure(); err != nil {
+		return nil, err
+	}
+	if failed {
+		return command("ROLLBACK"), nil
+	}
+	return command("COMMIT"), nil
+}
+
+func runRollback(s *session, _ *execution) (*result, *SQLError) {
+	s.fireTx(s.m.transaction.rollback)
+	return command("ROLLBACK"), nil
+}
+
+func runSet(s *session, e *execution) (*result, *SQLError) {
+	s.settings[strings.ToLower(e.statement.Name)] = e.statement.Setting
+	return command("SET"), nil
+}
+
+func runReset(s *session, e *execution) (*result, *SQLError) {
+	if e.statement.Name == "" {
+		clear(s.settings)
+	} else {
+		delete(s.settings, strings.ToLower(e.statement.Name))
+	}
+	return command("RESET"), nil
+}
+
+func runDiscardAll(s *session, _ *execution) (*result, *SQLError) {
+	if s.tx.id != 0 {
+		return nil, &SQLError{Code: codeInTransaction, Message: "DISCARD ALL cannot run inside a transaction block"}
+	}
+	clear(s.settings)
+	clear(s.statements)
+	clear(s.portals)
+	return command("DISCARD ALL"), nil
+}
+
+func runShow(s *session, e *execution) (*result, *SQLError) {
+	name := strings.ToLower(e.statement.Name)
+	text, ok := s.setting(name)
+	if !ok {
+		return nil, &SQLError{Code: codeUnknownSetting, Message: "unrecognized configuration parameter " + name}
+	}
+	r := single(text)
+	r.tag = fixedTag("SHOW")
+	return r, nil
+}
+
+func (s *session) setting(name string) (string, bool) {
+	if name == memberSetting {
+		text, err := json.Marshal(Identification{
+			Member: s.m.options.Member,
+			Role:   s.m.store.Role(),
+			Term:   s.m.store.Term(),
+		})
+		return string(text), err == nil
+	}
+	if text, ok := s.settings[name]; ok {
+		return text, true
+	}
+	defaults := map[string]string{
+		"server_version":                serverVersion,
+		"client_encoding":               "UTF8",
+		"standard_conforming_strings":   "on",
+		"datestyle":                     "ISO, MDY",
+		"timezone":                      "UTC",
+		"transaction_read_only":         "off",
+		"default_transaction_read_only": "off",
+	}
+	text, ok := defaults[name]
+	return text, ok
+}
+
+func runWriteStatus(s *session, e *execution) (*result, *SQLError) {
+	status := "unknown"
+	if s.m.store.Recorded(e.statement.Identity) {
+		status = "committed"
+	}
+	r := single(status)
+	r.tag = fixedTag("SHOW")
+	return r, nil
+}
--- /dev/null
+++ b/standin/member/link.go
@@ -0,0 +1,138 @@
+package member
+
+import (
+	"encoding/json"
+	"time"
+
+	"golang.org/x/exp/jsonrpc2"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/store"
+)
+
+// link pulls the log from the primary that the member follows.
+type link struct {
+	m     *Member
+	state chart.State
+	timer timer
+	conn  *linkConn
+	// pull is the unanswered request.
+	pull    store.Pull
+	request int64
+}
+
+// linkConn is one connection of the link; events of an abandoned one are
+// dropped.
+type linkConn struct {
+	link *link
+	conn *netloop.Conn
+}
+
+func (l *link) fire(event chart.Event) {
+	l.m.linkChart.table.Fire(l, &l.state, event)
+	l.m.arm(&l.timer, l.m.linkChart.table.Timeout(l.state))
+}
+
+func (l *link) timedOut() {
+	l.fire(l.m.linkChart.timedOut)
+}
+
+func (l *link) dial() {
+	c := &linkConn{link: l}
+	conn, err := l.m.loop.Connect(l.m.store.Primary(), c)
+	if err != nil {
+		// The answer timeout leads to the next attempt.
+		return
+	}
+	c.conn = conn
+	l.conn = c
+}
+
+func (l *link) hangUp() {
+	c := l.conn
+	l.conn = nil
+	if c != nil {
+		c.conn.Close()
+	}
+}
+
+func (l *link) ask() {
+	l.request++
+	l.pull = l.m.store.NextPull()
+	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(l.request), "replicate", l.pull)
+	if err != nil {
+		return
+	}
+	frame, err := rpc.Append(nil, call)
+	if err != nil {
+		return
+	}
+	l.conn.conn.Write(frame)
+}
+
+// cut reports whether a test has cut the replication from the primary.
+func (l *link) cut() bool {
+	for id, address := range l.m.options.Peers {
+		if address == l.m.store.Primary() {
+			return l.m.faults.cut[string(id)]
+		}
+	}
+	return false
+}
+
+func (c *linkConn) current() bool {
+	return c.link.conn == c
+}
+
+// Opened implements netloop.Handler.
+func (c *linkConn) Opened(*netloop.Conn) {
+	if c.current() {
+		c.link.fire(c.link.m.linkChart.opened)
+	}
+}
+
+// Drained implements netloop.Handler.
+func (c *linkConn) Drained(*netloop.Conn) {}
+
+// Closed implements netloop.Handler.
+func (c *linkConn) Closed(*netloop.Conn, error) {
+	if c.current() {
+		c.link.fire(c.link.m.linkChart.failed)
+	}
+}
+
+// Data implements netloop.Handler.
+func (c *linkConn) Data(conn *netloop.Conn) {
+	for c.current() {
+		message, n, err := rpc.Decode(conn.Buffered())
+		if err != nil {
+			c.link.fire(c.link.m.linkChart.failed)
+			return
+		}
+		if message == nil {
+			return
+		}
+		conn.Discard(n)
+		if response, ok := message.(*jsonrpc2.Response); ok {
+			c.link.take(response)
+		}
+	}
+}
+
+func (l *link) take(response *jsonrpc2.Response) {
+	if l.cut() {
+		// Without an answer the state's timeout hangs up.
+		return
+	}
+	var batch store.Batch
+	if response.Error != nil || json.Unmarshal(response.Result, &batch) != nil {
+		l.fire(l.m.linkChart.failed)
+		return
+	}
+	l.m.store.Receive(l.pull, batch, time.Now())
+	l.m.armAdvance()
+	l.m.calls.changed()
+	l.fire(l.m.linkChart.answered)
+}
--- /dev/null
+++ b/standin/member/messages.go
@@ -0,0 +1,191 @@
+package member
+
+import (
+	"bytes"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sassafrasshunt/sassafrasshunt/standin/sqlsubset"
+)
+
+// takeMessage handles the next buffered message, if it is complete.
+func (s *session) takeMessage() bool {
+	kind, body, n := messageFrame(s.conn.Buffered())
+	if n == 0 {
+		return false
+	}
+	message := newMessage(kind)
+	if n < 0 || message == nil {
+		s.conn.Close()
+		return false
+	}
+	// Decoded messages may keep parts of the body.
+	err := message.Decode(bytes.Clone(body))
+	s.conn.Discard(n)
+	if err != nil {
+		s.conn.Close()
+		return false
+	}
+	s.handle(message)
+	return true
+}
+
+func (s *session) handle(message pgproto3.FrontendMessage) {
+	if sync, ok := message.(*pgproto3.Sync); ok {
+		s.handleSync(sync)
+		return
+	}
+	if s.skipping {
+		return
+	}
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		s.handleQuery(m)
+	case *pgproto3.Parse:
+		s.handleParse(m)
+	case *pgproto3.Bind:
+		s.handleBind(m)
+	case *pgproto3.Describe:
+		s.handleDescribe(m)
+	case *pgproto3.Execute:
+		s.handleExecute(m)
+	case *pgproto3.Close:
+		s.handleClose(m)
+	case *pgproto3.Flush:
+		s.flush()
+	case *pgproto3.Terminate:
+		s.conn.Close()
+	case *pgproto3.PasswordMessage:
+		s.m.record(Record{Kind: KindPassword, Connection: uint64(s.id), Account: s.account, Password: m.Password, Outcome: OutcomeOK})
+	}
+}
+
+func (s *session) handleQuery(m *pgproto3.Query) {
+	script, err := s.m.parsed.parse(m.String)
+	s.inScript = true
+	s.script = script
+	if err != nil {
+		s.fail(syntaxError(err), &execution{text: m.String})
+		return
+	}
+	if len(script) == 0 {
+		s.send(&pgproto3.EmptyQueryResponse{})
+	}
+}
+
+// nextInScript runs the next statement of a simple query or ends the query.
+func (s *session) nextInScript() {
+	if len(s.script) == 0 {
+		s.inScript = false
+		s.endImplicit()
+		return
+	}
+	statement := s.script[0]
+	s.script = s.script[1:]
+	s.start(&execution{statement: statement, text: statement.Text, describe: true})
+}
+
+// endImplicit ends the implicit transaction of a simple query or Sync.
+func (s *session) endImplicit() {
+	s.fireTx(s.m.transaction.boundary)
+	if s.closed() {
+		return
+	}
+	if s.failure != nil {
+		s.sendError(s.failure)
+		s.failure = nil
+	}
+	s.sendReady()
+}
+
+func (s *session) handleSync(*pgproto3.Sync) {
+	s.skipping = false
+	s.endImplicit()
+	for name, p := range s.portals {
+		if p.done {
+			delete(s.portals, name)
+		}
+	}
+}
+
+// start runs an execution, at once or when a slot is free.
+func (s *session) start(e *execution) {
+	s.current = e
+	if !e.resumed {
+		if err := s.admit(e.statement); err != nil {
+			s.fail(err, e)
+			return
+		}
+	}
+	s.fire(s.m.connection.run)
+}
+
+// fail answers an error and ends the script, or the messages up to Sync.
+func (s *session) fail(err *SQLError, e *execution) {
+	s.recordStatement(e, "error "+err.Code)
+	s.sendError(err)
+	s.fireTx(s.m.transaction.failure)
+	s.script = nil
+	s.skipping = !s.inScript
+	if s.skipping {
+		s.flush()
+	}
+}
+
+func (s *session) sendError(err *SQLError) {
+	s.send(&pgproto3.ErrorResponse{
+		Severity:            "ERROR",
+		SeverityUnlocalized: "ERROR",
+		Code:                err.Code,
+		Message:             err.Message,
+	})
+}
+
+func (s *session) notice(code, message string) {
+	s.send(&pgproto3.NoticeResponse{Severity: "NOTICE", SeverityUnlocalized: "NOTICE", Code: code, Message: message})
+}
+
+func (s *session) recordStatement(e *execution, outcome string) {
+	r := Record{
+		Kind:        KindStatement,
+		Connection:  uint64(s.id),
+		Account:     s.account,
+		Transaction: s.tx.id,
+		SQL:         e.text,
+		Outcome:     outcome,
+	}
+	for _, p := range e.params {
+		r.Parameters = append(r.Parameters, p.pointer())
+	}
+	if e.statement != nil && e.statement.Identity != "" && e.statement.Kind != sqlsubset.WriteStatus {
+		r.Identities = []string{e.statement.Identity}
+	}
+	s.m.record(r)
+}
+
+// parseCache keeps the parsed form of recent texts.
+type parseCache struct {
+	scripts map[string][]*sqlsubset.Statement
+}
+
+// maxParsed bounds the cached texts; the cache is emptied beyond it.
+const maxParsed = 4096
+
+func newParseCache() parseCache {
+	return parseCache{scripts: map[string][]*sqlsubset.Statement{}}
+}
+
+func (c *parseCache) parse(text string) ([]*sqlsubset.Statement, error) {
+	if script, ok := c.scripts[text]; ok {
+		return script, nil
+	}
+	script, err := sqlsubset.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.scripts) >= maxParsed {
+		clear(c.scripts)
+	}
+	c.scripts[text] = script
+	return script, nil
+}
--- /dev/null
+++ b/standin/member/options.go
@@ -0,0 +1,113 @@
+// Package member is a stand-in for one member of a PostgreSQL database group.
+//
+// The member duty owns every socket, the store and the fault settings; the
+// record duty owns what was recorded. Bounded rings join them: the member may
+// wait for the record duty, which never waits for the member.
+package member
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// KeyType is the type that the member reports for the key column.
+type KeyType string
+
+// Types of the key column. KeyAny leaves the type open (object identifier 0),
+// so that pgx sends and scans integers as well as texts.
+const (
+	KeyAny    KeyType = "any"
+	KeyBigint KeyType = "bigint"
+	KeyText   KeyType = "text"
+)
+
+// Options describes a member.
+type Options struct {
+	Member core.MemberID
+	// Listen is the PostgreSQL address and StatusListen the address of the
+	// status endpoint, IP:port.
+	Listen       string
+	StatusListen string
+	// Peers holds the status addresses of the other members.
+	Peers map[core.MemberID]string
+	// Primary makes the member start as the primary of Term.
+	Primary bool
+	// Follow names the primary that a replica follows at the start.
+	Follow core.MemberID
+	Term   core.Term
+	// ConnectDelay passes between the startup message and its answer.
+	ConnectDelay time.Duration
+	// MaxConnections bounds the PostgreSQL connections.
+	MaxConnections int
+	// Slots is the number of statements that run at a time.
+	Slots int
+	// ServiceTime is how long a statement holds its slot.
+	ServiceTime  time.Duration
+	ReceiveDelay time.Duration
+	ApplyLag     time.Duration
+	KeyType      KeyType
+	// RecordFile receives the records as JSON lines; empty for none.
+	RecordFile string
+	// RecordLimit bounds the records kept in memory; the oldest go first.
+	RecordLimit int
+}
+
+// DefaultOptions returns the options of a primary without delays.
+func DefaultOptions() Options {
+	return Options{
+		Member:         "m1",
+		Listen:         "127.0.0.1:0",
+		StatusListen:   "127.0.0.1:0",
+		Term:           1,
+		MaxConnections: 100,
+		Slots:          2,
+		ReceiveDelay:   2 * time.Millisecond,
+		KeyType:        KeyAny,
+		RecordLimit:    200_000,
+	}
+}
+
+// OptionError reports an option that cannot be used.
+type OptionError struct {
+	Option string
+	Value  string
+}
+
+func (e *OptionError) Error() string {
+	return "invalid value " + e.Value + " for option " + e.Option
+}
+
+// ParsePeers parses "id=address,id=address". It returns an *OptionError for
+// any other text.
+func ParsePeers(text string) (map[core.MemberID]string, error) {
+	peers := map[core.MemberID]string{}
+	for part := range strings.SplitSeq(text, ",") {
+		if part == "" {
+			continue
+		}
+		id, address, found := strings.Cut(part, "=")
+		if !found || id == "" || address == "" {
+			return nil, &OptionError{Option: "peers", Value: part}
+		}
+		peers[core.MemberID(id)] = address
+	}
+	return peers, nil
+}
+
+func (o Options) check() error {
+	switch {
+	case o.Member == "":
+		return &OptionError{Option: "member", Value: `""`}
+	case o.Slots < 1:
+		return &OptionError{Option: "slots", Value: "below 1"}
+	case o.Primary && o.Follow != "":
+		return &OptionError{Option: "follow", Value: string(o.Follow)}
+	case o.Follow != "" && o.Peers[o.Follow] == "":
+		return &OptionError{Option: "follow", Value: string(o.Follow)}
+	case o.KeyType != KeyAny && o.KeyType != KeyBigint && o.KeyType != KeyText:
+		return &OptionError{Option: "key-type", Value: string(o.KeyType)}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/member/record.go
@@ -0,0 +1,192 @@
+package member
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+const (
+	// recordRing is the number of records that can wait for the record duty.
+	recordRing = 8192
+	// maxListed bounds the records in one answer to record.list, so that the
+	// answer stays below the frame limit of 4 MB.
+	maxListed = 2000
+	// flushInterval bounds the time until a record is in the file.
+	flushInterval = 100 * time.Millisecond
+)
+
+// Kinds of records.
+const (
+	KindStartup   = "startup"
+	KindPassword  = "password"
+	KindRefused   = "refused"
+	KindStatement = "statement"
+	KindCommit    = "commit"
+	KindRollback  = "rollback"
+	KindCancel    = "cancel"
+)
+
+// Outcomes of records, next to "error <SQLSTATE>".
+const (
+	OutcomeOK         = "ok"
+	OutcomeLostAnswer = "lost_answer"
+)
+
+// Record is one thing that a caller sent, and what became of it.
+type Record struct {
+	Sequence uint64        `json:"sequence"`
+	Kind     string        `json:"kind"`
+	Member   core.MemberID `json:"member"`
+	Time     time.Time     `json:"time"`
+	// Connection numbers the connections of the member from 1.
+	Connection uint64 `json:"connection,omitempty"`
+	// Account is the user of the startup message.
+	Account string `json:"account,omitempty"`
+	// Transaction numbers the transactions of the member; 0 for none.
+	Transaction uint64 `json:"transaction,omitempty"`
+	SQL         string `json:"sql,omitempty"`
+	// Parameters are in text form; nil stands for NULL.
+	Parameters []*string `json:"parameters,omitempty"`
+	// Startup holds every startup parameter.
+	Startup map[string]string `json:"startup,omitempty"`
+	// Password is the text of a password message.
+	Password   string    `json:"password,omitempty"`
+	Role       core.Role `json:"role"`
+	Term       core.Term `json:"term"`
+	LSN        core.LSN  `json:"lsn"`
+	Identities []string  `json:"identities,omitempty"`
+	Outcome    string    `json:"outcome"`
+}
+
+// RecordList answers record.list.
+type RecordList struct {
+	Records []Record `json:"records"`
+	// Last is the sequence of the newest record.
+	Last uint64 `json:"last"`
+	// Dropped counts the records that the limit removed.
+	Dropped uint64 `json:"dropped"`
+}
+
+// recordInput is an item of the record ring: a record, a question or the end.
+type recordInput struct {
+	record *Record
+	ask    *listRequest
+	stop   bool
+}
+
+type listRequest struct {
+	after uint64
+	reply replyTo
+}
+
+type listAnswer struct {
+	reply replyTo
+	list  RecordList
+}
+
+// recorder is the record duty.
+type recorder struct {
+	inputs  *ring.Ring[recordInput]
+	signal  *ring.Signal
+	deliver func(listAnswer)
+	limit   int
+	records []Record
+	last    uint64
+	dropped uint64
+	file    *os.File
+	out     *bufio.Writer
+}
+
+func newRecorder(o Options, deliver func(listAnswer)) (*recorder, error) {
+	r := &recorder{signal: ring.NewSignal(), deliver: deliver, limit: o.RecordLimit}
+	r.inputs = ring.New[recordInput](recordRing, r.signal)
+	if o.RecordFile == "" {
+		return r, nil
+	}
+	file, err := os.Create(o.RecordFile)
+	if err != nil {
+		return nil, err
+	}
+	r.file, r.out = file, bufio.NewWriter(file)
+	return r, nil
+}
+
+func (r *recorder) run() {
+	for {
+		input, ok := r.inputs.Pop()
+		if !ok {
+			r.park()
+			continue
+		}
+		if input.stop {
+			r.close()
+			return
+		}
+		r.take(input)
+	}
+}
+
+func (r *recorder) take(input recordInput) {
+	if input.record != nil {
+		r.add(*input.record)
+		return
+	}
+	r.deliver(listAnswer{reply: input.ask.reply, list: r.list(input.ask.after)})
+}
+
+func (r *recorder) park() {
+	if !r.inputs.Park() {
+		return
+	}
+	wait := time.Duration(-1)
+	if r.out != nil && r.out.Buffered() > 0 {
+		wait = flushInterval
+	}
+	r.signal.Wait(wait)
+	r.inputs.Unpark()
+	if wait > 0 && r.inputs.Len() == 0 {
+		_ = r.out.Flush()
+	}
+}
+
+func (r *recorder) add(record Record) {
+	r.last++
+	record.Sequence = r.last
+	r.records = append(r.records, record)
+	// Twice the limit is kept so that the removal is rare.
+	if len(r.records) > 2*r.limit {
+		r.dropped += uint64(len(r.records) - r.limit)
+		r.records = append([]Record(nil), r.records[len(r.records)-r.limit:]...)
+	}
+	if r.out == nil {
+		return
+	}
+	line, err := json.Marshal(record)
+	if err != nil {
+		return
+	}
+	_, _ = r.out.Write(append(line, '\n'))
+}
+
+func (r *recorder) list(after uint64) RecordList {
+	list := RecordList{Last: r.last, Dropped: r.dropped, Records: []Record{}}
+	from := int(max(after, r.dropped) - r.dropped)
+	if from < len(r.records) {
+		to := min(from+maxListed, len(r.records))
+		list.Records = append(list.Records, r.records[from:to]...)
+	}
+	return list
+}
+
+func (r *recorder) close() {
+	if r.out == nil {
+		return
+	}
+	_ = r.out.Flush()
+	_ = r.file.Close()
+}
--- /dev/null
+++ b/standin/member/session.go
@@ -0,0 +1,269 @@
+package member
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/sqlsubset"
+)
+
+const (
+	// secretLength is the length in bytes of a cancel key.
+	secretLength = 4
+	// maxBuffered bounds the bytes read ahead of a running statement.
+	maxBuffered = 1 << 20
+	// serverVersion is what the member reports as its version.
+	serverVersion = "17.0"
+)
+
+// session is one PostgreSQL connection.
+type session struct {
+	m       *Member
+	conn    *netloop.Conn
+	id      uint32
+	secret  [secretLength]byte
+	state   chart.State
+	txState chart.State
+	timer   timer
+	account string
+	out     []byte
+
+	tx      transaction
+	current *execution
+	// script holds the rest of a simple query; inScript is set until its end.
+	script   []*sqlsubset.Statement
+	inScript bool
+	// skipping drops messages up to Sync after an error.
+	skipping   bool
+	statements map[string]*prepared
+	portals    map[string]*execution
+	settings   map[string]string
+	// position is set by a commit until it has been reported.
+	position core.Position
+	failure  *SQLError
+	handling bool
+}
+
+func (m *Member) acceptSession(c *netloop.Conn) netloop.Handler {
+	m.nextSession++
+	s := &session{m: m, conn: c, id: uint32(m.nextSession)}
+	s.state = m.connection.table.Initial()
+	s.txState = m.transaction.table.Initial()
+	s.timer.Value = s
+	s.statements = map[string]*prepared{}
+	s.portals = map[string]*execution{}
+	s.settings = map[string]string{}
+	// The key only has to differ between connections.
+	binary.BigEndian.PutUint32(s.secret[:], uint32(time.Now().UnixNano()))
+	m.sessions[s.id] = s
+	s.armState()
+	return s
+}
+
+func (s *session) fire(event chart.Event) {
+	before := s.state
+	s.m.connection.table.Fire(s, &s.state, event)
+	if s.state != before {
+		s.armState()
+	}
+}
+
+// armState sets the timer of the state. It runs after the actions, so it may
+// be called for a state that an action has already left; the timer then holds
+// for the current state.
+func (s *session) armState() {
+	table := s.m.connection.table
+	if table.Final(s.state) {
+		s.m.timers.Disarm(&s.timer)
+		return
+	}
+	d := table.Timeout(s.state)
+	if s.state == s.m.connection.running {
+		d += s.current.sleep
+	}
+	s.m.arm(&s.timer, d)
+}
+
+func (s *session) timedOut() {
+	s.fire(s.m.connection.timedOut)
+	s.process()
+}
+
+// Opened implements netloop.Handler; accepted connections are open already.
+func (s *session) Opened(*netloop.Conn) {}
+
+// Data implements netloop.Handler.
+func (s *session) Data(c *netloop.Conn) {
+	s.process()
+	if s.state != s.m.connection.ready && len(c.Buffered()) > maxBuffered {
+		c.PauseRead()
+	}
+}
+
+// Drained implements netloop.Handler.
+func (s *session) Drained(*netloop.Conn) {
+	s.fire(s.m.connection.drained)
+	s.process()
+}
+
+// Closed implements netloop.Handler.
+func (s *session) Closed(*netloop.Conn, error) {
+	s.fire(s.m.connection.closed)
+	if s.tx.id != 0 {
+		s.fireTx(s.m.transaction.rollback)
+	}
+	delete(s.m.sessions, s.id)
+	s.m.timers.Disarm(&s.timer)
+}
+
+// process handles buffered messages until one of them has to wait.
+func (s *session) process() {
+	if s.handling {
+		return
+	}
+	s.handling = true
+	for s.step() {
+	}
+	s.handling = false
+	if s.state == s.m.connection.ready {
+		s.conn.ResumeRead()
+	}
+}
+
+func (s *session) closed() bool {
+	return s.m.connection.table.Final(s.state)
+}
+
+// step handles one statement of a script or one message and reports whether
+// there may be more to do.
+func (s *session) step() bool {
+	if s.closed() {
+		return false
+	}
+	if s.state == s.m.connection.table.Initial() {
+		return s.takeStartup()
+	}
+	if s.state != s.m.connection.ready {
+		return false
+	}
+	if s.inScript {
+		s.nextInScript()
+		return true
+	}
+	return s.takeMessage()
+}
+
+func (s *session) takeStartup() bool {
+	body, n := startupFrame(s.conn.Buffered())
+	if n < 0 {
+		s.conn.Close()
+		return false
+	}
+	if n == 0 {
+		return false
+	}
+	body = append([]byte(nil), body...)
+	s.conn.Discard(n)
+	var cancel pgproto3.CancelRequest
+	if cancel.Decode(body) == nil {
+		s.cancelOther(cancel)
+		return false
+	}
+	if encryptionRequest(body) {
+		s.conn.Write([]byte{'N'})
+		return true
+	}
+	var startup pgproto3.StartupMessage
+	if err := startup.Decode(body); err != nil {
+		s.conn.Close()
+		return false
+	}
+	s.begin(startup)
+	return true
+}
+
+func (s *session) begin(startup pgproto3.StartupMessage) {
+	s.account = startup.Parameters["user"]
+	s.m.record(Record{Kind: KindStartup, Connection: uint64(s.id), Account: s.account, Startup: startup.Parameters, Outcome: OutcomeOK})
+	s.fire(s.m.connection.startup)
+}
+
+func (s *session) cancelOther(c pgproto3.CancelRequest) {
+	target, ok := s.m.sessions[c.ProcessID]
+	s.conn.Close()
+	if !ok || string(target.secret[:]) != string(c.SecretKey) {
+		return
+	}
+	s.m.record(Record{Kind: KindCancel, Connection: uint64(target.id), Account: target.account, Outcome: OutcomeOK})
+	target.fire(s.m.connection.cancelled)
+	target.process()
+}
+
+func (s *session) refuseConnection() {
+	s.m.record(Record{Kind: KindRefused, Connection: uint64(s.id), Account: s.account, Outcome: "error " + codeTooManyConnections})
+	s.send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: codeTooManyConnections, Message: "sorry, too many clients already"})
+	s.flush()
+	s.conn.CloseAfterFlush()
+}
+
+func (s *session) releaseConnection() {
+	s.m.connections--
+}
+
+func (s *session) greet() {
+	s.send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", serverVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"standard_conforming_strings", "on"},
+		{"integer_datetimes", "on"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+	} {
+		s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.send(&pgproto3.BackendKeyData{ProcessID: s.id, SecretKey: s.secret[:]})
+	s.sendReady()
+}
+
+// send appends a message to the output. Only a message beyond the protocol's
+// length field cannot be encoded, which closes the connection.
+func (s *session) send(m pgproto3.BackendMessage) {
+	out, err := m.Encode(s.out)
+	if err != nil {
+		s.conn.Close()
+		return
+	}
+	s.out = out
+}
+
+func (s *session) flush() {
+	if len(s.out) > 0 {
+		s.conn.Write(s.out)
+		s.out = s.out[:0]
+	}
+}
+
+// sendReady reports the position of the last commit and ends the answer.
+func (s *session) sendReady() {
+	if !s.position.IsZero() {
+		s.send(&pgproto3.ParameterStatus{Name: "log_position", Value: s.position.String()})
+		s.position = core.Position{}
+	}
+	s.send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus()})
+	s.flush()
+}
+
+func (s *session) txStatus() byte {
+	status := map[chart.State]byte{s.m.transaction.open: 'T', s.m.transaction.failed: 'E'}
+	if b, ok := status[s.txState]; ok {
+		return b
+	}
+	return 'I'
+}
--- a/standin/store/role.go
+++ b/standin/store/role.go
@@ -55,12 +55,12 @@
 			"is_same_primary": func(s *Store) bool { return s.command.address == s.primary },
 		},
 		Actions: map[string]func(*Store){
-			"accept_term":     (*Store).acceptTerm,
-			"drop_stream":     (*Store).dropStream,
-			"begin_term":      (*Store).beginTerm,
-			"follow":          (*Store).followPrimary,
-			"refuse":          (*Store).refuse,
-			"count_heartbeat": func(s *Store) { s.heartbeats++ },
+			"accept_term": (*Store).acceptTerm,
+			"drop_stream": (*Store).dropStream,
+			"begin_term":  (*Store).beginTerm,
+			"follow":      (*Store).followPrimary,
+			"refuse":      (*Store).refuse,
+			"heartbeat":   func(s *Store) { s.heartbeatDue = true },
 		},
 		Timeouts: map[string]time.Duration{
 			"heartbeat":     HeartbeatInterval,
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -69,10 +69,11 @@
 	incoming  []timedEntry
 	unapplied []timedEntry
 	// verified is set when the primary of the term has compared the logs.
-	verified   bool
-	lastHeard  time.Time
-	heartbeats uint64
-	command    command
+	verified  bool
+	lastHeard time.Time
+	// heartbeatDue is set by the role chart.
+	heartbeatDue bool
+	command      command
 }
 
 // New returns the state of a member that starts with an empty log. It returns
@@ -126,9 +127,12 @@
 	return s.table.Timeout(s.state)
 }
 
-// Tick is called at the end of each interval.
-func (s *Store) Tick() {
+// Tick is called at the end of each interval. It reports whether a primary
+// answers its waiting replicas now.
+func (s *Store) Tick() bool {
+	s.heartbeatDue = false
 	s.table.Fire(s, &s.state, s.events.timedOut)
+	return s.heartbeatDue
 }
 
 // Fence accepts term and stops writes and replication of lower terms. It
@@ -191,3 +195,13 @@
 	}
 	return s.log.End() >= received && s.applied >= applied, nil
 }
+
+// Position returns the end of the log in the accepted term.
+func (s *Store) Position() core.Position {
+	return core.Position{Term: s.term, LSN: s.log.End()}
+}
+
+// Applied returns the end of the log that reads see.
+func (s *Store) Applied() core.LSN {
+	return s.applied
+}
