--- /dev/null
+++ b/standin/member/harness_test.go
@@ -0,0 +1,149 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/exp/jsonrpc2"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+)
+
+// testTimeout ends a test that hangs.
+const testTimeout = 20 * time.Second
+
+func startMember(t *testing.T, change func(*Options)) *Member {
+	t.Helper()
+	o := DefaultOptions()
+	o.Primary = true
+	if change != nil {
+		change(&o)
+	}
+	m, err := New(o)
+	require.NoError(t, err)
+	var duties duty.Group
+	m.Start(&duties)
+	t.Cleanup(func() {
+		m.Stop()
+		duties.Wait()
+	})
+	return m
+}
+
+func startReplica(t *testing.T, id core.MemberID, primary *Member, change func(*Options)) *Member {
+	t.Helper()
+	return startMember(t, func(o *Options) {
+		o.Member = id
+		o.Primary = false
+		o.Peers = map[core.MemberID]string{"m1": primary.StatusAddress().String()}
+		o.Follow = "m1"
+		if change != nil {
+			change(o)
+		}
+	})
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func connect(t *testing.T, m *Member, mode pgx.QueryExecMode) *pgx.Conn {
+	t.Helper()
+	config, err := pgx.ParseConfig("postgres://hazards:sesame@" + m.Address().String() + "/notices?sslmode=disable")
+	require.NoError(t, err)
+	config.DefaultQueryExecMode = mode
+	c, err := pgx.ConnectConfig(testContext(t), config)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// caller is a connection to a status endpoint.
+type caller struct {
+	conn   net.Conn
+	buffer []byte
+	next   int64
+}
+
+func dialStatus(t *testing.T, m *Member) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.StatusAddress().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return &caller{conn: conn}
+}
+
+func (c *caller) call(t *testing.T, method string, params, result any) error {
+	t.Helper()
+	c.next++
+	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(c.next), method, params)
+	require.NoError(t, err)
+	frame, err := rpc.Append(nil, call)
+	require.NoError(t, err)
+	_, err = c.conn.Write(frame)
+	require.NoError(t, err)
+	response := c.read(t)
+	if response.Error != nil {
+		return response.Error
+	}
+	if result != nil {
+		require.NoError(t, json.Unmarshal(response.Result, result))
+	}
+	return nil
+}
+
+func (c *caller) read(t *testing.T) *jsonrpc2.Response {
+	t.Helper()
+	for {
+		message, n, err := rpc.Decode(c.buffer)
+		require.NoError(t, err)
+		if message != nil {
+			c.buffer = c.buffer[n:]
+			return message.(*jsonrpc2.Response)
+		}
+		chunk := make([]byte, 64<<10)
+		n, err = c.conn.Read(chunk)
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF)
+		}
+		require.NoError(t, err)
+		c.buffer = append(c.buffer, chunk[:n]...)
+	}
+}
+
+func (c *caller) status(t *testing.T, method string, params any) Status {
+	t.Helper()
+	var s Status
+	require.NoError(t, c.call(t, method, params, &s))
+	return s
+}
+
+func (c *caller) records(t *testing.T) []Record {
+	t.Helper()
+	var list RecordList
+	require.NoError(t, c.call(t, "record.list", ListParams{}, &list))
+	return list.Records
+}
+
+func errorCode(t *testing.T, err error) (code int64, term core.Term) {
+	t.Helper()
+	text, marshalError := json.Marshal(err)
+	require.NoError(t, marshalError)
+	var wire struct {
+		Code int64
+		Data struct{ Term core.Term }
+	}
+	require.NoError(t, json.Unmarshal(text, &wire))
+	return wire.Code, wire.Data.Term
+}
--- /dev/null
+++ b/standin/member/member_test.go
@@ -0,0 +1,196 @@
+package member
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+)
+
+var modes = map[string]pgx.QueryExecMode{
+	"simple":   pgx.QueryExecModeSimpleProtocol,
+	"extended": pgx.QueryExecModeCacheStatement,
+	"describe": pgx.QueryExecModeDescribeExec,
+	"exec":     pgx.QueryExecModeExec,
+}
+
+// Guards against statements that work in one query mode only.
+func TestStatementsInEveryQueryMode(t *testing.T) {
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			m := startMember(t, nil)
+			c := connect(t, m, mode)
+			ctx := testContext(t)
+			var id int64
+			require.NoError(t, c.QueryRow(ctx, "INSERT INTO items(id, value) VALUES ($1, $2) RETURNING id", 7, "ice").Scan(&id))
+			require.EqualValues(t, 7, id)
+			tag, err := c.Exec(ctx, "UPDATE items SET value = $1 WHERE id = $2", "fog", 7)
+			require.NoError(t, err)
+			require.EqualValues(t, 1, tag.RowsAffected())
+			var text string
+			require.NoError(t, c.QueryRow(ctx, "SELECT value FROM items WHERE id = $1", 7).Scan(&text))
+			require.Equal(t, "fog", text)
+			var count int64
+			require.NoError(t, c.QueryRow(ctx, "SELECT count(*) FROM items").Scan(&count))
+			require.EqualValues(t, 1, count)
+			var n int32
+			var s string
+			require.NoError(t, c.QueryRow(ctx, "SELECT 5, 'x'").Scan(&n, &s))
+			require.EqualValues(t, 5, n)
+			var eight int64
+			require.NoError(t, c.QueryRow(ctx, "SELECT $1::int8", int64(-8)).Scan(&eight))
+			require.EqualValues(t, -8, eight)
+			_, err = c.Exec(ctx, "DELETE FROM items WHERE id = $1", 7)
+			require.NoError(t, err)
+			require.ErrorIs(t, c.QueryRow(ctx, "SELECT value FROM items WHERE id = $1", 7).Scan(&text), pgx.ErrNoRows)
+			requireCode(t, c, "SELEKT 1", codeSyntax)
+			require.NotEmpty(t, c.PgConn().ParameterStatus("log_position"))
+		})
+	}
+}
+
+func requireCode(t *testing.T, c *pgx.Conn, sql, code string, args ...any) {
+	t.Helper()
+	_, err := c.Exec(testContext(t), sql, args...)
+	var pgError *pgconn.PgError
+	require.ErrorAs(t, err, &pgError)
+	require.Equal(t, code, pgError.Code, pgError.Message)
+}
+
+// Guards against rows that are lost or reordered when the caller reads slowly.
+func TestLargeResult(t *testing.T) {
+	m := startMember(t, nil)
+	c := connect(t, m, pgx.QueryExecModeCacheStatement)
+	rows, err := c.Query(testContext(t), "SELECT generate_series(1, 300000)")
+	require.NoError(t, err)
+	expected := int32(0)
+	for rows.Next() {
+		var n int32
+		require.NoError(t, rows.Scan(&n))
+		expected++
+		require.Equal(t, expected, n)
+	}
+	require.NoError(t, rows.Err())
+	require.EqualValues(t, 300000, expected)
+}
+
+// Guards against a rolled-back change that stays, and against a transaction
+// that goes on after an error.
+func TestTransactions(t *testing.T) {
+	m := startMember(t, nil)
+	c := connect(t, m, pgx.QueryExecModeCacheStatement)
+	ctx := testContext(t)
+	tx, err := c.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO items VALUES ('a', '1')")
+	require.NoError(t, err)
+	require.NoError(t, tx.Rollback(ctx))
+	var count int
+	require.NoError(t, c.QueryRow(ctx, "SELECT count(*) FROM items").Scan(&count))
+	require.Zero(t, count)
+	_, err = c.Exec(ctx, "BEGIN")
+	require.NoError(t, err)
+	requireCode(t, c, "SELECT broken", codeSyntax)
+	requireCode(t, c, "SELECT 1", codeFailedTransaction)
+	tag, err := c.Exec(ctx, "COMMIT")
+	require.NoError(t, err)
+	require.Equal(t, "ROLLBACK", tag.String())
+	_, err = c.Exec(ctx, "BEGIN READ ONLY")
+	require.NoError(t, err)
+	requireCode(t, c, "INSERT INTO items VALUES ('a', '1')", codeReadOnly)
+}
+
+// Guards against a write identity that is not recorded with its transaction.
+func TestWriteIdentity(t *testing.T) {
+	m := startMember(t, nil)
+	c := connect(t, m, pgx.QueryExecModeSimpleProtocol)
+	ctx := testContext(t)
+	status := func(id string) (text string) {
+		require.NoError(t, c.QueryRow(ctx, "SHOW sassafrasshunt.write_status '"+id+"'").Scan(&text))
+		return text
+	}
+	_, err := c.Exec(ctx, "BEGIN")
+	require.NoError(t, err)
+	_, err = c.Exec(ctx, "/*+ write_id=one */ INSERT INTO items VALUES ('a', '1')")
+	require.NoError(t, err)
+	require.Equal(t, "unknown", status("one"))
+	_, err = c.Exec(ctx, "COMMIT")
+	require.NoError(t, err)
+	require.Equal(t, "committed", status("one"))
+	require.Equal(t, "unknown", status("two"))
+}
+
+// Guards against a lost answer that also loses the commit, and against a
+// caller's key that the record does not show.
+func TestLostAnswerAndRecord(t *testing.T) {
+	m := startMember(t, nil)
+	s := dialStatus(t, m)
+	s.status(t, "fault.lose_answer", CountParams{Count: 1})
+	c := connect(t, m, pgx.QueryExecModeCacheStatement)
+	_, err := c.Exec(testContext(t), "INSERT INTO items VALUES ($1, $2)", "a", "1")
+	require.Error(t, err)
+	var pgError *pgconn.PgError
+	require.False(t, errors.As(err, &pgError))
+	c = connect(t, m, pgx.QueryExecModeCacheStatement)
+	var count int
+	require.NoError(t, c.QueryRow(testContext(t), "SELECT count(*) FROM items").Scan(&count))
+	require.Equal(t, 1, count)
+	records := s.records(t)
+	require.Equal(t, "hazards", records[0].Startup["user"])
+	require.Equal(t, "1", *records[1].Parameters[1])
+	require.Equal(t, OutcomeLostAnswer, records[2].Outcome)
+}
+
+// Guards against more statements at a time than there are slots, and against a
+// cancel request that does not reach a waiting statement.
+func TestSlotsAndCancel(t *testing.T) {
+	m := startMember(t, func(o *Options) { o.Slots = 1 })
+	holder := connect(t, m, pgx.QueryExecModeSimpleProtocol)
+	waiter := connect(t, m, pgx.QueryExecModeSimpleProtocol)
+	held := make(chan error, 1)
+	go func() {
+		_, err := holder.Exec(testContext(t), "SELECT pg_sleep(60)")
+		held <- err
+	}()
+	s := dialStatus(t, m)
+	require.Eventually(t, func() bool { return s.status(t, "status", nil).SlotsBusy == 1 }, testTimeout, time.Millisecond)
+	waited := make(chan error, 1)
+	go func() {
+		_, err := waiter.Exec(testContext(t), "SHOW timezone; SELECT 1")
+		waited <- err
+	}()
+	// SHOW takes no slot, so its record tells that SELECT waits.
+	require.Eventually(t, func() bool { return recorded(s.records(t), "SHOW timezone") >= 0 }, testTimeout, time.Millisecond)
+	require.NoError(t, holder.PgConn().CancelRequest(testContext(t)))
+	require.ErrorContains(t, <-held, codeCancelled)
+	require.NoError(t, <-waited)
+	records := s.records(t)
+	require.Less(t, recorded(records, "SELECT pg_sleep(60)"), recorded(records, " SELECT 1"))
+}
+
+func recorded(records []Record, sql string) int {
+	return slices.IndexFunc(records, func(r Record) bool { return r.SQL == sql })
+}
+
+// Guards against more connections than the bound.
+func TestConnectionBound(t *testing.T) {
+	m := startMember(t, func(o *Options) { o.MaxConnections = 1 })
+	connect(t, m, pgx.QueryExecModeSimpleProtocol)
+	_, err := pgx.Connect(testContext(t), "postgres://a@"+m.Address().String()+"/b?sslmode=disable")
+	require.ErrorContains(t, err, codeTooManyConnections)
+}
+
+// Guards against a member that cannot be told from another one.
+func TestShowMember(t *testing.T) {
+	c := connect(t, startMember(t, nil), pgx.QueryExecModeCacheStatement)
+	var text string
+	require.NoError(t, c.QueryRow(testContext(t), "SHOW sassafrasshunt.member").Scan(&text))
+	require.True(t, strings.Contains(text, `"role":"primary"`), text)
+	_, err := c.Exec(testContext(t), "SET application_name = 'x'; DISCARD ALL")
+	require.NoError(t, err)
+}
