--- a/pkg/share/connections.go
+++ b/pkg/share/connections.go
@@ -21,7 +21,8 @@
 		q.held[i], q.limit[i] = int64(c.Held), int64(c.Limit)
 		wanted[i] = int64(math.Ceil(d.a.demand.database(s.Instance, name) - negligibleUnits))
 	}
-	q.setConnectionTargets(wanted, d.a.settings)
+	q.setConnectionTargets(wanted, int64(d.table.Floors.Connections[name]))
+	q.keep(int64(d.table.Guards.Connections[name]))
 	if q.excess() || !q.pending() && q.needed(wanted) {
 		q.move()
 	}
@@ -36,20 +37,19 @@
 // setConnectionTargets gives each slot its floor, at least one connection where
 // the bound allows, then single connections to the slots that want more, and
 // the remainder to all in turn.
-func (q *quantity) setConnectionTargets(wanted []int64, s Settings) {
+func (q *quantity) setConnectionTargets(wanted []int64, floor int64) {
 	n := int64(len(wanted))
 	if n == 0 {
 		return
 	}
 	available := q.available()
-	floor := floorOf(q, s, int(n))
 	if floor == 0 && available >= n {
 		floor = 1
 	}
 	for i := range q.target {
 		q.target[i] = floor
 	}
-	rest := available - n*floor
+	rest := max(available-n*floor, 0)
 	rest = q.fill(rest, func(i int) bool { return q.target[i] < wanted[i] })
 	if floor > 0 {
 		q.fill(rest, func(int) bool { return true })
@@ -107,10 +107,7 @@
 		if next.Limit < old.Limit {
 			s.ConnectionsLowered = d.table.Revision
 		}
-		if s.Databases == nil {
-			s.Databases = map[core.DatabaseName]ConnectionShare{}
-		}
-		s.Databases[name] = next
+		s.setConnections(name, next)
 		d.changed = true
 	}
 }
--- a/pkg/share/divide.go
+++ b/pkg/share/divide.go
@@ -58,6 +58,14 @@
 	return false
 }
 
+// keep raises the targets to the guard, as far as the limit reaches it now: a
+// limit is never lowered below the guard.
+func (q *quantity) keep(guard int64) {
+	for i := range q.target {
+		q.target[i] = max(q.target[i], min(guard, q.limit[i]))
+	}
+}
+
 // move lowers the limits above their targets and raises those below them, as
 // far as the slot's own held figure allows.
 func (q *quantity) move() {
--- /dev/null
+++ b/pkg/share/encode.go
@@ -0,0 +1,278 @@
+package share
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// tableDocument is the JSON form of a Table. Names occur once and shares refer
+// to them by index, because 930 slots must fit into one value of 1 MB.
+type tableDocument struct {
+	Revision         uint64              `json:"revision"`
+	CatalogueVersion uint64              `json:"catalogue_version"`
+	Accounts         []core.AccountName  `json:"accounts"`
+	Databases        []core.DatabaseName `json:"databases"`
+	Floors           floorsDocument      `json:"floors"`
+	// Guards is missing where it equals the floors.
+	Guards        *floorsDocument `json:"guards,omitempty"`
+	FloorsLowered uint64          `json:"floors_lowered,omitempty"`
+	Slots         []slotDocument  `json:"slots"`
+}
+
+type floorsDocument struct {
+	// Rates holds [rate, burst] of each account.
+	Rates       map[core.AccountName][2]Milli `json:"rates"`
+	Connections map[core.DatabaseName]int     `json:"connections"`
+}
+
+func encodeFloors(f Floors) floorsDocument {
+	d := floorsDocument{Rates: map[core.AccountName][2]Milli{}, Connections: f.Connections}
+	for name, r := range f.Rates {
+		d.Rates[name] = [2]Milli{r.Rate, r.Burst}
+	}
+	return d
+}
+
+func decodeFloors(d floorsDocument) (Floors, bool) {
+	f := Floors{Rates: map[core.AccountName]Rate{}, Connections: d.Connections}
+	for name, r := range d.Rates {
+		if r[0] < 0 || r[1] < 0 {
+			return f, false
+		}
+		f.Rates[name] = Rate{Rate: r[0], Burst: r[1]}
+	}
+	for _, n := range d.Connections {
+		if n < 0 {
+			return f, false
+		}
+	}
+	return f, true
+}
+
+type slotDocument struct {
+	State              string          `json:"state"`
+	Instance           core.InstanceID `json:"instance,omitempty"`
+	PeerAddress        string          `json:"peer_address,omitempty"`
+	Domain             core.Domain     `json:"domain,omitempty"`
+	Lease              LeaseID         `json:"lease,omitempty"`
+	Granted            uint64          `json:"granted,omitempty"`
+	RatesLowered       uint64          `json:"rates_lowered,omitempty"`
+	ConnectionsLowered uint64          `json:"connections_lowered,omitempty"`
+	// Rates holds [account, held rate, held burst] and, where they differ,
+	// limit rate and limit burst.
+	Rates [][]int64 `json:"rates,omitempty"`
+	// Connections holds [database, held] and, where it differs, the limit.
+	Connections [][]int64 `json:"connections,omitempty"`
+}
+
+// Lengths of the arrays in a slotDocument, without and with limits.
+const (
+	rateFields                  = 3
+	rateLimitFields             = 5
+	connectionFields            = 2
+	connectionLimitFields       = 3
+	largestShare          int64 = 1 << 53
+)
+
+// Encode returns the JSON form of the table. Equal tables have equal forms.
+func (t *Table) Encode() ([]byte, error) {
+	d := tableDocument{
+		Revision:         t.Revision,
+		CatalogueVersion: t.CatalogueVersion,
+		Accounts:         collectNames(t, func(s *Slot) map[core.AccountName]RateShare { return s.Accounts }),
+		Databases:        collectNames(t, func(s *Slot) map[core.DatabaseName]ConnectionShare { return s.Databases }),
+		Slots:            make([]slotDocument, len(t.Slots)),
+	}
+	d.Floors = encodeFloors(t.Floors)
+	d.FloorsLowered = t.FloorsLowered
+	if !t.Guards.equal(t.Floors) {
+		guards := encodeFloors(t.Guards)
+		d.Guards = &guards
+	}
+	for i := range t.Slots {
+		d.Slots[i] = encodeSlot(&t.Slots[i], d.Accounts, d.Databases)
+	}
+	return json.Marshal(&d)
+}
+
+func collectNames[K ~string, V any](t *Table, shares func(*Slot) map[K]V) []K {
+	seen := map[K]bool{}
+	names := []K{}
+	for i := range t.Slots {
+		for name := range shares(&t.Slots[i]) {
+			if !seen[name] {
+				seen[name] = true
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func encodeSlot(s *Slot, accounts []core.AccountName, databases []core.DatabaseName) slotDocument {
+	d := slotDocument{
+		State:              s.State,
+		Instance:           s.Instance,
+		PeerAddress:        s.PeerAddress,
+		Domain:             s.Domain,
+		Lease:              s.Lease,
+		Granted:            s.Granted,
+		RatesLowered:       s.RatesLowered,
+		ConnectionsLowered: s.ConnectionsLowered,
+	}
+	for i, name := range accounts {
+		if share, ok := s.Accounts[name]; ok {
+			d.Rates = append(d.Rates, encodeRate(i, share))
+		}
+	}
+	for i, name := range databases {
+		if share, ok := s.Databases[name]; ok {
+			d.Connections = append(d.Connections, encodeConnections(i, share))
+		}
+	}
+	return d
+}
+
+func encodeRate(index int, r RateShare) []int64 {
+	fields := []int64{int64(index), int64(r.Held.Rate), int64(r.Held.Burst)}
+	if r.Limit != r.Held {
+		fields = append(fields, int64(r.Limit.Rate), int64(r.Limit.Burst))
+	}
+	return fields
+}
+
+func encodeConnections(index int, c ConnectionShare) []int64 {
+	fields := []int64{int64(index), int64(c.Held)}
+	if c.Limit != c.Held {
+		fields = append(fields, int64(c.Limit))
+	}
+	return fields
+}
+
+// Decode parses the JSON form of a table. It returns a *TableError for text
+// that is not a table or breaks a rule of its own.
+func Decode(text []byte) (*Table, error) {
+	var d tableDocument
+	if err := json.Unmarshal(text, &d); err != nil {
+		return nil, &TableError{Faults: []string{err.Error()}}
+	}
+	t := &Table{Revision: d.Revision, CatalogueVersion: d.CatalogueVersion, Slots: make([]Slot, len(d.Slots))}
+	faults := t.setFloors(&d)
+	for i := range d.Slots {
+		slot, slotFaults := decodeSlot(&d.Slots[i], &d)
+		t.Slots[i] = slot
+		for _, fault := range slotFaults {
+			faults = append(faults, fmt.Sprintf("slot %d: %s", i, fault))
+		}
+	}
+	if len(faults) > 0 {
+		return nil, &TableError{Faults: faults}
+	}
+	return t, nil
+}
+
+func (t *Table) setFloors(d *tableDocument) []string {
+	floors, valid := decodeFloors(d.Floors)
+	t.Floors, t.Guards, t.FloorsLowered = floors, floors, d.FloorsLowered
+	if d.Guards != nil {
+		guards, guardsValid := decodeFloors(*d.Guards)
+		t.Guards = guards
+		valid = valid && guardsValid
+	}
+	if !valid {
+		return []string{"negative floor"}
+	}
+	return nil
+}
+
+func decodeSlot(d *slotDocument, t *tableDocument) (Slot, []string) {
+	s := Slot{
+		State:              d.State,
+		Instance:           d.Instance,
+		PeerAddress:        d.PeerAddress,
+		Domain:             d.Domain,
+		Lease:              d.Lease,
+		Granted:            d.Granted,
+		RatesLowered:       d.RatesLowered,
+		ConnectionsLowered: d.ConnectionsLowered,
+	}
+	var faults []string
+	if !slices.Contains(stateNames, d.State) {
+		faults = append(faults, fmt.Sprintf("unknown state %q", d.State))
+	}
+	for _, fields := range d.Rates {
+		if !validShare(fields, len(t.Accounts), rateFields, rateLimitFields) {
+			faults = append(faults, "invalid rate share")
+			continue
+		}
+		s.setRate(t.Accounts[fields[0]], decodeRate(fields))
+	}
+	for _, fields := range d.Connections {
+		if !validShare(fields, len(t.Databases), connectionFields, connectionLimitFields) {
+			faults = append(faults, "invalid connection share")
+			continue
+		}
+		s.setConnections(t.Databases[fields[0]], decodeConnections(fields))
+	}
+	return s, faults
+}
+
+// stateNames lists the states of the chart "share".
+var stateNames = []string{StateVacant, "granted", "shrinking", StateLost}
+
+// validShare checks the length, the index, the range of each figure and that
+// no limit exceeds what is held.
+func validShare(fields []int64, names, short, long int) bool {
+	if len(fields) != short && len(fields) != long {
+		return false
+	}
+	for _, f := range fields {
+		if f < 0 || f > largestShare {
+			return false
+		}
+	}
+	if fields[0] >= int64(names) {
+		return false
+	}
+	for i := short; i < len(fields); i++ {
+		if fields[i] > fields[i-short+1] {
+			return false
+		}
+	}
+	return true
+}
+
+func decodeRate(fields []int64) RateShare {
+	held := Rate{Rate: Milli(fields[1]), Burst: Milli(fields[2])}
+	r := RateShare{Held: held, Limit: held}
+	if len(fields) == rateLimitFields {
+		r.Limit = Rate{Rate: Milli(fields[3]), Burst: Milli(fields[4])}
+	}
+	return r
+}
+
+func decodeConnections(fields []int64) ConnectionShare {
+	c := ConnectionShare{Held: int(fields[1]), Limit: int(fields[1])}
+	if len(fields) == connectionLimitFields {
+		c.Limit = int(fields[2])
+	}
+	return c
+}
+
+func (s *Slot) setRate(name core.AccountName, r RateShare) {
+	if s.Accounts == nil {
+		s.Accounts = map[core.AccountName]RateShare{}
+	}
+	s.Accounts[name] = r
+}
+
+func (s *Slot) setConnections(name core.DatabaseName, c ConnectionShare) {
+	if s.Databases == nil {
+		s.Databases = map[core.DatabaseName]ConnectionShare{}
+	}
+	s.Databases[name] = c
+}
--- a/pkg/share/holder.go
+++ b/pkg/share/holder.go
@@ -19,6 +19,8 @@
 	// Grant identifies the holding of the slot. Buckets are emptied when it
 	// changes.
 	Grant uint64
+	// Revision is the table revision, for Applied.
+	Revision uint64
 	// Accounts and Connections hold the limits; a missing name means zero.
 	Accounts    map[core.AccountName]Rate
 	Connections map[core.DatabaseName]int
@@ -36,8 +38,9 @@
 	renewed   map[LeaseID]time.Time
 	inherited bool
 	released  bool
-	open      map[core.DatabaseName]int
-	// connectionsApplied is the newest revision whose connection limits are met.
+	// ratesApplied and connectionsApplied are the newest revisions whose limits
+	// are obeyed where they are spent.
+	ratesApplied       uint64
 	connectionsApplied uint64
 }
 
@@ -80,7 +83,6 @@
 		return false
 	}
 	h.table = t
-	h.applyConnections()
 	return true
 }
 
@@ -128,10 +130,22 @@
 	h.released = true
 }
 
-// ConnectionsOpen records how many connections to each database are open.
-func (h *Holder) ConnectionsOpen(open map[core.DatabaseName]int) {
-	h.open = open
-	h.applyConnections()
+// Applied records that the limits of a Spendable with this revision are in
+// force where they are spent, and how many connections to each database were
+// open after that. Without this, a limit might be acknowledged that is still
+// on its way to the duty that spends it.
+func (h *Holder) Applied(revision uint64, open map[core.DatabaseName]int) {
+	slot := h.ownSlot()
+	if slot < 0 || revision != h.table.Revision {
+		return
+	}
+	h.ratesApplied = revision
+	for name, n := range open {
+		if n > h.table.Slots[slot].Databases[name].Limit {
+			return
+		}
+	}
+	h.connectionsApplied = revision
 }
 
 // Spendable returns what this instance may spend at now.
@@ -139,12 +153,13 @@
 	slot := h.ownSlot()
 	until := h.until(slot)
 	if slot < 0 || h.released || !now.Before(until) {
-		return Spendable{Slot: -1}
+		return Spendable{Slot: -1, Revision: h.revision()}
 	}
 	s := &h.table.Slots[slot]
 	spendable := Spendable{
 		Slot:        slot,
 		Grant:       s.Granted,
+		Revision:    h.table.Revision,
 		Accounts:    make(map[core.AccountName]Rate, len(s.Accounts)),
 		Connections: make(map[core.DatabaseName]int, len(s.Databases)),
 		Until:       until,
@@ -155,9 +170,29 @@
 	for name, share := range s.Databases {
 		spendable.Connections[name] = share.Limit
 	}
+	if h.inheritedSlot(slot) {
+		spendable.reduceTo(h.table.Floors)
+	}
 	return spendable
 }
 
+func (s *Spendable) reduceTo(f Floors) {
+	for name, r := range s.Accounts {
+		floor := f.Rates[name]
+		s.Accounts[name] = Rate{Rate: min(r.Rate, floor.Rate), Burst: min(r.Burst, floor.Burst)}
+	}
+	for name, n := range s.Connections {
+		s.Connections[name] = min(n, f.Connections[name])
+	}
+}
+
+func (h *Holder) revision() uint64 {
+	if h.table == nil {
+		return 0
+	}
+	return h.table.Revision
+}
+
 // until returns when the right to spend ends. Only renewals of the lease that
 // the table names count: the allocator waits for the end of that lease. An
 // inherited slot ends a bound after the table was last known to be current.
@@ -220,26 +255,11 @@
 	return Report{
 		Slot:               slot,
 		Instance:           h.self.Instance,
-		RatesApplied:       h.table.Revision,
+		RatesApplied:       h.ratesApplied,
 		ConnectionsApplied: h.connectionsApplied,
 	}, true
 }
 
-// applyConnections notes the table's revision once no database has more open
-// connections than its limit.
-func (h *Holder) applyConnections() {
-	slot := h.ownSlot()
-	if slot < 0 {
-		return
-	}
-	for name, open := range h.open {
-		if open > h.table.Slots[slot].Databases[name].Limit {
-			return
-		}
-	}
-	h.connectionsApplied = h.table.Revision
-}
-
 // ChooseSlot returns the slot that an instance claims: its predecessor's at the
 // same peer address, else a vacant one that nobody has claimed, else -1. The
 // search begins at start, so that instances that start together choose
--- a/pkg/share/next.go
+++ b/pkg/share/next.go
@@ -27,6 +27,7 @@
 	}
 	d := a.newDraft(now)
 	d.runLifeCycles()
+	d.setFloors()
 	d.divide()
 	if !d.changed {
 		return nil, false
@@ -52,6 +53,8 @@
 
 func (t *Table) clone() *Table {
 	c := *t
+	c.Floors = t.Floors.clone()
+	c.Guards = t.Guards.clone()
 	c.Slots = append([]Slot(nil), t.Slots...)
 	for i := range c.Slots {
 		c.Slots[i].Accounts = maps.Clone(c.Slots[i].Accounts)
--- a/pkg/share/rates.go
+++ b/pkg/share/rates.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
@@ -11,13 +12,21 @@
 	rate   *quantity
 	burst  *quantity
 	demand []float64
-	floor  int64
+	floor  Rate
+}
+
+// limitsOf returns the account's rate and burst.
+func limitsOf(a *catalogue.Account) (rate, burst Milli) {
+	return Milli(a.Rate * MilliPerUnit), Milli(a.Burst * MilliPerUnit)
 }
 
 func (d *draft) divideAccount(name core.AccountName, active, lost []*Slot) {
 	v := d.newAccountDivision(name, active, lost)
 	v.setRateTargets()
-	v.setBurstTargets(d.a.settings)
+	v.setBurstTargets()
+	guard := d.table.Guards.Rates[name]
+	v.rate.keep(int64(guard.Rate))
+	v.burst.keep(int64(guard.Burst))
 	settled := !v.rate.pending() && !v.burst.pending()
 	if v.rate.excess() || v.burst.excess() || settled && v.needed() {
 		v.rate.move()
@@ -33,7 +42,7 @@
 func (d *draft) newAccountDivision(name core.AccountName, active, lost []*Slot) *accountDivision {
 	var bound Rate
 	if account := d.a.limits.Account(name); account != nil {
-		bound = Rate{Rate: Milli(account.Rate * MilliPerUnit), Burst: Milli(account.Burst * MilliPerUnit)}
+		bound.Rate, bound.Burst = limitsOf(account)
 	}
 	v := &accountDivision{
 		rate:   newQuantity(int64(bound.Rate), len(active)),
@@ -50,18 +59,10 @@
 		v.burst.held[i], v.burst.limit[i] = int64(r.Held.Burst), int64(r.Limit.Burst)
 		v.demand[i] = d.a.demand.account(s.Instance, name) * MilliPerUnit
 	}
-	v.floor = floorOf(v.rate, d.a.settings, len(active))
+	v.floor = d.table.Floors.Rates[name]
 	return v
 }
 
-func floorOf(q *quantity, s Settings, active int) int64 {
-	if active == 0 || s.MaxInstances == 0 {
-		return 0
-	}
-	floor := int64(float64(q.bound) * s.FloorFraction / float64(s.MaxInstances))
-	return min(floor, q.available()/int64(active))
-}
-
 // setRateTargets gives each slot the floor, then the rest max-min fair by
 // demand, and divides what nobody asks for equally.
 func (v *accountDivision) setRateTargets() {
@@ -69,15 +70,16 @@
 	if n == 0 {
 		return
 	}
+	floor := int64(v.floor.Rate)
 	wanted := make([]int64, n)
 	for i, demand := range v.demand {
-		wanted[i] = max(int64(demand*demandHeadroom)-v.floor, 0)
+		wanted[i] = max(int64(demand*demandHeadroom)-floor, 0)
 	}
-	rest := v.rate.available() - n*v.floor
+	rest := max(v.rate.available()-n*floor, 0)
 	given := maxMin(wanted, rest)
 	spare := (rest - sum(given)) / n
 	for i := range given {
-		v.rate.target[i] = v.floor + given[i] + spare
+		v.rate.target[i] = floor + given[i] + spare
 	}
 }
 
@@ -102,12 +104,8 @@
 // below one statement admits nothing, so every slot gets one statement first;
 // if the burst does not reach that far, slots that have one or have demand go
 // before others.
-func (v *accountDivision) setBurstTargets(s Settings) {
-	n := int64(len(v.demand))
-	if n == 0 {
-		return
-	}
-	floor := max(floorOf(v.burst, s, int(n)), MilliPerUnit)
+func (v *accountDivision) setBurstTargets() {
+	floor := max(int64(v.floor.Burst), MilliPerUnit)
 	rest := v.burst.available()
 	total := sum(v.rate.target)
 	for _, i := range v.burstOrder() {
@@ -148,7 +146,7 @@
 func (v *accountDivision) needed() bool {
 	for i, demand := range v.demand {
 		limit := float64(v.rate.limit[i])
-		if limit < floorTolerance*float64(v.floor) {
+		if limit < floorTolerance*float64(v.floor.Rate) {
 			return true
 		}
 		if demand > needyUse*limit && float64(v.rate.target[i]) > needyGain*limit {
@@ -183,10 +181,7 @@
 		if next.Limit.Rate < old.Limit.Rate || next.Limit.Burst < old.Limit.Burst {
 			s.RatesLowered = d.table.Revision
 		}
-		if s.Accounts == nil {
-			s.Accounts = map[core.AccountName]RateShare{}
-		}
-		s.Accounts[name] = next
+		s.setRate(name, next)
 		d.changed = true
 	}
 }
--- a/pkg/share/table.go
+++ b/pkg/share/table.go
@@ -75,7 +75,14 @@
 	Revision uint64
 	// CatalogueVersion is the version of the limits that the table obeys.
 	CatalogueVersion uint64
-	Slots            []Slot
+	// Floors is what an instance that inherits a slot may spend of it.
+	Floors Floors
+	// Guards bounds from below what a slot may be lowered to. It equals Floors,
+	// except while older tables with higher floors may still be handed out.
+	Guards Floors
+	// FloorsLowered is the revision in which a floor was last lowered.
+	FloorsLowered uint64
+	Slots         []Slot
 }
 
 // Claim is an instance's record `slot/<n>` at the platform.
