Exchange versions with peers; judge how fresh the knowledge of revoked keys is

Cause: an instance that cannot reach the platform must learn newer configuration from peers and must know when a key may have been revoked without its hearing of it. Change: peers.go joins membership.Mesh with catalogue, share table and terms; keys are honoured until a bound after the platform or a majority of the failure domains was last heard; listen.seeds serve a start during an outage. Ruled out: trust by the age that peers vouch for, because a plain platform outage would then stop all keyed work after the bound.

--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -28,6 +28,9 @@
 	Self     Identity
 	Failover failover.Config
 	Share    share.Settings
+	// Seeds are peer addresses that are asked for the catalogue and the share
+	// table when the platform is down at start.
+	Seeds []string
 	// LeaseRenew is the period of lease renewals.
 	LeaseRenew time.Duration
 	// CallTimeout bounds one platform call.
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -6,6 +6,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/membership"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
 )
@@ -116,19 +117,14 @@
 	Message PeerMessage
 }
 
-// Versions tells a peer what this instance has; the answer is the peer's own
-// Versions.
+// Versions tells a linked peer what this instance has; the answer is Accepted.
 type Versions struct {
-	Instance  core.InstanceID `json:"instance"`
-	Catalogue uint64          `json:"catalogue"`
-	Table     uint64          `json:"table"`
-	// Terms are the newest terms known for each database.
-	Terms map[core.DatabaseName]core.Term `json:"terms,omitempty"`
-	// Revoked are the key IDs revoked lately, as "account/key".
-	Revoked []string `json:"revoked,omitempty"`
-	// PlatformAge is the time in milliseconds since the platform last confirmed
-	// the sender's catalogue; it ages a receiver's knowledge of revoked keys.
-	PlatformAge int64 `json:"platform_age_ms"`
+	From        core.InstanceID `json:"from"`
+	PeerAddress string          `json:"peer_address"`
+	Domain      core.Domain     `json:"domain"`
+	// To is the instance that the sender expects at the address.
+	To       core.InstanceID     `json:"to"`
+	Versions membership.Versions `json:"versions"`
 }
 
 // CatalogueRequest asks for the catalogue in force; CatalogueMessage answers.
@@ -163,7 +159,11 @@
 }
 
 // Accepted answers a message that needs no data.
-type Accepted struct{}
+type Accepted struct {
+	// Instance is the one that answers; another one than expected proves that
+	// the expected process is dead, since only one can own the address.
+	Instance core.InstanceID `json:"instance"`
+}
 
 func (Versions) peerMessage()         {}
 func (CatalogueRequest) peerMessage() {}
--- /dev/null
+++ b/pkg/control/peers.go
@@ -0,0 +1,277 @@
+package control
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/membership"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+// exchangePeriod is the period of version messages on each link.
+const exchangePeriod = time.Second
+
+// peers joins the mesh of instances with the state that spreads through it.
+type peers struct {
+	engine *Engine
+	mesh   *membership.Mesh
+	// addresses of listed and linked peers.
+	addresses map[core.InstanceID]string
+	versions  map[core.InstanceID]uint64
+	// heard is when a peer of a failure domain was last heard.
+	heard map[core.Domain]time.Time
+}
+
+func newPeers(e *Engine) *peers {
+	self := e.config.Self
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(self.Instance))
+	settings := membership.Settings{
+		OwnDomain:    membership.DefaultOwnDomain,
+		OtherDomains: membership.DefaultOtherDomains,
+		BackoffMin:   membership.DefaultBackoffMin,
+		BackoffMax:   membership.DefaultBackoffMax,
+	}
+	return &peers{
+		engine:    e,
+		mesh:      membership.NewMesh(membership.Peer{ID: self.Instance, Address: self.PeerAddress, Domain: self.Domain}, settings, rand.New(rand.NewPCG(seed.Sum64(), 0))),
+		addresses: map[core.InstanceID]string{},
+		versions:  map[core.InstanceID]uint64{},
+		heard:     map[core.Domain]time.Time{},
+	}
+}
+
+func (p *peers) start() {
+	e := p.engine
+	e.out.Store(ListInstances{})
+	e.every(listPeriod, func() { e.out.Store(ListInstances{}) })
+	e.every(exchangePeriod, p.exchange)
+}
+
+// listed takes the platform's list. A failed read leaves the known list.
+func (p *peers) listed(a StoreAnswer) {
+	if a.Outcome != Done {
+		return
+	}
+	var list []membership.Peer
+	for _, i := range a.Instances {
+		p.noteDomain(i.Domain, time.Time{})
+		p.addresses[i.ID] = i.PeerAddress
+		if !i.Leaving {
+			list = append(list, membership.Peer{ID: i.ID, Address: i.PeerAddress, Domain: i.Domain})
+		}
+	}
+	p.mesh.SetList(list)
+	p.exchange()
+}
+
+// exchange opens wanted links and sends the messages of one period.
+func (p *peers) exchange() {
+	p.setState()
+	linked := map[core.InstanceID]bool{}
+	for _, id := range p.mesh.Links() {
+		linked[id] = true
+	}
+	for _, peer := range p.mesh.Wanted(p.engine.now) {
+		if !linked[peer.ID] {
+			p.send(peer.ID, peer.Address, membership.Versions{Catalogue: p.catalogueVersion()})
+		}
+	}
+	p.sendAll(p.mesh.Tick())
+	if !p.engine.mirror.complete {
+		p.askSeeds()
+	}
+}
+
+// askSeeds gets the catalogue and the share table of an instance that starts
+// while the platform is down.
+func (p *peers) askSeeds() {
+	for _, address := range p.engine.config.Seeds {
+		p.engine.out.Peer(PeerCall{Address: address, Message: CatalogueRequest{}})
+		p.engine.out.Peer(PeerCall{Address: address, Message: TableRequest{}})
+	}
+}
+
+// spread passes on at once what must not wait for the next period.
+func (p *peers) spread() {
+	p.setState()
+	p.sendAll(p.mesh.Urgent())
+}
+
+func (p *peers) setState() {
+	e := p.engine
+	state := membership.State{Catalogue: p.catalogueVersion(), Terms: e.terms()}
+	if t := e.holder.Table(); t != nil {
+		state.Shares = t.Revision
+	}
+	p.mesh.SetState(state)
+}
+
+func (p *peers) catalogueVersion() uint64 {
+	if c := p.engine.keeper.InForce(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (p *peers) sendAll(sends []membership.Send) {
+	for _, s := range sends {
+		if address := p.addresses[s.Peer]; address != "" {
+			p.send(s.Peer, address, s.Versions)
+		}
+	}
+}
+
+func (p *peers) send(to core.InstanceID, address string, v membership.Versions) {
+	self := p.engine.config.Self
+	p.engine.out.Peer(PeerCall{Address: address, Message: Versions{
+		From: self.Instance, PeerAddress: self.PeerAddress, Domain: self.Domain, To: to, Versions: v,
+	}})
+}
+
+// probe tries a new connection to the address of a lost holder.
+func (p *peers) probe(probe share.Probe) {
+	p.send(probe.Instance, probe.Address, membership.Versions{Catalogue: p.catalogueVersion()})
+}
+
+// request answers a message of another instance.
+func (p *peers) request(m FromPeer) {
+	e := p.engine
+	accepted := Accepted{Instance: e.config.Self.Instance}
+	switch v := m.Message.(type) {
+	case Versions:
+		e.out.Reply(m.Reply, accepted)
+		p.received(v)
+	case CatalogueRequest:
+		e.out.Reply(m.Reply, CatalogueMessage{Catalogue: e.keeper.InForce()})
+	case TableRequest:
+		table, age, vouched := e.holder.Vouch(e.now)
+		e.out.Reply(m.Reply, TableMessage{Table: table, Age: age, Vouched: vouched})
+	case ShareReport:
+		e.out.Reply(m.Reply, accepted)
+		e.allocator.Report(v.Report, e.now)
+	case DeathReport:
+		e.out.Reply(m.Reply, accepted)
+		e.allocator.DeathReported(v.Instance, e.now)
+	}
+}
+
+// received takes the versions of a peer and fetches what is newer there.
+func (p *peers) received(v Versions) {
+	if v.To != p.engine.config.Self.Instance {
+		return
+	}
+	p.addresses[v.From] = v.PeerAddress
+	p.versions[v.From] = v.Versions.Catalogue
+	p.connect(v.From)
+	p.setState()
+	pull := p.mesh.Received(v.From, v.Versions).Pull
+	if pull.Catalogue {
+		p.engine.out.Peer(PeerCall{Address: v.PeerAddress, Message: CatalogueRequest{}})
+	}
+	p.noteDomain(v.Domain, p.engine.now)
+	p.pullTerms(pull)
+}
+
+// noteDomain records when a failure domain was heard; the zero time only makes
+// it known.
+func (p *peers) noteDomain(domain core.Domain, at time.Time) {
+	if known, ok := p.heard[domain]; !ok || at.After(known) {
+		p.heard[domain] = at
+	}
+}
+
+// majorityHeard returns the latest time at which a majority of the failure
+// domains, the own one included, had been heard.
+func (p *peers) majorityHeard() time.Time {
+	times := []time.Time{p.engine.now}
+	for domain, at := range p.heard {
+		if domain != p.engine.config.Self.Domain {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[len(times)/2]
+}
+
+// pullTerms looks at the members of groups of which a peer knows a later term.
+func (p *peers) pullTerms(pull membership.Pull) {
+	for database := range pull.Terms {
+		if p.engine.groups[database] != nil {
+			p.engine.out.Store(ReadGroup{failover.RecordRead{Database: database}})
+		}
+	}
+}
+
+func (p *peers) connect(id core.InstanceID) {
+	for _, linked := range p.mesh.Links() {
+		if linked == id {
+			return
+		}
+	}
+	p.mesh.Connected(id)
+}
+
+// answer takes the result of a call to a peer.
+func (p *peers) answer(m FromPeerAnswer) {
+	switch request := m.Call.Message.(type) {
+	case Versions:
+		p.versionsAnswered(request, m)
+	case CatalogueRequest:
+		if answer, ok := m.Answer.(CatalogueMessage); ok && answer.Catalogue != nil {
+			p.engine.catalogueFromPeer(answer.Catalogue)
+		}
+	case TableRequest:
+		p.engine.shares.tableFromPeer(p.engine, m)
+	}
+}
+
+func (p *peers) versionsAnswered(request Versions, m FromPeerAnswer) {
+	accepted, ok := m.Answer.(Accepted)
+	switch {
+	case ok && accepted.Instance == request.To:
+		p.connect(request.To)
+	case ok || m.Refused:
+		p.dead(request.To, m)
+	default:
+		p.mesh.Failed(request.To, p.engine.now)
+	}
+}
+
+// dead passes on the proof that an instance is dead: no process listens at its
+// address, or another instance does.
+func (p *peers) dead(id core.InstanceID, m FromPeerAnswer) {
+	e := p.engine
+	p.mesh.Failed(id, e.now)
+	if m.Refused {
+		e.shares.probeRefused(e, m.Call.Address, m.Asked)
+	}
+	if e.isAllocator() {
+		e.allocator.DeathReported(id, e.now)
+		return
+	}
+	if role := e.mirror.allocator; !role.Deleted && role.Allocator.PeerAddress != "" {
+		e.out.Peer(PeerCall{Address: role.Allocator.PeerAddress, Message: DeathReport{Instance: id}})
+	}
+}
+
+func (p *peers) status() []PeerStatus {
+	linked := map[core.InstanceID]bool{}
+	for _, id := range p.mesh.Links() {
+		linked[id] = true
+	}
+	list := make([]PeerStatus, 0, len(p.addresses))
+	for id, address := range p.addresses {
+		if id == p.engine.config.Self.Instance {
+			continue
+		}
+		list = append(list, PeerStatus{
+			Instance: id, PeerAddress: address, Linked: linked[id], Catalogue: p.versions[id],
+		})
+	}
+	return list
+}
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -19,8 +19,9 @@
 // shares joins the holder and the allocator with the platform and the peers.
 type shares struct {
 	demand session.Demand
-	// published is the newest table revision that session was given.
-	published uint64
+	// reported is the newest revision that session applied; its report does not
+	// wait for the period, so that capacity moves quickly.
+	reported uint64
 	// swapping is set while a table write has no answer.
 	swapping bool
 }
@@ -53,20 +54,16 @@
 func (s *shares) publish(e *Engine) {
 	spendable := e.holder.Spendable(e.now)
 	in := session.ShareInForce{
+		Revision:    spendable.Revision,
 		Grant:       spendable.Grant,
 		Accounts:    map[core.AccountName]session.RateShare{},
 		Connections: spendable.Connections,
 		Until:       spendable.Until,
 	}
-	if table := e.holder.Table(); table != nil {
-		in.Revision = table.Revision
-	}
 	for name, rate := range spendable.Accounts {
 		in.Accounts[name] = session.RateShare{Rate: rate.Rate.Float(), Burst: rate.Burst.Float()}
 	}
-	if e.out.Session(in) {
-		s.published = in.Revision
-	}
+	e.out.Session(in)
 	if spendable.Slot >= 0 && e.keeper.InForce() != nil {
 		e.life.fire("configured")
 	}
@@ -74,8 +71,10 @@
 
 // applied notes that session admits by the table of the given revision.
 func (s *shares) applied(e *Engine, m session.ShareApplied) {
-	e.holder.ConnectionsOpen(m.Open)
-	if table := e.holder.Table(); table != nil && m.Revision == table.Revision {
+	news := m.Revision != s.reported
+	e.holder.Applied(m.Revision, m.Open)
+	if news {
+		s.reported = m.Revision
 		s.report(e)
 	}
 }
@@ -83,7 +82,7 @@
 // report sends the demand and the acknowledgement to the allocator.
 func (s *shares) report(e *Engine) {
 	report, ok := e.holder.Report()
-	if !ok || s.published < report.RatesApplied {
+	if !ok {
 		return
 	}
 	report.Accounts = s.demand.Accounts
@@ -133,7 +132,7 @@
 	}
 	e.allocator.Adopt(e.mirror.table, e.now)
 	for _, p := range e.allocator.Probes() {
-		e.out.Peer(PeerCall{Address: p.Address, Message: e.peers.versions()})
+		e.peers.probe(p)
 	}
 	next, changed := e.allocator.Next(e.now)
 	if !changed {
@@ -157,9 +156,24 @@
 // probeRefused tells the allocator that no process listens at the address of a
 // lost holder.
 func (s *shares) probeRefused(e *Engine, address string, asked time.Time) {
+	if !e.isAllocator() {
+		return
+	}
 	for _, p := range e.allocator.Probes() {
 		if p.Address == address {
 			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked})
 		}
 	}
 }
+
+// tableFromPeer inherits the slot of a predecessor at the same peer address
+// while the platform is down.
+func (s *shares) tableFromPeer(e *Engine, m FromPeerAnswer) {
+	answer, ok := m.Answer.(TableMessage)
+	if !ok || !answer.Vouched || e.mirror.complete {
+		return
+	}
+	if e.holder.Inherit(answer.Table, answer.Age, m.Asked) {
+		s.publish(e)
+	}
+}
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -111,6 +111,7 @@
 	timing.SilenceBound = i.settings.DetectionBound
 	engine, err := control.New(control.Config{
 		Self:     i.self,
+		Seeds:    i.settings.Seeds,
 		Failover: timing,
 		Share: share.Settings{
 			MaxInstances: i.settings.MaxInstances, FloorFraction: i.settings.FloorFraction,
--- a/pkg/instance/peerbridge.go
+++ b/pkg/instance/peerbridge.go
@@ -74,8 +74,8 @@
 	case control.TableMessage:
 		return encodeTableMessage(v)
 	case control.ShareReport:
-		return share.EncodeReport(v.Report)
-	case control.CatalogueRequest, control.TableRequest, control.Accepted:
+		return v.Report, nil
+	case control.CatalogueRequest, control.TableRequest:
 		return struct{}{}, nil
 	}
 	return m, nil
@@ -85,7 +85,7 @@
 	if m.Table == nil {
 		return tableJSON{}, nil
 	}
-	text, err := share.EncodeTable(m.Table)
+	text, err := m.Table.Encode()
 	if err != nil {
 		return nil, eris.Wrap(errPeerMessage, err.Error())
 	}
@@ -113,14 +113,21 @@
 	case methodTable:
 		return control.TableRequest{}, nil
 	case methodShareReport:
-		report, err := share.DecodeReport(params)
-		return control.ShareReport{Report: report}, err
+		return decodeShareReport(params)
 	case methodDeathReport:
 		return decodeAs[control.DeathReport](params)
 	}
 	return nil, nil
 }
 
+func decodeShareReport(raw json.RawMessage) (control.PeerMessage, error) {
+	var report share.Report
+	if err := json.Unmarshal(raw, &report); err != nil {
+		return nil, eris.Wrap(errPeerMessage, err.Error())
+	}
+	return control.ShareReport{Report: report}, nil
+}
+
 func decodeAs[M control.PeerMessage](raw json.RawMessage) (control.PeerMessage, error) {
 	var m M
 	if err := json.Unmarshal(raw, &m); err != nil {
@@ -146,14 +153,12 @@
 
 func peerAnswer(request control.PeerMessage, raw json.RawMessage) (control.PeerMessage, error) {
 	switch request.(type) {
-	case control.Versions:
-		return decodeAs[control.Versions](raw)
 	case control.CatalogueRequest:
 		return decodeCatalogueMessage(raw)
 	case control.TableRequest:
 		return decodeTableMessage(raw)
 	}
-	return control.Accepted{}, nil
+	return decodeAs[control.Accepted](raw)
 }
 
 func decodeCatalogueMessage(raw json.RawMessage) (control.PeerMessage, error) {
@@ -178,7 +183,7 @@
 	if len(m.Table) == 0 {
 		return control.TableMessage{}, nil
 	}
-	table, err := share.DecodeTable(m.Table)
+	table, err := share.Decode(m.Table)
 	if err != nil {
 		return nil, eris.Wrap(errPeerMessage, err.Error())
 	}
--- a/pkg/instance/storebridge.go
+++ b/pkg/instance/storebridge.go
@@ -85,7 +85,7 @@
 		request.Value, err = failover.EncodeRecord(o.Record)
 	case control.SwapTable:
 		request = platform.PutRequest{Key: keyTable, Revision: platform.Revision(o.Revision)}
-		request.Value, err = share.EncodeTable(o.Table)
+		request.Value, err = o.Table.Encode()
 	case control.PutClaim:
 		request = platform.PutRequest{Key: slotKey(o.Claim.Slot), Revision: platform.Revision(o.Revision)}
 		if !o.Claim.Released {
@@ -172,7 +172,7 @@
 	case r.Key == keyCatalogue:
 		return decodeCatalogueRecord(r, revision)
 	case r.Key == keyTable:
-		table, err := share.DecodeTable(r.Value)
+		table, err := share.Decode(r.Value)
 		if err != nil || missing {
 			return nil
 		}
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -22,6 +22,7 @@
 	{"listen.callers", "IP:port", "", "address for PostgreSQL callers", address(func(s *Settings) *string { return &s.CallerAddress })},
 	{"listen.peers", "IP:port", "", "address for other instances", address(func(s *Settings) *string { return &s.PeerAddress })},
 	{"listen.admin", "IP:port", "", "address for health, metrics and administration", address(func(s *Settings) *string { return &s.AdminAddress })},
+	{"listen.seeds", "list of IP:port", "", "peer addresses of other instances, asked when the platform is down at start", addresses(func(s *Settings) *[]string { return &s.Seeds })},
 	{"platform.address", "IP:port", "", "the platform's key-value service", address(func(s *Settings) *string { return &s.PlatformAddress })},
 	{"platform.call_timeout", "duration", "500ms", "bound of one call", duration(time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.PlatformCallTimeout })},
 	{"platform.lease_ttl", "duration", "15s", "lifetime of the instance's lease", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.LeaseTTL })},
--- a/pkg/settings/kinds.go
+++ b/pkg/settings/kinds.go
@@ -52,6 +52,23 @@
 	}
 }
 
+func addresses(at func(*Settings) *[]string) func(*Settings, any) string {
+	return func(s *Settings, v any) string {
+		list, ok := v.([]any)
+		if !ok {
+			return "must be a list of IP:port"
+		}
+		for _, element := range list {
+			var one string
+			if reason := address(func(*Settings) *string { return &one })(s, element); reason != "" {
+				return "each element " + reason
+			}
+			*at(s) = append(*at(s), one)
+		}
+		return ""
+	}
+}
+
 func oneOf(allowed []string, at func(*Settings) *string) func(*Settings, any) string {
 	return func(s *Settings, v any) string {
 		value, ok := v.(string)
@@ -123,6 +140,8 @@
 		return x
 	case "bool":
 		return f.Default == "true"
+	case "list of IP:port":
+		return []any{}
 	}
 	return f.Default
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -16,6 +16,7 @@
 	CallerAddress string
 	PeerAddress   string
 	AdminAddress  string
+	Seeds         []string
 
 	PlatformAddress     string
 	PlatformCallTimeout time.Duration
