--- a/pkg/session/world_actions_test.go
+++ b/pkg/session/world_actions_test.go
@@ -60,7 +60,7 @@
 func (w *world) pickConn(want func(*modelConn) bool) *modelConn {
 	var fit []*modelConn
 	for _, conn := range w.conns {
-		if want(conn) {
+		if !conn.closing && want(conn) {
 			fit = append(fit, conn)
 		}
 	}
@@ -150,21 +150,20 @@
 func (w *world) changeShare() {
 	w.bound = rapid.IntRange(1, 4).Draw(w.t, "bound")
 	w.share()
-	for w.e.databases["db"].connections > w.bound && w.pickConn(func(c *modelConn) bool { return c.caller != nil }) != nil {
-		w.finishOrBreak()
-	}
 	for len(w.conns) > w.bound {
 		w.breakConn()
+		w.reportClosed()
 	}
 }
 
-// finishOrBreak ends a running request in one way or the other.
-func (w *world) finishOrBreak() {
-	if rapid.Bool().Draw(w.t, "break") {
-		w.breakConn()
-		return
+// reportClosed reports the connections that the engine has closed.
+func (w *world) reportClosed() {
+	for id := TargetID(1); id <= w.e.lastTarget; id++ {
+		if conn := w.conns[id]; conn != nil && conn.closing {
+			w.lose(conn, false)
+		}
 	}
-	w.finish()
+	w.advance(0)
 }
 
 // script lists the actions; each draw is uniform, so that an action that
@@ -174,19 +173,20 @@
 	wait := func(d time.Duration) func() { return func() { w.advance(d) } }
 	frequent := []func(){
 		w.request, w.request, w.request, w.connect, w.finish, w.finish, w.finish, w.confirm,
-		w.floor, w.view, replicate(0), replicate(1), replicate(2), w.data, wait(time.Millisecond),
+		w.floor, w.view, w.reportClosed, replicate(0), replicate(1), replicate(2), w.data, wait(time.Millisecond),
 	}
 	rare := []func(){
 		w.openCaller, w.breakConn, w.closeCaller, w.cancel, w.changeShare, w.failover,
 		wait(40 * time.Millisecond), wait(120 * time.Millisecond), wait(time.Second),
 	}
-	return slices.Concat(frequent, frequent, frequent, frequent, rare, []func(){w.openCaller, w.breakConn})
+	return slices.Concat(frequent, frequent, frequent, frequent, rare, []func(){w.openCaller, w.breakConn, w.elsewhere})
 }
 
 // settle lets everything come to an end and checks that each request was
 // answered once.
 func (w *world) settle() {
 	for range 60 {
+		w.reportClosed()
 		w.connect()
 		w.finish()
 		w.replicate(0)
@@ -226,7 +226,9 @@
 	answers, uncertain := 0, 0
 	taken := map[string]uint64{}
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, DefaultConfig())
+		cfg := DefaultConfig()
+		cfg.RetryFraction = rapid.SampledFrom([]float64{0.1, 1}).Draw(t, "retry fraction")
+		w := newWorld(t, cfg)
 		script := w.script()
 		order := rapid.SliceOfN(rapid.Uint16(), 300, 600).Draw(t, "order")
 		for _, n := range order {
--- a/pkg/session/world_test.go
+++ b/pkg/session/world_test.go
@@ -19,7 +19,6 @@
 	e       *Engine
 	now     time.Time
 	inputs  []Input
-	pending []Input
 	callers map[CallerID]*modelCaller
 	conns   map[TargetID]*modelConn
 	members []*modelMember
@@ -27,8 +26,6 @@
 	primary int
 	history core.TermHistory
 	lsn     core.LSN
-	// shown is the term and primary of the view that the engine has.
-	shownTerm core.Term
 	// acked is the newest position acknowledged to any caller.
 	acked      core.Position
 	bound      int
@@ -50,10 +47,10 @@
 	waiting bool
 	text    string
 	status  byte
-	// sent counts attempts that may have run, committed those that did commit.
+	// sent counts the attempts that may have run.
 	sent       int
 	commitSent bool
-	// acks lists the commit positions of the running request.
+	// commit is the position of the running request's commit.
 	commit core.Position
 	conn   *modelConn
 }
@@ -66,7 +63,9 @@
 	text   string
 	inTx   *modelCaller
 	commit core.Position
-	data   bool
+	// closing is set when the engine gave the connection up; the socket still
+	// counts until the close is reported.
+	closing bool
 }
 
 type modelMember struct {
@@ -103,7 +102,7 @@
 	w := &world{
 		t: t, now: start, term: 1, history: core.TermHistory{{Term: 1}},
 		callers: map[CallerID]*modelCaller{}, conns: map[TargetID]*modelConn{},
-		bound: 3, rate: RateShare{Rate: 200, Burst: 20}, shownTerm: 1,
+		bound: 3, rate: RateShare{Rate: 200, Burst: 20},
 	}
 	for i := range 3 {
 		w.members = append(w.members, &modelMember{id: core.MemberID(fmt.Sprint("m", i)), term: 1})
@@ -163,7 +162,6 @@
 		}
 		view.Members = append(view.Members, MemberView{Status: status, Reachable: true, SeenAt: w.now})
 	}
-	w.shownTerm = w.term
 	w.handle(view)
 }
 
@@ -222,6 +220,15 @@
 	w.history = append(append(core.TermHistory{}, w.history...), core.TermStart{Term: w.term, Start: w.lsn})
 }
 
+// elsewhere acknowledges a write through another instance.
+func (w *world) elsewhere() {
+	if w.primary < 0 {
+		return
+	}
+	w.acked = w.commitAt(w.members[w.primary])
+	w.replicate((w.primary + 1) % 3)
+}
+
 // floor answers a floor round.
 func (w *world) floor() {
 	if w.round == 0 {
@@ -324,7 +331,7 @@
 		w.targetSend(c)
 	case TargetClose:
 		if conn := w.conns[c.Target]; conn != nil {
-			w.lose(conn, false)
+			conn.closing = true
 		}
 	case TargetCancel:
 		conn := w.conns[c.Target]
@@ -335,7 +342,7 @@
 
 func (w *world) targetSend(c TargetSend) {
 	conn := w.conns[c.Target]
-	w.check(conn != nil && conn.ready && conn.caller == nil, "a request on a connection that is not idle")
+	w.check(conn != nil && conn.ready && !conn.closing && conn.caller == nil, "a request on a connection that is not idle")
 	var id CallerID
 	_, err := fmt.Sscanf(string(c.Payload.Frames), "%d", &id)
 	w.check(err == nil, "payload")
