Add benchmarks and a fuzz test of the caller's messages

A repeated Parse of the same text under the same name skips the digest. Also answers a batch here that only prepares SET, RESET, DISCARD or transaction control, because classification takes every text as executed.

--- a/pkg/callerio/batch.go
+++ b/pkg/callerio/batch.go
@@ -124,12 +124,13 @@
 	b.remote = b.remote || remote
 }
 
-// texts returns the texts for classification. A transaction command that is
-// prepared and not executed is left out: it must not count as executed.
+// texts returns the texts for classification. A command that changes the state
+// of a transaction or session and is prepared but not executed is left out: it
+// must not count as executed.
 func (b *batch) texts() []string {
 	var texts []string
 	for _, u := range b.uses {
-		if u.executed || !controlsTransaction(u.statement.text) {
+		if u.executed || !changesState(u.statement.text) {
 			texts = append(texts, u.statement.text)
 		}
 	}
--- /dev/null
+++ b/pkg/callerio/bench_test.go
@@ -0,0 +1,135 @@
+package callerio
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
+	"github.com/stretchr/testify/require"
+)
+
+// detached returns an admitted caller whose output goes to an unconnected
+// socket buffer, so that a benchmark or fuzz test has no I/O.
+func detached(t testing.TB) (*caller, *ring.Ring[session.Input]) {
+	events := ring.New[session.Input](1<<10, ring.NewSignal())
+	duty, err := New(Config{Address: "127.0.0.1:0", MaxInput: 1 << 16}, Deps{Session: events, Chart: loadChart(t)})
+	require.NoError(t, err)
+	t.Cleanup(duty.loop.Close)
+	c := &caller{duty: duty, conn: &netloop.Conn{}, id: 1, state: duty.startup.serving, txStatus: txIdle}
+	c.linger.Value = timer{caller: c, fire: func(*caller) {}}
+	duty.callers[c.id] = c
+	return c, events
+}
+
+// Guards against panics on any input of an admitted caller, and against a
+// request that refers to a statement which was not listed and so not
+// classified (G3, G4).
+func FuzzMessages(f *testing.F) {
+	seed := wire.Append(nil, &pgproto3.Parse{Name: "s", Query: "select $1"})
+	seed = wire.Append(seed, &pgproto3.Bind{PreparedStatement: "s"})
+	seed = wire.Append(seed, &pgproto3.Describe{ObjectType: 'P'})
+	seed = wire.Append(seed, &pgproto3.Execute{})
+	seed = wire.Append(seed, &pgproto3.Close{ObjectType: 'S', Name: "s"})
+	seed = wire.Append(seed, &pgproto3.Flush{})
+	seed = wire.Append(seed, &pgproto3.Sync{})
+	f.Add(seed)
+	f.Add(wire.Append(nil, &pgproto3.Query{String: "select 1"}))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		c, events := detached(t)
+		for !c.ending && (len(input) == 0 || input[0] != 'X') {
+			n := c.readMessage(input)
+			if n == 0 {
+				break
+			}
+			input = input[n:]
+			if event, ok := events.Pop(); ok {
+				checkPayload(t, event.(session.CallerRequest).Request)
+				c.duty.command(session.CallerFail{Caller: c.id, Refusal: core.NotRun(core.StateOverloaded, "busy"), TxStatus: 'T'})
+			}
+		}
+	})
+}
+
+func checkPayload(t *testing.T, request *session.Request) {
+	require.NotEmpty(t, request.Texts)
+	listed := map[string]bool{absentStatement: true}
+	for _, p := range request.Payload.Prepared {
+		listed[p.Name] = true
+	}
+	for frames := request.Payload.Frames; len(frames) > 0; {
+		frame, complete, err := wire.Next(frames, len(frames))
+		require.NoError(t, err)
+		require.True(t, complete)
+		if frame.Type == 'B' {
+			var m pgproto3.Bind
+			if wire.Decode(frame, &m) == nil {
+				require.True(t, listed[m.PreparedStatement])
+			}
+		}
+		frames = frames[len(frame.Raw):]
+	}
+}
+
+// resetEvery bounds the memory of the detached socket buffer.
+const resetEvery = 1 << 10
+
+func benchmarkRequest(b *testing.B, input, answer []byte) {
+	c, events := detached(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%resetEvery == 0 {
+			c.conn = &netloop.Conn{}
+		}
+		for rest := input; len(rest) > 0; {
+			rest = rest[c.readMessage(rest):]
+		}
+		events.Pop()
+		c.duty.command(session.CallerWrite{Caller: 1, Frames: answer, Done: true})
+	}
+}
+
+func oneRow() []byte {
+	out := wire.Append(nil, &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Repeat("x", 64))}})
+	out = wire.Append(out, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	return wire.Append(out, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+}
+
+// BenchmarkSimpleRequest is the decoding of a simple query and the forwarding
+// of its answer, without the socket.
+func BenchmarkSimpleRequest(b *testing.B) {
+	input := wire.Append(nil, &pgproto3.Query{String: "select title from notices where id = 17"})
+	benchmarkRequest(b, input, oneRow())
+}
+
+// BenchmarkPreparedRequest is the same for Parse, Bind, Describe, Execute and Sync.
+func BenchmarkPreparedRequest(b *testing.B) {
+	input := wire.Append(nil, &pgproto3.Parse{Query: "select title from notices where id = $1"})
+	input = wire.Append(input, &pgproto3.Bind{Parameters: [][]byte{[]byte("17")}})
+	input = wire.Append(input, &pgproto3.Describe{ObjectType: 'P'})
+	input = wire.Append(input, &pgproto3.Execute{})
+	input = wire.Append(input, &pgproto3.Sync{})
+	benchmarkRequest(b, input, oneRow())
+}
+
+// BenchmarkRoundTrip is a simple query over loopback with the benchmark as
+// session duty.
+func BenchmarkRoundTrip(b *testing.B) {
+	h := start(b, Config{}, 64)
+	p := h.open()
+	query := wire.Append(nil, &pgproto3.Query{String: "select 1"})
+	answer := oneRow()
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = p.conn.Write(query)
+		h.next()
+		h.send(session.CallerWrite{Caller: p.id, Frames: answer, Done: true})
+		for range 3 {
+			_, _ = p.front.Receive()
+		}
+	}
+}
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -110,10 +110,13 @@
 	if c.batch.fault != nil {
 		return true
 	}
-	s := c.duty.texts.acquire(text, types)
-	if !c.define(string(name), s) {
-		c.batch.fail(stateLimit, "too many prepared statements")
-		return true
+	s := c.statements[string(name)]
+	if s == nil || !s.is(rest) {
+		s = c.duty.texts.acquire(text, types)
+		if !c.define(string(name), s) {
+			c.batch.fail(stateLimit, "too many prepared statements")
+			return true
+		}
 	}
 	c.batch.add(stepParse, true)
 	c.batch.require(s, true)
--- a/pkg/callerio/prepared.go
+++ b/pkg/callerio/prepared.go
@@ -1,6 +1,7 @@
 package callerio
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"strings"
@@ -31,6 +32,13 @@
 	holders int
 }
 
+// is reports whether s has the given text and types, encoded as in a Parse
+// message after the name. It spares the digest when a caller parses the same
+// text again.
+func (s *statement) is(definition []byte) bool {
+	return bytes.Equal(s.parse[wire.HeaderSize+len(s.name)+1:], definition)
+}
+
 // library interns statements, so that thousands of callers with the same
 // application hold one copy of each text.
 type library struct {
@@ -108,16 +116,18 @@
 	c.statements, c.portals = nil, nil
 }
 
-// transactionWords start the statements that control transactions.
-var transactionWords = map[string]bool{
+// commandWords start the commands that have neither parameters nor rows and
+// that change the state of a transaction or session when they are executed.
+var commandWords = map[string]bool{
 	"begin": true, "start": true, "commit": true, "end": true, "rollback": true,
 	"abort": true, "savepoint": true, "release": true,
+	"set": true, "reset": true, "discard": true,
 }
 
-// controlsTransaction reports whether text starts with a transaction command.
-// A batch that only prepares such a text must not reach classification, which
-// takes every text as executed.
-func controlsTransaction(text string) bool {
+// changesState reports whether text starts with a command that changes the
+// state of a transaction or session. A batch that only prepares such a text
+// must not reach classification, which takes every text as executed.
+func changesState(text string) bool {
 	text = skipComments(text)
 	end := strings.IndexFunc(text, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
@@ -125,7 +135,7 @@
 	if end < 0 {
 		end = len(text)
 	}
-	return transactionWords[strings.ToLower(text[:end])]
+	return commandWords[strings.ToLower(text[:end])]
 }
 
 func skipComments(text string) string {
--- a/pkg/callerio/request_test.go
+++ b/pkg/callerio/request_test.go
@@ -160,17 +160,21 @@
 	require.Equal(t, []string{"select 1"}, expect[session.CallerRequest](h).Request.Texts)
 }
 
-// Guards against a prepared BEGIN that session takes for an executed one.
-func TestPreparedTransactionCommandIsNotExecuted(t *testing.T) {
+// Guards against a prepared BEGIN or SET that session takes for an executed one.
+func TestPreparedCommandIsNotExecuted(t *testing.T) {
 	h := start(t, Config{}, 64)
 	p := h.open()
-	p.write(&pgproto3.Parse{Name: "b", Query: "/* x */ BEGIN"}, &pgproto3.Describe{ObjectType: 'S', Name: "b"}, &pgproto3.Sync{})
-	receive[*pgproto3.ParseComplete](p)
-	receive[*pgproto3.ParameterDescription](p)
-	receive[*pgproto3.NoData](p)
-	require.Equal(t, byte('I'), receive[*pgproto3.ReadyForQuery](p).TxStatus)
-	p.write(&pgproto3.Bind{PreparedStatement: "b"}, &pgproto3.Execute{}, &pgproto3.Sync{})
-	require.Equal(t, []string{"/* x */ BEGIN"}, expect[session.CallerRequest](h).Request.Texts)
+	for _, text := range []string{"/* x */ BEGIN", "-- c\n set a = 1", "COMMIT"} {
+		p.write(&pgproto3.Parse{Name: "b", Query: text}, &pgproto3.Describe{ObjectType: 'S', Name: "b"}, &pgproto3.Sync{})
+		receive[*pgproto3.ParseComplete](p)
+		receive[*pgproto3.ParameterDescription](p)
+		receive[*pgproto3.NoData](p)
+		require.Equal(t, byte('I'), receive[*pgproto3.ReadyForQuery](p).TxStatus)
+		p.write(&pgproto3.Bind{PreparedStatement: "b"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		require.Equal(t, []string{text}, expect[session.CallerRequest](h).Request.Texts)
+		h.answer(p.id)
+		receive[*pgproto3.ReadyForQuery](p)
+	}
 }
 
 // Guards against refusals without SQLSTATE, outcome or ReadyForQuery (G9), and
