Add the stand-in of the platform's key-value service

Tests and the demo need compare-and-swap, leases, watches, rate bounds and a lagging list of instances with the failures of the real service. One thread owns the state; HTTP handlers pass requests through a ring. Shown red on a scratch copy by one-line faults: no revision check, a lease that keeps its records, a lost answer without effect. Ruled out: sleeping in the handlers for delays, since the service duty has a deadline queue.

--- /dev/null
+++ b/standin/kvservice/handler.go
@@ -0,0 +1,202 @@
+package kvservice
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+// maxBody bounds a request body in bytes: a value in base64 and its envelope.
+const maxBody = 2 * MaxValue
+
+// PutBody is the body of PUT /kv/<key>; the value is base64 in JSON.
+type PutBody struct {
+	Value    []byte            `json:"value"`
+	Revision platform.Revision `json:"revision"`
+	Lease    platform.LeaseID  `json:"lease"`
+}
+
+// CreateLeaseBody is the body of POST /lease.
+type CreateLeaseBody struct {
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// Handler returns the HTTP interface. Its handlers wait for the service duty.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", s.handleGet)
+	mux.HandleFunc("PUT /kv/{key...}", s.handlePut)
+	mux.HandleFunc("DELETE /kv/{key...}", s.handleDelete)
+	mux.HandleFunc("POST /lease", s.handleCreateLease)
+	mux.HandleFunc("POST /lease/{id}/renew", s.handleRenewLease)
+	mux.HandleFunc("DELETE /lease/{id}", s.handleRevokeLease)
+	mux.HandleFunc("GET /watch", s.handleWatch)
+	mux.HandleFunc("GET /instances", s.handleInstances)
+	mux.HandleFunc("PUT /instances/{id}", s.handleAnnounce)
+	mux.HandleFunc("DELETE /instances/{id}", s.handleWithdraw)
+	mux.HandleFunc("GET /stats", s.handleStats)
+	mux.HandleFunc("POST /fault", s.handleFault)
+	return mux
+}
+
+// serve passes a request to the service duty and sends the answer.
+func (s *Service) serve(w http.ResponseWriter, q *http.Request, r request) {
+	r.reply = make(chan answer, 1)
+	if r.watch != nil {
+		r.watch.reply = r.reply
+	}
+	if !s.requests.TryPush(r) {
+		write(w, answer{status: http.StatusServiceUnavailable, body: ErrorBody{"overloaded"}})
+		return
+	}
+	select {
+	case a := <-r.reply:
+		write(w, a)
+	case <-q.Context().Done():
+	}
+}
+
+func write(w http.ResponseWriter, a answer) {
+	if a.drop {
+		// net/http closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(a.body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.status)
+	_, _ = w.Write(body)
+}
+
+func refuse(w http.ResponseWriter, status int, reason string) {
+	write(w, answer{status: status, body: ErrorBody{reason}})
+}
+
+// read decodes a request body and answers one that is invalid.
+func read[B any](w http.ResponseWriter, q *http.Request) (B, bool) {
+	var body B
+	err := json.NewDecoder(http.MaxBytesReader(w, q.Body, maxBody)).Decode(&body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+	case err != nil:
+		refuse(w, http.StatusBadRequest, err.Error())
+	}
+	return body, err == nil
+}
+
+// number reads a query parameter; a missing one is 0.
+func number(w http.ResponseWriter, q *http.Request, name string) (uint64, bool) {
+	text := q.URL.Query().Get(name)
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "invalid "+name)
+	}
+	return n, err == nil
+}
+
+func key(q *http.Request) platform.Key {
+	return platform.Key(q.PathValue("key"))
+}
+
+func (s *Service) handleGet(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{operation: getOp{key(q)}})
+}
+
+func (s *Service) handlePut(w http.ResponseWriter, q *http.Request) {
+	body, ok := read[PutBody](w, q)
+	if !ok {
+		return
+	}
+	if len(body.Value) > MaxValue {
+		refuse(w, http.StatusRequestEntityTooLarge, "value is larger than 1 MB")
+		return
+	}
+	put := platform.PutRequest{Key: key(q), Value: body.Value, Revision: body.Revision, Lease: body.Lease}
+	s.serve(w, q, request{operation: putOp{put}})
+}
+
+func (s *Service) handleDelete(w http.ResponseWriter, q *http.Request) {
+	revision, ok := number(w, q, "revision")
+	if !ok {
+		return
+	}
+	s.serve(w, q, request{operation: deleteOp{key(q), platform.Revision(revision)}})
+}
+
+func (s *Service) handleCreateLease(w http.ResponseWriter, q *http.Request) {
+	body, ok := read[CreateLeaseBody](w, q)
+	if !ok {
+		return
+	}
+	if body.TTLMS <= 0 {
+		refuse(w, http.StatusBadRequest, "ttl_ms is not positive")
+		return
+	}
+	s.serve(w, q, request{operation: createLeaseOp{time.Duration(body.TTLMS) * time.Millisecond}})
+}
+
+func (s *Service) handleRenewLease(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{operation: renewLeaseOp{platform.LeaseID(q.PathValue("id"))}})
+}
+
+func (s *Service) handleRevokeLease(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{operation: revokeLeaseOp{platform.LeaseID(q.PathValue("id"))}})
+}
+
+func (s *Service) handleWatch(w http.ResponseWriter, q *http.Request) {
+	after, ok := number(w, q, "after")
+	if !ok {
+		return
+	}
+	timeout, ok := number(w, q, "timeout_ms")
+	if !ok {
+		return
+	}
+	s.serve(w, q, request{watch: &watchCall{
+		prefix:  platform.Key(q.URL.Query().Get("prefix")),
+		after:   platform.Revision(after),
+		timeout: time.Duration(min(timeout, uint64(maxWatch.Milliseconds()))) * time.Millisecond,
+	}})
+}
+
+func (s *Service) handleInstances(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{operation: instancesOp{}})
+}
+
+func (s *Service) handleAnnounce(w http.ResponseWriter, q *http.Request) {
+	instance, ok := read[platform.Instance](w, q)
+	if !ok {
+		return
+	}
+	instance.ID = core.InstanceID(q.PathValue("id"))
+	s.serve(w, q, request{operation: announceOp{instance}})
+}
+
+func (s *Service) handleWithdraw(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{operation: withdrawOp{core.InstanceID(q.PathValue("id"))}})
+}
+
+func (s *Service) handleStats(w http.ResponseWriter, q *http.Request) {
+	s.serve(w, q, request{stats: true})
+}
+
+func (s *Service) handleFault(w http.ResponseWriter, q *http.Request) {
+	faults, ok := read[Faults](w, q)
+	if !ok {
+		return
+	}
+	s.serve(w, q, request{faults: &faults})
+}
--- /dev/null
+++ b/standin/kvservice/instances.go
@@ -0,0 +1,68 @@
+package kvservice
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+// instanceList shows its content as it was some time ago.
+type instanceList struct {
+	lag     time.Duration
+	visible map[core.InstanceID]platform.Instance
+	pending []instanceChange
+}
+
+type instanceChange struct {
+	at       time.Time
+	id       core.InstanceID
+	instance platform.Instance
+	removed  bool
+}
+
+// Announce puts an instance into the list.
+func (s *State) Announce(i platform.Instance, now time.Time) {
+	s.instances.add(instanceChange{at: now, id: i.ID, instance: i})
+}
+
+// Withdraw removes an instance from the list.
+func (s *State) Withdraw(id core.InstanceID, now time.Time) {
+	s.instances.add(instanceChange{at: now, id: id, removed: true})
+}
+
+// Instances returns the list as it was the lag ago, in order of identity.
+func (s *State) Instances(now time.Time) []platform.Instance {
+	return s.instances.list(now)
+}
+
+// SetLag sets how far the list of instances is behind.
+func (s *State) SetLag(lag time.Duration) {
+	s.instances.lag = lag
+}
+
+func (l *instanceList) add(c instanceChange) {
+	l.pending = append(l.pending, c)
+}
+
+func (l *instanceList) list(now time.Time) []platform.Instance {
+	if l.visible == nil {
+		l.visible = map[core.InstanceID]platform.Instance{}
+	}
+	for len(l.pending) > 0 && !l.pending[0].at.Add(l.lag).After(now) {
+		c := l.pending[0]
+		l.pending = l.pending[1:]
+		if c.removed {
+			delete(l.visible, c.id)
+			continue
+		}
+		l.visible[c.id] = c.instance
+	}
+	list := []platform.Instance{}
+	for _, id := range slices.Sorted(maps.Keys(l.visible)) {
+		list = append(list, l.visible[id])
+	}
+	return list
+}
--- /dev/null
+++ b/standin/kvservice/lease.go
@@ -0,0 +1,123 @@
+package kvservice
+
+import (
+	"embed"
+	"strconv"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+//go:embed charts/*.toml
+var chartFiles embed.FS
+
+const leaseFile = "charts/lease.toml"
+
+type leaseEvents struct {
+	renewed, revoked, timedOut chart.Event
+}
+
+// lease removes its records when it ends.
+type lease struct {
+	owner *State
+	id    platform.LeaseID
+	ttl   time.Duration
+	state chart.State
+	timer timerq.Item[*lease]
+}
+
+func compileLease() (*chart.Table[*lease], leaseEvents, error) {
+	text, err := chartFiles.ReadFile(leaseFile)
+	if err != nil {
+		return nil, leaseEvents{}, err
+	}
+	definition, err := chart.Parse(leaseFile, text)
+	if err != nil {
+		return nil, leaseEvents{}, err
+	}
+	table, err := chart.Compile(definition, chart.Registry[*lease]{
+		Actions: map[string]func(*lease){
+			"extend":         (*lease).extend,
+			"delete_records": (*lease).deleteRecords,
+		},
+		// Each lease brings its own duration.
+		Timeouts: map[string]time.Duration{"time_to_live": 0},
+	})
+	if err != nil {
+		return nil, leaseEvents{}, err
+	}
+	events := leaseEvents{
+		renewed:  table.Event("renewed"),
+		revoked:  table.Event("revoked"),
+		timedOut: table.Event(chart.TimeoutEvent),
+	}
+	return table, events, nil
+}
+
+func (l *lease) extend() {
+	l.owner.expiry.Arm(&l.timer, l.owner.now.Add(l.ttl))
+}
+
+func (l *lease) deleteRecords() {
+	s := l.owner
+	s.expiry.Disarm(&l.timer)
+	delete(s.leases, l.id)
+	for key, r := range s.records {
+		if r.Lease == l.id && !r.Deleted {
+			s.store(platform.Record{Key: key, Deleted: true})
+		}
+	}
+}
+
+// CreateLease starts a lease at time now.
+func (s *State) CreateLease(ttl time.Duration, now time.Time) platform.LeaseID {
+	s.now = now
+	s.nextLease++
+	l := &lease{owner: s, id: platform.LeaseID(strconv.FormatUint(s.nextLease, 10)), ttl: ttl}
+	l.state = s.table.Initial()
+	l.timer.Value = l
+	s.leases[l.id] = l
+	l.extend()
+	return l.id
+}
+
+// RenewLease extends a lease. It returns a *platform.NotFoundError for one
+// that has ended.
+func (s *State) RenewLease(id platform.LeaseID, now time.Time) error {
+	return s.fireLease(id, s.events.renewed, now)
+}
+
+// RevokeLease ends a lease. It returns a *platform.NotFoundError for one that
+// has ended.
+func (s *State) RevokeLease(id platform.LeaseID, now time.Time) error {
+	return s.fireLease(id, s.events.revoked, now)
+}
+
+func (s *State) fireLease(id platform.LeaseID, event chart.Event, now time.Time) error {
+	s.now = now
+	l, ok := s.leases[id]
+	if !ok {
+		return &platform.NotFoundError{What: "lease " + string(id)}
+	}
+	s.table.Fire(l, &l.state, event)
+	return nil
+}
+
+// Expire ends the leases whose time has passed.
+func (s *State) Expire(now time.Time) {
+	s.now = now
+	for {
+		item, ok := s.expiry.PopDue(now)
+		if !ok {
+			return
+		}
+		s.table.Fire(item.Value, &item.Value.state, s.events.timedOut)
+	}
+}
+
+// NextExpiry returns when the next lease ends.
+func (s *State) NextExpiry() (time.Time, bool) {
+	return s.expiry.Next()
+}
--- /dev/null
+++ b/standin/kvservice/service.go
@@ -0,0 +1,288 @@
+package kvservice
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+const (
+	// requestRing is the number of calls that can wait for the service duty.
+	requestRing = 4096
+	// idleWait bounds the wait without any timer.
+	idleWait = time.Minute
+	// maxWatch bounds a watch.
+	maxWatch = 10 * time.Minute
+)
+
+// Options describes a service.
+type Options struct {
+	// WriteRate and ReadRate are in calls per second.
+	WriteRate float64
+	ReadRate  float64
+	// InstanceLag is how far the list of instances is behind.
+	InstanceLag time.Duration
+}
+
+// DefaultOptions returns the platform's rates.
+func DefaultOptions() Options {
+	return Options{WriteRate: DefaultWriteRate, ReadRate: DefaultReadRate, InstanceLag: time.Second}
+}
+
+// request is an item of the service's ring; exactly one field next to reply
+// is set.
+type request struct {
+	operation operation
+	watch     *watchCall
+	faults    *Faults
+	stats     bool
+	stop      bool
+	// reply has room for the one answer.
+	reply chan answer
+}
+
+// watchCall waits for a change.
+type watchCall struct {
+	prefix  platform.Key
+	after   platform.Revision
+	timeout time.Duration
+	reply   chan answer
+	timer   timerq.Item[event]
+}
+
+// event is what a timer of the service stands for: a watch that ends or an
+// answer that was delayed.
+type event struct {
+	watch  *watchCall
+	reply  chan answer
+	answer answer
+}
+
+// Service is the service duty.
+type Service struct {
+	state    *State
+	requests *ring.Ring[request]
+	signal   *ring.Signal
+	writes   *bucket
+	reads    *bucket
+	timers   timerq.Queue[event]
+	watches  []*watchCall
+	seen     platform.Revision
+	faults   Faults
+	outage   time.Time
+	stats    Stats
+	stopped  bool
+}
+
+// NewService returns a service that does not run yet. It returns the error of
+// the lease chart when that is not valid.
+func NewService(o Options) (*Service, error) {
+	state, err := NewState(o.InstanceLag)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	s := &Service{
+		state:  state,
+		signal: ring.NewSignal(),
+		writes: newBucket(o.WriteRate, now),
+		reads:  newBucket(o.ReadRate, now),
+		stats:  Stats{Calls: map[string]uint64{}},
+	}
+	s.requests = ring.New[request](requestRing, s.signal)
+	return s, nil
+}
+
+// Start starts the service duty in g.
+func (s *Service) Start(g *duty.Group) {
+	g.Start("platform-service", s.run)
+}
+
+// Stop ends the duty. Waiting calls are dropped.
+func (s *Service) Stop() {
+	s.requests.TryPush(request{stop: true})
+}
+
+func (s *Service) run() {
+	for !s.stopped {
+		s.advance(time.Now())
+		r, ok := s.requests.Pop()
+		if !ok {
+			s.park()
+			continue
+		}
+		s.take(r, time.Now())
+	}
+	for _, w := range s.watches {
+		w.reply <- answer{drop: true}
+	}
+}
+
+func (s *Service) park() {
+	if !s.requests.Park() {
+		return
+	}
+	s.signal.Wait(s.untilNext())
+	s.requests.Unpark()
+}
+
+func (s *Service) untilNext() time.Duration {
+	wait := idleWait
+	if next, ok := s.timers.Next(); ok {
+		wait = min(wait, time.Until(next))
+	}
+	if next, ok := s.state.NextExpiry(); ok {
+		wait = min(wait, time.Until(next))
+	}
+	return max(wait, 0)
+}
+
+// advance ends leases and watches and sends delayed answers.
+func (s *Service) advance(now time.Time) {
+	s.state.Expire(now)
+	s.wakeWatches(now)
+	for {
+		item, ok := s.timers.PopDue(now)
+		if !ok {
+			return
+		}
+		if w := item.Value.watch; w != nil {
+			s.endWatch(w, now)
+			continue
+		}
+		item.Value.reply <- item.Value.answer
+	}
+}
+
+func (s *Service) take(r request, now time.Time) {
+	switch {
+	case r.stop:
+		s.stopped = true
+	case r.stats:
+		r.reply <- answer{status: http.StatusOK, body: s.snapshot()}
+	case r.faults != nil:
+		s.setFaults(*r.faults, now)
+		r.reply <- answer{status: http.StatusOK, body: struct{}{}}
+	case r.watch != nil:
+		s.startWatch(r.watch, now)
+	default:
+		s.call(r, now)
+	}
+}
+
+func (s *Service) setFaults(f Faults, now time.Time) {
+	s.faults = f
+	s.outage = now.Add(time.Duration(f.OutageMS) * time.Millisecond)
+	if f.InstanceLagMS != nil {
+		s.state.SetLag(time.Duration(*f.InstanceLagMS) * time.Millisecond)
+	}
+	if f.OutageMS == 0 {
+		return
+	}
+	for _, w := range s.watches {
+		s.timers.Disarm(&w.timer)
+		w.reply <- s.dropped()
+	}
+	s.watches = nil
+}
+
+func (s *Service) snapshot() Stats {
+	stats := s.stats
+	stats.Calls = map[string]uint64{}
+	for name, n := range s.stats.Calls {
+		stats.Calls[name] = n
+	}
+	stats.Watching = len(s.watches)
+	stats.Revision = uint64(s.state.Revision())
+	return stats
+}
+
+func (s *Service) dropped() answer {
+	s.stats.Dropped++
+	return answer{drop: true}
+}
+
+// admit counts a call and answers one that is dropped or over the rate.
+func (s *Service) admit(name string, class callClass, now time.Time) (answer, bool) {
+	s.stats.Calls[name]++
+	if now.Before(s.outage) {
+		return s.dropped(), false
+	}
+	limit := s.reads
+	if class == writeCall {
+		limit = s.writes
+	}
+	if !limit.take(now) {
+		s.stats.Limited++
+		return answer{status: http.StatusTooManyRequests, body: ErrorBody{"rate exceeded"}}, false
+	}
+	return answer{}, true
+}
+
+func (s *Service) call(r request, now time.Time) {
+	refusal, admitted := s.admit(r.operation.name(), r.operation.class(), now)
+	if !admitted {
+		s.reply(r.reply, refusal, now)
+		return
+	}
+	a := r.operation.apply(s.state, now)
+	if r.operation.changes() && s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		s.stats.Lost++
+		a = answer{drop: true}
+	}
+	s.wakeWatches(now)
+	s.reply(r.reply, a, now)
+}
+
+// reply answers at once or after the delay that a test has set.
+func (s *Service) reply(reply chan answer, a answer, now time.Time) {
+	if s.faults.DelayMS == 0 {
+		reply <- a
+		return
+	}
+	item := &timerq.Item[event]{Value: event{reply: reply, answer: a}}
+	s.timers.Arm(item, now.Add(time.Duration(s.faults.DelayMS)*time.Millisecond))
+}
+
+func (s *Service) startWatch(w *watchCall, now time.Time) {
+	if refusal, admitted := s.admit("watch", readCall, now); !admitted {
+		s.reply(w.reply, refusal, now)
+		return
+	}
+	changes := s.state.Changes(w.prefix, w.after)
+	if len(changes.Records) > 0 {
+		s.reply(w.reply, result(changes, nil), now)
+		return
+	}
+	w.timer.Value = event{watch: w}
+	s.timers.Arm(&w.timer, now.Add(w.timeout))
+	s.watches = append(s.watches, w)
+}
+
+// wakeWatches answers the watches that the changes since the last call concern.
+func (s *Service) wakeWatches(now time.Time) {
+	if s.seen == s.state.Revision() {
+		return
+	}
+	s.seen = s.state.Revision()
+	s.watches = slices.DeleteFunc(s.watches, func(w *watchCall) bool {
+		changes := s.state.Changes(w.prefix, w.after)
+		if len(changes.Records) == 0 {
+			return false
+		}
+		s.timers.Disarm(&w.timer)
+		s.reply(w.reply, result(changes, nil), now)
+		return true
+	})
+}
+
+func (s *Service) endWatch(w *watchCall, now time.Time) {
+	s.watches = slices.DeleteFunc(s.watches, func(other *watchCall) bool { return other == w })
+	s.reply(w.reply, result(s.state.Changes(w.prefix, w.after), nil), now)
+}
--- /dev/null
+++ b/standin/kvservice/service_test.go
@@ -0,0 +1,123 @@
+package kvservice
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+type client struct {
+	url  string
+	http *http.Client
+}
+
+func startService(t *testing.T, change func(*Options)) client {
+	o := DefaultOptions()
+	if change != nil {
+		change(&o)
+	}
+	s, err := NewService(o)
+	require.NoError(t, err)
+	var duties duty.Group
+	s.Start(&duties)
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(func() {
+		s.Stop()
+		duties.Wait()
+		server.Close()
+	})
+	// Without kept connections, net/http does not send a request again.
+	return client{server.URL, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}}
+}
+
+func (c client) do(t *testing.T, method, path string, body, result any) (int, error) {
+	t.Helper()
+	text, err := json.Marshal(body)
+	require.NoError(t, err)
+	q, err := http.NewRequest(method, c.url+path, bytes.NewReader(text))
+	require.NoError(t, err)
+	response, err := c.http.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	if result != nil {
+		require.NoError(t, json.Unmarshal(answer, result), string(answer))
+	}
+	return response.StatusCode, nil
+}
+
+func (c client) expect(t *testing.T, status int, method, path string, body, result any) {
+	t.Helper()
+	got, err := c.do(t, method, path, body, result)
+	require.NoError(t, err)
+	require.Equal(t, status, got)
+}
+
+// Guards against a lost answer whose change did not take effect, and against
+// an outage that applies a change.
+func TestLostAnswerAndOutage(t *testing.T) {
+	c := startService(t, nil)
+	c.expect(t, http.StatusOK, "POST", "/fault", Faults{LoseAnswers: 1}, nil)
+	_, err := c.do(t, "PUT", "/kv/group/a", PutBody{Value: []byte("1")}, nil)
+	require.Error(t, err)
+	var record platform.Record
+	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
+	require.Equal(t, "1", string(record.Value))
+	c.expect(t, http.StatusConflict, "PUT", "/kv/group/a", PutBody{Value: []byte("2")}, &record)
+	c.expect(t, http.StatusOK, "POST", "/fault", Faults{OutageMS: time.Hour.Milliseconds()}, nil)
+	_, err = c.do(t, "PUT", "/kv/group/a", PutBody{Value: []byte("2"), Revision: record.Revision}, nil)
+	require.Error(t, err)
+	c.expect(t, http.StatusOK, "POST", "/fault", Faults{}, nil)
+	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
+	require.Equal(t, "1", string(record.Value))
+	var stats Stats
+	c.expect(t, http.StatusOK, "GET", "/stats", nil, &stats)
+	require.EqualValues(t, 3, stats.Calls["put"])
+	require.EqualValues(t, 1, stats.Lost)
+	require.EqualValues(t, 1, stats.Dropped)
+}
+
+// Guards against a watch that misses a change or the end of a lease.
+func TestWatch(t *testing.T) {
+	c := startService(t, nil)
+	var lease LeaseBody
+	c.expect(t, http.StatusOK, "POST", "/lease", CreateLeaseBody{TTLMS: time.Hour.Milliseconds()}, &lease)
+	changed := make(chan platform.WatchResult, 1)
+	go func() {
+		var changes platform.WatchResult
+		_, _ = c.do(t, "GET", "/watch?prefix=slot/&after=0&timeout_ms=20000", nil, &changes)
+		changed <- changes
+	}()
+	c.expect(t, http.StatusOK, "PUT", "/kv/other", PutBody{}, nil)
+	var record platform.Record
+	c.expect(t, http.StatusOK, "PUT", "/kv/slot/1", PutBody{Value: []byte("x"), Lease: lease.ID}, &record)
+	require.Equal(t, []platform.Record{record}, (<-changed).Records)
+	c.expect(t, http.StatusOK, "DELETE", "/lease/"+string(lease.ID), nil, nil)
+	var changes platform.WatchResult
+	c.expect(t, http.StatusOK, "GET", "/watch?prefix=slot/&after=2&timeout_ms=20000", nil, &changes)
+	require.True(t, changes.Records[0].Deleted)
+	c.expect(t, http.StatusOK, "GET", "/watch?prefix=slot/&after=3&timeout_ms=1", nil, &changes)
+	require.Empty(t, changes.Records)
+	c.expect(t, http.StatusNotFound, "GET", "/kv/slot/1", nil, nil)
+}
+
+// Guards against values and rates beyond the platform's bounds.
+func TestBounds(t *testing.T) {
+	c := startService(t, func(o *Options) { o.WriteRate = 1e-6 })
+	c.expect(t, http.StatusRequestEntityTooLarge, "PUT", "/kv/k", PutBody{Value: make([]byte, MaxValue+1)}, nil)
+	c.expect(t, http.StatusOK, "PUT", "/kv/k", PutBody{Value: make([]byte, MaxValue)}, nil)
+	c.expect(t, http.StatusTooManyRequests, "PUT", "/kv/l", PutBody{}, nil)
+	c.expect(t, http.StatusNotFound, "GET", "/kv/l", nil, nil)
+}
