Add the load tool

It drives reads and writes through given addresses with pgx in both query modes and reports errors by SQLSTATE, latencies from the intended time, the longest gap between acknowledged writes and reads that miss an own write.

--- /dev/null
+++ b/standin/load/run.go
@@ -0,0 +1,210 @@
+package load
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	mathrand "math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+const (
+	// reconnectWait keeps refused connections from looping.
+	reconnectWait = 20 * time.Millisecond
+	// rememberedKeys bounds the own writes that a connection reads back.
+	rememberedKeys = 64
+)
+
+const (
+	readSQL  = "SELECT value FROM items WHERE id = $1"
+	writeSQL = "INSERT INTO items(id, value) VALUES ($1, $2)"
+)
+
+// Run drives the load until the duration or ctx ends. It returns an
+// *OptionError for options that cannot be used.
+func Run(ctx context.Context, o Options) (Report, error) {
+	if err := o.check(); err != nil {
+		return Report{}, err
+	}
+	if o.Prefix == "" {
+		o.Prefix = rand.Text()
+	}
+	collector := newCollector(o.Users)
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, start.Add(o.Duration))
+	defer cancel()
+	var running sync.WaitGroup
+	for i := range o.Connections {
+		w := newWorker(o, i, collector)
+		running.Go(func() { w.run(ctx) })
+	}
+	running.Wait()
+	return collector.finish(time.Since(start)), nil
+}
+
+// worker is one client connection; it reconnects when it is closed.
+type worker struct {
+	options   Options
+	index     int
+	user      User
+	config    *pgx.ConnConfig
+	collector *collector
+	random    *mathrand.Rand
+	conn      *pgx.Conn
+	sequence  int
+	keys      []string
+}
+
+func newWorker(o Options, index int, c *collector) *worker {
+	w := &worker{options: o, index: index, collector: c}
+	w.user = o.Users[index%len(o.Users)]
+	w.random = mathrand.New(mathrand.NewPCG(o.Seed, uint64(index)))
+	return w
+}
+
+func (w *worker) run(ctx context.Context) {
+	pace := w.pace()
+	next := time.Now()
+	for w.wait(ctx, next) {
+		if !w.connect(ctx) {
+			w.wait(ctx, time.Now().Add(reconnectWait))
+			continue
+		}
+		intended := next
+		if pace == 0 {
+			intended = time.Now()
+		}
+		next = next.Add(pace)
+		w.statement(ctx, intended)
+	}
+	w.close()
+}
+
+// pace returns the time between two statements of a connection; 0 for a
+// closed loop.
+func (w *worker) pace() time.Duration {
+	if w.options.Rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(w.options.Connections) / w.options.Rate * float64(time.Second))
+}
+
+// wait returns at a time; it reports false when the run has ended.
+func (w *worker) wait(ctx context.Context, at time.Time) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	d := time.Until(at)
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *worker) connect(ctx context.Context) bool {
+	if w.conn != nil && !w.conn.IsClosed() {
+		return true
+	}
+	config, err := w.connConfig()
+	if err == nil {
+		limited, cancel := context.WithTimeout(ctx, w.options.Timeout)
+		defer cancel()
+		w.conn, err = pgx.ConnectConfig(limited, config)
+	}
+	if err == nil || ctx.Err() == nil {
+		w.collector.addConnect(w.user.Name, err)
+	}
+	return err == nil
+}
+
+func (w *worker) connConfig() (*pgx.ConnConfig, error) {
+	if w.config != nil {
+		return w.config, nil
+	}
+	address := w.options.Addresses[w.index%len(w.options.Addresses)]
+	config, err := pgx.ParseConfig("postgres://" + address + "/?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.User = w.user.Name
+	config.Password = w.user.Key
+	config.Database = w.options.Database
+	config.DefaultQueryExecMode = pgx.QueryExecModeCacheStatement
+	if w.options.Mode == ModeSimple {
+		config.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	}
+	w.config = config
+	return config, nil
+}
+
+func (w *worker) close() {
+	if w.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), w.options.Timeout)
+	defer cancel()
+	_ = w.conn.Close(ctx)
+}
+
+// statement runs one statement to its end, also beyond the end of the run. The
+// latency counts from the intended time, so that a stall is not hidden by the
+// statements that it held back.
+func (w *worker) statement(ctx context.Context, intended time.Time) {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.options.Timeout)
+	defer cancel()
+	o := outcome{user: w.user.Name}
+	if len(w.keys) > 0 && w.random.Float64() < w.options.ReadShare {
+		o.missing, o.err = w.read(limited)
+	} else if o.write = w.options.ReadShare < 1; o.write {
+		o.key, o.err = w.write(limited)
+	} else {
+		_, o.err = w.conn.Exec(limited, readSQL, "none")
+	}
+	o.latency = time.Since(intended)
+	w.collector.add(o)
+}
+
+// read reads back one of the connection's own writes.
+func (w *worker) read(ctx context.Context) (missing bool, err error) {
+	key := w.keys[w.random.IntN(len(w.keys))]
+	var value string
+	err = w.conn.QueryRow(ctx, readSQL, key).Scan(&value)
+	if errors.Is(err, pgx.ErrNoRows) {
+		return true, nil
+	}
+	return false, err
+}
+
+func (w *worker) write(ctx context.Context) (string, error) {
+	w.sequence++
+	key := w.options.Prefix + "-" + strconv.Itoa(w.index) + "-" + strconv.Itoa(w.sequence)
+	sql := writeSQL
+	args := []any{key, "x"}
+	if w.options.Identities {
+		sql = "/*+ write_id=" + key + " */ " + sql
+		if w.options.Mode == ModeExtended {
+			// Every text differs, so a cached statement would never be used again.
+			args = append([]any{pgx.QueryExecModeExec}, args...)
+		}
+	}
+	_, err := w.conn.Exec(ctx, sql, args...)
+	if err != nil {
+		return key, err
+	}
+	w.keys = append(w.keys, key)
+	if len(w.keys) > rememberedKeys {
+		w.keys = w.keys[1:]
+	}
+	return key, nil
+}
