Move JSON-RPC serving of the stand-ins to one package

The fault proxy needs the same endpoint as the member. The load tool spreads the starts of its connections: an open loop with eight connections sent bursts of eight and measured its own queue.

--- /dev/null
+++ b/standin/endpoint/endpoint.go
@@ -0,0 +1,151 @@
+// Package endpoint serves JSON-RPC 2.0 with Content-Length framing on the
+// thread of a netloop.Loop.
+package endpoint
+
+import (
+	"encoding/json"
+
+	"golang.org/x/exp/jsonrpc2"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+)
+
+// Error codes of JSON-RPC 2.0.
+const (
+	CodeInvalidParams  = -32602
+	CodeMethodNotFound = -32601
+)
+
+// ParamsError reports parameters that do not fit the method.
+type ParamsError struct {
+	Reason string
+}
+
+func (e *ParamsError) Error() string {
+	return "invalid parameters: " + e.Reason
+}
+
+// Method handles one call. It answers through reply, at once or later, or
+// returns the error to answer.
+type Method func(params json.RawMessage, reply Reply) error
+
+// Typed returns a Method that decodes its parameters; absent ones are zero.
+func Typed[P any](call func(params P, reply Reply) error) Method {
+	return func(raw json.RawMessage, reply Reply) error {
+		var params P
+		if len(raw) > 0 {
+			if err := json.Unmarshal(raw, &params); err != nil {
+				return &ParamsError{Reason: err.Error()}
+			}
+		}
+		return call(params, reply)
+	}
+}
+
+// Server answers calls with its methods.
+type Server struct {
+	Methods map[string]Method
+	// Convert turns a method's error into a JSON-RPC error; nil for none.
+	Convert func(error) error
+	// Closed is told of each closed connection; nil for none.
+	Closed func(*Conn)
+}
+
+// Conn is one connection to a Server.
+type Conn struct {
+	server *Server
+	conn   *netloop.Conn
+	gone   bool
+}
+
+// Accept is passed to netloop.Loop.Listen.
+func (s *Server) Accept(c *netloop.Conn) netloop.Handler {
+	return &Conn{server: s, conn: c}
+}
+
+// Opened implements netloop.Handler; accepted connections are open already.
+func (c *Conn) Opened(*netloop.Conn) {}
+
+// Drained implements netloop.Handler.
+func (c *Conn) Drained(*netloop.Conn) {}
+
+// Closed implements netloop.Handler.
+func (c *Conn) Closed(*netloop.Conn, error) {
+	c.gone = true
+	if c.server.Closed != nil {
+		c.server.Closed(c)
+	}
+}
+
+// Data implements netloop.Handler.
+func (c *Conn) Data(conn *netloop.Conn) {
+	for !c.gone {
+		message, n, err := rpc.Decode(conn.Buffered())
+		if err != nil {
+			conn.Close()
+			return
+		}
+		if message == nil {
+			return
+		}
+		conn.Discard(n)
+		if request, ok := message.(*jsonrpc2.Request); ok {
+			c.server.dispatch(request, Reply{conn: c, id: request.ID})
+		}
+	}
+}
+
+func (s *Server) dispatch(request *jsonrpc2.Request, reply Reply) {
+	method, ok := s.Methods[request.Method]
+	if !ok {
+		reply.Fail(jsonrpc2.NewError(CodeMethodNotFound, "unknown method "+request.Method))
+		return
+	}
+	if err := method(request.Params, reply); err != nil {
+		reply.Fail(err)
+	}
+}
+
+// Reply names the call that an answer belongs to.
+type Reply struct {
+	conn *Conn
+	id   jsonrpc2.ID
+}
+
+// Conn returns the connection of the call.
+func (r Reply) Conn() *Conn {
+	return r.conn
+}
+
+// Answer sends the result. An answer to a closed connection is dropped.
+func (r Reply) Answer(result any) {
+	response, err := jsonrpc2.NewResponse(r.id, result, nil)
+	if err != nil {
+		r.Fail(err)
+		return
+	}
+	r.write(response)
+}
+
+// Fail sends an error.
+func (r Reply) Fail(err error) {
+	if params, ok := err.(*ParamsError); ok {
+		err = jsonrpc2.NewError(CodeInvalidParams, params.Error())
+	} else if r.conn.server.Convert != nil {
+		err = r.conn.server.Convert(err)
+	}
+	r.write(&jsonrpc2.Response{ID: r.id, Error: err})
+}
+
+func (r Reply) write(response *jsonrpc2.Response) {
+	if r.conn.gone || !r.id.IsValid() {
+		return
+	}
+	frame, err := rpc.Append(nil, response)
+	if err != nil {
+		r.conn.conn.Close()
+		return
+	}
+	r.conn.conn.Write(frame)
+}
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -68,7 +68,9 @@
 
 func (w *worker) run(ctx context.Context) {
 	pace := w.pace()
-	next := time.Now()
+	// The connections start one after the other, so that an open loop sends
+	// evenly instead of in bursts.
+	next := time.Now().Add(pace * time.Duration(w.index) / time.Duration(w.options.Connections))
 	for w.wait(ctx, next) {
 		if !w.connect(ctx) {
 			w.wait(ctx, time.Now().Add(reconnectWait))
--- a/standin/member/calls.go
+++ b/standin/member/calls.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 	"github.com/sassafrasshunt/sassafrasshunt/standin/store"
 )
 
@@ -17,16 +18,16 @@
 type waitCall struct {
 	calls  *waitingCalls
 	params WaitParams
-	reply  replyTo
+	reply  endpoint.Reply
 	timer  timer
 }
 
 type pullCall struct {
 	pull  store.Pull
-	reply replyTo
+	reply endpoint.Reply
 }
 
-func (c *waitingCalls) addWait(p WaitParams, reply replyTo) error {
+func (c *waitingCalls) addWait(p WaitParams, reply endpoint.Reply) error {
 	w := &waitCall{calls: c, params: p, reply: reply}
 	w.timer.Value = w
 	if w.tryAnswer() {
@@ -42,18 +43,18 @@
 	m := w.calls.member
 	reached, err := m.store.Confirmed(w.params.Term, w.params.Received, w.params.Applied)
 	if err != nil {
-		w.reply.fail(err)
+		w.reply.Fail(err)
 		return true
 	}
 	if reached {
-		w.reply.answer(m.status())
+		w.reply.Answer(m.status())
 	}
 	return reached
 }
 
 func (w *waitCall) timedOut() {
 	w.calls.remove(w)
-	w.reply.answer(w.calls.member.status())
+	w.reply.Answer(w.calls.member.status())
 }
 
 func (c *waitingCalls) remove(w *waitCall) {
@@ -63,7 +64,7 @@
 
 // addPull answers a replica at once when there is something to send. A cut
 // replica gets no answer.
-func (c *waitingCalls) addPull(p store.Pull, reply replyTo) error {
+func (c *waitingCalls) addPull(p store.Pull, reply endpoint.Reply) error {
 	if c.member.faults.cut[string(p.Member)] {
 		return nil
 	}
@@ -72,7 +73,7 @@
 		return err
 	}
 	if ready {
-		reply.answer(batch)
+		reply.Answer(batch)
 		return nil
 	}
 	c.pulls = append(c.pulls, pullCall{pull: p, reply: reply})
@@ -103,23 +104,23 @@
 		}
 		batch, ready, err := c.member.store.Answer(p.pull)
 		if err != nil {
-			p.reply.fail(err)
+			p.reply.Fail(err)
 			return true
 		}
 		if ready || all {
-			p.reply.answer(batch)
+			p.reply.Answer(batch)
 		}
 		return ready || all
 	})
 }
 
 // forget drops the calls of a closed connection.
-func (c *waitingCalls) forget(conn *statusConn) {
+func (c *waitingCalls) forget(conn *endpoint.Conn) {
 	c.waits = slices.DeleteFunc(c.waits, func(w *waitCall) bool {
-		if w.reply.conn == conn {
+		if w.reply.Conn() == conn {
 			c.member.timers.Disarm(&w.timer)
 		}
-		return w.reply.conn == conn
+		return w.reply.Conn() == conn
 	})
-	c.pulls = slices.DeleteFunc(c.pulls, func(p pullCall) bool { return p.reply.conn == conn })
+	c.pulls = slices.DeleteFunc(c.pulls, func(p pullCall) bool { return p.reply.Conn() == conn })
 }
--- a/standin/member/faults.go
+++ b/standin/member/faults.go
@@ -1,10 +1,10 @@
 package member
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 )
 
 // faults are the failures that a test has asked for.
@@ -34,41 +34,41 @@
 	return true
 }
 
-func callPause(m *Member, p MillisecondsParams, reply replyTo) error {
+func (m *Member) callPause(p MillisecondsParams, reply endpoint.Reply) error {
 	if p.MS < 0 {
-		return &ParamsError{Reason: "ms is negative"}
+		return &endpoint.ParamsError{Reason: "ms is negative"}
 	}
 	m.faults.pause = time.Duration(p.MS) * time.Millisecond
-	reply.answer(m.status())
+	reply.Answer(m.status())
 	return nil
 }
 
-func callCut(m *Member, p CutParams, reply replyTo) error {
+func (m *Member) callCut(p CutParams, reply endpoint.Reply) error {
 	clear(m.faults.cut)
 	for _, peer := range p.Peers {
 		m.faults.cut[peer] = true
 	}
-	reply.answer(m.status())
+	reply.Answer(m.status())
 	return nil
 }
 
-func callLoseAnswer(m *Member, p CountParams, reply replyTo) error {
+func (m *Member) callLoseAnswer(p CountParams, reply endpoint.Reply) error {
 	m.faults.loseAnswers = max(p.Count, 0)
-	reply.answer(m.status())
+	reply.Answer(m.status())
 	return nil
 }
 
-func callLag(m *Member, p MillisecondsParams, reply replyTo) error {
+func (m *Member) callLag(p MillisecondsParams, reply endpoint.Reply) error {
 	if p.MS < 0 {
-		return &ParamsError{Reason: "ms is negative"}
+		return &endpoint.ParamsError{Reason: "ms is negative"}
 	}
 	m.store.SetApplyLag(time.Duration(p.MS) * time.Millisecond)
-	reply.answer(m.status())
+	reply.Answer(m.status())
 	return nil
 }
 
 // callCrash ends the member without an answer to anyone.
-func callCrash(m *Member, _ json.RawMessage, _ replyTo) error {
+func (m *Member) callCrash(_ struct{}, _ endpoint.Reply) error {
 	m.stopped = true
 	m.crashed = true
 	return nil
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -127,7 +127,7 @@
 	if m.address, err = m.loop.Listen(m.options.Listen, m.acceptSession); err != nil {
 		return err
 	}
-	m.statusAddress, err = m.loop.Listen(m.options.StatusListen, m.acceptStatus)
+	m.statusAddress, err = m.loop.Listen(m.options.StatusListen, m.newEndpoint().Accept)
 	return err
 }
 
@@ -198,7 +198,7 @@
 		m.stopped = m.stopped || item.stop
 		if item.list != nil {
 			m.questions--
-			item.list.reply.answer(item.list.list)
+			item.list.reply.Answer(item.list.list)
 		}
 	}
 }
--- a/standin/member/methods.go
+++ b/standin/member/methods.go
@@ -1,13 +1,12 @@
 package member
 
 import (
-	"encoding/json"
 	"time"
 
 	"golang.org/x/exp/jsonrpc2"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/standin/store"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 )
 
 // Parameters of the methods of the status endpoint.
@@ -48,73 +47,41 @@
 	}
 )
 
-type method func(m *Member, params json.RawMessage, reply replyTo) error
-
-// methodTable is built at start; the methods refer to each other's types only.
-func methodTable() map[string]method {
-	return map[string]method{
-		"status":            callStatus,
-		"wait":              typed(callWait),
-		"fence":             typed(callFence),
-		"promote":           typed(callPromote),
-		"follow":            typed(callFollow),
-		"replicate":         typed(callReplicate),
-		"record.list":       typed(callRecordList),
-		"fault.pause":       typed(callPause),
-		"fault.cut":         typed(callCut),
-		"fault.lose_answer": typed(callLoseAnswer),
-		"fault.lag":         typed(callLag),
-		"fault.crash":       callCrash,
+func (m *Member) newEndpoint() *endpoint.Server {
+	return &endpoint.Server{
+		Convert: wireError,
+		Closed:  m.calls.forget,
+		Methods: map[string]endpoint.Method{
+			"status":            endpoint.Typed(m.callStatus),
+			"wait":              endpoint.Typed(m.calls.addWait),
+			"replicate":         endpoint.Typed(m.calls.addPull),
+			"fence":             endpoint.Typed(m.callFence),
+			"promote":           endpoint.Typed(m.callPromote),
+			"follow":            endpoint.Typed(m.callFollow),
+			"record.list":       endpoint.Typed(m.callRecordList),
+			"fault.pause":       endpoint.Typed(m.callPause),
+			"fault.cut":         endpoint.Typed(m.callCut),
+			"fault.lose_answer": endpoint.Typed(m.callLoseAnswer),
+			"fault.lag":         endpoint.Typed(m.callLag),
+			"fault.crash":       endpoint.Typed(m.callCrash),
+		},
 	}
 }
 
-var methods = methodTable()
-
-func typed[P any](call func(*Member, P, replyTo) error) method {
-	return func(m *Member, raw json.RawMessage, reply replyTo) error {
-		var params P
-		if len(raw) > 0 {
-			if err := json.Unmarshal(raw, &params); err != nil {
-				return &ParamsError{Reason: err.Error()}
-			}
-		}
-		return call(m, params, reply)
-	}
-}
-
-func (m *Member) dispatch(request *jsonrpc2.Request, reply replyTo) {
-	call, ok := methods[request.Method]
-	if !ok {
-		reply.fail(jsonrpc2.NewError(codeMethodNotFound, "unknown method "+request.Method))
-		return
-	}
-	if err := call(m, request.Params, reply); err != nil {
-		reply.fail(err)
-	}
-}
-
-func callStatus(m *Member, _ json.RawMessage, reply replyTo) error {
-	reply.answer(m.status())
+func (m *Member) callStatus(_ struct{}, reply endpoint.Reply) error {
+	reply.Answer(m.status())
 	return nil
 }
 
-func callWait(m *Member, p WaitParams, reply replyTo) error {
-	return m.calls.addWait(p, reply)
-}
-
-func callReplicate(m *Member, p store.Pull, reply replyTo) error {
-	return m.calls.addPull(p, reply)
-}
-
-func callFence(m *Member, p TermParams, reply replyTo) error {
+func (m *Member) callFence(p TermParams, reply endpoint.Reply) error {
 	return m.changeRole(reply, func(now time.Time) error { return m.store.Fence(p.Term, now) })
 }
 
-func callPromote(m *Member, p TermParams, reply replyTo) error {
+func (m *Member) callPromote(p TermParams, reply endpoint.Reply) error {
 	return m.changeRole(reply, func(now time.Time) error { return m.store.Promote(p.Term, now) })
 }
 
-func callFollow(m *Member, p FollowParams, reply replyTo) error {
+func (m *Member) callFollow(p FollowParams, reply endpoint.Reply) error {
 	return m.changeRole(reply, func(now time.Time) error {
 		return m.store.Follow(p.Term, p.Address, p.Start, now)
 	})
@@ -122,7 +89,7 @@
 
 // changeRole applies a command and lets transactions, waiting calls and the
 // link follow the new role.
-func (m *Member) changeRole(reply replyTo, change func(now time.Time) error) error {
+func (m *Member) changeRole(reply endpoint.Reply, change func(now time.Time) error) error {
 	wasPrimary, followed, term := m.store.Writable(), m.store.Primary(), m.store.Term()
 	if err := change(time.Now()); err != nil {
 		return err
@@ -136,11 +103,11 @@
 	m.armRole()
 	m.armAdvance()
 	m.calls.changed()
-	reply.answer(m.status())
+	reply.Answer(m.status())
 	return nil
 }
 
-func callRecordList(m *Member, p ListParams, reply replyTo) error {
+func (m *Member) callRecordList(p ListParams, reply endpoint.Reply) error {
 	if m.questions == inboxRing/2 {
 		return jsonrpc2.NewError(codeOverloaded, "too many unanswered record.list calls")
 	}
--- a/standin/member/record.go
+++ b/standin/member/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 )
 
 const (
@@ -81,11 +82,11 @@
 
 type listRequest struct {
 	after uint64
-	reply replyTo
+	reply endpoint.Reply
 }
 
 type listAnswer struct {
-	reply replyTo
+	reply endpoint.Reply
 	list  RecordList
 }
 
