Check, apply and publish catalogue edits; decide which keys are honoured

Cause: racing operators need one clear result each, also when the response to a compare-and-swap is lost, and a revoked key has to stop working. Change: pkg/catalogue checks an edit as a whole, applies typed edits to version + 1, makes keys, and runs edits (charts/configuration.toml) and keys (charts/key.toml) as state charts. Peer messages carry the age of the sender's news from the platform: otherwise the members of a cut-off domain would keep each other's keys fresh. Ruled out: rebasing a conflicting edit; the operator has not seen the state that it would apply to.

--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -13,10 +13,14 @@
 	// Version grows by one with each accepted edit.
 	Version uint64 `json:"version"`
 	// EditID is the identity of the edit that made this version.
-	EditID    string     `json:"edit_id"`
-	Accounts  []Account  `json:"accounts"`
-	Databases []Database `json:"databases"`
-	Entries   []Entry    `json:"entries"`
+	EditID string `json:"edit_id"`
+	// RecentEdits lists the identities of the last edits, oldest first, EditID
+	// included. An edit whose write was not answered is looked up here, because
+	// another edit may have followed it.
+	RecentEdits []string   `json:"recent_edits,omitempty"`
+	Accounts    []Account  `json:"accounts"`
+	Databases   []Database `json:"databases"`
+	Entries     []Entry    `json:"entries"`
 }
 
 // Account is a client account with its limits over the whole fleet.
--- /dev/null
+++ b/pkg/catalogue/catalogue_test.go
@@ -0,0 +1,140 @@
+package catalogue
+
+import (
+	"crypto/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
+)
+
+func sample(t testing.TB) *Catalogue {
+	edits, err := DecodeEdits([]byte(`[
+		{"op":"put_account","args":{"name":"hansen","weight":2,"rate":40,"burst":20}},
+		{"op":"put_database","args":{"name":"jylland","connections":35,"members":[
+			{"id":"j1","address":"127.0.0.1:5001","status_address":"127.0.0.1:6001","domain":"jylland","slots":2}]}},
+		{"op":"put_entry","args":{"name":"hazards","owner":"roads","account":"hansen","database":"jylland",
+			"class":"urgent","deadline_ms":2000}}]`))
+	require.NoError(t, err)
+	c, err := Apply(&Catalogue{}, "e1", edits...)
+	require.NoError(t, err)
+	return c
+}
+
+// Guards against an edit that is half applied or that hides some of its faults.
+func TestApplyReportsAllFaultsAndChangesNothing(t *testing.T) {
+	c := sample(t)
+	before, err := c.Encode()
+	require.NoError(t, err)
+	_, err = Apply(c, "e2",
+		PutAccount{Name: "Big Name", Weight: 0, Rate: -1, Burst: 0},
+		RemoveAccount{Name: "hansen"},
+		RemoveDatabase{Name: "jylland"},
+		RevokeKey{Account: "nobody", ID: "k"},
+		PutEntry{Entry{Name: "x", Owner: "o", Account: "hansen", Database: "jylland", Class: "slow", MaxAgeMillis: -1}},
+	)
+	var invalid *CheckError
+	require.ErrorAs(t, err, &invalid)
+	require.Len(t, invalid.Faults, 11, "%v", err)
+	after, err := c.Encode()
+	require.NoError(t, err)
+	require.Equal(t, string(before), string(after))
+}
+
+// Guards against a key that its holder cannot use, a second key that needs
+// another salt, and a key or verifier in the lines shown to operators.
+func TestGivenKeysAuthenticateAndStaySecret(t *testing.T) {
+	c := sample(t)
+	from := c
+	for _, id := range []string{"e2", "e3"} {
+		given, edit, err := GiveKey(c, "hansen", rand.Reader)
+		require.NoError(t, err)
+		c, err = Apply(c, id, edit)
+		require.NoError(t, err)
+		authenticate(t, c.Account("hansen"), given)
+		text, err := c.Encode()
+		require.NoError(t, err)
+		require.NotContains(t, string(text), given.Secret)
+		require.NotContains(t, strings.Join(Diff(from, c), "\n"), given.Secret)
+	}
+	require.Len(t, Diff(from, c), 2)
+	_, _, err := GiveKey(c, "nobody", rand.Reader)
+	var unknown *UnknownAccountError
+	require.ErrorAs(t, err, &unknown)
+}
+
+func authenticate(t *testing.T, a *Account, given GivenKey) {
+	key := a.Key(given.ID)
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Salt: string(a.Salt), Iters: a.Iterations},
+			StoredKey:  key.StoredKey,
+			ServerKey:  key.ServerKey,
+		}, nil
+	})
+	require.NoError(t, err)
+	client, err := scram.SHA256.NewClient("any", given.Secret, "")
+	require.NoError(t, err)
+	from, to := client.NewConversation(), server.NewConversation()
+	message := ""
+	for range 2 {
+		message, err = from.Step(message)
+		require.NoError(t, err)
+		message, err = to.Step(message)
+		require.NoError(t, err)
+	}
+	require.True(t, to.Valid())
+}
+
+// Guards against a revoked key that stays usable: when the revocation comes
+// before the catalogue, when an older catalogue follows it, and when nothing
+// was heard for the bound.
+func TestKeyRingEndsRevokedAndStaleKeys(t *testing.T) {
+	now := time.Unix(0, 0)
+	ring, err := NewKeyRing(loadChart(t, "key"), DefaultKeyStaleness, now)
+	require.NoError(t, err)
+	with := func(keys ...Key) *Catalogue { return &Catalogue{Accounts: []Account{{Name: "hansen", Keys: keys}}} }
+	ring.Revoke("k2")
+	ring.Adopt(with(Key{ID: "k1"}, Key{ID: "k2"}, Key{ID: "k3"}))
+	require.True(t, ring.Usable("k1"))
+	require.False(t, ring.Usable("k2"))
+	ring.Adopt(with(Key{ID: "k1"}, Key{ID: "k2"}, Key{ID: "k3"}))
+	require.False(t, ring.Usable("k2"))
+	ring.Tick(now.Add(DefaultKeyStaleness - time.Second))
+	require.True(t, ring.Usable("k1"))
+	now = now.Add(DefaultKeyStaleness)
+	ring.Tick(now)
+	require.False(t, ring.Usable("k1"))
+	ring.Heard(now.Add(-DefaultKeyStaleness), now)
+	require.False(t, ring.Usable("k1"), "old news")
+	ring.Heard(now, now)
+	require.True(t, ring.Usable("k1"))
+	require.False(t, ring.Usable("k2"))
+	ring.Adopt(with(Key{ID: "k1", Revoked: true}, Key{ID: "k2", Revoked: true}))
+	require.False(t, ring.Usable("k1"))
+	require.Equal(t, []core.KeyID{"k2", "k1", "k3"}, ring.TakeEnded())
+	require.Empty(t, ring.TakeEnded())
+}
+
+// Guards against a decoder that panics, or accepts what it does not write back
+// the same way.
+func FuzzDecode(f *testing.F) {
+	text, err := sample(f).Encode()
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte(`{"version":1,"accounts":[{"name":"a","weight":1,"rate":1e400}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Decode(text)
+		if err != nil {
+			return
+		}
+		again, err := c.Encode()
+		require.NoError(t, err)
+		back, err := Decode(again)
+		require.NoError(t, err)
+		require.Empty(t, Diff(c, back))
+	})
+}
--- a/pkg/membership/exchange.go
+++ b/pkg/membership/exchange.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -17,6 +18,13 @@
 	m.digest = digest(s.Terms)
 }
 
+// Heard records that the platform answered to a request sent at this time.
+func (m *Mesh) Heard(at time.Time) {
+	if at.After(m.news) {
+		m.news = at
+	}
+}
+
 // digest is the sum of the hashes of all terms. A sum does not depend on the
 // order, so no sorting is needed.
 func digest(terms map[core.DatabaseName]core.Term) uint64 {
@@ -30,10 +38,10 @@
 }
 
 // Tick returns the messages of one second, one for each link.
-func (m *Mesh) Tick() []Send {
+func (m *Mesh) Tick(now time.Time) []Send {
 	sends := make([]Send, 0, len(m.links))
 	for _, id := range m.Links() {
-		sends = append(sends, Send{Peer: id, Versions: m.versionsFor(m.links[id])})
+		sends = append(sends, Send{Peer: id, Versions: m.versionsFor(m.links[id], now)})
 	}
 	return sends
 }
@@ -42,11 +50,11 @@
 // a term is still to be passed on. It is called after Revoke and SetState, and
 // after Received has returned revoked keys. Share tables wait for the next
 // Tick: they change often.
-func (m *Mesh) Urgent() []Send {
+func (m *Mesh) Urgent(now time.Time) []Send {
 	var sends []Send
 	for _, id := range m.Links() {
 		if m.owes(m.links[id]) {
-			sends = append(sends, Send{Peer: id, Versions: m.versionsFor(m.links[id])})
+			sends = append(sends, Send{Peer: id, Versions: m.versionsFor(m.links[id], now)})
 		}
 	}
 	return sends
@@ -64,12 +72,13 @@
 	return slices.ContainsFunc(m.revoked, func(key core.KeyID) bool { return !l.revoked[key] })
 }
 
-func (m *Mesh) versionsFor(l *link) Versions {
+func (m *Mesh) versionsFor(l *link, now time.Time) Versions {
 	v := Versions{
 		Catalogue:   m.state.Catalogue,
 		Shares:      m.state.Shares,
 		TermsDigest: m.digest,
 		AllTerms:    l.askAll,
+		NewsAge:     now.Sub(m.news),
 		Terms:       map[core.DatabaseName]core.Term{},
 	}
 	for name, term := range m.state.Terms {
@@ -108,17 +117,19 @@
 
 // Received takes a message of a linked peer and returns what to fetch from it.
 // A message over a link that is not known is ignored.
-func (m *Mesh) Received(id core.InstanceID, v Versions) Received {
+func (m *Mesh) Received(id core.InstanceID, v Versions, now time.Time) Received {
 	l, ok := m.links[id]
 	if !ok {
 		return Received{}
 	}
-	r := Received{Pull: Pull{
+	pull := Pull{
 		Peer:      id,
 		Catalogue: v.Catalogue > m.state.Catalogue,
 		Shares:    v.Shares > m.state.Shares,
 		Terms:     map[core.DatabaseName]core.Term{},
-	}}
+	}
+	r := Received{Pull: pull, News: now.Add(-v.NewsAge)}
+	m.Heard(r.News)
 	l.catalogue = max(l.catalogue, v.Catalogue)
 	for name, term := range v.Terms {
 		l.sent[name] = max(l.sent[name], term)
--- a/pkg/membership/mesh.go
+++ b/pkg/membership/mesh.go
@@ -67,6 +67,8 @@
 	state    State
 	digest   uint64
 	revoked  []core.KeyID
+	// news is when the platform was last heard, here or by way of peers.
+	news time.Time
 }
 
 // NewMesh returns a mesh without peers. The random source gives the jitter.
--- a/pkg/membership/mesh_test.go
+++ b/pkg/membership/mesh_test.go
@@ -73,7 +73,7 @@
 	}
 	var deliveries []delivery
 	for _, p := range f.peers {
-		for _, s := range f.meshes[p.ID].Tick() {
+		for _, s := range f.meshes[p.ID].Tick(f.now) {
 			deliveries = append(deliveries, delivery{from: p.ID, send: s})
 		}
 	}
@@ -100,7 +100,7 @@
 }
 
 func (f *fleet) receive(to, from core.InstanceID, v Versions) {
-	r := f.meshes[to].Received(from, v)
+	r := f.meshes[to].Received(from, v, f.now)
 	if r.Pull.Empty() {
 		return
 	}
@@ -165,14 +165,15 @@
 	m := NewMesh(Peer{ID: "a"}, testSettings, rand.New(rand.NewPCG(1, 1)))
 	m.Connected("b")
 	m.Connected("c")
-	r := m.Received("b", Versions{Revoked: []core.KeyID{"k1"}})
+	now := time.Unix(0, 0)
+	r := m.Received("b", Versions{Revoked: []core.KeyID{"k1"}}, now)
 	require.Equal(t, []core.KeyID{"k1"}, r.Revoked)
-	sends := m.Urgent()
+	sends := m.Urgent(now)
 	require.Len(t, sends, 1)
 	require.Equal(t, core.InstanceID("c"), sends[0].Peer)
 	require.Equal(t, []core.KeyID{"k1"}, sends[0].Versions.Revoked)
-	require.Empty(t, m.Urgent())
-	require.Empty(t, m.Received("c", Versions{Revoked: []core.KeyID{"k1"}}).Revoked)
+	require.Empty(t, m.Urgent(now))
+	require.Empty(t, m.Received("c", Versions{Revoked: []core.KeyID{"k1"}}, now).Revoked)
 }
 
 // Guards against a busy loop of connections to a peer that is gone, and against
@@ -195,13 +196,25 @@
 	require.GreaterOrEqual(t, last, DefaultBackoffMax/2)
 }
 
+// Guards against a cut-off group of peers that takes each other's messages for
+// news from the platform.
+func TestNewsGrowsOldAmongPeers(t *testing.T) {
+	f := newFleet(3, 1, 0, 1)
+	start := f.now
+	f.meshes["i0"].Heard(start)
+	for range 30 {
+		f.round()
+	}
+	require.Equal(t, start, f.meshes["i2"].news)
+}
+
 // Guards against a term that is lost on a link for good: the digests differ and
 // the whole list is asked for.
 func TestLostTermIsRepaired(t *testing.T) {
 	f := newFleet(2, 1, 0, 1)
 	f.set("i0", State{Terms: map[core.DatabaseName]core.Term{"jylland": 3}})
 	f.connect("i0")
-	f.meshes["i0"].Tick()
+	f.meshes["i0"].Tick(f.now)
 	for range 2 * mismatchBound {
 		f.round()
 	}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -6,6 +6,8 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
@@ -30,6 +32,10 @@
 	TermsDigest uint64
 	// AllTerms asks the receiver to list all terms in its next message.
 	AllTerms bool
+	// NewsAge is how long ago the platform was last heard by the sender, or by
+	// the peers from whom the sender has its news. A cut-off group of peers
+	// thereby sees its news grow old although its members hear each other.
+	NewsAge time.Duration
 	// Revoked lists the key IDs whose revocation the sender has not yet passed
 	// on over this link.
 	Revoked []core.KeyID
@@ -61,6 +67,8 @@
 	Pull Pull
 	// Revoked lists the key IDs that were not known to be revoked.
 	Revoked []core.KeyID
+	// News is when the platform was last heard according to this message.
+	News time.Time
 }
 
 // Send is a message for one linked peer.
