Join catalogue, keys, shares and peers in the control duty

Cause: each decision package stands alone; the instance needs one owner of what is in force. Change: edits and adopted catalogues, trust in keys, revocations that come ahead of the catalogue, share publication and acknowledgement, inspection of the session duty for the metrics page and for explain, admin API.

--- a/cmd/sassafrasshuntctl/catalogue.go
+++ b/cmd/sassafrasshuntctl/catalogue.go
@@ -45,7 +45,7 @@
 func (*catalogueEdit) Usage() string {
 	return `catalogue edit -file FILE [flags]
   FILE holds a JSON list of edits that are checked and accepted as a whole:
-  [{"operation": "put_account", "fields": {"name": "inspectors", "weight": 4, "rate": 200, "burst": 400}}]
+  [{"op": "put_account", "args": {"name": "inspectors", "weight": 4, "rate": 200, "burst": 400}}]
   Operations: put_account, remove_account, put_database, set_database_state, remove_database,
   put_entry, remove_entry, add_key, revoke_key, remove_key.
 `
--- a/cmd/sassafrasshuntctl/client.go
+++ b/cmd/sassafrasshuntctl/client.go
@@ -19,7 +19,6 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 const (
@@ -117,7 +116,11 @@
 		return exit(err)
 	}
 	var accepted admin.Accepted
-	body := admin.EditsRequest{Identity: identity, Edits: edits}
+	list, err := json.Marshal(edits)
+	if err != nil {
+		return exit(eris.Wrap(errRefused, err.Error()))
+	}
+	body := admin.EditsRequest{Identity: identity, Edits: list}
 	if err := t.call(ctx, http.MethodPost, "/v1/catalogue/edits", body, &accepted); err != nil {
 		return exit(err)
 	}
@@ -143,18 +146,6 @@
 	return c, err
 }
 
-func (t *target) account(ctx context.Context, name string) (*catalogue.Account, error) {
-	c, err := t.catalogue(ctx)
-	if err != nil {
-		return nil, err
-	}
-	account := c.Account(core.AccountName(name))
-	if account == nil {
-		return nil, eris.Wrap(errRefused, "account "+name+" does not exist")
-	}
-	return account, nil
-}
-
 // print writes value as JSON, or calls text.
 func (t *target) print(value any, text func()) subcommands.ExitStatus {
 	if t.output != "json" {
--- a/cmd/sassafrasshuntctl/keys.go
+++ b/cmd/sassafrasshuntctl/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"flag"
 	"fmt"
 
@@ -30,11 +31,11 @@
 }
 
 func (c *keysGive) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	account, err := c.target.account(ctx, c.account)
+	current, err := c.catalogue(ctx)
 	if err != nil {
 		return exit(err)
 	}
-	key, add, err := catalogue.GiveKey(account)
+	given, add, err := catalogue.GiveKey(current, core.AccountName(c.account), rand.Reader)
 	if err != nil {
 		return exit(eris.Wrap(errRefused, err.Error()))
 	}
@@ -45,7 +46,7 @@
 	if status := c.apply(ctx, edit); status != subcommands.ExitSuccess {
 		return status
 	}
-	fmt.Printf("key id %s\nkey %s\n", add.Key.ID, key)
+	fmt.Printf("key id %s\nkey %s\n", given.ID, given.Secret)
 	return subcommands.ExitSuccess
 }
 
@@ -95,10 +96,14 @@
 }
 
 func (c *keysList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	account, err := c.target.account(ctx, c.account)
+	current, err := c.catalogue(ctx)
 	if err != nil {
 		return exit(err)
 	}
+	account := current.Account(core.AccountName(c.account))
+	if account == nil {
+		return exit(eris.Wrap(errRefused, "account "+c.account+" does not exist"))
+	}
 	keys := make([]listedKey, 0, len(account.Keys))
 	for _, k := range account.Keys {
 		keys = append(keys, listedKey{ID: k.ID, Revoked: k.Revoked})
--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -15,7 +15,8 @@
 type EditsRequest struct {
 	// Identity makes a repeated request harmless; 16 or more random characters.
 	Identity string `json:"identity"`
-	Edits    []Edit `json:"edits"`
+	// Edits is a list in the form of catalogue.DecodeEdits.
+	Edits json.RawMessage `json:"edits"`
 }
 
 // SwitchoverRequest is the body of POST /v1/switchover.
@@ -49,6 +50,7 @@
 // convert turns errors of the layers below into HTTP errors.
 func convert(err error) error {
 	var check *catalogue.CheckError
+	var edit *control.EditError
 	switch {
 	case err == nil:
 		return nil
@@ -58,6 +60,8 @@
 			e.Faults = append(e.Faults, f.String())
 		}
 		return e
+	case errors.As(err, &edit) && edit.Outcome == catalogue.OutcomeUncertain:
+		return &Error{Status: http.StatusGatewayTimeout, Message: "outcome uncertain: repeat with the same identity"}
 	}
 	return &Error{Status: http.StatusConflict, Message: err.Error()}
 }
@@ -95,19 +99,15 @@
 	if len(body.Identity) < 16 {
 		return nil, &Error{Status: http.StatusBadRequest, Message: "identity must have at least 16 characters"}
 	}
-	request := control.ApplyEdits{Identity: body.Identity}
-	for _, e := range body.Edits {
-		edit, err := e.decode()
-		if err != nil {
-			return nil, err
-		}
-		request.Edits = append(request.Edits, edit)
+	edits, err := catalogue.DecodeEdits(body.Edits)
+	if err != nil {
+		return nil, &Error{Status: http.StatusBadRequest, Message: err.Error()}
 	}
-	answer, err := s.ask(r, request)
+	answer, err := s.ask(r, control.ApplyEdits{Identity: body.Identity, Edits: edits})
 	if err != nil {
 		return nil, err
 	}
-	return Accepted{Version: answer.Catalogue.Version}, nil
+	return Accepted{Version: answer.Version}, nil
 }
 
 func (s *Server) postSwitchover(r *http.Request) (any, error) {
@@ -120,14 +120,9 @@
 }
 
 func (s *Server) getExplain(r *http.Request) (any, error) {
-	reply := make(chan []string, 1)
-	if !s.backend.Explain(r.URL.Query().Get("account"), reply) {
+	lines, ok := s.backend.Explain(r.URL.Query().Get("account"))
+	if !ok {
 		return nil, &Error{Status: http.StatusServiceUnavailable, Message: "instance is overloaded"}
 	}
-	select {
-	case lines := <-reply:
-		return lines, nil
-	case <-r.Context().Done():
-		return nil, r.Context().Err()
-	}
+	return lines, nil
 }
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -37,9 +37,9 @@
 	// Ask hands a request to the control duty; it reports false when the
 	// duty's ring is full.
 	Ask(control.OperatorRequest, chan<- control.OperatorAnswer) bool
-	// Explain tells why the last statement of a caller went where it went; it
-	// reports false when the session duty's ring is full.
-	Explain(account string, reply chan<- []string) bool
+	// Explain tells why the last statements of an account went where they
+	// went; it reports false when the session duty did not answer.
+	Explain(account string) ([]string, bool)
 	Ready() bool
 }
 
--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -6,7 +6,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -49,6 +48,7 @@
 	Lease         *chart.Definition
 	Instance      *chart.Definition
 	Configuration *chart.Definition
+	Key           *chart.Definition
 }
 
 // Engine is the decision state of the control duty.
@@ -59,7 +59,7 @@
 	timers    schedule
 	rules     *failover.Rules
 	groups    map[core.DatabaseName]*group
-	keeper    *catalogue.Keeper
+	settings  *configuration
 	holder    *share.Holder
 	allocator *share.Allocator
 	mirror    mirror
@@ -67,7 +67,6 @@
 	life      *life
 	shares    shares
 	peers     *peers
-	history   []HistoryItem
 	failovers []failover.Report
 }
 
@@ -96,7 +95,7 @@
 	if e.allocator, err = share.NewAllocator(charts.Share, e.config.Share); err != nil {
 		return err
 	}
-	if e.keeper, err = newKeeper(e, charts.Configuration); err != nil {
+	if e.settings, err = newConfiguration(e, charts.Configuration, charts.Key); err != nil {
 		return err
 	}
 	if e.lease, err = newLease(e, charts.Lease); err != nil {
@@ -113,6 +112,7 @@
 	e.lease.start()
 	e.life.start()
 	e.shares.start(e)
+	e.settings.start()
 	e.peers.start()
 }
 
--- a/pkg/control/life.go
+++ b/pkg/control/life.go
@@ -74,7 +74,7 @@
 
 func (l *life) reportNotReady() {
 	l.engine.warn("instance_not_ready", "waiting for a catalogue and a share", map[string]any{
-		"catalogue": l.engine.keeper.InForce() != nil,
+		"catalogue": l.engine.settings.keeper.InForce().Version,
 		"slot":      l.engine.lease.slot,
 	})
 }
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -211,9 +211,11 @@
 // OperatorAnswer answers an OperatorRequest. Err is set when it failed.
 type OperatorAnswer struct {
 	Catalogue *catalogue.Catalogue
-	Status    *Status
-	History   []HistoryItem
-	Err       error
+	// Version is set for ApplyEdits.
+	Version uint64
+	Status  *Status
+	History []HistoryItem
+	Err     error
 }
 
 // HistoryItem is one adopted version of the catalogue.
--- a/pkg/control/mirror.go
+++ b/pkg/control/mirror.go
@@ -125,14 +125,13 @@
 	for _, r := range a.Records {
 		switch v := r.(type) {
 		case CatalogueRecord:
-			e.catalogueRead(v, a.Sent)
+			e.settings.read(v)
 		case GroupRecord:
 			if g := e.groups[v.Database]; g != nil {
 				g.core.RecordSeen(e.now, v.Seen)
 			}
 		}
 	}
-	e.catalogueConfirmed(a.Sent)
 	e.shares.mirrorChanged(e, a.Sent)
 }
 
@@ -145,7 +144,7 @@
 	case SwapGroup:
 		e.groupSwapped(op, a)
 	case ReadCatalogue, SwapCatalogue:
-		e.catalogueAnswer(a)
+		e.settings.answer(a)
 	case SwapTable:
 		e.shares.tableSwapped(e, op, a)
 	case CreateLease, RenewLease, PutClaim:
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -11,13 +11,13 @@
 func (e *Engine) operatorRequest(m FromOperator) {
 	switch r := m.Request.(type) {
 	case GetCatalogue:
-		m.Reply <- OperatorAnswer{Catalogue: e.keeper.InForce()}
+		m.Reply <- OperatorAnswer{Catalogue: e.settings.keeper.InForce()}
 	case GetHistory:
-		m.Reply <- OperatorAnswer{History: e.history}
+		m.Reply <- OperatorAnswer{History: e.settings.history}
 	case GetStatus:
 		m.Reply <- OperatorAnswer{Status: e.status()}
 	case ApplyEdits:
-		e.applyEdits(r, m.Reply)
+		e.settings.submit(r, m.Reply)
 	case Switchover:
 		m.Reply <- OperatorAnswer{Err: e.switchover(r)}
 	}
@@ -68,9 +68,7 @@
 	for name, rate := range spendable.Accounts {
 		s.Shares.Rates[name] = rate.Rate.Float()
 	}
-	if c := e.keeper.InForce(); c != nil {
-		s.CatalogueVersion = c.Version
-	}
+	s.CatalogueVersion = e.settings.keeper.InForce().Version
 	if t := e.holder.Table(); t != nil {
 		s.TableRevision = t.Revision
 	}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -81,7 +81,7 @@
 			p.send(peer.ID, peer.Address, membership.Versions{Catalogue: p.catalogueVersion()})
 		}
 	}
-	p.sendAll(p.mesh.Tick())
+	p.sendAll(p.mesh.Tick(p.engine.now))
 	if !p.engine.mirror.complete {
 		p.askSeeds()
 	}
@@ -99,7 +99,7 @@
 // spread passes on at once what must not wait for the next period.
 func (p *peers) spread() {
 	p.setState()
-	p.sendAll(p.mesh.Urgent())
+	p.sendAll(p.mesh.Urgent(p.engine.now))
 }
 
 func (p *peers) setState() {
@@ -112,10 +112,7 @@
 }
 
 func (p *peers) catalogueVersion() uint64 {
-	if c := p.engine.keeper.InForce(); c != nil {
-		return c.Version
-	}
-	return 0
+	return p.engine.settings.keeper.InForce().Version
 }
 
 func (p *peers) sendAll(sends []membership.Send) {
@@ -147,7 +144,7 @@
 		e.out.Reply(m.Reply, accepted)
 		p.received(v)
 	case CatalogueRequest:
-		e.out.Reply(m.Reply, CatalogueMessage{Catalogue: e.keeper.InForce()})
+		e.out.Reply(m.Reply, CatalogueMessage{Catalogue: e.settings.keeper.InForce()})
 	case TableRequest:
 		table, age, vouched := e.holder.Vouch(e.now)
 		e.out.Reply(m.Reply, TableMessage{Table: table, Age: age, Vouched: vouched})
@@ -169,7 +166,9 @@
 	p.versions[v.From] = v.Versions.Catalogue
 	p.connect(v.From)
 	p.setState()
-	pull := p.mesh.Received(v.From, v.Versions).Pull
+	received := p.mesh.Received(v.From, v.Versions, p.engine.now)
+	p.engine.settings.revokedByPeer(received.Revoked)
+	pull := received.Pull
 	if pull.Catalogue {
 		p.engine.out.Peer(PeerCall{Address: v.PeerAddress, Message: CatalogueRequest{}})
 	}
@@ -223,7 +222,7 @@
 		p.versionsAnswered(request, m)
 	case CatalogueRequest:
 		if answer, ok := m.Answer.(CatalogueMessage); ok && answer.Catalogue != nil {
-			p.engine.catalogueFromPeer(answer.Catalogue)
+			p.engine.settings.fromPeer(answer.Catalogue)
 		}
 	case TableRequest:
 		p.engine.shares.tableFromPeer(p.engine, m)
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -64,7 +64,7 @@
 		in.Accounts[name] = session.RateShare{Rate: rate.Rate.Float(), Burst: rate.Burst.Float()}
 	}
 	e.out.Session(in)
-	if spendable.Slot >= 0 && e.keeper.InForce() != nil {
+	if _, ok := e.settings.inForce(); ok && spendable.Slot >= 0 {
 		e.life.fire("configured")
 	}
 }
@@ -127,7 +127,7 @@
 	if !e.isAllocator() || !e.mirror.complete || s.swapping {
 		return
 	}
-	if c := e.keeper.InForce(); c != nil {
+	if c, ok := e.settings.inForce(); ok {
 		e.allocator.SetLimits(c)
 	}
 	e.allocator.Adopt(e.mirror.table, e.now)
@@ -161,7 +161,7 @@
 	}
 	for _, p := range e.allocator.Probes() {
 		if p.Address == address {
-			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked})
+			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked}, e.now)
 		}
 	}
 }
--- a/pkg/control/store.go
+++ b/pkg/control/store.go
@@ -31,6 +31,7 @@
 
 // SwapCatalogue compare-and-swaps the catalogue.
 type SwapCatalogue struct {
+	EditID    string
 	Catalogue *catalogue.Catalogue
 	Revision  Revision
 }
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/classify"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
@@ -56,7 +57,10 @@
 	if i.peers, err = i.rpc.Listen(i.settings.PeerAddress); err != nil {
 		return err
 	}
-	store := platform.NewClient(i.settings.PlatformAddress)
+	store, err := platform.NewClient("http://" + i.settings.PlatformAddress)
+	if err != nil {
+		return err
+	}
 	i.platform = platform.NewDuty(store, platform.Output{
 		Deliver:   i.deliverPlatform,
 		CallRoom:  i.callRoom,
@@ -75,7 +79,7 @@
 	i.classify = newClassifyDuty(i.settings.RingCapacity, classify.New(classifyCacheEntries), i.sessions.input)
 	out := &sessionOutputs{
 		callers:   &port[callerio.Input]{ring: i.callers.Ring()},
-		targets:   &port[session.TargetCommand]{ring: i.targets.Ring()},
+		targets:   &port[targetio.Input]{ring: i.targets.Ring()},
 		classify:  &port[session.ClassifyRequest]{ring: i.classify.input},
 		control:   &port[control.Input]{ring: i.controls.input, keep: reportBacklog},
 		telemetry: i.telemetry,
@@ -136,7 +140,7 @@
 	var c control.Charts
 	targets := map[string]**chart.Definition{
 		"group": &c.Group, "member": &c.Member, "share": &c.Share,
-		"lease": &c.Lease, "instance": &c.Instance, "configuration": &c.Configuration,
+		"lease": &c.Lease, "instance": &c.Instance, "configuration": &c.Configuration, "key": &c.Key,
 	}
 	for name, target := range targets {
 		definition, err := charts.Load(name)
@@ -147,3 +151,12 @@
 	}
 	return c, nil
 }
+
+func (i *Instance) buildAdmin() error {
+	server, err := admin.New(i.settings.AdminAddress, i.settings.OperatorKeyHash, i)
+	if err != nil {
+		return err
+	}
+	i.admin = server
+	return nil
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"io"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -39,24 +41,26 @@
 
 // Instance is one run of the proxy.
 type Instance struct {
-	settings  *settings.Settings
-	self      control.Identity
-	duties    duty.Group
-	telemetry *telemetry.Duty
-	callers   *callerio.Duty
-	targets   *targetio.Duty
-	sessions  *decisionDuty[session.Input]
-	engine    *session.Engine
-	classify  *classifyDuty
-	controls  *decisionDuty[control.Input]
-	control   *control.Engine
-	rpc       *rpc.Duty
-	peers     netip.AddrPort
-	platform  *platform.Duty
-	callRoom  *ring.Signal
-	watchRoom *ring.Signal
-	ready     atomic.Bool
-	stopped   chan struct{}
+	settings   *settings.Settings
+	self       control.Identity
+	duties     duty.Group
+	telemetry  *telemetry.Duty
+	callers    *callerio.Duty
+	targets    *targetio.Duty
+	sessions   *decisionDuty[session.Input]
+	engine     *session.Engine
+	classify   *classifyDuty
+	controls   *decisionDuty[control.Input]
+	control    *control.Engine
+	rpc        *rpc.Duty
+	peers      netip.AddrPort
+	platform   *platform.Duty
+	callRoom   *ring.Signal
+	watchRoom  *ring.Signal
+	ready      atomic.Bool
+	stopped    chan struct{}
+	finishOnce sync.Once
+	admin      *admin.Server
 }
 
 // New builds an instance and binds its addresses. It returns ErrStart,
@@ -76,6 +80,7 @@
 		i.buildEdges,
 		i.buildSession,
 		i.buildControl,
+		i.buildAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -114,14 +119,16 @@
 	i.duties.Start("telemetry", i.telemetry.Run)
 	i.platform.Start(&i.duties)
 	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
-	i.duties.Start("target-io", i.targets.Run)
+	i.serve("target-io", i.targets.Run)
 	i.duties.Start("classify", i.classify.run)
 	i.duties.Start("session", i.sessions.run)
 	i.duties.Start("control", func() {
 		i.control.Start(time.Now())
 		i.controls.run()
 	})
-	i.duties.Start("caller-io", i.callers.Run)
+	i.serve("caller-io", i.callers.Run)
+	i.publishMetrics()
+	i.duties.Start("admin", i.admin.Run)
 	i.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": i.callers.Address().String(), "peers": i.settings.PeerAddress, "admin": i.settings.AdminAddress,
 	})
@@ -129,10 +136,27 @@
 	i.stopDuties()
 }
 
+// serve starts a duty that can fail. The instance cannot work without it, so
+// a failure ends the run and the platform replaces the instance.
+func (i *Instance) serve(name string, run func() error) {
+	i.duties.Start(name, func() {
+		if err := run(); err != nil {
+			i.log(logrus.ErrorLevel, "duty_failed", err.Error(), telemetry.Fields{"duty": name})
+			i.finish()
+		}
+	})
+}
+
+// finish lets Run end.
+func (i *Instance) finish() {
+	i.finishOnce.Do(func() { close(i.stopped) })
+}
+
 // stopDuties ends the duties from the callers inward, so that the last answers
 // are still sent.
 func (i *Instance) stopDuties() {
 	i.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
+	i.admin.Stop()
 	i.callers.Stop()
 	i.sessions.stop()
 	i.classify.stop()
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -13,13 +13,14 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
 
 // sessionOutputs puts the outputs of the session engine into rings.
 type sessionOutputs struct {
 	callers   *port[callerio.Input]
-	targets   *port[session.TargetCommand]
+	targets   *port[targetio.Input]
 	classify  *port[session.ClassifyRequest]
 	control   *port[control.Input]
 	telemetry *telemetry.Duty
@@ -31,7 +32,7 @@
 }
 
 func (o *sessionOutputs) Target(c session.TargetCommand) bool {
-	o.targets.send(c)
+	o.targets.send(targetio.FromSession(c))
 	return true
 }
 
@@ -158,7 +159,7 @@
 }
 
 func (o *controlOutputs) Stopped() {
-	close(o.instance.stopped)
+	o.instance.finish()
 }
 
 // deliverRPC decodes the events of the rpc duty for control.
--- a/pkg/instance/storebridge.go
+++ b/pkg/instance/storebridge.go
@@ -79,7 +79,7 @@
 	switch o := operation.(type) {
 	case control.SwapCatalogue:
 		request = platform.PutRequest{Key: keyCatalogue, Revision: platform.Revision(o.Revision)}
-		request.Value, err = json.Marshal(o.Catalogue)
+		request.Value, err = o.Catalogue.Encode()
 	case control.SwapGroup:
 		request = platform.PutRequest{Key: keyGroupPrefix + platform.Key(o.Database), Revision: platform.Revision(o.RecordSwap.Revision)}
 		request.Value, err = failover.EncodeRecord(o.Record)
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -159,6 +159,10 @@
 		e.catalogueInForce(in.Catalogue)
 	case ShareInForce:
 		e.shareInForce(in)
+	case Inspect:
+		e.inspect(in)
+	case KeysRevoked:
+		e.keysRevoked(in.Keys)
 	case KeysTrusted:
 		e.keysUntil = in.Until
 	case Drain:
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -208,6 +208,12 @@
 	Until time.Time
 }
 
+// KeysRevoked ends the sessions of keys whose revocation came ahead of the
+// catalogue that holds it.
+type KeysRevoked struct {
+	Keys []core.KeyID
+}
+
 // Drain starts the graceful stop: no new callers, and connected callers are
 // told to reconnect at a clean boundary.
 type Drain struct{}
@@ -229,4 +235,5 @@
 func (ConfirmedUpTo) sessionInput()    {}
 func (ShareInForce) sessionInput()     {}
 func (KeysTrusted) sessionInput()      {}
+func (KeysRevoked) sessionInput()      {}
 func (Drain) sessionInput()            {}
--- /dev/null
+++ b/pkg/session/inspect.go
@@ -0,0 +1,99 @@
+package session
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// Inspect asks for a copy of the counters and explanations. The reply channel
+// has room for one item.
+type Inspect struct {
+	// Account limits the explanations to one account; empty for none at all.
+	Account core.AccountName
+	Reply   chan<- Inspection
+}
+
+func (Inspect) sessionInput() {}
+
+// Inspection answers Inspect.
+type Inspection struct {
+	ReplicaReads       uint64                                 `json:"replica_reads"`
+	PrimaryReads       uint64                                 `json:"primary_reads"`
+	WritesAcknowledged uint64                                 `json:"writes_acknowledged"`
+	WritesUncertain    uint64                                 `json:"writes_uncertain"`
+	Refusals           map[string]uint64                      `json:"refusals"`
+	RateUnknown        uint64                                 `json:"rate_refusals_without_share"`
+	Retries            uint64                                 `json:"retries"`
+	Requeued           uint64                                 `json:"requeued"`
+	Callers            int                                    `json:"callers"`
+	Connections        int                                    `json:"connections"`
+	Queued             int                                    `json:"queued"`
+	Accounts           map[core.AccountName]AccountInspection `json:"accounts"`
+	// Transitions counts the transitions taken, by chart.
+	Transitions map[string]map[string]uint64 `json:"transitions"`
+	// Explanations tell why the last statements of an account went where they
+	// went, one line for each caller.
+	Explanations []string `json:"-"`
+}
+
+// AccountInspection is the copy of one account's counters.
+type AccountInspection struct {
+	Admitted uint64 `json:"admitted"`
+	Refused  uint64 `json:"refused"`
+	// Latencies are in microseconds.
+	P50 int64 `json:"p50_us"`
+	P99 int64 `json:"p99_us"`
+}
+
+const (
+	median          = 50
+	ninetyNinth     = 99
+	explainedAtMost = 100
+)
+
+func (e *Engine) inspect(in Inspect) {
+	m := e.Metrics()
+	answer := Inspection{
+		ReplicaReads: m.ReplicaReads, PrimaryReads: m.PrimaryReads,
+		WritesAcknowledged: m.WritesAcknowledged, WritesUncertain: m.WritesUncertain,
+		Refusals: make(map[string]uint64, len(m.Refusals)), RateUnknown: m.RateUnknown,
+		Retries: m.Retries, Requeued: m.Requeued,
+		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
+		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
+		Transitions: e.charts.taken(),
+	}
+	for state, n := range m.Refusals {
+		answer.Refusals[state] = n
+	}
+	for name, a := range m.Accounts {
+		answer.Accounts[name] = AccountInspection{
+			Admitted: a.Admitted, Refused: a.Refused,
+			P50: a.Latency.ValueAtQuantile(median), P99: a.Latency.ValueAtQuantile(ninetyNinth),
+		}
+	}
+	if in.Account != "" {
+		answer.Explanations = e.explanations(in.Account)
+	}
+	in.Reply <- answer
+}
+
+func (e *Engine) explanations(account core.AccountName) []string {
+	var lines []string
+	for id, c := range e.callers {
+		if c.account.name == account && len(lines) < explainedAtMost {
+			lines = append(lines, "caller "+strconv.FormatUint(uint64(id), 10)+": "+e.Explain(id))
+		}
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+func (t *tables) taken() map[string]map[string]uint64 {
+	return map[string]map[string]uint64{
+		"caller":    t.caller.Taken(),
+		"statement": t.statement.Taken(),
+		"target":    t.target.Taken(),
+	}
+}
