Make the target tests catch faults they passed over

Trial faults on a scratch copy showed that the tests passed without the deferral behind a cancel, without the pause of a socket, and when a statement was kept after SQLSTATE 26000 or 0A000.

--- a/pkg/targetio/member_test.go
+++ b/pkg/targetio/member_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
@@ -12,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// bigRow is the size in bytes of a row that no socket buffer takes at once.
+const bigRow = 20 << 20
+
 // member is a scripted PostgreSQL server. It reports the messages that it
 // gets, so that a test can tell what was sent.
 type member struct {
@@ -24,6 +28,10 @@
 	messages []string
 	// failBind is the SQLSTATE that the next Bind is answered with.
 	failBind string
+	// answered counts the answers that were sent to their end.
+	answered int
+	// holdCancel keeps cancel connections open until it is closed, if set.
+	holdCancel chan struct{}
 	// cancelled gets one item for a cancel request; by process ID.
 	cancelled map[uint32]chan struct{}
 }
@@ -70,6 +78,24 @@
 	return messages
 }
 
+func (m *member) holdCancels() chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holdCancel = make(chan struct{})
+	return m.holdCancel
+}
+
+// awaitAnswers waits until n answers, each startup included, were sent.
+func (m *member) awaitAnswers(n int) {
+	require.Eventually(m.t, func() bool { return m.answers() == n }, testWait, time.Millisecond)
+}
+
+func (m *member) answers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered
+}
+
 func (m *member) setFailBind(state string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -84,8 +110,10 @@
 	back       *pgproto3.Backend
 	process    uint32
 	statements map[string]string
-	portal     string
-	value      []byte
+	// stale is a statement whose Bind fails until it is closed.
+	stale  string
+	portal string
+	value  []byte
 	// skipping is set after an error up to Sync.
 	skipping bool
 }
@@ -103,7 +131,11 @@
 		case m.cancelled[cancel.ProcessID] <- struct{}{}:
 		default:
 		}
+		hold := m.holdCancel
 		m.mu.Unlock()
+		if hold != nil {
+			<-hold
+		}
 		return
 	}
 	if m.account != nil && !c.authenticate() {
@@ -159,6 +191,9 @@
 	c.skipping = false
 	c.back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	_ = c.back.Flush()
+	c.mu.Lock()
+	c.answered++
+	c.mu.Unlock()
 }
 
 func (c *connection) fail(state string) {
@@ -192,6 +227,9 @@
 		c.run(c.portal)
 	case *pgproto3.Close:
 		delete(c.statements, m.Name)
+		if c.stale == m.Name {
+			c.stale = ""
+		}
 		c.back.Send(&pgproto3.CloseComplete{})
 	}
 }
@@ -221,9 +259,19 @@
 func (c *connection) bind(m *pgproto3.Bind) {
 	text, exists := c.statements[m.PreparedStatement]
 	if state := c.setFailBind(""); state != "" {
+		if state == stateNoStatement {
+			clear(c.statements)
+		}
+		if state == stateNotSupported {
+			c.stale = m.PreparedStatement
+		}
 		c.fail(state)
 		return
 	}
+	if c.stale != "" && c.stale == m.PreparedStatement {
+		c.fail(stateNotSupported)
+		return
+	}
 	if !exists {
 		c.fail("26000")
 		return
@@ -261,6 +309,9 @@
 		return
 	}
 	value := c.value
+	if text == "big" {
+		value = make([]byte, bigRow)
+	}
 	if value == nil {
 		value = []byte(text)
 		c.back.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25, DataTypeSize: -1}}})
--- a/pkg/targetio/target_test.go
+++ b/pkg/targetio/target_test.go
@@ -114,8 +114,13 @@
 	require.Equal(h.t, id, expect[session.TargetOpened](h).Target)
 }
 
-// finish returns the kinds of the answer's frames and its end.
+// finish returns the kinds of the answer's frames and its end for target 1.
 func (h *harness) finish() (string, session.TargetReady) {
+	h.t.Helper()
+	return h.finishOf(1)
+}
+
+func (h *harness) finishOf(id session.TargetID) (string, session.TargetReady) {
 	h.t.Helper()
 	var frames []byte
 	for {
@@ -123,8 +128,10 @@
 		require.True(h.t, ok, "no event arrived")
 		switch event := v.(type) {
 		case session.TargetData:
+			require.Equal(h.t, id, event.Target)
 			frames = append(frames, event.Frames...)
 		case session.TargetReady:
+			require.Equal(h.t, id, event.Target)
 			return kinds(h.t, append(frames, event.Frames...)), event
 		default:
 			h.t.Fatalf("unexpected event %T %+v", v, v)
@@ -281,6 +288,7 @@
 // Guards against a cancel that hits the request after the one it names.
 func TestCancelHoldsTheNextRequest(t *testing.T) {
 	m := startMember(t)
+	release := m.holdCancels()
 	h := start(t, Config{})
 	h.open(m, 1)
 	h.send(session.TargetCancel{Target: 1})
@@ -290,29 +298,65 @@
 	require.Equal(t, "EZ", got)
 	require.Equal(t, "57014", ready.ErrorState)
 	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
+	// Commands are handled in order, so the request before was seen.
+	h.open(m, 2)
+	require.EqualValues(t, 1, h.duty.Stats().Requests)
+	close(release)
 	got, _ = h.finish()
 	require.Equal(t, "TDCZ", got)
 	require.EqualValues(t, 1, h.duty.Stats().Cancels)
 }
 
-// Guards against results that are read although session paused the
-// connection, and results lost while the session ring is full.
-func TestPauseAndFullRing(t *testing.T) {
+// Guards against results that are read although session paused the connection.
+func TestPause(t *testing.T) {
 	m := startMember(t)
 	h := start(t, Config{})
 	h.open(m, 1)
 	h.send(session.TargetPause{Target: 1})
 	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
-	require.Eventually(t, func() bool { return len(m.sent()) == 1 }, testWait, time.Millisecond)
-	require.Zero(t, h.events.Len())
-	h.events.full.Store(true)
+	m.awaitAnswers(2)
+	h.open(m, 2)
+	h.send(session.TargetSend{Target: 2, Payload: simple("select 2")})
+	got, _ := h.finishOf(2)
+	require.Equal(t, "TDCZ", got)
 	h.send(session.TargetResume{Target: 1})
+	got, _ = h.finishOf(1)
+	require.Equal(t, "TDCZ", got)
+	// A paused socket must not be read into memory either.
+	h.send(session.TargetPause{Target: 1})
+	h.send(session.TargetSend{Target: 1, Payload: simple("big")})
+	require.Never(t, func() bool { return m.answers() > 4 }, 700*time.Millisecond, time.Millisecond)
+	h.send(session.TargetResume{Target: 1})
+	got, _ = h.finishOf(1)
+	require.Equal(t, "DCZ", got)
+}
+
+// Guards against results and closures that are lost while the session ring is
+// full, and against a paused connection that is read when there is room again.
+func TestFullSessionRing(t *testing.T) {
+	m := startMember(t)
+	h := start(t, Config{})
+	h.open(m, 1)
+	h.open(m, 2)
+	h.open(m, 3)
+	h.events.full.Store(true)
+	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
 	require.Eventually(t, func() bool { return h.events.refused.Load() > 0 }, testWait, time.Millisecond)
-	h.send(session.TargetClose{Target: 1})
+	h.send(session.TargetSend{Target: 2, Payload: simple("select 2")})
+	m.awaitAnswers(5)
+	// The next command is handled after a poll that found the answer.
+	h.send(session.TargetClose{Target: 3})
+	require.Eventually(t, func() bool { return h.duty.Stats().Open == 2 }, testWait, time.Millisecond)
+	h.send(session.TargetPause{Target: 2})
+	require.Eventually(t, func() bool { return h.duty.Ring().Len() == 0 }, testWait, time.Millisecond)
 	h.events.release()
-	got, _ := h.finish()
+	got, _ := h.finishOf(1)
+	require.Equal(t, "TDCZ", got)
+	require.Equal(t, session.TargetID(3), expect[session.TargetClosed](h).Target)
+	h.open(m, 4)
+	h.send(session.TargetResume{Target: 2})
+	got, _ = h.finishOf(2)
 	require.Equal(t, "TDCZ", got)
-	require.Equal(t, session.TargetID(1), expect[session.TargetClosed](h).Target)
 }
 
 // Guards against a member that refuses, is silent or asks for credentials and
