--- /dev/null
+++ b/pkg/platform/document.go
@@ -0,0 +1,28 @@
+package platform
+
+import "encoding/json"
+
+// The JSON bodies of the platform's HTTP interface (docs/design.md section 9).
+// A Record, a WatchResult and an Instance are bodies themselves.
+
+// PutDocument is the body of PUT /kv/<key>.
+type PutDocument struct {
+	Value    json.RawMessage `json:"value"`
+	Revision Revision        `json:"revision"`
+	Lease    LeaseID         `json:"lease,omitempty"`
+}
+
+// LeaseRequestDocument is the body of POST /lease.
+type LeaseRequestDocument struct {
+	TTLMillis int64 `json:"ttl_ms"`
+}
+
+// LeaseDocument is the answer to POST /lease.
+type LeaseDocument struct {
+	ID LeaseID `json:"id"`
+}
+
+// ErrorDocument is the body of an error response other than a conflict.
+type ErrorDocument struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/pkg/platform/platformtest/handler.go
@@ -0,0 +1,189 @@
+package platformtest
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+)
+
+// longestWatch bounds the timeout of a watch.
+const longestWatch = time.Minute
+
+// largestRequest bounds a request body in bytes: a value in its document.
+const largestRequest = platform.MaxValueBytes + 4096
+
+// handler serves a store over HTTP.
+type handler struct {
+	store platform.Store
+}
+
+// NewHandler returns the platform's HTTP interface (docs/design.md section 9)
+// in front of a store. An answer that the store loses closes the connection
+// without a response.
+func NewHandler(store platform.Store) http.Handler {
+	h := &handler{store: store}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", h.get)
+	mux.HandleFunc("PUT /kv/{key...}", h.put)
+	mux.HandleFunc("DELETE /kv/{key...}", h.delete)
+	mux.HandleFunc("POST /lease", h.createLease)
+	mux.HandleFunc("POST /lease/{id}/renew", h.renewLease)
+	mux.HandleFunc("DELETE /lease/{id}", h.revokeLease)
+	mux.HandleFunc("GET /watch", h.watch)
+	mux.HandleFunc("GET /instances", h.instances)
+	mux.HandleFunc("PUT /instances/{id}", h.announce)
+	return mux
+}
+
+func (h *handler) get(w http.ResponseWriter, r *http.Request) {
+	record, err := h.store.Get(r.Context(), platform.Key(r.PathValue("key")))
+	respond(w, record, err)
+}
+
+func (h *handler) put(w http.ResponseWriter, r *http.Request) {
+	var d platform.PutDocument
+	if err := readBody(r, &d); err != nil {
+		respond(w, nil, err)
+		return
+	}
+	record, err := h.store.Put(r.Context(), platform.PutRequest{
+		Key:      platform.Key(r.PathValue("key")),
+		Value:    d.Value,
+		Revision: d.Revision,
+		Lease:    d.Lease,
+	})
+	respond(w, record, err)
+}
+
+func (h *handler) delete(w http.ResponseWriter, r *http.Request) {
+	revision, err := numberOf(r, "revision")
+	if err == nil {
+		err = h.store.Delete(r.Context(), platform.Key(r.PathValue("key")), platform.Revision(revision))
+	}
+	respond(w, struct{}{}, err)
+}
+
+func (h *handler) createLease(w http.ResponseWriter, r *http.Request) {
+	var d platform.LeaseRequestDocument
+	if err := readBody(r, &d); err != nil {
+		respond(w, nil, err)
+		return
+	}
+	id, err := h.store.CreateLease(r.Context(), time.Duration(d.TTLMillis)*time.Millisecond)
+	respond(w, platform.LeaseDocument{ID: id}, err)
+}
+
+func (h *handler) renewLease(w http.ResponseWriter, r *http.Request) {
+	err := h.store.RenewLease(r.Context(), platform.LeaseID(r.PathValue("id")))
+	respond(w, struct{}{}, err)
+}
+
+func (h *handler) revokeLease(w http.ResponseWriter, r *http.Request) {
+	err := h.store.RevokeLease(r.Context(), platform.LeaseID(r.PathValue("id")))
+	respond(w, struct{}{}, err)
+}
+
+func (h *handler) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := numberOf(r, "after")
+	if err != nil {
+		respond(w, nil, err)
+		return
+	}
+	millis, err := numberOf(r, "timeout_ms")
+	if err != nil {
+		respond(w, nil, err)
+		return
+	}
+	result, err := h.store.Watch(r.Context(), platform.WatchRequest{
+		Prefix:  platform.Key(r.URL.Query().Get("prefix")),
+		After:   platform.Revision(after),
+		Timeout: min(time.Duration(millis)*time.Millisecond, longestWatch),
+	})
+	respond(w, result, err)
+}
+
+func (h *handler) instances(w http.ResponseWriter, r *http.Request) {
+	list, err := h.store.Instances(r.Context())
+	respond(w, list, err)
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
+	var i platform.Instance
+	if err := readBody(r, &i); err != nil {
+		respond(w, nil, err)
+		return
+	}
+	i.ID = core.InstanceID(r.PathValue("id"))
+	respond(w, struct{}{}, h.store.Announce(r.Context(), i))
+}
+
+func readBody(r *http.Request, into any) error {
+	text, err := io.ReadAll(io.LimitReader(r.Body, largestRequest+1))
+	if err != nil {
+		return &platform.InvalidError{Reason: err.Error()}
+	}
+	if len(text) > largestRequest {
+		return &platform.InvalidError{Reason: "the request is too large"}
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return &platform.InvalidError{Reason: err.Error()}
+	}
+	return nil
+}
+
+func numberOf(r *http.Request, name string) (uint64, error) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0, &platform.InvalidError{Reason: name + " must be a number"}
+	}
+	return n, nil
+}
+
+// respond writes the result, or the response for the error.
+func respond(w http.ResponseWriter, result any, err error) {
+	if err == nil {
+		writeJSON(w, http.StatusOK, result)
+		return
+	}
+	if platform.IsUnknown(err) {
+		// The server closes the connection without a response.
+		panic(http.ErrAbortHandler)
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		writeJSON(w, http.StatusConflict, conflict.Current)
+		return
+	}
+	writeJSON(w, statusOf(err), platform.ErrorDocument{Error: err.Error()})
+}
+
+func statusOf(err error) int {
+	var notFound *platform.NotFoundError
+	var limited *platform.RateLimitedError
+	var invalid *platform.InvalidError
+	switch {
+	case errors.As(err, &notFound):
+		return http.StatusNotFound
+	case errors.As(err, &limited):
+		return http.StatusTooManyRequests
+	case errors.As(err, &invalid):
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -22,20 +25,35 @@
 // NotExists is the revision that Put expects of a record that must not exist.
 const NotExists Revision = 0
 
+// keyPattern is what a key may be, so that it is also a URL path.
+var keyPattern = regexp.MustCompile(`^[A-Za-z0-9_-][A-Za-z0-9_.-]*(/[A-Za-z0-9_-][A-Za-z0-9_.-]*)*$`)
+
+// Check returns an *InvalidError for a key that is not a path of plain names.
+func (k Key) Check() error {
+	if keyPattern.MatchString(string(k)) {
+		return nil
+	}
+	return &InvalidError{Reason: "invalid key " + strconv.Quote(string(k))}
+}
+
+// MaxValueBytes is the largest value that the platform takes.
+const MaxValueBytes = 1 << 20
+
 // Record is one key with its value. A Record with Deleted set occurs only in
 // the result of a watch.
 type Record struct {
-	Key      Key      `json:"key"`
-	Value    []byte   `json:"value"`
-	Revision Revision `json:"revision"`
-	Lease    LeaseID  `json:"lease,omitempty"`
-	Deleted  bool     `json:"deleted,omitempty"`
+	Key Key `json:"key"`
+	// Value is a JSON document of at most MaxValueBytes.
+	Value    json.RawMessage `json:"value,omitempty"`
+	Revision Revision        `json:"revision"`
+	Lease    LeaseID         `json:"lease,omitempty"`
+	Deleted  bool            `json:"deleted,omitempty"`
 }
 
 // PutRequest writes a record if its current revision is Revision.
 type PutRequest struct {
 	Key      Key
-	Value    []byte
+	Value    json.RawMessage
 	Revision Revision
 	// Lease deletes the record when it ends; empty for a durable record.
 	Lease LeaseID
