--- /dev/null
+++ b/standin/faultproxy/control.go
@@ -0,0 +1,147 @@
+package faultproxy
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
+)
+
+// Directions of a link; both when none is given.
+const (
+	// Up is from the client to the target.
+	Up = "up"
+	// Down is from the target to the client.
+	Down = "down"
+)
+
+// Parameters of the control methods.
+type (
+	// LinkParams name a link and a direction.
+	LinkParams struct {
+		Link      string `json:"link"`
+		Direction string `json:"direction,omitempty"`
+	}
+	// DelayParams delay each chunk of bytes in a direction.
+	DelayParams struct {
+		Link      string `json:"link"`
+		Direction string `json:"direction,omitempty"`
+		MS        int64  `json:"ms"`
+	}
+)
+
+// LinkStatus describes a link.
+type LinkStatus struct {
+	Listen      string          `json:"listen"`
+	Target      string          `json:"target"`
+	Connections int             `json:"connections"`
+	Up          DirectionStatus `json:"up"`
+	Down        DirectionStatus `json:"down"`
+}
+
+// DirectionStatus describes one direction of a link.
+type DirectionStatus struct {
+	Cut     bool   `json:"cut"`
+	DelayMS int64  `json:"delay_ms"`
+	Bytes   uint64 `json:"bytes"`
+}
+
+func (p *Proxy) newEndpoint() *endpoint.Server {
+	return &endpoint.Server{Methods: map[string]endpoint.Method{
+		"status":  endpoint.Typed(p.callStatus),
+		"cut":     endpoint.Typed(p.callCut),
+		"delay":   endpoint.Typed(p.callDelay),
+		"reset":   endpoint.Typed(p.callReset),
+		"restore": endpoint.Typed(p.callRestore),
+	}}
+}
+
+func (p *Proxy) link(name string) (*link, error) {
+	l, ok := p.links[name]
+	if !ok {
+		return nil, &endpoint.ParamsError{Reason: "unknown link " + name}
+	}
+	return l, nil
+}
+
+func (l *link) directions(name string) ([]*direction, error) {
+	switch name {
+	case "":
+		return []*direction{&l.up, &l.down}, nil
+	case Up:
+		return []*direction{&l.up}, nil
+	case Down:
+		return []*direction{&l.down}, nil
+	}
+	return nil, &endpoint.ParamsError{Reason: "unknown direction " + name}
+}
+
+func (p *Proxy) callStatus(_ struct{}, reply endpoint.Reply) error {
+	statuses := map[string]LinkStatus{}
+	for name, l := range p.links {
+		statuses[name] = l.status()
+	}
+	reply.Answer(statuses)
+	return nil
+}
+
+func (l *link) status() LinkStatus {
+	return LinkStatus{
+		Listen:      l.address.String(),
+		Target:      l.options.Target,
+		Connections: len(l.pairs),
+		Up:          l.up.status(),
+		Down:        l.down.status(),
+	}
+}
+
+func (d *direction) status() DirectionStatus {
+	return DirectionStatus{Cut: d.cut, DelayMS: d.delay.Milliseconds(), Bytes: d.bytes}
+}
+
+// change applies a fault to a link's directions and answers its status.
+func (p *Proxy) change(name, directionName string, reply endpoint.Reply, apply func(*direction)) error {
+	l, err := p.link(name)
+	if err != nil {
+		return err
+	}
+	directions, err := l.directions(directionName)
+	if err != nil {
+		return err
+	}
+	for _, d := range directions {
+		apply(d)
+	}
+	l.pump()
+	reply.Answer(l.status())
+	return nil
+}
+
+func (p *Proxy) callCut(params LinkParams, reply endpoint.Reply) error {
+	return p.change(params.Link, params.Direction, reply, func(d *direction) { d.cut = true })
+}
+
+func (p *Proxy) callDelay(params DelayParams, reply endpoint.Reply) error {
+	if params.MS < 0 {
+		return &endpoint.ParamsError{Reason: "ms is negative"}
+	}
+	return p.change(params.Link, params.Direction, reply, func(d *direction) {
+		d.delay = time.Duration(params.MS) * time.Millisecond
+	})
+}
+
+func (p *Proxy) callRestore(params LinkParams, reply endpoint.Reply) error {
+	return p.change(params.Link, params.Direction, reply, func(d *direction) {
+		d.cut = false
+		d.delay = 0
+	})
+}
+
+func (p *Proxy) callReset(params LinkParams, reply endpoint.Reply) error {
+	l, err := p.link(params.Link)
+	if err != nil {
+		return err
+	}
+	l.reset()
+	reply.Answer(l.status())
+	return nil
+}
--- /dev/null
+++ b/standin/faultproxy/link.go
@@ -0,0 +1,61 @@
+package faultproxy
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+)
+
+// direction is one direction of a link.
+type direction struct {
+	cut   bool
+	delay time.Duration
+	bytes uint64
+}
+
+// link forwards the connections of one listening address.
+type link struct {
+	proxy   *Proxy
+	options LinkOptions
+	address netip.AddrPort
+	up      direction
+	down    direction
+	pairs   map[*pair]bool
+}
+
+func (l *link) accept(c *netloop.Conn) netloop.Handler {
+	p := &pair{link: l, client: c}
+	p.state = l.proxy.pairs.table.Initial()
+	p.timer.Value = p
+	p.up = &pipe{pair: p, direction: &l.up, from: c}
+	p.down = &pipe{pair: p, direction: &l.down, to: c}
+	p.up.peer, p.down.peer = p.down, p.up
+	p.up.timer.Value = p.up
+	p.down.timer.Value = p.down
+	l.pairs[p] = true
+	l.proxy.timers.Arm(&p.timer, time.Now().Add(holdTimeout))
+	l.release(p)
+	return p.up
+}
+
+// release lets a pair connect to its target unless the way there is cut.
+func (l *link) release(p *pair) {
+	if !l.up.cut {
+		p.fire(l.proxy.pairs.released)
+	}
+}
+
+// pump forwards what a cut has held back.
+func (l *link) pump() {
+	for p := range l.pairs {
+		l.release(p)
+		p.pump()
+	}
+}
+
+func (l *link) reset() {
+	for p := range l.pairs {
+		p.reset()
+	}
+}
--- /dev/null
+++ b/standin/faultproxy/proxy_test.go
@@ -0,0 +1,198 @@
+package faultproxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/exp/jsonrpc2"
+	"golang.org/x/sys/unix"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+)
+
+// testTimeout ends a test that hangs.
+const testTimeout = 20 * time.Second
+
+// startEcho returns the address of a server that sends back what it reads.
+func startEcho(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// refusingAddress returns the address of a socket that is bound and does not
+// listen.
+func refusingAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
+type proxyTest struct {
+	proxy   *Proxy
+	control net.Conn
+	buffer  []byte
+}
+
+func startProxy(t *testing.T, target string) *proxyTest {
+	p, err := New("127.0.0.1:0", []LinkOptions{{Name: "a", Listen: "127.0.0.1:0", Target: target}})
+	require.NoError(t, err)
+	var duties duty.Group
+	p.Start(&duties)
+	t.Cleanup(func() {
+		p.Stop()
+		duties.Wait()
+	})
+	return &proxyTest{proxy: p, control: dial(t, p.ControlAddress().String())}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return conn
+}
+
+func (p *proxyTest) call(t *testing.T, method string, params any) LinkStatus {
+	t.Helper()
+	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(1), method, params)
+	require.NoError(t, err)
+	frame, err := rpc.Append(nil, call)
+	require.NoError(t, err)
+	_, err = p.control.Write(frame)
+	require.NoError(t, err)
+	for {
+		message, n, err := rpc.Decode(p.buffer)
+		require.NoError(t, err)
+		if message == nil {
+			chunk := make([]byte, 4096)
+			n, err = p.control.Read(chunk)
+			require.NoError(t, err)
+			p.buffer = append(p.buffer, chunk[:n]...)
+			continue
+		}
+		p.buffer = p.buffer[n:]
+		response := message.(*jsonrpc2.Response)
+		require.NoError(t, response.Error)
+		var status LinkStatus
+		require.NoError(t, json.Unmarshal(response.Result, &status))
+		return status
+	}
+}
+
+func (p *proxyTest) link(t *testing.T) net.Conn {
+	return dial(t, p.proxy.Address("a").String())
+}
+
+func echo(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := conn.Write([]byte(text))
+	require.NoError(t, err)
+	expect(t, conn, text)
+}
+
+func expect(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	_, err := io.ReadFull(conn, got)
+	require.NoError(t, err)
+	require.Equal(t, text, string(got))
+}
+
+// Guards against bytes that pass a cut, and against a stream with a gap after
+// the restore.
+func TestCutHoldsBytes(t *testing.T) {
+	for _, direction := range []string{Up, Down, ""} {
+		p := startProxy(t, startEcho(t))
+		conn := p.link(t)
+		echo(t, conn, "before")
+		p.call(t, "cut", LinkParams{Link: "a", Direction: direction})
+		_, err := conn.Write([]byte("held"))
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err = conn.Read(make([]byte, 1))
+		var timeout net.Error
+		require.ErrorAs(t, err, &timeout)
+		require.True(t, timeout.Timeout())
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+		p.call(t, "restore", LinkParams{Link: "a"})
+		expect(t, conn, "held")
+		echo(t, conn, "after")
+	}
+}
+
+// Guards against an end of one side that passes a cut.
+func TestCutHoldsEnd(t *testing.T) {
+	p := startProxy(t, startEcho(t))
+	conn := p.link(t)
+	echo(t, conn, "x")
+	p.call(t, "cut", LinkParams{Link: "a"})
+	require.NoError(t, conn.Close())
+	late := p.link(t)
+	_, err := late.Write([]byte("late"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return p.call(t, "cut", LinkParams{Link: "a"}).Connections == 2
+	}, testTimeout, time.Millisecond)
+	p.call(t, "restore", LinkParams{Link: "a"})
+	expect(t, late, "late")
+	require.Eventually(t, func() bool {
+		return p.call(t, "restore", LinkParams{Link: "a"}).Connections == 1
+	}, testTimeout, time.Millisecond)
+}
+
+// Guards against a delay that is too short, a reset that leaves a connection
+// open, and a target that refuses without the client's knowledge.
+func TestDelayResetAndRefusal(t *testing.T) {
+	p := startProxy(t, startEcho(t))
+	conn := p.link(t)
+	const delay = 50 * time.Millisecond
+	p.call(t, "delay", DelayParams{Link: "a", MS: delay.Milliseconds()})
+	start := time.Now()
+	echo(t, conn, "slow")
+	require.GreaterOrEqual(t, time.Since(start), 2*delay)
+	require.Zero(t, p.call(t, "reset", LinkParams{Link: "a"}).Connections)
+	_, err := conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	refusing := startProxy(t, refusingAddress(t))
+	_, err = refusing.link(t).Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against lost or reordered bytes when the receiver is slower than the
+// sender.
+func TestLargeStream(t *testing.T) {
+	p := startProxy(t, startEcho(t))
+	conn := p.link(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
+	go func() { _, _ = conn.Write(sent) }()
+	got := make([]byte, len(sent))
+	_, err := io.ReadFull(conn, got)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, got))
+}
