Keep a stand-in member's log over a restart and reject more SQL

A crashed member that starts again with an empty log could take part in a fencing majority and so lose acknowledged writes; -data keeps log, term and role.

--- a/standin/cmd/standin-member/main.go
+++ b/standin/cmd/standin-member/main.go
@@ -47,6 +47,7 @@
 	flag.DurationVar(&o.ReceiveDelay, "receive-delay", o.ReceiveDelay, "time until a replica counts an entry as received")
 	flag.DurationVar(&o.ApplyLag, "apply-lag", 0, "time between receiving and applying an entry")
 	keyType := flag.String("key-type", string(o.KeyType), "reported type of the key column: any, bigint or text")
+	flag.StringVar(&o.DataFile, "data", "", "`file` that keeps log, term and role over a restart")
 	flag.StringVar(&o.RecordFile, "record", "", "`file` for the records, as JSON lines")
 	flag.IntVar(&o.RecordLimit, "record-limit", o.RecordLimit, "records kept in memory")
 	flag.Parse()
--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -210,6 +211,7 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
--- /dev/null
+++ b/standin/member/journal.go
@@ -0,0 +1,76 @@
+package member
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strconv"
+
+	"github.com/sassafrasshunt/sassafrasshunt/standin/store"
+)
+
+// JournalError reports a data file with a line that is not a record.
+type JournalError struct {
+	Line   int
+	Reason string
+}
+
+func (e *JournalError) Error() string {
+	return "data file, line " + strconv.Itoa(e.Line) + ": " + e.Reason
+}
+
+// openJournal opens the data file and returns its records. A line that a crash
+// has cut off was never answered and is removed.
+func (m *Member) openJournal() ([]store.JournalRecord, error) {
+	if m.options.DataFile == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(m.options.DataFile)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
+	whole := text[:bytes.LastIndexByte(text, '\n')+1]
+	records, err := parseJournal(whole)
+	if err != nil {
+		return nil, err
+	}
+	m.data, err = os.OpenFile(m.options.DataFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return records, m.data.Truncate(int64(len(whole)))
+}
+
+func parseJournal(text []byte) ([]store.JournalRecord, error) {
+	var records []store.JournalRecord
+	for line := range bytes.Lines(text) {
+		var r store.JournalRecord
+		if err := json.Unmarshal(line, &r); err != nil {
+			return nil, &JournalError{Line: len(records) + 1, Reason: err.Error()}
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// journal writes a record to the data file. The file is not synchronized: a
+// stand-in has to survive the end of its process, not of its host. It panics
+// when the file cannot be written, since the change must not be answered then.
+func (m *Member) journal(r store.JournalRecord) {
+	if m.data == nil {
+		return
+	}
+	line, err := json.Marshal(r)
+	if err == nil {
+		_, err = m.data.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (m *Member) closeJournal() {
+	if m.data != nil {
+		_ = m.data.Close()
+	}
+}
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
@@ -64,6 +65,7 @@
 	statusAddress netip.AddrPort
 	stopped       bool
 	crashed       bool
+	data          *os.File
 	ended         chan struct{}
 }
 
@@ -105,15 +107,19 @@
 }
 
 func (m *Member) open() error {
-	var err error
-	m.store, err = store.New(store.Config{
+	records, err := m.openJournal()
+	if err != nil {
+		return err
+	}
+	m.store, err = store.Restore(store.Config{
 		Member:       m.options.Member,
 		Primary:      m.options.Primary,
 		Term:         m.options.Term,
 		Follow:       m.options.Peers[m.options.Follow],
 		ReceiveDelay: m.options.ReceiveDelay,
 		ApplyLag:     m.options.ApplyLag,
-	}, time.Now())
+		Journal:      m.journal,
+	}, records, time.Now())
 	if err != nil {
 		return err
 	}
@@ -185,6 +191,7 @@
 
 func (m *Member) close() {
 	m.loop.Close()
+	m.closeJournal()
 	m.pushRecord(recordInput{stop: true})
 	close(m.ended)
 }
--- a/standin/member/options.go
+++ b/standin/member/options.go
@@ -48,6 +48,9 @@
 	ReceiveDelay time.Duration
 	ApplyLag     time.Duration
 	KeyType      KeyType
+	// DataFile keeps log, term and role over a restart; empty for none. Its
+	// content takes precedence over Primary, Term and Follow.
+	DataFile string
 	// RecordFile receives the records as JSON lines; empty for none.
 	RecordFile string
 	// RecordLimit bounds the records kept in memory; the oldest go first.
--- a/standin/member/replication_test.go
+++ b/standin/member/replication_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -154,3 +155,22 @@
 	m.Wait()
 	require.True(t, m.Crashed())
 }
+
+// Guards against a member that forgets its log, its term or its fence when it
+// starts again.
+func TestRestartKeepsLogAndTerm(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "data")
+	withData := func(o *Options) { o.DataFile = file }
+	first := startMember(t, withData)
+	g := group{members: []*Member{first}}
+	kept := g.write(t, 0, "kept")
+	dialStatus(t, first).status(t, "fence", TermParams{Term: 4})
+	require.True(t, first.Stop())
+	first.Wait()
+	again := dialStatus(t, startMember(t, withData)).status(t, "status", nil)
+	require.Equal(t, core.RoleFenced, again.Role)
+	require.EqualValues(t, 4, again.Term)
+	require.Equal(t, kept.Term, again.LogTerm)
+	require.Equal(t, kept.LSN, again.Applied)
+	require.Equal(t, [][2]uint64{{1, 0}}, again.TermStarts)
+}
--- a/standin/sqlsubset/rows.go
+++ b/standin/sqlsubset/rows.go
@@ -17,6 +17,9 @@
 	if err := checkTable(n.Relation); err != nil {
 		return nil, err
 	}
+	if n.WithClause != nil {
+		return nil, unsupported("WITH")
+	}
 	s := &Statement{Kind: Insert}
 	if err := s.conflict(n.OnConflictClause); err != nil {
 		return nil, err
@@ -74,6 +77,9 @@
 	if err := checkTable(n.Relation); err != nil {
 		return nil, err
 	}
+	if len(n.FromClause) > 0 || n.WithClause != nil {
+		return nil, unsupported("UPDATE form")
+	}
 	if len(n.TargetList) != 1 || n.TargetList[0].GetResTarget().GetName() != ColumnValue {
 		return nil, unsupported("UPDATE sets value only")
 	}
@@ -92,6 +98,9 @@
 	if err := checkTable(n.Relation); err != nil {
 		return nil, err
 	}
+	if len(n.UsingClause) > 0 || n.WithClause != nil {
+		return nil, unsupported("DELETE form")
+	}
 	s := &Statement{Kind: Delete}
 	if err := s.where(n.WhereClause); err != nil {
 		return nil, err
--- a/standin/sqlsubset/selects.go
+++ b/standin/sqlsubset/selects.go
@@ -9,10 +9,13 @@
 const unnamedColumn = "?column?"
 
 func convertSelect(n *pgquery.SelectStmt) (*Statement, error) {
-	if len(n.ValuesLists) > 0 || n.Op != pgquery.SetOperation_SETOP_NONE || n.IntoClause != nil || n.WithClause != nil {
+	if !plain(n) || !orderedByID(n.SortClause) {
 		return nil, unsupported("SELECT form")
 	}
 	if len(n.FromClause) == 0 {
+		if n.WhereClause != nil || len(n.TargetList) == 0 {
+			return nil, unsupported("SELECT form")
+		}
 		return convertExpressions(n.TargetList)
 	}
 	if len(n.FromClause) != 1 {
@@ -32,6 +35,24 @@
 	return s.returning(n.TargetList)
 }
 
+// plain reports whether a SELECT has no clause that would be left out.
+func plain(n *pgquery.SelectStmt) bool {
+	lists := len(n.ValuesLists) + len(n.DistinctClause) + len(n.GroupClause) + len(n.WindowClause)
+	clauses := n.IntoClause != nil || n.WithClause != nil || n.HavingClause != nil
+	limits := n.LimitCount != nil || n.LimitOffset != nil
+	return lists == 0 && !clauses && !limits && n.Op == pgquery.SetOperation_SETOP_NONE
+}
+
+// orderedByID accepts ORDER BY id, which is the order of every result.
+func orderedByID(sort []*pgquery.Node) bool {
+	if len(sort) == 0 {
+		return true
+	}
+	by := sort[0].GetSortBy()
+	name, ok := columnName(by.GetNode())
+	return len(sort) == 1 && ok && name == ColumnID && by.GetSortbyDir() != pgquery.SortByDir_SORTBY_DESC
+}
+
 func isCount(targets []*pgquery.Node) bool {
 	if len(targets) != 1 {
 		return false
--- /dev/null
+++ b/standin/store/journal.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// JournalRecord is one durable change of a store. Exactly one field is set.
+type JournalRecord struct {
+	Entry *Entry `json:"entry,omitempty"`
+	// Keep is the number of entries that a truncation left.
+	Keep  *int          `json:"keep,omitempty"`
+	State *JournalState `json:"state,omitempty"`
+}
+
+// JournalState is what a member must remember apart from its log.
+type JournalState struct {
+	Role    core.Role        `json:"role"`
+	Term    core.Term        `json:"term"`
+	Primary string           `json:"primary,omitempty"`
+	Terms   core.TermHistory `json:"terms"`
+}
+
+// Restore returns the state of a member that starts again with the records of
+// its journal. Without records it is the same as New; otherwise role, term and
+// primary of the configuration do not count. Restored entries are applied.
+func Restore(config Config, records []JournalRecord, now time.Time) (*Store, error) {
+	journal := config.Journal
+	config.Journal = nil
+	s, err := New(config, now)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range records {
+		s.replay(r)
+	}
+	s.applyThrough(s.log.End())
+	s.config.Journal = journal
+	if len(records) == 0 {
+		s.journalState()
+	}
+	return s, nil
+}
+
+func (s *Store) replay(r JournalRecord) {
+	switch {
+	case r.Entry != nil:
+		s.log.Append(*r.Entry)
+	case r.Keep != nil:
+		s.log.entries = s.log.entries[:*r.Keep]
+	case r.State != nil:
+		s.state = s.table.StateID(string(r.State.Role))
+		s.term = r.State.Term
+		s.primary = r.State.Primary
+		s.log.terms = r.State.Terms
+	}
+}
+
+func (s *Store) journal(r JournalRecord) {
+	if s.config.Journal != nil {
+		s.config.Journal(r)
+	}
+}
+
+func (s *Store) journalState() {
+	s.journal(JournalRecord{State: &JournalState{
+		Role:    s.Role(),
+		Term:    s.term,
+		Primary: s.primary,
+		Terms:   s.log.Terms(),
+	}})
+}
+
+// appendEntry adds an entry to the log and the journal.
+func (s *Store) appendEntry(e Entry) {
+	s.log.Append(e)
+	s.journal(JournalRecord{Entry: &e})
+}
+
+// truncated follows a truncation of the log.
+func (s *Store) truncated() {
+	keep := len(s.log.entries)
+	s.journal(JournalRecord{Keep: &keep})
+	s.rollBack()
+}
--- a/standin/store/replicate.go
+++ b/standin/store/replicate.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -44,7 +45,7 @@
 	}
 	e := Entry{Term: s.term, Changes: changes, Identities: identities}
 	e.LSN = s.log.End() + entrySize(changes, identities)
-	s.log.Append(e)
+	s.appendEntry(e)
 	s.applyThrough(e.LSN)
 	return core.Position{Term: e.Term, LSN: e.LSN}, nil
 }
@@ -93,16 +94,24 @@
 	if b.Diverged {
 		s.incoming = nil
 		s.log.truncate(b.TruncateTerm, b.Truncate)
-		s.rollBack()
+		s.truncated()
 		return
 	}
 	s.verified = true
-	s.log.terms = b.Terms
+	s.adoptTerms(b.Terms)
 	for _, e := range b.Entries {
 		s.incoming = append(s.incoming, timedEntry{entry: e, at: now.Add(s.config.ReceiveDelay)})
 	}
 }
 
+func (s *Store) adoptTerms(terms core.TermHistory) {
+	if slices.Equal(s.log.terms, terms) {
+		return
+	}
+	s.log.terms = terms
+	s.journalState()
+}
+
 // SetApplyLag sets the lag of entries that are received from now on.
 func (s *Store) SetApplyLag(lag time.Duration) {
 	s.applyLag = lag
@@ -115,7 +124,7 @@
 	for len(s.incoming) > 0 && !s.incoming[0].at.After(now) {
 		t := s.incoming[0]
 		s.incoming = s.incoming[1:]
-		s.log.Append(t.entry)
+		s.appendEntry(t.entry)
 		s.unapplied = append(s.unapplied, timedEntry{entry: t.entry, at: t.at.Add(s.applyLag)})
 	}
 	for len(s.unapplied) > 0 && !s.unapplied[0].at.After(now) {
--- a/standin/store/role.go
+++ b/standin/store/role.go
@@ -95,7 +95,7 @@
 	s.primary = s.command.address
 	s.lastHeard = s.command.now
 	s.log.truncateOlder(s.term, s.command.start)
-	s.rollBack()
+	s.truncated()
 }
 
 func (s *Store) refuse() {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -23,6 +23,8 @@
 	ReceiveDelay time.Duration
 	// ApplyLag passes between receiving and applying an entry.
 	ApplyLag time.Duration
+	// Journal is told of each durable change before it is answered; nil for none.
+	Journal func(JournalRecord)
 }
 
 // TermError refuses a command of a lower term than the accepted one.
@@ -162,6 +164,9 @@
 	}
 	s.command = c
 	s.table.Fire(s, &s.state, event)
+	if s.command.err == nil {
+		s.journalState()
+	}
 	return s.command.err
 }
 
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -160,3 +160,26 @@
 		require.Equal(t, step.applied, s.Applied)
 	}
 }
+
+// Guards against a journal that does not lead back to the same state.
+func TestRestoreAfterTruncation(t *testing.T) {
+	var journal []JournalRecord
+	config := Config{Member: "r", Term: 1, Journal: func(r JournalRecord) { journal = append(journal, r) }}
+	replica, err := Restore(config, nil, testStart)
+	require.NoError(t, err)
+	old, next := newStore(t, "old", true), newStore(t, "next", false)
+	commit(t, old, "a")
+	pullAll(t, next, old)
+	commit(t, old, "divergent")
+	pullAll(t, replica, old)
+	require.NoError(t, next.Fence(2, testStart))
+	require.NoError(t, next.Promote(2, testStart))
+	commit(t, next, "b")
+	require.NoError(t, replica.Follow(2, "next", next.Status(testStart).Received, testStart))
+	pullAll(t, replica, next)
+	restored, err := Restore(config, journal, testStart)
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "b"}, restored.IDs())
+	require.Equal(t, replica.Status(testStart), restored.Status(testStart))
+	require.Equal(t, "next", restored.Primary())
+}
