--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -161,7 +161,7 @@
 	}
 	for _, p := range e.allocator.Probes() {
 		if p.Address == address {
-			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked}, e.now)
+			e.allocator.ProbeRefused(share.Refusal{Slot: p.Slot, Instance: p.Instance, Started: asked})
 		}
 	}
 }
--- a/pkg/share/divide.go
+++ b/pkg/share/divide.go
@@ -2,13 +2,13 @@
 
 import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 
-// Headroom and thresholds of a move. A slot's target exceeds its demand by the
-// headroom, because demand is noisy. A move starts only when a slot that uses
-// most of its limit would gain at least a tenth, so that noise moves nothing.
+// Thresholds of a move. A move starts only for a shortage beyond the noise: one
+// slot's demand exceeds its limit by noiseBound standard deviations of a
+// smoothed Poisson count, or all slots together lack shortTolerance of the rate.
 const (
-	demandHeadroom  = 1.25
-	needyUse        = 0.8
 	needyGain       = 1.1
+	noiseBound      = 0.84
+	shortTolerance  = 0.01
 	floorTolerance  = 0.9
 	unusedTolerance = 0.02
 )
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,117 @@
+# Starts the platform stand-in, the databases of the road association and
+# instances as separate processes. Sourced by the demo and the benchmarks.
+
+base=${BASE_PORT:-26000}
+bin=$(pwd)/bin
+work=${WORK_DIR:-$(mktemp -d)}
+pids=()
+domains=(jylland fyn sjaelland bornholm)
+databases=${DATABASES:-3}
+connections=${CONNECTIONS:-35}
+slots=${SLOTS:-2}
+connect_delay=${CONNECT_DELAY:-12ms}
+service_time=${SERVICE_TIME:-1ms}
+apply_lag=${APPLY_LAG:-5ms}
+platform_address=127.0.0.1:$base
+export SASSAFRASSHUNT_OPERATOR_KEY_FILE=$work/operator.key
+
+start() { # start NAME COMMAND...: runs a process in the background and remembers its id
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+  declare -g "pid_${name//-/_}=$!"
+}
+
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+
+pid_of() { # pid_of NAME: prints the process id
+  local variable="pid_${1//-/_}"
+  echo "${!variable}"
+}
+
+member_port() { echo $((base + 100 + $1 * 20 + $2)); }
+status_port() { echo $((base + 110 + $1 * 20 + $2)); }
+caller_address() { echo "127.0.0.1:$((base + 10 + $1 * 4))"; }
+peer_address() { echo "127.0.0.1:$((base + 11 + $1 * 4))"; }
+admin_address() { echo "127.0.0.1:$((base + 12 + $1 * 4))"; }
+
+start_database() { # start_database N
+  local d=$1 m peers="" role
+  for m in 0 1 2; do peers+="notices-$d-$m=127.0.0.1:$(status_port "$d" "$m"),"; done
+  for m in 0 1 2; do
+    role=(-role replica -follow "notices-$d-0")
+    [ "$m" = 0 ] && role=(-role primary)
+    start "notices-$d-$m" "$bin/standin-member" -member "notices-$d-$m" \
+      -listen "127.0.0.1:$(member_port "$d" "$m")" -status "127.0.0.1:$(status_port "$d" "$m")" \
+      -peers "${peers%,}" "${role[@]}" -slots "$slots" -service-time "$service_time" \
+      -connect-delay "$connect_delay" -max-connections "$connections" -apply-lag "$apply_lag" \
+      -record "$work/notices-$d-$m.records"
+  done
+}
+
+start_instance() { # start_instance N
+  local i=$1
+  cat >"$work/instance-$i.toml" <<TOML
+[instance]
+domain = "${domains[$((i % 4))]}"
+[listen]
+callers = "$(caller_address "$i")"
+peers = "$(peer_address "$i")"
+admin = "$(admin_address "$i")"
+[platform]
+address = "$platform_address"
+[admin]
+operator_key_sha256 = "$(printf %s operator-key | sha256sum | cut -d' ' -f1)"
+${EXTRA_SETTINGS:-}
+TOML
+  start "instance-$i" "$bin/sassafrasshunt" run -settings "$work/instance-$i.toml"
+}
+
+database_json() { # database_json N
+  local d=$1 m members=""
+  for m in 0 1 2; do
+    members+="{\"id\":\"notices-$d-$m\",\"address\":\"127.0.0.1:$(member_port "$d" "$m")\","
+    members+="\"status_address\":\"127.0.0.1:$(status_port "$d" "$m")\",\"domain\":\"${domains[$m]}\",\"slots\":$slots},"
+  done
+  echo "{\"op\":\"put_database\",\"args\":{\"name\":\"notices-$d\",\"connections\":$connections,\"members\":[${members%,}]}}"
+}
+
+write_catalogue() { # writes the first edit: databases, accounts and entries
+  local d edits=""
+  for ((d = 0; d < databases; d++)); do edits+="$(database_json "$d"),"; done
+  edits+='{"op":"put_account","args":{"name":"inspectors","weight":4,"rate":4000,"burst":4000}},'
+  edits+='{"op":"put_account","args":{"name":"landowners","weight":1,"rate":4000,"burst":4000}},'
+  for ((d = 0; d < databases; d++)); do
+    edits+="{\"op\":\"put_entry\",\"args\":{\"name\":\"hazards-$d\",\"owner\":\"roads\",\"account\":\"inspectors\",\"database\":\"notices-$d\",\"class\":\"urgent\",\"max_age_ms\":1000,\"deadline_ms\":8000}},"
+    edits+="{\"op\":\"put_entry\",\"args\":{\"name\":\"status-$d\",\"owner\":\"roads\",\"account\":\"landowners\",\"database\":\"notices-$d\",\"class\":\"browse\",\"max_age_ms\":5000,\"deadline_ms\":8000}},"
+  done
+  echo "[${edits%,}]" >"$work/edits.json"
+}
+
+await() { # await SECONDS COMMAND...: repeats a command until it succeeds
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $end ] || { echo "timed out: $*" >&2; return 1; }
+    sleep 0.05
+  done
+}
+
+ready() { curl -fs "http://$(admin_address "$1")/readyz"; }
+
+start_fleet() { # start_fleet INSTANCES
+  local i d
+  printf %s operator-key >"$work/operator.key"
+  start platform "$bin/standin-platform" -listen "$platform_address"
+  for ((d = 0; d < databases; d++)); do start_database "$d"; done
+  for ((i = 0; i < $1; i++)); do start_instance "$i"; done
+  write_catalogue
+  await 10 "$bin/sassafrasshuntctl" catalogue edit -address "$(admin_address 0)" -file "$work/edits.json"
+  inspectors_key=$("$bin/sassafrasshuntctl" keys give -address "$(admin_address 0)" -account inspectors | sed -n 's/^key \([^i].*\)/\1/p')
+  for ((i = 0; i < $1; i++)); do await 15 ready "$i"; done
+}
--- a/standin/kvservice/handler.go
+++ b/standin/kvservice/handler.go
@@ -16,7 +16,7 @@
 
 // PutBody is the body of PUT /kv/<key>; the value is base64 in JSON.
 type PutBody struct {
-	Value    []byte            `json:"value"`
+	Value    json.RawMessage   `json:"value"`
 	Revision platform.Revision `json:"revision"`
 	Lease    platform.LeaseID  `json:"lease"`
 }
--- a/standin/store/journal.go
+++ b/standin/store/journal.go
@@ -32,12 +32,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(records) > 0 {
+		s.log, s.applied = Log{}, 0
+	}
 	for _, r := range records {
 		s.replay(r)
 	}
 	s.applyThrough(s.log.End())
 	s.config.Journal = journal
 	if len(records) == 0 {
+		s.journalLog()
 		s.journalState()
 	}
 	return s, nil
@@ -63,6 +67,13 @@
 	}
 }
 
+// journalLog records the entry with which a first primary begins.
+func (s *Store) journalLog() {
+	for i := range s.log.entries {
+		s.journal(JournalRecord{Entry: &s.log.entries[i]})
+	}
+}
+
 func (s *Store) journalState() {
 	s.journal(JournalRecord{State: &JournalState{
 		Role:    s.Role(),
--- a/standin/store/role.go
+++ b/standin/store/role.go
@@ -89,6 +89,16 @@
 	s.applyThrough(s.log.End())
 	s.unapplied = nil
 	s.log.BeginTerm(s.term)
+	s.appendTermStart()
+}
+
+// appendTermStart adds an entry without changes. Like the record with which a
+// database begins a new timeline, it gives the log the new term before the
+// first write; without it no replica could be told to be up to date with an
+// idle primary.
+func (s *Store) appendTermStart() {
+	s.appendEntry(Entry{Term: s.term, LSN: s.log.End() + entryOverhead})
+	s.applyThrough(s.log.End())
 }
 
 func (s *Store) followPrimary() {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -94,6 +94,7 @@
 		s.state = table.StateID(string(core.RolePrimary))
 		s.primary = ""
 		s.log.BeginTerm(config.Term)
+		s.appendTermStart()
 	}
 	return s, nil
 }
