Bound a load run by its number of statements

The test of the load tool depended on connecting within 300 ms; it now runs a fixed number of statements.

--- a/standin/cmd/loadtool/main.go
+++ b/standin/cmd/loadtool/main.go
@@ -42,6 +42,7 @@
 	flag.Float64Var(&o.ReadShare, "read-share", defaultReadShare, "share of reads, 0 to 1")
 	flag.Float64Var(&o.Rate, "rate", 0, "statements per second in total; 0 for a closed loop")
 	flag.IntVar(&o.Connections, "connections", defaultConnections, "connections in total")
+	flag.IntVar(&o.Statements, "statements", 0, "end after that many statements; 0 for no bound")
 	flag.DurationVar(&o.Timeout, "timeout", defaultTimeout, "bound of one statement")
 	flag.BoolVar(&o.Identities, "identities", false, "add a write_id comment to each write")
 	flag.StringVar(&o.Prefix, "prefix", "", "beginning of the written keys; random if empty")
--- a/standin/load/options.go
+++ b/standin/load/options.go
@@ -33,6 +33,8 @@
 	// Rate is in statements per second over all connections; 0 for a closed loop.
 	Rate     float64
 	Duration time.Duration
+	// Statements ends the run early after that many statements; 0 for no bound.
+	Statements int
 	// Connections is the total over all users.
 	Connections int
 	// Timeout bounds one statement.
@@ -79,8 +81,8 @@
 		return &OptionError{Option: "mode", Reason: "must be simple or extended"}
 	case o.ReadShare < 0 || o.ReadShare > 1:
 		return &OptionError{Option: "read-share", Reason: "must be between 0 and 1"}
-	case o.Connections < 1 || o.Duration <= 0 || o.Timeout <= 0 || o.Rate < 0:
-		return &OptionError{Option: "connections, seconds, timeout, rate", Reason: "out of range"}
+	case o.Connections < 1 || o.Duration <= 0 || o.Timeout <= 0 || o.Rate < 0 || o.Statements < 0:
+		return &OptionError{Option: "connections, seconds, statements, timeout, rate", Reason: "out of range"}
 	}
 	return nil
 }
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -56,22 +56,33 @@
 	random    *mathrand.Rand
 	conn      *pgx.Conn
 	sequence  int
-	keys      []string
+	// left is the number of statements to run; negative for no bound.
+	left int
+	keys []string
 }
 
 func newWorker(o Options, index int, c *collector) *worker {
 	w := &worker{options: o, index: index, collector: c}
 	w.user = o.Users[index%len(o.Users)]
+	w.left = share(o.Statements, o.Connections, index)
 	w.random = mathrand.New(mathrand.NewPCG(o.Seed, uint64(index)))
 	return w
 }
 
+// share divides a total over the connections; -1 when there is no bound.
+func share(total, connections, index int) int {
+	if total == 0 {
+		return -1
+	}
+	return (total + connections - 1 - index) / connections
+}
+
 func (w *worker) run(ctx context.Context) {
 	pace := w.pace()
 	// The connections start one after the other, so that an open loop sends
 	// evenly instead of in bursts.
 	next := time.Now().Add(pace * time.Duration(w.index) / time.Duration(w.options.Connections))
-	for w.wait(ctx, next) {
+	for w.left != 0 && w.wait(ctx, next) {
 		if !w.connect(ctx) {
 			w.wait(ctx, time.Now().Add(reconnectWait))
 			continue
@@ -81,6 +92,7 @@
 			intended = time.Now()
 		}
 		next = next.Add(pace)
+		w.left--
 		w.statement(ctx, intended)
 	}
 	w.close()
--- a/standin/load/run_test.go
+++ b/standin/load/run_test.go
@@ -29,13 +29,15 @@
 				Database:    "notices",
 				Mode:        mode,
 				ReadShare:   0.5,
-				Rate:        400,
-				Duration:    300 * time.Millisecond,
+				Rate:        1000,
+				Duration:    20 * time.Second,
+				Statements:  103,
 				Connections: 4,
 				Timeout:     20 * time.Second,
 				Identities:  identities,
 			})
 			require.NoError(t, err)
+			require.EqualValues(t, 103, report.Statements)
 			require.NotEmpty(t, report.Acknowledged)
 			require.Empty(t, report.Errors)
 			require.Empty(t, report.Uncertain)
