Speak the platform client's JSON documents in the stand-in

Values are JSON documents in pkg/platform now; the stand-in took base64. A test runs pkg/platform's client against it. An outage can also be answered with 503, which the client takes for a call without effect.

--- a/standin/kvservice/handler.go
+++ b/standin/kvservice/handler.go
@@ -11,20 +11,8 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 )
 
-// maxBody bounds a request body in bytes: a value in base64 and its envelope.
-const maxBody = 2 * MaxValue
-
-// PutBody is the body of PUT /kv/<key>; the value is base64 in JSON.
-type PutBody struct {
-	Value    []byte            `json:"value"`
-	Revision platform.Revision `json:"revision"`
-	Lease    platform.LeaseID  `json:"lease"`
-}
-
-// CreateLeaseBody is the body of POST /lease.
-type CreateLeaseBody struct {
-	TTLMS int64 `json:"ttl_ms"`
-}
+// maxBody bounds a request body in bytes: a value and its envelope.
+const maxBody = platform.MaxValueBytes + 4096
 
 // Handler returns the HTTP interface. Its handlers wait for the service duty.
 func (s *Service) Handler() http.Handler {
@@ -51,7 +39,7 @@
 		r.watch.reply = r.reply
 	}
 	if !s.requests.TryPush(r) {
-		write(w, answer{status: http.StatusServiceUnavailable, body: ErrorBody{"overloaded"}})
+		write(w, answer{status: http.StatusServiceUnavailable, body: platform.ErrorDocument{Error: "overloaded"}})
 		return
 	}
 	select {
@@ -77,7 +65,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int, reason string) {
-	write(w, answer{status: status, body: ErrorBody{reason}})
+	write(w, answer{status: status, body: platform.ErrorDocument{Error: reason}})
 }
 
 // read decodes a request body and answers one that is invalid.
@@ -116,14 +104,18 @@
 }
 
 func (s *Service) handlePut(w http.ResponseWriter, q *http.Request) {
-	body, ok := read[PutBody](w, q)
+	body, ok := read[platform.PutDocument](w, q)
 	if !ok {
 		return
 	}
-	if len(body.Value) > MaxValue {
+	if len(body.Value) > platform.MaxValueBytes {
 		refuse(w, http.StatusRequestEntityTooLarge, "value is larger than 1 MB")
 		return
 	}
+	if err := key(q).Check(); err != nil || len(body.Value) == 0 {
+		refuse(w, http.StatusBadRequest, "invalid key or no value")
+		return
+	}
 	put := platform.PutRequest{Key: key(q), Value: body.Value, Revision: body.Revision, Lease: body.Lease}
 	s.serve(w, q, request{operation: putOp{put}})
 }
@@ -137,15 +129,15 @@
 }
 
 func (s *Service) handleCreateLease(w http.ResponseWriter, q *http.Request) {
-	body, ok := read[CreateLeaseBody](w, q)
+	body, ok := read[platform.LeaseRequestDocument](w, q)
 	if !ok {
 		return
 	}
-	if body.TTLMS <= 0 {
+	if body.TTLMillis <= 0 {
 		refuse(w, http.StatusBadRequest, "ttl_ms is not positive")
 		return
 	}
-	s.serve(w, q, request{operation: createLeaseOp{time.Duration(body.TTLMS) * time.Millisecond}})
+	s.serve(w, q, request{operation: createLeaseOp{time.Duration(body.TTLMillis) * time.Millisecond}})
 }
 
 func (s *Service) handleRenewLease(w http.ResponseWriter, q *http.Request) {
--- a/standin/kvservice/limits.go
+++ b/standin/kvservice/limits.go
@@ -44,6 +44,8 @@
 type Faults struct {
 	// OutageMS is how long every call is dropped without effect, from now.
 	OutageMS int64 `json:"outage_ms"`
+	// Refuse answers 503 during the outage instead of dropping the connection.
+	Refuse bool `json:"refuse"`
 	// DelayMS delays every answer until it is set anew.
 	DelayMS int64 `json:"delay_ms"`
 	// LoseAnswers is the number of changes that are applied and not answered.
--- a/standin/kvservice/operation.go
+++ b/standin/kvservice/operation.go
@@ -70,16 +70,6 @@
 func (announceOp) changes() bool    { return true }
 func (withdrawOp) changes() bool    { return true }
 
-// ErrorBody is the body of an answer without a record.
-type ErrorBody struct {
-	Error string `json:"error"`
-}
-
-// LeaseBody answers the creation of a lease.
-type LeaseBody struct {
-	ID platform.LeaseID `json:"id"`
-}
-
 func failure(err error) answer {
 	var conflict *platform.ConflictError
 	var missing *platform.NotFoundError
@@ -87,9 +77,9 @@
 	case errors.As(err, &conflict):
 		return answer{status: http.StatusConflict, body: conflict.Current}
 	case errors.As(err, &missing):
-		return answer{status: http.StatusNotFound, body: ErrorBody{err.Error()}}
+		return answer{status: http.StatusNotFound, body: platform.ErrorDocument{Error: err.Error()}}
 	}
-	return answer{status: http.StatusInternalServerError, body: ErrorBody{err.Error()}}
+	return answer{status: http.StatusInternalServerError, body: platform.ErrorDocument{Error: err.Error()}}
 }
 
 func result(body any, err error) answer {
@@ -117,7 +107,7 @@
 }
 
 func (o createLeaseOp) apply(s *State, now time.Time) answer {
-	return result(LeaseBody{s.CreateLease(o.ttl, now)}, nil)
+	return result(platform.LeaseDocument{ID: s.CreateLease(o.ttl, now)}, nil)
 }
 
 func (o renewLeaseOp) apply(s *State, now time.Time) answer {
--- a/standin/kvservice/service.go
+++ b/standin/kvservice/service.go
@@ -202,8 +202,12 @@
 	return stats
 }
 
+// dropped is the answer to a call during an outage.
 func (s *Service) dropped() answer {
 	s.stats.Dropped++
+	if s.faults.Refuse {
+		return answer{status: http.StatusServiceUnavailable, body: platform.ErrorDocument{Error: "outage"}}
+	}
 	return answer{drop: true}
 }
 
@@ -219,7 +223,7 @@
 	}
 	if !limit.take(now) {
 		s.stats.Limited++
-		return answer{status: http.StatusTooManyRequests, body: ErrorBody{"rate exceeded"}}, false
+		return answer{status: http.StatusTooManyRequests, body: platform.ErrorDocument{Error: "rate exceeded"}}, false
 	}
 	return answer{}, true
 }
--- a/standin/kvservice/service_test.go
+++ b/standin/kvservice/service_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,14 +71,14 @@
 func TestLostAnswerAndOutage(t *testing.T) {
 	c := startService(t, nil)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{LoseAnswers: 1}, nil)
-	_, err := c.do(t, "PUT", "/kv/group/a", PutBody{Value: []byte("1")}, nil)
+	_, err := c.do(t, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("1")}, nil)
 	require.Error(t, err)
 	var record platform.Record
 	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
 	require.Equal(t, "1", string(record.Value))
-	c.expect(t, http.StatusConflict, "PUT", "/kv/group/a", PutBody{Value: []byte("2")}, &record)
+	c.expect(t, http.StatusConflict, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("2")}, &record)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{OutageMS: time.Hour.Milliseconds()}, nil)
-	_, err = c.do(t, "PUT", "/kv/group/a", PutBody{Value: []byte("2"), Revision: record.Revision}, nil)
+	_, err = c.do(t, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("2"), Revision: record.Revision}, nil)
 	require.Error(t, err)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{}, nil)
 	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
@@ -92,17 +93,17 @@
 // Guards against a watch that misses a change or the end of a lease.
 func TestWatch(t *testing.T) {
 	c := startService(t, nil)
-	var lease LeaseBody
-	c.expect(t, http.StatusOK, "POST", "/lease", CreateLeaseBody{TTLMS: time.Hour.Milliseconds()}, &lease)
+	var lease platform.LeaseDocument
+	c.expect(t, http.StatusOK, "POST", "/lease", platform.LeaseRequestDocument{TTLMillis: time.Hour.Milliseconds()}, &lease)
 	changed := make(chan platform.WatchResult, 1)
 	go func() {
 		var changes platform.WatchResult
 		_, _ = c.do(t, "GET", "/watch?prefix=slot/&after=0&timeout_ms=20000", nil, &changes)
 		changed <- changes
 	}()
-	c.expect(t, http.StatusOK, "PUT", "/kv/other", PutBody{}, nil)
+	c.expect(t, http.StatusOK, "PUT", "/kv/other", platform.PutDocument{Value: json.RawMessage("0")}, nil)
 	var record platform.Record
-	c.expect(t, http.StatusOK, "PUT", "/kv/slot/1", PutBody{Value: []byte("x"), Lease: lease.ID}, &record)
+	c.expect(t, http.StatusOK, "PUT", "/kv/slot/1", platform.PutDocument{Value: json.RawMessage(`"x"`), Lease: lease.ID}, &record)
 	require.Equal(t, []platform.Record{record}, (<-changed).Records)
 	c.expect(t, http.StatusOK, "DELETE", "/lease/"+string(lease.ID), nil, nil)
 	var changes platform.WatchResult
@@ -113,11 +114,59 @@
 	c.expect(t, http.StatusNotFound, "GET", "/kv/slot/1", nil, nil)
 }
 
+// jsonText returns a JSON value of n bytes.
+func jsonText(n int) json.RawMessage {
+	return json.RawMessage(`"` + strings.Repeat("x", n-2) + `"`)
+}
+
 // Guards against values and rates beyond the platform's bounds.
 func TestBounds(t *testing.T) {
 	c := startService(t, func(o *Options) { o.WriteRate = 1e-6 })
-	c.expect(t, http.StatusRequestEntityTooLarge, "PUT", "/kv/k", PutBody{Value: make([]byte, MaxValue+1)}, nil)
-	c.expect(t, http.StatusOK, "PUT", "/kv/k", PutBody{Value: make([]byte, MaxValue)}, nil)
-	c.expect(t, http.StatusTooManyRequests, "PUT", "/kv/l", PutBody{}, nil)
+	c.expect(t, http.StatusRequestEntityTooLarge, "PUT", "/kv/k", platform.PutDocument{Value: jsonText(platform.MaxValueBytes + 1)}, nil)
+	c.expect(t, http.StatusOK, "PUT", "/kv/k", platform.PutDocument{Value: jsonText(platform.MaxValueBytes)}, nil)
+	c.expect(t, http.StatusTooManyRequests, "PUT", "/kv/l", platform.PutDocument{Value: json.RawMessage("0")}, nil)
 	c.expect(t, http.StatusNotFound, "GET", "/kv/l", nil, nil)
 }
+
+// Guards against a difference between the service and the client that the
+// instances use.
+func TestPlatformClient(t *testing.T) {
+	service := startService(t, func(o *Options) { o.InstanceLag = 0 })
+	c, err := platform.NewClient(service.url)
+	require.NoError(t, err)
+	t.Cleanup(c.CloseIdle)
+	ctx := t.Context()
+	id, err := c.CreateLease(ctx, time.Hour)
+	require.NoError(t, err)
+	require.NoError(t, c.RenewLease(ctx, id))
+	put := platform.PutRequest{Key: "slot/1", Value: json.RawMessage(`{"a":1}`), Lease: id}
+	record, err := c.Put(ctx, put)
+	require.NoError(t, err)
+	read, err := c.Get(ctx, "slot/1")
+	require.NoError(t, err)
+	require.Equal(t, record, read)
+	var conflict *platform.ConflictError
+	_, err = c.Put(ctx, put)
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, record, conflict.Current)
+	changes, err := c.Watch(ctx, platform.WatchRequest{Prefix: "slot/", Timeout: time.Hour})
+	require.NoError(t, err)
+	require.Equal(t, platform.WatchResult{Revision: record.Revision, Records: []platform.Record{record}}, changes)
+	require.NoError(t, c.RevokeLease(ctx, id))
+	var missing *platform.NotFoundError
+	require.ErrorAs(t, c.RenewLease(ctx, id), &missing)
+	_, err = c.Get(ctx, "slot/1")
+	require.ErrorAs(t, err, &missing)
+	instance := platform.Instance{ID: "i1", PeerAddress: "127.0.0.1:1", Domain: "fyn", State: platform.InstanceLive}
+	require.NoError(t, c.Announce(ctx, instance))
+	list, err := c.Instances(ctx)
+	require.NoError(t, err)
+	require.Equal(t, []platform.Instance{instance}, list)
+	service.expect(t, http.StatusOK, "POST", "/fault", Faults{LoseAnswers: 1}, nil)
+	_, err = c.Put(ctx, platform.PutRequest{Key: "a", Value: json.RawMessage("1")})
+	require.True(t, platform.IsUnknown(err), "%v", err)
+	service.expect(t, http.StatusOK, "POST", "/fault", Faults{OutageMS: time.Hour.Milliseconds(), Refuse: true}, nil)
+	var unavailable *platform.UnavailableError
+	_, err = c.Put(ctx, platform.PutRequest{Key: "b", Value: json.RawMessage("1")})
+	require.ErrorAs(t, err, &unavailable)
+}
--- a/standin/kvservice/state.go
+++ b/standin/kvservice/state.go
@@ -15,9 +15,6 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 )
 
-// MaxValue bounds a value in bytes.
-const MaxValue = 1 << 20
-
 // State is the content of the service. It belongs to one thread.
 type State struct {
 	revision platform.Revision
@@ -58,12 +55,12 @@
 // *platform.ConflictError or, for an ended lease, a *platform.NotFoundError.
 func (s *State) Put(p platform.PutRequest) (platform.Record, error) {
 	current, _ := s.Get(p.Key)
-	if current.Revision != p.Revision {
-		return current, &platform.ConflictError{Current: current}
-	}
 	if p.Lease != "" && s.leases[p.Lease] == nil {
 		return current, &platform.NotFoundError{What: "lease " + string(p.Lease)}
 	}
+	if current.Revision != p.Revision {
+		return current, &platform.ConflictError{Current: current}
+	}
 	return s.store(platform.Record{Key: p.Key, Value: p.Value, Lease: p.Lease}), nil
 }
 
