--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -152,8 +152,8 @@
 
 // Follow makes the member a replica of the primary of term at the status
 // address; entries of older terms beyond start are dropped. It returns a
-// *TermError for a lower term and a *RoleError when the member already has
-// another part in this term.
+// *TermError for a lower term and a *RoleError when the member is the primary
+// of this term.
 func (s *Store) Follow(term core.Term, address string, start core.LSN, now time.Time) error {
 	return s.fire(s.events.follow, command{name: "follow", term: term, address: address, start: start, now: now})
 }
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -66,6 +66,7 @@
 		{"late fence after promote", false, []func(*Store) error{fence(2), promote(2), fence(2)}, core.RolePrimary, 2, nil},
 		{"repeated promote", false, []func(*Store) error{fence(2), promote(2), promote(2)}, core.RolePrimary, 2, nil},
 		{"follow after promote", false, []func(*Store) error{fence(2), promote(2), follow(2)}, core.RolePrimary, 2, &RoleError{core.RolePrimary, "follow"}},
+		{"follow of the same term", false, []func(*Store) error{follow(1)}, core.RoleReplica, 1, nil},
 		{"follow after fence", true, []func(*Store) error{fence(2), follow(2)}, core.RoleReplica, 2, nil},
 		{"follow without fence", true, []func(*Store) error{follow(2)}, core.RoleReplica, 2, nil},
 		{"promote after follow", true, []func(*Store) error{follow(2), promote(2)}, core.RoleReplica, 2, &RoleError{core.RoleReplica, "promote"}},
@@ -97,6 +98,16 @@
 	require.Equal(t, p.LSN, replica.Status(testStart).Received)
 }
 
+// Guards against a replica that cannot join its term because it started
+// without a primary, or because the primary has moved.
+func TestFollowAnotherAddressOfTheTerm(t *testing.T) {
+	replica := newStore(t, "r", false)
+	for _, address := range []string{"first", "second"} {
+		require.NoError(t, replica.Follow(1, address, 0, testStart))
+		require.Equal(t, address, replica.Primary())
+	}
+}
+
 // Guards against a confirmation by a member whose tail is of another term.
 func TestUnverifiedMemberConfirmsNothing(t *testing.T) {
 	old, next := newStore(t, "old", true), newStore(t, "next", false)
