Test the session engine step by step; count running work in the deadline estimate

The estimate of the time to an answer left out the statements that run already, so one statement too many was queued. Found by TestDeadlineIsKnownAtEntry.

--- /dev/null
+++ b/pkg/session/control_test.go
@@ -0,0 +1,279 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// changed publishes a newer catalogue.
+func (h *harness) changed(change func(*catalogue.Catalogue)) {
+	cat := testCatalogue()
+	cat.Version = h.e.catalogue.Version + 1
+	change(cat)
+	h.do(CatalogueInForce{Catalogue: cat})
+}
+
+// Guards against a revoked key that keeps working for a connected caller, a new
+// caller, or a statement under way, and against a false "not run" there.
+func TestRevokedKey(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.open(2, at100)
+	s := h.run(2, "write", write)
+	h.do(CallerOpened{Caller: 3, Account: "acct", Entry: "entry", Key: "k2"})
+	before := len(h.callers)
+	h.changed(func(c *catalogue.Catalogue) { c.Accounts[0].Keys[0].Revoked = true })
+	states := map[CallerID]string{}
+	for _, c := range h.callers[before:] {
+		closed := c.(CallerClose)
+		states[closed.Caller] = closed.Refusal.SQLState
+	}
+	require.Equal(t, map[CallerID]string{1: core.StateKeyRevoked, 2: core.StateUncertain}, states)
+	require.Contains(t, h.targets, TargetClose{Target: s.Target})
+	h.open(4, at100)
+	h.closedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+	h.do(CallerOpened{Caller: 5, Account: "other", Entry: "entry", Key: "k2"})
+	h.closedWith(core.StateWrongKey, core.OutcomeNotRun)
+	h.do(KeysTrusted{Until: h.now.Add(-time.Second)})
+	h.ask(3, "read", read)
+	h.refusedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+}
+
+// Guards against a graceful stop that cuts off a request or transaction, or
+// that never ends.
+func TestDrain(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.open(2, at100)
+	h.open(3, at100)
+	s := h.run(2, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	h.do(Drain{})
+	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	s = h.run(2, "read", read)
+	h.ready(s.Target, 'T', core.Position{})
+	s = h.run(2, "commit", commit)
+	h.ready(s.Target, 'I', core.Position{})
+	require.Contains(t, h.callers, CallerWrite{Caller: 2, Frames: []byte("ready"), Done: true})
+	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	require.Contains(t, h.control, Drained{})
+
+	h = newHarness(t, nil)
+	h.open(1, at100)
+	h.run(1, "write", write)
+	h.do(Drain{})
+	require.NotContains(t, h.control, Drained{})
+	h.e.cfg.Bounds.Deadline = time.Hour
+	h.now = h.now.Add(h.e.cfg.Bounds.Drain)
+	h.e.cutOff()
+	h.closedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.wait(time.Second)
+	require.Contains(t, h.control, Drained{})
+}
+
+// Guards against new work for a database that is leaving, and against an open
+// transaction that holds it for ever.
+func TestLeavingDatabase(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.open(2, at100)
+	s := h.run(1, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	h.ask(2, "read", read)
+	h.changed(func(c *catalogue.Catalogue) { c.Databases[0].State = catalogue.DatabaseLeaving })
+	h.refusedWith(core.StateDatabaseLeaving, core.OutcomeNotRun)
+	s = h.run(1, "write", write)
+	h.ready(s.Target, 'T', core.Position{})
+	h.wait(h.e.cfg.Bounds.Leaving + time.Millisecond)
+	h.ask(1, "write", write)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.Contains(t, h.targets, TargetClose{Target: s.Target})
+	h.ask(2, "write", write)
+	h.refusedWith(core.StateDatabaseLeaving, core.OutcomeNotRun)
+}
+
+// Guards against settings of one session that another one meets on the same
+// connection, and against settings lost or kept at the end of a transaction.
+func TestSettingsAreReplayed(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Policy = PolicyPrimary })
+	h.share(1)
+	set := func(name string) Verdict { return Verdict{Kind: KindSessionSet, Name: name} }
+	h.open(1, at100)
+	h.open(2, at100)
+	s := h.run(1, "SET a = 1;", set("a"))
+	h.ready(s.Target, 'I', core.Position{})
+	require.Empty(t, h.run(1, "read", read).Prelude)
+	h.ready(s.Target, 'I', core.Position{})
+	require.Equal(t, "RESET ALL", h.run(2, "read", read).Prelude)
+	h.ready(s.Target, 'I', core.Position{})
+	require.Equal(t, "RESET ALL\n; SET a = 1", h.run(1, "begin", begin).Prelude)
+	h.ready(s.Target, 'T', core.Position{})
+	require.Empty(t, h.run(1, "SET b = 2", set("b")).Prelude)
+	h.ready(s.Target, 'T', core.Position{})
+	h.run(1, "rollback", Verdict{Kind: KindEnd, Name: "rollback"})
+	h.ready(s.Target, 'I', core.Position{})
+	require.Empty(t, h.run(1, "read", read).Prelude, "the rollback undid the second setting")
+	h.ready(s.Target, 'I', core.Position{})
+	h.ask(1, "DISCARD ALL", set("discard all"))
+	require.Equal(t, CallerReply{Caller: 1, Tag: "DISCARD ALL", TxStatus: 'I'}, h.last())
+	require.Equal(t, "RESET ALL", h.run(1, "read", read).Prelude)
+	h.ready(s.Target, 'I', core.Position{})
+	s = h.run(1, "CREATE TEMP TABLE", Verdict{Kind: KindWrite, LeavesState: true})
+	h.ready(s.Target, 'I', core.Position{})
+	require.Contains(t, h.targets, TargetClose{Target: s.Target})
+}
+
+// Guards against a slow caller whose result piles up, and against a connection
+// that stays paused for the next caller.
+func TestSlowCaller(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	s := h.run(1, "read", read)
+	h.do(TargetData{Target: s.Target, Frames: []byte("row")})
+	h.do(CallerBlocked{Caller: 1})
+	require.Equal(t, TargetPause{Target: s.Target}, h.targets[len(h.targets)-1])
+	h.wait(10 * time.Second)
+	h.do(CallerDrained{Caller: 1})
+	require.Equal(t, TargetResume{Target: s.Target}, h.targets[len(h.targets)-1])
+	h.do(CallerBlocked{Caller: 1})
+	h.ready(s.Target, 'I', core.Position{})
+	require.Equal(t, TargetResume{Target: s.Target}, h.targets[len(h.targets)-1])
+	h.do(CallerDrained{Caller: 1})
+	s = h.run(1, "read", read)
+	h.do(TargetData{Target: s.Target, Frames: []byte("row")})
+	h.wait(h.e.cfg.Bounds.StreamStall)
+	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+}
+
+// Guards against a cancel request that hits another caller's statement, and
+// against the response of a closed caller that reaches another one.
+func TestCancelAndClosedCaller(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.do(CallerCancel{Caller: 1})
+	s := h.run(1, "read", read)
+	h.do(CallerCancel{Caller: 1})
+	h.ready(s.Target, 'I', core.Position{})
+	h.do(CallerCancel{Caller: 1})
+	require.Equal(t, []TargetCommand{TargetCancel{Target: s.Target}, TargetClose{Target: s.Target}}, h.targets[2:])
+	s = h.run(1, "write", write)
+	h.do(CallerClosed{Caller: 1})
+	require.Contains(t, h.targets, TargetClose{Target: s.Target})
+	answers := len(h.callers)
+	h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 200})
+	require.Len(t, h.callers, answers)
+}
+
+// Guards against work that is queued although it cannot be served in time.
+func TestDeadlineIsKnownAtEntry(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Policy = PolicyPrimary })
+	h.share(1)
+	for id := CallerID(1); id <= 20; id++ {
+		h.open(id, at100)
+	}
+	s := h.run(1, "read", read)
+	h.wait(time.Second)
+	h.ready(s.Target, 'I', core.Position{})
+	refused := 0
+	for id := CallerID(1); id <= 20; id++ {
+		h.ask(id, "read", read)
+		if fail, ok := h.last().(CallerFail); ok && fail.Caller == id {
+			h.refusedWith(core.StateDeadline, core.OutcomeNotRun)
+			refused++
+		}
+	}
+	require.Equal(t, 17, refused, "one runs and two can be served within 3 s")
+}
+
+// Guards against the proxy's own parameters reaching a target, and against a
+// fate that is told before a majority has it.
+func TestOwnParameters(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.ask(1, "", Verdict{Kind: KindOwnShow, Name: ownPosition})
+	require.Equal(t, CallerReply{Caller: 1, Tag: "SHOW", Column: ownPosition, Value: "1/100", TxStatus: 'I'}, h.last())
+	h.ask(1, "", Verdict{Kind: KindOwnSet, Name: ownMaxAge, Value: "0"})
+	s := h.run(1, "read", read)
+	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target), "no staleness is accepted")
+	h.ready(s.Target, 'I', core.Position{})
+	h.ask(1, "", Verdict{Kind: KindOwnSet, Name: ownMaxAge, Value: "x"})
+	h.refusedWith("22023", core.OutcomeNotRun)
+	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
+	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target))
+	answers := len(h.callers)
+	h.ready(s.Target, 'I', core.Position{})
+	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 150}})
+	require.Len(t, h.callers, answers)
+	h.now = h.now.Add(time.Millisecond)
+	h.view(1, "m0", 200, 150, 100)
+	require.Len(t, h.callers, answers)
+	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 200}})
+	require.Len(t, h.callers, answers+1)
+}
+
+// Guards against a member whose queue starves because the others hold every
+// connection, and against a smaller share that is not applied.
+func TestConnectionsMove(t *testing.T) {
+	h := newHarness(t, nil)
+	h.share(1)
+	h.open(1, at100)
+	s := h.run(1, "read", read)
+	h.ready(s.Target, 'I', core.Position{})
+	h.ask(1, "write", write)
+	require.Equal(t, TargetClose{Target: s.Target}, h.targets[len(h.targets)-1])
+	h.do(TargetClosed{Target: s.Target})
+	h.connect()
+	require.Equal(t, core.MemberID("m0"), h.memberOf(h.sent().Target))
+	h.share(0)
+	require.NotContains(t, h.targets, TargetClose{Target: h.sent().Target})
+	h.ready(h.sent().Target, 'I', core.Position{})
+	require.Contains(t, h.targets, TargetClose{Target: h.sent().Target})
+}
+
+// Guards against commands that are lost or reordered when a ring is full.
+func TestFullRingKeepsCommands(t *testing.T) {
+	h := newHarness(t, nil)
+	h.full = true
+	h.open(1, at100)
+	h.ask(1, "", Verdict{Kind: KindOwnShow, Name: ownPosition})
+	require.Empty(t, h.callers)
+	_, ok := h.e.NextDeadline()
+	require.True(t, ok)
+	h.full = false
+	require.True(t, h.e.Flush())
+	require.Len(t, h.callers, 2)
+	require.Equal(t, CallerAdmitted{Caller: 1}, h.callers[0])
+}
+
+// Measures one read from request to answer, with commands that go nowhere.
+func BenchmarkRead(b *testing.B) {
+	h := newHarness(b, nil)
+	h.open(1, at100)
+	s := h.run(1, "read", read)
+	h.ready(s.Target, 'I', core.Position{})
+	request := &Request{Texts: []string{"read"}, Payload: &Payload{}, Arrived: h.now}
+	h.e.box.out = &sink{}
+	h.e.accounts["acct"].bucket.tokens = 1e12
+	verdict := Verdict{Kind: KindRead, Hints: Hints{MaxAge: -1}}
+	frames := []byte("row")
+	b.ReportAllocs()
+	for b.Loop() {
+		h.do(CallerRequest{Caller: 1, Request: request})
+		h.do(ClassifyResult{Caller: 1, Sequence: h.e.sequence, Verdict: verdict})
+		h.do(TargetReady{Target: s.Target, Frames: frames, TxStatus: 'I'})
+	}
+}
+
+// sink takes every command and keeps none.
+type sink struct{}
+
+func (*sink) Caller(CallerCommand) bool     { return true }
+func (*sink) Target(TargetCommand) bool     { return true }
+func (*sink) Classify(ClassifyRequest) bool { return true }
+func (*sink) Control(ControlReport) bool    { return true }
+func (*sink) Span(Span)                     {}
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -160,7 +160,8 @@
 	if ahead == 0 {
 		return true
 	}
-	wait := time.Duration(ahead/m.parallel()+1) * m.service
+	rounds := (ahead+m.running())/m.parallel() + 1
+	wait := time.Duration(rounds) * m.service
 	if m.connections == 0 {
 		wait += m.db.openTime
 	}
--- /dev/null
+++ b/pkg/session/session_test.go
@@ -0,0 +1,209 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// Guards against a read at a primary that was replaced without the instance
+// knowing: the session has seen a newer term.
+func TestReadIsRefusedAtAnOlderTerm(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, core.Position{Term: 2, LSN: 100})
+	h.ask(1, "read", read)
+	require.Contains(t, h.control, NeedApplied{Database: "db", Position: core.Position{Term: 2, LSN: 100}})
+	h.wait(h.e.cfg.Bounds.ReplicaWait)
+	h.refusedWith(core.StateNoMember, core.OutcomeNotRun)
+	require.Zero(t, h.countSent())
+}
+
+// Guards against a read that goes to a replica without the floor, and against
+// one that never falls back to the primary.
+func TestReadWaitsForReplicaThenPrimary(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, core.Position{Term: 1, LSN: 150})
+	h.ask(1, "read", read)
+	h.view(1, "m0", 150, 100, 150)
+	h.connect()
+	require.Equal(t, core.MemberID("m2"), h.memberOf(h.sent().Target))
+	h.open(2, core.Position{Term: 1, LSN: 200})
+	h.ask(2, "read", read)
+	h.wait(h.e.cfg.Bounds.ReplicaWait)
+	h.connect()
+	require.Equal(t, core.MemberID("m0"), h.memberOf(h.sent().Target))
+	h.ready(h.sent().Target, 'I', core.Position{})
+	require.Equal(t, uint64(1), h.e.Metrics().PrimaryReads)
+	require.Contains(t, h.e.Explain(2), "member m0")
+}
+
+// Guards against a floor round that began before the session did.
+func TestFloorRoundBeginsAfterTheSession(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, core.Position{})
+	h.ask(1, "read", read)
+	h.open(2, core.Position{})
+	h.ask(2, "read", read)
+	h.do(FloorAnswer{Database: "db", Round: 1, Position: at100})
+	h.connect()
+	require.Equal(t, 1, h.countSent())
+	require.Contains(t, h.control, NeedFloor{Database: "db", Round: 2})
+	h.ready(h.sent().Target, 'I', core.Position{})
+	h.do(FloorAnswer{Database: "db", Round: 2, Position: at100})
+	h.connect()
+	require.Equal(t, 2, h.countSent())
+}
+
+// Guards against an acknowledgement by a term that does not hold the commit,
+// and against a wait for a confirmation that cannot come any more.
+func TestCommitOfAnOlderTermIsUncertain(t *testing.T) {
+	for _, newer := range []func(*harness){
+		func(h *harness) { h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 2, LSN: 900}}) },
+		func(h *harness) { h.view(2, "m1", 100, 100, 100) },
+	} {
+		h := newHarness(t, nil)
+		h.open(1, at100)
+		s := h.run(1, "write", write)
+		h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 110})
+		newer(h)
+		h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+		require.Equal(t, uint64(1), h.e.Metrics().WritesUncertain)
+	}
+}
+
+// Guards against a write that is answered before, or never after, a majority
+// has it, and against a floor that stays behind it.
+func TestWriteIsHeldUntilConfirmed(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	s := h.run(1, "write", write)
+	answers := len(h.callers)
+	h.do(TargetData{Target: s.Target, Frames: []byte("row ")})
+	h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 110})
+	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 109}})
+	require.Len(t, h.callers, answers)
+	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 110}})
+	want := CallerWrite{Caller: 1, Frames: []byte("row ready"), Done: true, Position: core.Position{Term: 1, LSN: 110}}
+	require.Equal(t, want, h.last())
+	h.ask(1, "read", read)
+	require.Equal(t, 1, h.countSent(), "no replica has the write yet")
+	h.wait(h.e.cfg.Bounds.ReplicaWait)
+	require.Equal(t, core.MemberID("m0"), h.memberOf(h.sent().Target))
+	h.ready(h.sent().Target, 'I', core.Position{})
+	s = h.run(1, "write", write)
+	h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 120})
+	h.wait(h.e.cfg.Bounds.Confirm)
+	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+}
+
+// Guards against a false "not run" for a COMMIT, and against a transaction that
+// is reported as uncertain although it certainly rolled back.
+func TestLostTransaction(t *testing.T) {
+	lose := func(texts []string, verdicts []Verdict, unsent bool) *harness {
+		h := newHarness(t, nil)
+		h.open(1, at100)
+		var s TargetSend
+		for i := range texts {
+			s = h.run(1, texts[i], verdicts[i])
+			if i < len(texts)-1 {
+				h.ready(s.Target, 'T', core.Position{})
+			}
+		}
+		h.do(TargetClosed{Target: s.Target, Unsent: unsent})
+		return h
+	}
+	h := lose([]string{"begin", "commit"}, []Verdict{begin, commit}, false)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateUncertain, core.OutcomeUncertain))
+	h = lose([]string{"begin", "commit"}, []Verdict{begin, commit}, true)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	h = lose([]string{"begin", "write"}, []Verdict{begin, write}, false)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+
+	h = newHarness(t, nil)
+	h.open(1, at100)
+	s := h.run(1, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	h.do(TargetClosed{Target: s.Target})
+	h.ask(1, "commit", commit)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	h.ask(1, "rollback", Verdict{Kind: KindEnd, Name: "rollback"})
+	require.Equal(t, CallerReply{Caller: 1, Tag: "ROLLBACK", TxStatus: 'I'}, h.last())
+}
+
+// Guards against a read-only answer that is lost for want of a repetition, and
+// against one that is repeated after rows were forwarded.
+func TestRepetition(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.RetryFraction = 1 })
+	h.open(1, at100)
+	s := h.run(1, "read", read)
+	h.do(TargetClosed{Target: s.Target})
+	h.connect()
+	require.Equal(t, 2, h.countSent())
+	h.do(TargetData{Target: h.sent().Target, Frames: []byte("row")})
+	h.do(TargetClosed{Target: h.sent().Target})
+	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	s = h.run(1, "write", Verdict{Kind: KindWrite, Hints: Hints{Idempotent: true}})
+	h.do(TargetClosed{Target: s.Target})
+	h.connect()
+	require.Equal(t, 4, h.countSent(), "an idempotent write is repeated")
+	h.do(TargetClosed{Target: h.sent().Target, Unsent: true})
+	h.view(1, "", 100, 100, 100)
+	h.wait(4 * time.Second)
+	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+}
+
+// Guards against a write that is refused at once, or waits for ever, while its
+// group has no primary.
+func TestWriteWaitsForPrimary(t *testing.T) {
+	h := newHarness(t, nil)
+	h.view(1, "", 100, 100, 100)
+	h.open(1, at100)
+	h.ask(1, "write", write)
+	h.open(2, at100)
+	h.ask(2, "write", write)
+	h.view(2, "m1", 100, 100, 100)
+	h.connect()
+	require.Equal(t, core.MemberID("m1"), h.memberOf(h.sent().Target))
+	h.view(2, "", 100, 100, 100)
+	h.open(3, at100)
+	h.ask(3, "write", write)
+	h.wait(3 * time.Second)
+	require.Contains(t, h.e.Metrics().Refusals, core.StateNoPrimary)
+}
+
+// Guards against more admissions than rate x time + burst in any window, when
+// shares change, lapse and are renewed at any time.
+func TestRateBoundOverAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, DefaultConfig())
+		w.admissions = nil
+		w.advance(10 * time.Second)
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			share := w.rate
+			share.Rate *= rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "rate")
+			share.Burst *= rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "burst")
+			lapse := time.Duration(rapid.IntRange(-10, 200).Draw(t, "until")) * time.Millisecond
+			w.handle(ShareInForce{Until: w.now.Add(lapse), Accounts: map[core.AccountName]RateShare{"acct": share}})
+			w.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			w.flood(30)
+		}
+		w.checkRate()
+	})
+}
+
+// flood sends n requests from new callers.
+func (w *world) flood(n int) {
+	for range n {
+		w.nextCaller++
+		m := &modelCaller{id: w.nextCaller, open: true, status: txIdle, text: "read", waiting: true}
+		w.callers[m.id] = m
+		w.handle(CallerOpened{Caller: m.id, Account: "acct", Entry: "entry", Key: "k1"})
+		w.handle(CallerRequest{Caller: m.id, Request: &Request{
+			Texts: []string{"read"}, Payload: &Payload{}, Arrived: w.now,
+		}})
+	}
+}
--- a/pkg/session/world_test.go
+++ b/pkg/session/world_test.go
@@ -62,7 +62,6 @@
 	caller *modelCaller
 	text   string
 	inTx   *modelCaller
-	commit core.Position
 	// closing is set when the engine gave the connection up; the socket still
 	// counts until the close is reported.
 	closing bool
