Test the fair queue and the routing factors; fix the order of emptied accounts

The heap of accounts compared the first item of an account that had none while it was added or removed, and panicked with two accounts in a class. The order now is a field of the account. Found by TestOneAccountOverItsRateLeavesTheOthersAlone.

The session engine keeps a list of databases whose reports found no room, so that NextDeadline does not walk over all databases, raises the floor also when it acknowledges at commit, and drops expired statements before it sends them.

--- a/pkg/fairqueue/fair.go
+++ b/pkg/fairqueue/fair.go
@@ -40,6 +40,9 @@
 	weight int
 	// start is the virtual time at which the next item may start.
 	start float64
+	// order is the arrival of the item in front; it decides between equal
+	// start tags, also while the flow is empty on its way out of the heap.
+	order uint64
 	index int
 	items itemHeap[T]
 }
@@ -93,6 +96,7 @@
 	f := item.flow
 	if len(f.items) == 0 {
 		f.start = max(f.start, l.virtual)
+		f.order = item.seq
 		l.weights += f.weight
 		heap.Push(&l.active, f)
 	}
@@ -157,6 +161,7 @@
 	l.length--
 	q.length--
 	if len(f.items) > 0 {
+		f.order = f.items[0].seq
 		heap.Fix(&l.active, f.index)
 		return
 	}
--- /dev/null
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -0,0 +1,179 @@
+package fairqueue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// waits runs a server with one slot: each account offers one item every
+// interval steps, and the result is the longest wait of each account.
+func waits(q Queue[int], intervals map[core.AccountName]int, steps int) map[core.AccountName]int {
+	accounts := make([]core.AccountName, 0, len(intervals))
+	for account := range intervals {
+		accounts = append(accounts, account)
+	}
+	slices.Sort(accounts)
+	longest := map[core.AccountName]int{}
+	for step := range steps {
+		for _, account := range accounts {
+			if step%intervals[account] == 0 {
+				q.Push(&Item[int]{Value: step, Account: account, Weight: 1, Class: core.ClassInteractive})
+			}
+		}
+		if item, ok := q.Pop(); ok {
+			longest[item.Account] = max(longest[item.Account], step-item.Value)
+		}
+	}
+	return longest
+}
+
+// Guards against an account that sends five times its rate and makes the others
+// wait; the first-in-first-out baseline shows that the load is enough for it.
+func TestOneAccountOverItsRateLeavesTheOthersAlone(t *testing.T) {
+	fairShare := map[core.AccountName]int{"a": 5, "b": 5, "c": 5, "d": 5}
+	greedy := map[core.AccountName]int{"a": 1, "b": 5, "c": 5, "d": 5}
+	before := waits(New[int](KindFair), fairShare, 5000)
+	after := waits(New[int](KindFair), greedy, 5000)
+	baseline := waits(New[int](KindFIFO), greedy, 5000)
+	for _, account := range []core.AccountName{"b", "c", "d"} {
+		require.LessOrEqual(t, after[account], before[account]+1, "account %s", account)
+		require.Greater(t, baseline[account], 100, "baseline, account %s", account)
+	}
+}
+
+// Guards against weights that are not in proportion.
+func TestWeights(t *testing.T) {
+	q := NewFair[int](DefaultPassBound)
+	for range 300 {
+		q.Push(&Item[int]{Account: "light", Weight: 1})
+		q.Push(&Item[int]{Account: "heavy", Weight: 3})
+	}
+	served := map[core.AccountName]int{}
+	for range 200 {
+		item, _ := q.Pop()
+		served[item.Account]++
+	}
+	require.InDelta(t, 150, served["heavy"], 1)
+}
+
+// Guards against an account that saves up service while it is idle.
+func TestIdleAccountSavesUpNothing(t *testing.T) {
+	q := NewFair[int](DefaultPassBound)
+	q.Push(&Item[int]{Account: "returning"})
+	q.Pop()
+	for range 100 {
+		q.Push(&Item[int]{Account: "steady"})
+	}
+	for range 50 {
+		q.Pop()
+	}
+	for range 20 {
+		q.Push(&Item[int]{Account: "returning"})
+	}
+	served := map[core.AccountName]int{}
+	for range 20 {
+		item, _ := q.Pop()
+		served[item.Account]++
+	}
+	require.InDelta(t, 10, served["returning"], 1)
+}
+
+// Guards against urgent work behind other work, and against browse traffic that
+// starves under an endless urgent load.
+func TestClasses(t *testing.T) {
+	q := NewFair[int](4)
+	push := func(class core.Class) { q.Push(&Item[int]{Account: "a", Class: class}) }
+	push(core.ClassBrowse)
+	push(core.ClassInteractive)
+	push(core.ClassUrgent)
+	first, _ := q.Pop()
+	require.Equal(t, core.ClassUrgent, first.Class)
+	for range 100 {
+		push(core.ClassUrgent)
+	}
+	position := map[core.Class]int{}
+	for i := range 20 {
+		item, _ := q.Pop()
+		if item.Class != core.ClassUrgent {
+			position[item.Class] = i
+		}
+	}
+	require.Contains(t, position, core.ClassBrowse)
+	require.Contains(t, position, core.ClassInteractive)
+}
+
+// Guards against work with a near deadline behind patient work of its account.
+func TestDeadlinesWithinAnAccount(t *testing.T) {
+	q := NewFair[int](DefaultPassBound)
+	at := time.Unix(100, 0)
+	for i, offset := range []time.Duration{3, 1, 2} {
+		q.Push(&Item[int]{Value: i, Account: "a", Deadline: at.Add(offset * time.Second)})
+	}
+	var order []int
+	for q.Len() > 0 {
+		item, _ := q.Pop()
+		order = append(order, item.Value)
+	}
+	require.Equal(t, []int{1, 2, 0}, order)
+}
+
+// Guards against items that are lost, served twice, or served after removal,
+// and against an estimate beyond the length of the queue.
+func TestEveryItemLeavesOnce(t *testing.T) {
+	classNames := []core.Class{core.ClassUrgent, core.ClassInteractive, core.ClassBrowse}
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[int](rapid.SampledFrom([]Kind{KindFair, KindFIFO}).Draw(t, "kind"))
+		in := map[*Item[int]]bool{}
+		var known []*Item[int]
+		for i := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				item := &Item[int]{
+					Value:    i,
+					Account:  core.AccountName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")),
+					Weight:   rapid.IntRange(0, 3).Draw(t, "weight"),
+					Class:    rapid.SampledFrom(classNames).Draw(t, "class"),
+					Deadline: time.Unix(int64(rapid.IntRange(0, 9).Draw(t, "deadline")), 0),
+				}
+				ahead := q.Ahead(item.Account, item.Weight, item.Class)
+				require.LessOrEqual(t, ahead, q.Len())
+				q.Push(item)
+				in[item] = true
+				known = append(known, item)
+			case 2:
+				item, ok := q.Pop()
+				require.Equal(t, len(in) > 0, ok)
+				require.True(t, !ok || in[item])
+				delete(in, item)
+			case 3:
+				if len(known) > 0 {
+					item := rapid.SampledFrom(known).Draw(t, "removed")
+					q.Remove(item)
+					delete(in, item)
+					require.False(t, item.Queued())
+				}
+			}
+			require.Equal(t, len(in), q.Len())
+		}
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := NewFair[int](DefaultPassBound)
+	items := make([]Item[int], 1000)
+	for i := range items {
+		items[i].Account = core.AccountName([]string{"a", "b", "c", "d"}[i%4])
+		q.Push(&items[i])
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		item, _ := q.Pop()
+		q.Push(item)
+	}
+}
--- a/pkg/fairqueue/heaps.go
+++ b/pkg/fairqueue/heaps.go
@@ -39,7 +39,7 @@
 	if h[i].start != h[j].start {
 		return h[i].start < h[j].start
 	}
-	return h[i].items[0].seq < h[j].items[0].seq
+	return h[i].order < h[j].order
 }
 
 func (h flowHeap[T]) Swap(i, j int) {
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -141,4 +141,7 @@
 		return
 	}
 	e.timers.Disarm(&e.drainTimer.item)
+	for _, t := range e.targets {
+		t.fire(e.charts.conn.retire)
+	}
 }
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -42,6 +42,8 @@
 	check    timer
 	checkAt  time.Time
 	reports  reports
+	// held is set while reports wait for room in control's ring.
+	held bool
 }
 
 func newDatabase(e *Engine, name core.DatabaseName) *database {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -30,7 +30,9 @@
 	connections map[core.DatabaseName]int
 	shareUntil  time.Time
 	// toCheck are the members to serve at the end of the input.
-	toCheck    []*member
+	toCheck []*member
+	// held are the databases with reports that control had no room for.
+	held       []*database
 	states     targetStates
 	keysUntil  time.Time
 	stopping   bool
@@ -192,13 +194,5 @@
 }
 
 func (e *Engine) holdsOutput() bool {
-	if len(e.box.callers) > 0 || len(e.box.targets) > 0 {
-		return true
-	}
-	for _, db := range e.databases {
-		if db.reports.pending() {
-			return true
-		}
-	}
-	return false
+	return len(e.box.callers) > 0 || len(e.box.targets) > 0 || len(e.held) > 0
 }
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -182,7 +182,7 @@
 	db.wanted = false
 	db.askedRound++
 	db.reports.floor = &NeedFloor{Database: db.name, Round: db.askedRound}
-	db.reports.flush(db.e.box.out)
+	db.flushReports()
 	db.e.timers.Arm(&db.floorTimer.item, db.e.now.Add(db.e.cfg.Bounds.FloorRepeat))
 }
 
--- a/pkg/session/outbox.go
+++ b/pkg/session/outbox.go
@@ -87,8 +87,21 @@
 // Flush offers commands that found a full ring again, and reports whether none
 // is left. The duty takes no further input while it returns false.
 func (e *Engine) Flush() bool {
-	for _, db := range e.databases {
-		db.reports.flush(e.box.out)
+	held := e.held
+	e.held = nil
+	for _, db := range held {
+		db.held = false
+		db.flushReports()
 	}
 	return e.box.flush()
 }
+
+// flushReports offers the database's reports and remembers to do so again when
+// control has no room.
+func (db *database) flushReports() {
+	db.reports.flush(db.e.box.out)
+	if db.reports.pending() && !db.held {
+		db.held = true
+		db.e.held = append(db.e.held, db)
+	}
+}
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -47,7 +47,11 @@
 			return
 		}
 		item, _ := m.queue.Pop()
-		m.start(item.Value)
+		if s := item.Value; s.deadline.After(m.db.e.now) {
+			m.start(s)
+		} else {
+			s.fire(m.db.e.charts.stmt.timedOut)
+		}
 	}
 	if len(m.idle) > 0 {
 		m.offerIdle()
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -175,6 +175,17 @@
 	require.Contains(t, h.e.Metrics().Refusals, core.StateNoPrimary)
 }
 
+// Guards against a baseline that differs in more than the missing confirmation.
+func TestAcknowledgeAtCommit(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.AckAtCommit = true })
+	h.open(1, at100)
+	s := h.run(1, "write", write)
+	p := core.Position{Term: 1, LSN: 110}
+	h.ready(s.Target, 'I', p)
+	require.Equal(t, CallerWrite{Caller: 1, Frames: []byte("ready"), Done: true, Position: p}, h.last())
+	require.Equal(t, p, h.e.callers[1].floor)
+}
+
 // Guards against more admissions than rate x time + burst in any window, when
 // shares change, lapse and are renewed at any time.
 func TestRateBoundOverAnyWindow(t *testing.T) {
@@ -195,6 +206,31 @@
 	})
 }
 
+// Guards against a share that is spent, or earns tokens, after its end.
+func TestShareAfterItsEnd(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.wait(time.Hour - time.Second)
+	h.view(1, "m0", 100, 100, 100)
+	s := h.run(1, "read", read)
+	h.ready(s.Target, 'I', core.Position{})
+	bucket := &h.e.accounts["acct"].bucket
+	bucket.tokens = 0
+	h.wait(time.Minute)
+	h.ask(1, "read", read)
+	h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun)
+	require.Equal(t, uint64(1), h.e.Metrics().RateUnknown)
+	bucket.tokens = 10
+	h.ask(1, "read", read)
+	h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun)
+	bucket.tokens = 0
+	h.share(6)
+	require.Zero(t, bucket.tokens, "nothing is earned for the time without a share")
+	h.wait(10 * time.Millisecond)
+	h.view(1, "m0", 100, 100, 100)
+	h.run(1, "read", read)
+}
+
 // flood sends n requests from new callers.
 func (w *world) flood(n int) {
 	for range n {
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -45,7 +45,7 @@
 	s.askedApplied = true
 	db := s.c.db
 	db.reports.needApplied(db.name, s.c.floor)
-	db.reports.flush(s.c.e.box.out)
+	db.flushReports()
 }
 
 func (s *statement) enqueue() {
@@ -132,7 +132,7 @@
 		return
 	}
 	db.reports.needConfirm(db.name, s.position)
-	db.reports.flush(s.c.e.box.out)
+	db.flushReports()
 }
 
 // finish gives the caller the rest of its answer.
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -127,7 +127,7 @@
 
 // fromReplacedPrimary reports a commit of a term that is over.
 func (s *statement) fromReplacedPrimary() bool {
-	return s.committed() && s.c.db.term > s.position.Term
+	return s.awaitsMajority() && s.c.db.term > s.position.Term
 }
 
 // unconfirmed reports a commit that a majority is not known to have.
@@ -135,16 +135,18 @@
 	if s.isStatusQuery() && s.position.IsZero() && s.errorState == "" {
 		return !s.c.e.cfg.AckAtCommit
 	}
-	return s.committed() && !s.c.db.confirms(s.position)
+	return s.awaitsMajority() && !s.c.db.confirms(s.position)
 }
 
-// committed reports an answer that has to be confirmed. Without a log position
-// nothing was committed.
+// awaitsMajority reports a commit that has to be confirmed.
+func (s *statement) awaitsMajority() bool {
+	return s.committed() && !s.c.e.cfg.AckAtCommit
+}
+
+// committed reports an answer with a commit. Without a log position nothing was
+// committed.
 func (s *statement) committed() bool {
-	if s.c.e.cfg.AckAtCommit || s.position.IsZero() {
-		return false
-	}
-	return s.verdict.Kind != KindRead && !s.readsNoData()
+	return !s.position.IsZero() && s.verdict.Kind != KindRead && !s.readsNoData()
 }
 
 // holdsResult reports a request that may commit before it ends, so that none
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -24,8 +24,6 @@
 	// idleIndex is the place among the member's idle connections.
 	idleIndex int
 	idleSince time.Time
-	// refused is set when the member turned the connection down.
-	refused bool
 }
 
 func targetRegistry(b *Bounds) chart.Registry[*target] {
@@ -220,7 +218,6 @@
 	if !ok {
 		return
 	}
-	t.refused = in.Refused
 	if t.caller != nil {
 		t.caller.stmt.unsent = in.Unsent
 	}
--- a/pkg/session/world_actions_test.go
+++ b/pkg/session/world_actions_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
 )
 
 func (w *world) openCaller() {
@@ -200,6 +201,12 @@
 	for id, m := range w.callers {
 		w.check(!m.open || !m.waiting, fmt.Sprint("caller ", id, " was never answered: ", m.text))
 	}
+	w.handle(Drain{})
+	w.advance(w.e.cfg.Bounds.Drain)
+	w.check(w.drained, "the graceful stop did not end")
+	for id, m := range w.callers {
+		w.check(!m.open, fmt.Sprint("caller ", id, " was not told to reconnect"))
+	}
 }
 
 // checkRate checks every window between two admissions.
@@ -228,6 +235,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
 		cfg.RetryFraction = rapid.SampledFrom([]float64{0.1, 1}).Draw(t, "retry fraction")
+		cfg.Policy = rapid.SampledFrom([]Policy{PolicyFactors, PolicyRoundRobin, PolicyPrimary}).Draw(t, "policy")
+		cfg.Queue = rapid.SampledFrom([]fairqueue.Kind{fairqueue.KindFair, fairqueue.KindFIFO}).Draw(t, "queue")
 		w := newWorld(t, cfg)
 		script := w.script()
 		order := rapid.SliceOfN(rapid.Uint16(), 300, 600).Draw(t, "order")
