Parse a statement once in a batch

A second Parse of the same text in one batch, under any name, would fail on the target with a duplicate name. callerio now sends a Parse of an empty text in its place, which the target answers with ParseComplete. Also refuses a database name that the startup message cannot carry, and does not copy large answers to insert a position.

--- a/pkg/callerio/answer.go
+++ b/pkg/callerio/answer.go
@@ -104,7 +104,12 @@
 		c.finish()
 		return
 	}
-	out := append(c.duty.scratch[:0], body...)
+	out := c.duty.scratch[:0]
+	if len(body) > maxScratch {
+		c.write(body)
+	} else {
+		out = append(out, body...)
+	}
 	if !m.Position.IsZero() {
 		out = wire.Append(out, &pgproto3.ParameterStatus{Name: positionParameter, Value: m.Position.String()})
 	}
--- a/pkg/callerio/batch.go
+++ b/pkg/callerio/batch.go
@@ -93,14 +93,16 @@
 	return 0, false
 }
 
-// require lists s among the statements that the target must have. explicit is
-// set for the caller's own Parse.
-func (b *batch) require(s *statement, explicit bool) {
+// require lists s among the statements that the target must have and reports
+// whether it was not listed yet. explicit is set for the caller's own Parse.
+func (b *batch) require(s *statement, explicit bool) bool {
 	u := b.refer(s)
-	if !u.required {
-		u.required = true
-		u.explicit = explicit
+	if u.required {
+		return false
 	}
+	u.required = true
+	u.explicit = explicit
+	return true
 }
 
 // prepared returns the statements that the target must have.
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -119,8 +119,11 @@
 		}
 	}
 	c.batch.add(stepParse, true)
-	c.batch.require(s, true)
-	c.batch.frames = append(c.batch.frames, s.parse...)
+	if c.batch.require(s, true) {
+		c.batch.frames = append(c.batch.frames, s.parse...)
+	} else {
+		c.batch.frames = append(c.batch.frames, wire.EmptyParse...)
+	}
 	return true
 }
 
--- a/pkg/targetio/duty.go
+++ b/pkg/targetio/duty.go
@@ -1,6 +1,7 @@
 package targetio
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -200,10 +201,14 @@
 func (d *Duty) open(m session.TargetOpen) {
 	t := &target{duty: d, id: m.Target, address: m.Address, database: m.Database, state: d.startup.table.Initial()}
 	t.timeout.Value = t.timedOut
+	if strings.ContainsRune(string(m.Database), 0) {
+		// The startup message cannot carry such a name.
+		d.refuse(t.id, "the database name holds a zero byte")
+		return
+	}
 	conn, err := d.loop.Connect(m.Address, t)
 	if err != nil {
-		d.counts.refused.Add(1)
-		d.outbox.Push(session.TargetClosed{Target: t.id, Unsent: true, Refused: true, Reason: err.Error()})
+		d.refuse(t.id, err.Error())
 		return
 	}
 	t.conn = conn
@@ -211,3 +216,8 @@
 	d.counts.open.Add(1)
 	t.armTimeout()
 }
+
+func (d *Duty) refuse(id session.TargetID, reason string) {
+	d.counts.refused.Add(1)
+	d.outbox.Push(session.TargetClosed{Target: id, Unsent: true, Refused: true, Reason: reason})
+}
--- a/pkg/targetio/exchange.go
+++ b/pkg/targetio/exchange.go
@@ -93,8 +93,7 @@
 
 // assemble returns the frames of the request with the messages that create
 // missing statements in front. A Parse of the caller for a statement that the
-// connection has is replaced by a Parse of an empty text: its ParseComplete
-// comes at the same place, and the statement is not created twice.
+// connection has is replaced by wire.EmptyParse, so that it is not created twice.
 func (t *target) assemble(p *session.Payload) []byte {
 	if t.hasAll(p.Prepared) {
 		return p.Frames
@@ -167,10 +166,6 @@
 	}
 }
 
-// emptyParse is a Parse of an empty text as the unnamed statement, which
-// callers never use on a target.
-var emptyParse = wire.Append(nil, &pgproto3.Parse{})
-
 func (a *assembly) copyFrame(f wire.Frame) {
 	switch f.Type {
 	case 'P':
@@ -186,7 +181,7 @@
 	text, _, _ := wire.CString(f.Body)
 	name := string(text)
 	if a.target.statements.has(name) || a.created[name] {
-		a.out = append(a.out, emptyParse...)
+		a.out = append(a.out, wire.EmptyParse...)
 		a.target.exchange.expect(expectation{kind: '1'})
 		return
 	}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -135,3 +135,8 @@
 	}
 	return body[:end], body[end+1:], true
 }
+
+// EmptyParse is a Parse of an empty text as the unnamed statement. Callers
+// never use the unnamed statement of a target, so it stands for a Parse of a
+// statement that exists: the ParseComplete comes at the same place.
+var EmptyParse = Append(nil, &pgproto3.Parse{})
--- /dev/null
+++ b/pkg/wire/outbox/outbox_test.go
@@ -0,0 +1,36 @@
+package outbox
+
+import (
+	"testing"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/stretchr/testify/require"
+)
+
+type countingWaker int
+
+func (w *countingWaker) Wake() { *w++ }
+
+// Guards against events that overtake held ones, are lost or wake nobody.
+func TestHeldEventsKeepTheirOrder(t *testing.T) {
+	var woken countingWaker
+	events := ring.New[session.Input](4, ring.NewSignal())
+	o := New(events, &woken)
+	const count = 11
+	for id := range count {
+		o.Push(session.CallerClosed{Caller: session.CallerID(id)})
+	}
+	require.True(t, o.Blocked())
+	require.Equal(t, count-4, o.Held())
+	for id := range count {
+		event, ok := events.Pop()
+		require.True(t, ok)
+		require.Equal(t, session.CallerClosed{Caller: session.CallerID(id)}, event)
+		if woken > 0 {
+			woken = 0
+			o.Flush()
+		}
+	}
+	require.False(t, o.Blocked())
+}
