Test callers that share a target connection

Six pgx callers with partly equal texts take turns on one connection; every answer and prepared statement stays with its caller. An idle member is told before its connection is closed.

--- a/pkg/targetio/duty.go
+++ b/pkg/targetio/duty.go
@@ -180,7 +180,7 @@
 	case session.TargetSend:
 		d.withTarget(m.Target, func(t *target) { t.send(m) })
 	case session.TargetClose:
-		d.withTarget(m.Target, func(t *target) { t.fail("closed by the proxy") })
+		d.withTarget(m.Target, (*target).terminate)
 	case session.TargetCancel:
 		d.withTarget(m.Target, (*target).cancel)
 	case session.TargetPause:
--- a/pkg/targetio/pgx_test.go
+++ b/pkg/targetio/pgx_test.go
@@ -19,7 +19,11 @@
 	"github.com/xdg-go/scram"
 )
 
-const pgxWait = 10 * time.Second
+const (
+	pgxWait = 10 * time.Second
+	// noOwner keeps the shared target from being used before it is open.
+	noOwner = ^session.CallerID(0)
+)
 
 // passThrough is a session duty that gives every caller a target connection
 // of its own and passes everything on.
@@ -31,6 +35,11 @@
 	targets *targetio.Duty
 	address string
 	done    chan struct{}
+	// shared is set when all callers use target 1, one request at a time.
+	shared bool
+	opened bool
+	queue  []session.CallerRequest
+	owner  session.CallerID
 }
 
 func (p *passThrough) run() {
@@ -60,7 +69,37 @@
 	p.targets.Ring().TryPush(targetio.FromSession(command))
 }
 
+// passShared handles the events that differ when callers share a target.
+func (p *passThrough) passShared(event session.Input) {
+	switch e := event.(type) {
+	case session.CallerOpened:
+		if !p.opened {
+			p.opened = true
+			p.target(session.TargetOpen{Target: 1, Address: p.address})
+		}
+		p.caller(session.CallerAdmitted{Caller: e.Caller})
+	case session.CallerRequest:
+		p.queue = append(p.queue, e)
+	case session.TargetData:
+		p.caller(session.CallerWrite{Caller: p.owner, Frames: e.Frames})
+	case session.TargetReady:
+		p.caller(session.CallerWrite{Caller: p.owner, Frames: e.Frames, Done: true, Position: e.Position})
+		p.owner = 0
+	case session.TargetOpened:
+		p.owner = 0
+	}
+	if p.owner == 0 && p.opened && len(p.queue) > 0 {
+		p.owner = p.queue[0].Caller
+		p.target(session.TargetSend{Target: 1, Payload: p.queue[0].Request.Payload})
+		p.queue = p.queue[1:]
+	}
+}
+
 func (p *passThrough) pass(event session.Input) {
+	if p.shared {
+		p.passShared(event)
+		return
+	}
 	switch e := event.(type) {
 	case session.CallerOpened:
 		p.target(session.TargetOpen{Target: session.TargetID(e.Caller), Address: p.address})
@@ -97,9 +136,11 @@
 }
 
 // startProxy runs both duties in front of one member and returns a connection string.
-func startProxy(t testing.TB, memberAddress string) string {
+func startProxy(t testing.TB, memberAddress string, shared bool) string {
 	signal := ring.NewSignal()
-	p := &passThrough{t: t, signal: signal, events: ring.New[session.Input](1024, signal), address: memberAddress, done: make(chan struct{})}
+	p := &passThrough{t: t, signal: signal, events: ring.New[session.Input](1024, signal), address: memberAddress, done: make(chan struct{}), shared: shared}
+	// A request waits for the first TargetOpened.
+	p.owner = noOwner
 	var err error
 	p.callers, err = callerio.New(callerio.Config{Address: "127.0.0.1:0"}, callerio.Deps{Session: p.events, Chart: definition(t, "caller_startup")})
 	require.NoError(t, err)
@@ -124,7 +165,7 @@
 // Guards against an ordinary driver that cannot connect, query, prepare,
 // recover from an error or cancel through the proxy.
 func TestPgxInEveryMode(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t))
+	url := startProxy(t, targetio.StartScriptedMember(t), false)
 	modes := []pgx.QueryExecMode{
 		pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe,
 		pgx.QueryExecModeDescribeExec, pgx.QueryExecModeExec,
@@ -178,7 +219,7 @@
 
 // Guards against a cancel request that does not reach the member.
 func TestPgxCancel(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t))
+	url := startProxy(t, targetio.StartScriptedMember(t), false)
 	ctx, cancel := context.WithTimeout(t.Context(), pgxWait)
 	defer cancel()
 	conn, err := pgx.Connect(ctx, url)
@@ -204,7 +245,7 @@
 
 // Guards against a wrong key that gets through an ordinary driver's SCRAM.
 func TestPgxWrongKey(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t))
+	url := startProxy(t, targetio.StartScriptedMember(t), false)
 	config, err := pgx.ParseConfig(url)
 	require.NoError(t, err)
 	config.Password = "wrong"
@@ -213,3 +254,40 @@
 	require.ErrorAs(t, err, &failed)
 	require.Equal(t, "28P01", failed.Code)
 }
+
+// Guards against answers and prepared statements that get mixed when several
+// callers take turns on one target connection (G3, G8).
+func TestPgxCallersShareATarget(t *testing.T) {
+	url := startProxy(t, targetio.StartScriptedMember(t), true)
+	const callers, rounds = 6, 40
+	failures := make(chan error, callers)
+	for caller := range callers {
+		go func() { failures <- shareTarget(t.Context(), url, caller, rounds) }()
+	}
+	for range callers {
+		require.NoError(t, <-failures)
+	}
+}
+
+func shareTarget(ctx context.Context, url string, caller, rounds int) error {
+	ctx, cancel := context.WithTimeout(ctx, pgxWait)
+	defer cancel()
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	for round := range rounds {
+		// Half of the texts are the same for all callers.
+		text := fmt.Sprintf("select $1 -- %d %d", caller*(round%2), round%5)
+		want := fmt.Sprint(caller, round)
+		var got string
+		if err := conn.QueryRow(ctx, text, want).Scan(&got); err != nil {
+			return err
+		}
+		if got != want {
+			return fmt.Errorf("caller %d got %q instead of %q", caller, got, want)
+		}
+	}
+	return nil
+}
--- a/pkg/targetio/target.go
+++ b/pkg/targetio/target.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
@@ -96,6 +97,15 @@
 	t.conn.Close()
 }
 
+// terminate closes the connection at the request of session. An idle member is
+// told, so that it does not log a lost connection.
+func (t *target) terminate() {
+	if t.state == t.duty.startup.open && t.exchange == nil {
+		t.conn.Write(wire.Append(nil, &pgproto3.Terminate{}))
+	}
+	t.fail("closed by the proxy")
+}
+
 // process consumes the complete frames that are buffered.
 func (t *target) process() {
 	if t.duty.outbox.Blocked() {
