--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -29,9 +29,12 @@
 	shares      map[core.AccountName]RateShare
 	connections map[core.DatabaseName]int
 	shareUntil  time.Time
+	// grant and shareRevision identify the share in force.
+	grant         uint64
+	shareRevision uint64
 	// toCheck are the members to serve at the end of the input.
-	toCheck []*member
-	states  targetStates
+	toCheck    []*member
+	states     targetStates
 	keysUntil  time.Time
 	stopping   bool
 	drained    bool
@@ -156,6 +159,10 @@
 		e.catalogueInForce(in.Catalogue)
 	case ShareInForce:
 		e.shareInForce(in)
+	case Inspect:
+		e.inspect(in)
+	case KeysRevoked:
+		e.keysRevoked(in.Keys)
 	case KeysTrusted:
 		e.keysUntil = in.Until
 	case Drain:
