Divide shares with few writes; close three ways to spend a share twice

Cause: the simulation of the fleet found three ways in which an inherited slot exceeds the limits, all with a peer that hands out an old table: the predecessor had acknowledged a lower limit; a planned stop had vacated the slot at once; a refused connection had been seen before an old table was handed out. Change: an inheritor spends only the floors; the guards keep the floors until every holder has acknowledged lower ones; a slot is vacated only when no holder can hand out a table in which it is held and a connection begun after that was refused, or after cutoff_bound and margin. What lies above the floor is taken back from a dead or stopped holder at once. A move of shares starts only for a shortage beyond the noise of the demand. Ruled out: headroom in proportion to demand before the max-min division; it starves the largest slot and writes a table every second.

--- a/pkg/share/allocator.go
+++ b/pkg/share/allocator.go
@@ -20,7 +20,7 @@
 	claims   map[int]Claim
 	reports  map[int]heardReport
 	deaths   map[core.InstanceID]time.Time
-	refusals map[core.InstanceID]heardRefusal
+	refusals map[core.InstanceID]Refusal
 	// ended is when this allocator first knew that a lease in the table is over.
 	ended map[LeaseID]time.Time
 	// entered is when this allocator first saw a slot in its present state.
@@ -34,13 +34,6 @@
 	at time.Time
 }
 
-// heardRefusal is the proof that an instance is dead: when this allocator first
-// had one, and the latest.
-type heardRefusal struct {
-	first time.Time
-	last  Refusal
-}
-
 type slotEntry struct {
 	state    string
 	instance core.InstanceID
@@ -48,9 +41,8 @@
 	// suspended is the revision that suspended a lost slot, otherwise zero.
 	suspended uint64
 	since     time.Time
-	// cleared holds when each holder was first known to have applied the
-	// revision that suspended the slot.
-	cleared map[core.InstanceID]time.Time
+	// clearedAt is when no other holder could hand out an older table any more.
+	clearedAt time.Time
 }
 
 // NewAllocator binds the chart "share". It returns a *chart.InvalidError for a
@@ -68,7 +60,7 @@
 		claims:   map[int]Claim{},
 		reports:  map[int]heardReport{},
 		deaths:   map[core.InstanceID]time.Time{},
-		refusals: map[core.InstanceID]heardRefusal{},
+		refusals: map[core.InstanceID]Refusal{},
 		ended:    map[LeaseID]time.Time{},
 		entered:  map[int]slotEntry{},
 		demand:   newDemandBook(),
@@ -111,7 +103,6 @@
 func (a *Allocator) Report(r Report, now time.Time) {
 	a.reports[r.Slot] = heardReport{Report: r, at: now}
 	a.demand.note(r)
-	a.noteCleared(r, now)
 }
 
 // DeathReported takes a peer's word that a connection to the instance's peer
@@ -122,13 +113,8 @@
 }
 
 // ProbeRefused takes the result of a Probe whose connection was refused.
-func (a *Allocator) ProbeRefused(r Refusal, now time.Time) {
-	known, ok := a.refusals[r.Instance]
-	if !ok {
-		known.first = now
-	}
-	known.last = r
-	a.refusals[r.Instance] = known
+func (a *Allocator) ProbeRefused(r Refusal) {
+	a.refusals[r.Instance] = r
 }
 
 // Probes returns the connections to try now. It is called once a second.
@@ -148,17 +134,6 @@
 	return a.late
 }
 
-func (a *Allocator) noteCleared(r Report, now time.Time) {
-	for _, entry := range a.entered {
-		if entry.suspended == 0 || r.RatesApplied < entry.suspended {
-			continue
-		}
-		if _, ok := entry.cleared[r.Instance]; !ok {
-			entry.cleared[r.Instance] = now
-		}
-	}
-}
-
 func (a *Allocator) noteEntries(now time.Time) {
 	present := map[core.InstanceID]bool{}
 	for i := range a.table.Slots {
@@ -171,14 +146,13 @@
 	}
 	absent := func(id core.InstanceID) bool { return !present[id] }
 	maps.DeleteFunc(a.deaths, func(id core.InstanceID, _ time.Time) bool { return absent(id) })
-	maps.DeleteFunc(a.refusals, func(id core.InstanceID, _ heardRefusal) bool { return absent(id) })
+	maps.DeleteFunc(a.refusals, func(id core.InstanceID, _ Refusal) bool { return absent(id) })
 }
 
 func newSlotEntry(s *Slot, now time.Time) slotEntry {
 	entry := slotEntry{state: s.State, instance: s.Instance, granted: s.Granted, since: now}
 	if s.State == StateLost {
 		entry.suspended = s.RatesLowered
-		entry.cleared = map[core.InstanceID]time.Time{}
 	}
 	return entry
 }
--- a/pkg/share/divide.go
+++ b/pkg/share/divide.go
@@ -2,13 +2,17 @@
 
 import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 
-// Headroom and thresholds of a move. A slot's target exceeds its demand by the
-// headroom, because demand is noisy. A move starts only when a slot that uses
-// most of its limit would gain at least a tenth, so that noise moves nothing.
+// Thresholds of a move. A move starts only for a shortage beyond the noise of
+// the demand: one slot lacks slotNoise standard deviations, or what the slots
+// lack beyond accountNoise standard deviations adds up to shortTolerance of the
+// rate.
 const (
-	demandHeadroom  = 1.25
-	needyUse        = 0.8
-	needyGain       = 1.1
+	slotNoise      = 4.0
+	accountNoise   = 2.0
+	shortTolerance = 0.01
+	// smoothedNoise is the standard deviation of a smoothed Poisson count of mean
+	// 1: the square root of w/(2-w), where w is demandWeight.
+	smoothedNoise   = 0.42
 	floorTolerance  = 0.9
 	unusedTolerance = 0.02
 )
--- a/pkg/share/encode.go
+++ b/pkg/share/encode.go
@@ -19,6 +19,7 @@
 	// Guards is missing where it equals the floors.
 	Guards        *floorsDocument `json:"guards,omitempty"`
 	FloorsLowered uint64          `json:"floors_lowered,omitempty"`
+	GuardsLowered uint64          `json:"guards_lowered,omitempty"`
 	Slots         []slotDocument  `json:"slots"`
 }
 
@@ -87,7 +88,7 @@
 		Slots:            make([]slotDocument, len(t.Slots)),
 	}
 	d.Floors = encodeFloors(t.Floors)
-	d.FloorsLowered = t.FloorsLowered
+	d.FloorsLowered, d.GuardsLowered = t.FloorsLowered, t.GuardsLowered
 	if !t.Guards.equal(t.Floors) {
 		guards := encodeFloors(t.Guards)
 		d.Guards = &guards
@@ -177,7 +178,8 @@
 
 func (t *Table) setFloors(d *tableDocument) []string {
 	floors, valid := decodeFloors(d.Floors)
-	t.Floors, t.Guards, t.FloorsLowered = floors, floors, d.FloorsLowered
+	t.Floors, t.Guards = floors, floors
+	t.FloorsLowered, t.GuardsLowered = d.FloorsLowered, d.GuardsLowered
 	if d.Guards != nil {
 		guards, guardsValid := decodeFloors(*d.Guards)
 		t.Guards = guards
--- a/pkg/share/floors.go
+++ b/pkg/share/floors.go
@@ -72,6 +72,7 @@
 	}
 	if !t.Guards.equal(t.Floors) && d.floorsCleared() {
 		t.Guards = t.Floors.clone()
+		t.GuardsLowered = t.Revision
 		d.changed = true
 	}
 }
@@ -81,15 +82,7 @@
 // still hand out an older table, until its slot is reclaimed.
 func (d *draft) floorsCleared() bool {
 	for i := range d.table.Slots {
-		s := &d.table.Slots[i]
-		if s.State == StateVacant {
-			continue
-		}
-		if _, dead := d.a.refusals[s.Instance]; dead && s.State == StateLost {
-			continue
-		}
-		heard, ok := d.a.reportOf(i, s)
-		if !ok || heard.RatesApplied < d.table.FloorsLowered {
+		if !d.a.cleared(i, &d.table.Slots[i], d.table.FloorsLowered) {
 			return false
 		}
 	}
--- a/pkg/share/lifecycle.go
+++ b/pkg/share/lifecycle.go
@@ -57,6 +57,7 @@
 			"transfer":     (*slotSubject).transfer,
 			"vacate":       (*slotSubject).vacate,
 			"suspend":      (*slotSubject).suspend,
+			"keep_floor":   (*slotSubject).keepFloor,
 			"restore":      (*slotSubject).restore,
 			"lower_held":   (*slotSubject).lowerHeld,
 			"count_late":   func(s *slotSubject) { s.a.late++ },
@@ -101,22 +102,12 @@
 
 // noInheritor holds when the refused connection proves that nobody spends the
 // slot's share, now or later. An instance may inherit a slot from the table of
-// any living holder, and it listens before it asks for that table. So every
-// other holder must first have acknowledged the table in which this slot is
-// lost, or be proved dead itself; the refusal must be of a connection that
-// began after that.
+// any living holder, and it listens before it asks for that table. So the
+// refusal must be of a connection that began when no holder could hand out a
+// table any more in which this slot is not lost.
 func (s *slotSubject) noInheritor() bool {
-	for i := range s.draft.table.Slots {
-		other := &s.draft.table.Slots[i]
-		if i == s.index || other.State == StateVacant {
-			continue
-		}
-		cleared, ok := s.a.clearedSince(other, s.index)
-		if !ok || s.refusal.Started.Before(cleared) {
-			return false
-		}
-	}
-	return !s.refusal.Started.Before(s.a.entered[s.index].since)
+	cleared := s.a.entered[s.index].clearedAt
+	return !cleared.IsZero() && s.refusal.Started.After(cleared)
 }
 
 // cutOff holds when neither the holder nor an inheritor may spend any more:
@@ -180,6 +171,37 @@
 	s.draft.changed = true
 }
 
+// keepFloor takes back what lies above the guard from a holder that is dead or
+// has stopped spending. The rest waits, because an instance may have inherited
+// the slot from an older table. It may have done so with guards that were
+// lowered since, unless the holder was still alive after that.
+func (s *slotSubject) keepFloor() {
+	heard, ok := s.a.reportOf(s.index, s.slot)
+	lowered := s.draft.table.GuardsLowered
+	if lowered > 0 && (!ok || heard.RatesApplied < lowered) {
+		return
+	}
+	for name, r := range s.slot.Accounts {
+		guard := s.draft.table.Guards.Rates[name]
+		kept := Rate{Rate: min(r.Held.Rate, guard.Rate), Burst: min(r.Held.Burst, guard.Burst)}
+		if kept == r.Held {
+			continue
+		}
+		r.Held = kept
+		s.slot.Accounts[name] = r
+		s.draft.changed = true
+	}
+	for name, c := range s.slot.Databases {
+		kept := min(c.Held, s.draft.table.Guards.Connections[name])
+		if kept == c.Held {
+			continue
+		}
+		c.Held = kept
+		s.slot.Databases[name] = c
+		s.draft.changed = true
+	}
+}
+
 func (s *slotSubject) restore() {
 	for name, r := range s.slot.Accounts {
 		r.Limit = r.Held
--- a/pkg/share/next.go
+++ b/pkg/share/next.go
@@ -25,6 +25,7 @@
 	if a.limits == nil || a.limits.Version < a.table.CatalogueVersion {
 		return nil, false
 	}
+	a.noteCleared(now)
 	d := a.newDraft(now)
 	d.runLifeCycles()
 	d.setFloors()
@@ -87,7 +88,7 @@
 		d.fire(s, a.events.acknowledged)
 	}
 	if refusal, ok := a.refusals[s.slot.Instance]; ok {
-		s.refusal = refusal.last
+		s.refusal = refusal
 		d.fire(s, a.events.refused)
 	}
 	d.fireTimeout(s)
@@ -150,12 +151,36 @@
 	return !ok || !heard.at.After(death)
 }
 
-// clearedSince returns since when the slot's holder cannot hand out a table in
-// which the lost slot is not lost.
-func (a *Allocator) clearedSince(other *Slot, lostIndex int) (time.Time, bool) {
-	if dead, ok := a.refusals[other.Instance]; ok && other.State == StateLost {
-		return dead.first, true
+// noteCleared notes for each lost slot when it was first known that no other
+// holder can hand out a table in which the slot is not lost: each has
+// acknowledged the suspension, is proved dead, or has lost its own slot.
+func (a *Allocator) noteCleared(now time.Time) {
+	for i, entry := range a.entered {
+		if entry.suspended > 0 && entry.clearedAt.IsZero() && a.othersCleared(i, entry.suspended) {
+			entry.clearedAt = now
+			a.entered[i] = entry
+		}
+	}
+}
+
+func (a *Allocator) othersCleared(index int, revision uint64) bool {
+	for i := range a.table.Slots {
+		if i != index && !a.cleared(i, &a.table.Slots[i], revision) {
+			return false
+		}
 	}
-	at, ok := a.entered[lostIndex].cleared[other.Instance]
-	return at, ok
+	return true
+}
+
+// cleared reports whether the slot's holder can hand out no table older than
+// revision.
+func (a *Allocator) cleared(index int, s *Slot, revision uint64) bool {
+	if s.State == StateVacant {
+		return true
+	}
+	if _, dead := a.refusals[s.Instance]; dead && s.State == StateLost {
+		return true
+	}
+	heard, ok := a.reportOf(index, s)
+	return ok && heard.RatesApplied >= revision
 }
--- a/pkg/share/rates.go
+++ b/pkg/share/rates.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"slices"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
@@ -64,7 +65,8 @@
 }
 
 // setRateTargets gives each slot the floor, then the rest max-min fair by
-// demand, and divides what nobody asks for equally.
+// demand. What nobody asks for is headroom: it goes in proportion to demand and
+// floor, since a large demand varies more than a small one.
 func (v *accountDivision) setRateTargets() {
 	n := int64(len(v.demand))
 	if n == 0 {
@@ -72,17 +74,32 @@
 	}
 	floor := int64(v.floor.Rate)
 	wanted := make([]int64, n)
+	weights := make([]float64, n)
 	for i, demand := range v.demand {
-		wanted[i] = max(int64(demand*demandHeadroom)-floor, 0)
+		wanted[i] = max(int64(demand)-floor, 0)
+		weights[i] = demand + float64(floor) + 1
 	}
 	rest := max(v.rate.available()-n*floor, 0)
 	given := maxMin(wanted, rest)
-	spare := (rest - sum(given)) / n
+	headroom := proportional(weights, rest-sum(given))
 	for i := range given {
-		v.rate.target[i] = floor + given[i] + spare
+		v.rate.target[i] = floor + given[i] + headroom[i]
 	}
 }
 
+// proportional divides amount by weight, rounded down.
+func proportional(weights []float64, amount int64) []int64 {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	parts := make([]int64, len(weights))
+	for i, w := range weights {
+		parts[i] = int64(float64(amount) * (w / total))
+	}
+	return parts
+}
+
 // maxMin divides amount over the wanted figures: nobody gets more than wanted,
 // and nobody could get more without taking from one that has less.
 func maxMin(wanted []int64, amount int64) []int64 {
@@ -142,21 +159,27 @@
 	return order
 }
 
-// needed tells whether a slot is short of what it should have.
+// needed tells whether the shares are worth moving: a slot lacks its floor, a
+// slot with demand cannot admit anything, one slot is far short of its demand,
+// or all together lack a noticeable part of the account's rate.
 func (v *accountDivision) needed() bool {
+	short := 0.0
 	for i, demand := range v.demand {
 		limit := float64(v.rate.limit[i])
 		if limit < floorTolerance*float64(v.floor.Rate) {
 			return true
 		}
-		if demand > needyUse*limit && float64(v.rate.target[i]) > needyGain*limit {
+		if demand > 0 && v.burst.limit[i] < MilliPerUnit && v.burst.target[i] >= MilliPerUnit {
 			return true
 		}
-		if demand > 0 && v.burst.limit[i] < MilliPerUnit && v.burst.target[i] >= MilliPerUnit {
+		lack := min(demand, float64(v.rate.target[i])) - limit
+		noise := smoothedNoise * math.Sqrt(demand*MilliPerUnit)
+		if lack > slotNoise*noise {
 			return true
 		}
+		short += max(lack-accountNoise*noise, 0)
 	}
-	return false
+	return short > shortTolerance*float64(v.rate.bound)
 }
 
 // unused tells whether enough is free to be worth a write.
--- a/pkg/share/table.go
+++ b/pkg/share/table.go
@@ -80,8 +80,10 @@
 	// Guards bounds from below what a slot may be lowered to. It equals Floors,
 	// except while older tables with higher floors may still be handed out.
 	Guards Floors
-	// FloorsLowered is the revision in which a floor was last lowered.
+	// FloorsLowered and GuardsLowered are the revisions in which a floor, and
+	// after it a guard, was last lowered.
 	FloorsLowered uint64
+	GuardsLowered uint64
 	Slots         []Slot
 }
 
