--- a/pkg/share/divide.go
+++ b/pkg/share/divide.go
@@ -2,13 +2,17 @@
 
 import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 
-// Thresholds of a move. A move starts only for a shortage beyond the noise: one
-// slot's demand exceeds its limit by noiseBound standard deviations of a
-// smoothed Poisson count, or all slots together lack shortTolerance of the rate.
+// Thresholds of a move. A move starts only for a shortage beyond the noise of
+// the demand: one slot lacks slotNoise standard deviations, or what the slots
+// lack beyond accountNoise standard deviations adds up to shortTolerance of the
+// rate.
 const (
-	needyGain       = 1.1
-	noiseBound      = 0.84
-	shortTolerance  = 0.01
+	slotNoise      = 4.0
+	accountNoise   = 2.0
+	shortTolerance = 0.01
+	// smoothedNoise is the standard deviation of a smoothed Poisson count of mean
+	// 1: the square root of w/(2-w), where w is demandWeight.
+	smoothedNoise   = 0.42
 	floorTolerance  = 0.9
 	unusedTolerance = 0.02
 )
--- a/pkg/share/rates.go
+++ b/pkg/share/rates.go
@@ -172,22 +172,16 @@
 		if demand > 0 && v.burst.limit[i] < MilliPerUnit && v.burst.target[i] >= MilliPerUnit {
 			return true
 		}
-		if v.farShort(i) {
+		lack := min(demand, float64(v.rate.target[i])) - limit
+		noise := smoothedNoise * math.Sqrt(demand*MilliPerUnit)
+		if lack > slotNoise*noise {
 			return true
 		}
-		short += max(min(demand, float64(v.rate.target[i]))-limit, 0)
+		short += max(lack-accountNoise*noise, 0)
 	}
 	return short > shortTolerance*float64(v.rate.bound)
 }
 
-// farShort tells whether the demand exceeds the limit by more than the noise of
-// a smoothed count, and the slot would gain from a move.
-func (v *accountDivision) farShort(i int) bool {
-	limit := float64(v.rate.limit[i])
-	noise := noiseBound * math.Sqrt(v.demand[i]*MilliPerUnit)
-	return v.demand[i] > limit+noise && float64(v.rate.target[i]) > needyGain*limit
-}
-
 // unused tells whether enough is free to be worth a write.
 func (v *accountDivision) unused() bool {
 	return exceedsTolerance(v.rate) || exceedsTolerance(v.burst)
