Print the four measures in the demo and check the charts in lint

Cause: the demo used curl and python, which a fresh machine need not have, and its key filter dropped keys that begin with i, so about one demo in 64 failed with 28P01; make lint did not bind the charts to the registered names. Change: standin/cmd/measure, sassafrasshuntctl ready, sassafrasshunt check binds every chart, baseline settings for the benchmarks.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 lint:
 	@test -z "$$(gofmt -l . | tee /dev/stderr)"
 	@for m in $(MODULES); do (cd $$m && go vet ./... && go tool staticcheck ./...) || exit 1; done
+	@go run ./cmd/sassafrasshunt check
 
 test: build
 	@bash .ci/test
--- a/cmd/sassafrasshunt/commands.go
+++ b/cmd/sassafrasshunt/commands.go
@@ -60,14 +60,21 @@
 func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check a settings file and the built-in state charts" }
 func (*checkCommand) Usage() string {
-	return "check -settings FILE\n  Reports every fault. Exit codes: 0 no fault, 1 faults.\n"
+	return "check [-settings FILE]\n  Checks the state charts and, if given, a settings file. Reports every fault. Exit codes: 0 no fault, 1 faults.\n"
 }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.path, "settings", "sassafrasshunt.toml", "settings file")
+	f.StringVar(&c.path, "settings", "", "settings file")
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := instance.CheckCharts(); err != nil {
+		return fail(err)
+	}
+	fmt.Println("state charts are valid")
+	if c.path == "" {
+		return subcommands.ExitSuccess
+	}
 	if _, err := settings.Load(c.path); err != nil {
 		return fail(err)
 	}
--- a/cmd/sassafrasshuntctl/fleet.go
+++ b/cmd/sassafrasshuntctl/fleet.go
@@ -41,6 +41,30 @@
 	}
 }
 
+type ready struct{ target }
+
+func (*ready) Name() string     { return "ready" }
+func (*ready) Synopsis() string { return "exit with 0 if the instance takes callers" }
+func (*ready) Usage() string    { return "ready [flags]\n" }
+
+func (c *ready) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/readyz", nil)
+	if err != nil {
+		return exit(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return exit(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		fmt.Println("not ready")
+		return subcommands.ExitFailure
+	}
+	fmt.Println("ready")
+	return subcommands.ExitSuccess
+}
+
 type explain struct {
 	target
 	account string
--- a/cmd/sassafrasshuntctl/main.go
+++ b/cmd/sassafrasshuntctl/main.go
@@ -36,7 +36,7 @@
 		&group{name: "chart", synopsis: "check and draw the built-in state charts", commands: []subcommands.Command{
 			&chartCheck{}, &chartGraph{},
 		}},
-		&status{}, &explain{}, &switchover{},
+		&status{}, &ready{}, &explain{}, &switchover{},
 	}
 }
 
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -10,6 +10,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/classify"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -94,6 +95,8 @@
 	config.Bounds.Drain = i.settings.DrainBound
 	config.RetryFraction = i.settings.RetryBudget
 	config.AckAtCommit = i.settings.FailoverBaseline
+	config.Policy = session.Policy(i.settings.ReadPolicy)
+	config.Queue = fairqueue.Kind(i.settings.Queue)
 	engine, err := session.New(config, out)
 	if err != nil {
 		return err
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -49,5 +49,7 @@
 	{"trace.exporter", "name", "none", "none, stdout or otlp", oneOf([]string{"none", "stdout", "otlp"}, func(s *Settings) *string { return &s.TraceExporter })},
 	{"trace.otlp_endpoint", "IP:port", "", "collector for OTLP over HTTP", optional(func(s *Settings, v string) { s.OTLPEndpoint = v })},
 	{"admin.operator_key_sha256", "hex", "", "SHA-256 of the operators' key for the administration API; empty disables edits", optional(func(s *Settings, v string) { s.OperatorKeyHash = v })},
+	{"test.read_policy", "name", "factors", "benchmark baselines: round_robin or primary instead of factors", oneOf([]string{"factors", "round_robin", "primary"}, func(s *Settings) *string { return &s.ReadPolicy })},
+	{"test.queue", "name", "fair", "benchmark baseline: fifo instead of fair", oneOf([]string{"fair", "fifo"}, func(s *Settings) *string { return &s.Queue })},
 	{"test.acknowledge_at_commit", "bool", "false", "benchmark baseline: acknowledge without confirmation; loses writes", boolean(func(s *Settings) *bool { return &s.FailoverBaseline })},
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -49,6 +49,8 @@
 	OTLPEndpoint     string
 	OperatorKeyHash  string
 	FailoverBaseline bool
+	ReadPolicy       string
+	Queue            string
 }
 
 // Load reads and checks the file. It returns a *FileError when the file cannot
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -25,7 +25,10 @@
 
 stop_all() {
   local pid
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    disown "$pid" 2>/dev/null || true
+    kill -KILL "$pid" 2>/dev/null || true
+  done
   wait 2>/dev/null || true
 }
 
@@ -102,7 +105,7 @@
   done
 }
 
-ready() { curl -fs "http://$(admin_address "$1")/readyz"; }
+ready() { "$bin/sassafrasshuntctl" ready -address "$(admin_address "$1")"; }
 
 start_fleet() { # start_fleet INSTANCES
   local i d
@@ -112,6 +115,6 @@
   for ((i = 0; i < $1; i++)); do start_instance "$i"; done
   write_catalogue
   await 10 "$bin/sassafrasshuntctl" catalogue edit -address "$(admin_address 0)" -file "$work/edits.json"
-  inspectors_key=$("$bin/sassafrasshuntctl" keys give -address "$(admin_address 0)" -account inspectors | sed -n 's/^key \([^i].*\)/\1/p')
+  inspectors_key=$("$bin/sassafrasshuntctl" keys give -address "$(admin_address 0)" -account inspectors | sed -n '/^key id /d; s/^key //p')
   for ((i = 0; i < $1; i++)); do await 15 ready "$i"; done
 }
--- /dev/null
+++ b/standin/cmd/measure/main.go
@@ -0,0 +1,116 @@
+// Command measure prints the four measures of a run: reads served by replicas,
+// the gap in writes, the worst-served client account, and requests refused
+// although within the account's rate. It reads the metrics pages of the
+// instances and the reports of the load tool.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/load"
+)
+
+// pageBound bounds the read of one metrics page.
+const pageBound = 5 * time.Second
+
+func main() {
+	pages := flag.String("pages", "", "administration `addresses` of the instances, comma separated")
+	report := flag.String("report", "", "`file` with the load tool's report")
+	flag.Parse()
+	if err := run(strings.Split(*pages, ","), *report); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(addresses []string, reportFile string) error {
+	total, err := sum(addresses)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(reportFile)
+	if err != nil {
+		return err
+	}
+	var report load.Report
+	if err := json.Unmarshal(text, &report); err != nil {
+		return err
+	}
+	print(total, &report)
+	return nil
+}
+
+func sum(addresses []string) (session.Inspection, error) {
+	total := session.Inspection{Refusals: map[string]uint64{}}
+	for _, address := range addresses {
+		page, err := readPage(address)
+		if err != nil {
+			return total, err
+		}
+		total.ReplicaReads += page.ReplicaReads
+		total.PrimaryReads += page.PrimaryReads
+		total.WritesAcknowledged += page.WritesAcknowledged
+		total.WritesUncertain += page.WritesUncertain
+		for state, n := range page.Refusals {
+			total.Refusals[state] += n
+		}
+	}
+	return total, nil
+}
+
+func readPage(address string) (session.Inspection, error) {
+	client := http.Client{Timeout: pageBound}
+	response, err := client.Get("http://" + address + "/debug/vars")
+	if err != nil {
+		return session.Inspection{}, err
+	}
+	defer response.Body.Close()
+	var page struct {
+		Instance struct {
+			Session session.Inspection `json:"session"`
+		} `json:"sassafrasshunt"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&page)
+	return page.Instance.Session, err
+}
+
+func print(total session.Inspection, report *load.Report) {
+	reads := total.ReplicaReads + total.PrimaryReads
+	fmt.Printf("reads served by replicas: %.1f %% of %d\n", percent(total.ReplicaReads, reads), reads)
+	fmt.Printf("gap in writes: %d ms between acknowledged writes at most; %d writes acknowledged, %d uncertain\n",
+		report.LongestWriteGapMS, total.WritesAcknowledged, total.WritesUncertain)
+	name, served, p99 := worst(report)
+	fmt.Printf("worst-served account: %s, %.1f %% of its statements served, p99 %.1f ms\n", name, served, float64(p99)/1000)
+	fmt.Printf("refused although within the rate: %d\n", total.Refusals[core.StateRateExceeded])
+}
+
+func percent(part, whole uint64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
+
+// worst returns the account with the smallest part of its statements served.
+func worst(report *load.Report) (name string, served float64, p99 int64) {
+	served = 101
+	for account, r := range report.Accounts {
+		failed := int64(0)
+		for _, n := range r.Errors {
+			failed += n
+		}
+		part := percent(uint64(max(r.Statements-failed, 0)), uint64(r.Statements))
+		if part < served || part == served && r.P99 > p99 {
+			name, served, p99 = account, part, r.P99
+		}
+	}
+	return name, served, p99
+}
