--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -117,7 +117,9 @@
 	h.ready(s.Target, 'T', core.Position{})
 	h.run(1, "rollback", Verdict{Kind: KindEnd, Name: "rollback"})
 	h.ready(s.Target, 'I', core.Position{})
-	require.Empty(t, h.run(1, "read", read).Prelude, "the rollback undid the second setting")
+	require.Equal(t, "RESET ALL", h.run(2, "read", read).Prelude)
+	h.ready(s.Target, 'I', core.Position{})
+	require.Equal(t, "RESET ALL\n; SET a = 1", h.run(1, "read", read).Prelude, "b was rolled back")
 	h.ready(s.Target, 'I', core.Position{})
 	h.ask(1, "DISCARD ALL", set("discard all"))
 	require.Equal(t, CallerReply{Caller: 1, Tag: "DISCARD ALL", TxStatus: 'I'}, h.last())
@@ -169,6 +171,44 @@
 	require.Len(t, h.callers, answers)
 }
 
+// Guards against a request that is sent after its deadline because it was long
+// on its way here.
+func TestLateRequestIsNotSent(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	s := h.run(1, "read", read)
+	h.ready(s.Target, 'I', core.Position{})
+	h.do(CallerRequest{Caller: 1, Request: &Request{Texts: []string{"read"}, Arrived: h.now.Add(-4 * time.Second)}})
+	h.do(ClassifyResult{Caller: 1, Sequence: h.e.sequence, Verdict: Verdict{Hints: Hints{MaxAge: -1}}})
+	h.refusedWith(core.StateDeadline, core.OutcomeNotRun)
+	require.Equal(t, 1, h.countSent())
+}
+
+// Guards against a transaction that is lost at the bound of the rate, and
+// against new requests that take the token it waits for.
+func TestTransactionWaitsForToken(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.open(2, at100)
+	s := h.run(1, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	bucket := &h.e.accounts["acct"].bucket
+	bucket.tokens, bucket.rate = 0, 10
+	h.ask(1, "write", write)
+	require.Equal(t, 1, h.countSent())
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.ask(2, "read", read)
+	require.Equal(t, byte('I'), h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun))
+	h.wait(time.Millisecond)
+	h.do(ClassifyResult{Caller: 1, Sequence: h.classify[len(h.classify)-1].Sequence, Verdict: write})
+	require.Equal(t, 2, h.countSent())
+	h.ready(s.Target, 'T', core.Position{})
+	bucket.rate = 0
+	h.ask(1, "write", write)
+	h.wait(3 * time.Second)
+	require.Equal(t, byte('T'), h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun))
+}
+
 // Guards against work that is queued although it cannot be served in time.
 func TestDeadlineIsKnownAtEntry(t *testing.T) {
 	h := newHarness(t, func(c *Config) { c.Policy = PolicyPrimary })
@@ -235,6 +275,26 @@
 	require.Contains(t, h.targets, TargetClose{Target: h.sent().Target})
 }
 
+// Guards against more statements on a member than it has slots, when
+// transactions have left it more connections.
+func TestSlotsBoundTheStatementsInFlight(t *testing.T) {
+	h := newHarness(t, nil)
+	for id := CallerID(1); id <= 3; id++ {
+		h.open(id, at100)
+		h.ready(h.run(id, "begin", begin).Target, 'T', core.Position{})
+	}
+	for id := CallerID(1); id <= 3; id++ {
+		h.ready(h.run(id, "commit", commit).Target, 'I', core.Position{})
+	}
+	before := h.countSent()
+	for id := CallerID(1); id <= 3; id++ {
+		h.ask(id, "write", write)
+	}
+	require.Equal(t, before+2, h.countSent())
+	h.ready(h.sent().Target, 'I', core.Position{})
+	require.Equal(t, before+3, h.countSent())
+}
+
 // Guards against commands that are lost or reordered when a ring is full.
 func TestFullRingKeepsCommands(t *testing.T) {
 	h := newHarness(t, nil)
--- a/pkg/session/world_test.go
+++ b/pkg/session/world_test.go
@@ -357,6 +357,13 @@
 		w.check(w.history.Covers(conn.member.term, conn.member.applied, m.floor),
 			"a read went to a member that lacks what its session has written or must see")
 	}
+	running := 1
+	for _, other := range w.conns {
+		if other.member == conn.member && other.caller != nil && !other.closing {
+			running++
+		}
+	}
+	w.check(running <= 2, "more statements run on a member than it has slots")
 	m.sent++
 	m.commitSent = m.commitSent || m.text == "commit"
 	m.conn = conn
