Bound the age of a member whose state is unknown

The age of an unknown member is 100 years, and the time since it was last seen is added to it: the sum could overflow and count as fresh. The write status query may follow a comment, as at the member.

--- a/pkg/classify/classify_test.go
+++ b/pkg/classify/classify_test.go
@@ -87,6 +87,7 @@
 	require.Equal(t, session.KindOwnShow, status.Kind)
 	require.Equal(t, "sassafrasshunt.write_status", status.Name)
 	require.Equal(t, "0b1c", status.Value)
+	require.Equal(t, session.KindOwnShow, one("/* who */ show sassafrasshunt.write_status 'a';").Kind)
 	for _, text := range []string{
 		"CREATE TEMP TABLE x (a int)", "PREPARE p AS SELECT 1", "SELECT pg_advisory_lock(1)",
 		"SELECT set_config('a.b', 'c', false)", "SELECT 1 INTO TEMP u",
--- a/pkg/classify/statements.go
+++ b/pkg/classify/statements.go
@@ -14,7 +14,7 @@
 const ownPrefix = "sassafrasshunt."
 
 // writeStatus is the one statement that is not in PostgreSQL's grammar.
-var writeStatus = regexp.MustCompile(`(?is)^\s*SHOW\s+(sassafrasshunt\.write_status)\s+'([^']*)'\s*;?\s*$`)
+var writeStatus = regexp.MustCompile(`(?is)^\s*(?:/\*.*?\*/\s*)*SHOW\s+(sassafrasshunt\.write_status)\s+'([^']*)'\s*;?\s*$`)
 
 // classifyText returns the verdict on one text, which may hold several
 // statements.
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -232,11 +232,21 @@
 	}
 	if m.hasView {
 		c.Status = &m.view.Status
-		c.Age = m.view.AgeBound + db.e.now.Sub(m.view.SeenAt)
+		c.Age = m.age()
 	}
 	return c
 }
 
+// age bounds how old reads on the member are now. The bound of an unknown
+// member is so great that adding to it could overflow.
+func (m *member) age() time.Duration {
+	since := m.db.e.now.Sub(m.view.SeenAt)
+	if m.view.SeenAt.IsZero() || m.view.AgeBound > anyAge-since {
+		return anyAge
+	}
+	return m.view.AgeBound + since
+}
+
 // choosePrimary takes the primary unless the session has seen a newer term. A
 // replica that was chosen but is too busy is kept when the primary is no help.
 func (s *statement) choosePrimary() bool {
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -175,6 +175,18 @@
 	require.Contains(t, h.e.Metrics().Refusals, core.StateNoPrimary)
 }
 
+// Guards against a member of unknown age that counts as fresh because the sum
+// of its age overflows.
+func TestUnknownAgeIsNotFresh(t *testing.T) {
+	h := newHarness(t, nil)
+	m := h.e.databases["db"].member("m1")
+	m.view.AgeBound = 100 * 365 * 24 * time.Hour
+	m.view.SeenAt = time.Time{}
+	require.Equal(t, anyAge, m.age())
+	m.view.SeenAt = h.now.Add(-250 * 365 * 24 * time.Hour)
+	require.Equal(t, anyAge, m.age())
+}
+
 // Guards against a baseline that differs in more than the missing confirmation.
 func TestAcknowledgeAtCommit(t *testing.T) {
 	h := newHarness(t, func(c *Config) { c.AckAtCommit = true })
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -123,7 +123,7 @@
 }
 
 // anyAge accepts every replica.
-const anyAge = 1<<63 - 1
+const anyAge time.Duration = 1<<63 - 1
 
 // fromReplacedPrimary reports a commit of a term that is over.
 func (s *statement) fromReplacedPrimary() bool {
