Sharpen the tests of the group decisions

Cause: one-line faults on a scratch copy showed rules that no test guarded: evidence of an older log term, own pause, stagger, settle time, nonce, floors asked for before the round.

--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -73,6 +73,7 @@
 		s.members[0].paused = s.now.Add(590 * time.Millisecond)
 		s.run(1100 * time.Millisecond)
 	}
+	require.Zero(t, s.suspicions)
 	for _, in := range s.instances {
 		in.paused = s.now.Add(5 * time.Second)
 	}
@@ -152,45 +153,65 @@
 // Guards against two deciders that promote in one term, and against a claim
 // storm when many instances detect at once.
 func TestRacingInstances(t *testing.T) {
-	terms := core.Term(0)
+	terms, claims := core.Term(0), 0
 	for seed := range uint64(20) {
 		s := started(t, 100+seed, 7)
+		s.onSwap = func(c RecordSwap) {
+			if c.Record.Phase == PhaseFencing {
+				claims++
+			}
+		}
 		s.members[0].alive = false
+		for _, in := range s.instances {
+			in.input(func() { in.group.SuspectMember(s.now, session.SuspectMember{Member: "m0"}) })
+		}
 		require.True(t, s.runUntil(4*time.Second, func() bool { return s.serving(2) }))
 		terms += s.leader().term - 1
 		s.requireSafe(t)
 	}
 	require.Less(t, terms, core.Term(24))
+	require.Less(t, claims, 50)
 }
 
-// Guards against a group that waits for ever for a decider that died.
+// Guards against a group that waits for ever for a decider that died, also
+// when the old primary still answers because it was never fenced.
 func TestDeciderDies(t *testing.T) {
-	s := started(t, 6, 3)
-	s.onSwap = func(c RecordSwap) {
-		for _, in := range s.instances {
-			if in.id == c.Record.Decider && c.Record.Term == 2 {
-				s.after(4*time.Millisecond, func() { in.dead = true })
+	for _, planned := range []bool{false, true} {
+		s := started(t, 6, 3)
+		s.onSwap = func(c RecordSwap) {
+			for _, in := range s.instances {
+				if in.id == c.Record.Decider && c.Record.Term == 2 {
+					s.after(time.Millisecond/10, func() { in.dead = true })
+				}
 			}
 		}
+		if planned {
+			require.NoError(t, s.instances[0].group.Switchover(s.now, "m2"))
+		}
+		s.members[0].alive = planned
+		require.True(t, s.runUntil(6*time.Second, func() bool { return s.serving(3) }), s.describe())
+		s.requireSafe(t)
 	}
-	s.members[0].alive = false
-	require.True(t, s.runUntil(6*time.Second, func() bool { return s.serving(2) }))
-	s.requireSafe(t)
 }
 
 // Guards against a planned change that loses writes or ignores the member
 // that was asked for.
 func TestSwitchover(t *testing.T) {
-	s := started(t, 7, 2)
-	for _, in := range s.instances {
-		in.pending = nil
+	for seed := range uint64(10) {
+		s := newSim(200+seed, 2)
+		s.run(time.Second)
+		require.Error(t, s.instances[0].group.Switchover(s.now, "m0"))
+		require.NoError(t, s.instances[0].group.Switchover(s.now, "m2"))
+		require.True(t, s.runUntil(time.Second, func() bool { return s.serving(2) }))
+		require.Equal(t, core.MemberID("m2"), s.leader().id)
+		s.run(time.Second)
+		require.Equal(t, ReasonPlanned, s.reports[0].Reason)
+		require.Equal(t, core.RoleReplica, s.members[0].role)
 	}
-	require.Error(t, s.instances[0].group.Switchover(s.now, "m0"))
-	require.NoError(t, s.instances[0].group.Switchover(s.now, "m2"))
+	s := started(t, 7, 2)
+	require.NoError(t, s.instances[0].group.Switchover(s.now, "m1"))
 	require.True(t, s.runUntil(time.Second, func() bool { return s.serving(2) }))
-	require.Equal(t, ReasonPlanned, s.reports[0].Reason)
 	s.run(time.Second)
-	require.Equal(t, core.RoleReplica, s.members[0].role)
 	s.requireSafe(t)
 }
 
@@ -199,6 +220,7 @@
 func TestFloorCoversAcknowledgedWrites(t *testing.T) {
 	s := started(t, 8, 3)
 	reader := s.instances[2]
+	s.cut("m0", "m2", true)
 	for round := uint64(1); round < 60; round++ {
 		if round == 20 {
 			s.members[0].alive = false
--- a/pkg/failover/sim_test.go
+++ b/pkg/failover/sim_test.go
@@ -70,6 +70,8 @@
 	committed []simWrite
 	acked     []simWrite
 	reports   []Report
+	// suspicions counts how often an instance suspected the primary.
+	suspicions int
 }
 
 func simRules(config Config) *Rules {
--- a/pkg/failover/siminstance_test.go
+++ b/pkg/failover/siminstance_test.go
@@ -178,7 +178,11 @@
 	in.sim.reports = append(in.sim.reports, r)
 }
 
-func (in *simInstance) Log(LogEvent) {}
+func (in *simInstance) Log(e LogEvent) {
+	if e.Name == EventPrimarySuspected {
+		in.sim.suspicions++
+	}
+}
 
 // write sends one write to the primary in view; the answer asks for the
 // confirmation of its position.
