--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -33,7 +33,9 @@
 	grant         uint64
 	shareRevision uint64
 	// toCheck are the members to serve at the end of the input.
-	toCheck    []*member
+	toCheck []*member
+	// held are the databases with reports that control had no room for.
+	held       []*database
 	states     targetStates
 	keysUntil  time.Time
 	stopping   bool
@@ -199,13 +201,5 @@
 }
 
 func (e *Engine) holdsOutput() bool {
-	if len(e.box.callers) > 0 || len(e.box.targets) > 0 {
-		return true
-	}
-	for _, db := range e.databases {
-		if db.reports.pending() {
-			return true
-		}
-	}
-	return false
+	return len(e.box.callers) > 0 || len(e.box.targets) > 0 || len(e.held) > 0
 }
