Start fleets of real processes in end-to-end tests

Cause: guarantees were tested in pieces and by the demo script only. Change: a harness in test files starts the platform, three members and the instances, with every instance's path to platform and members through the fault proxy. All instances share one catalogue, so a member's address leads to a splitter that picks the link by the owner of the client socket. Ruled out: a peer link through the proxy, because an instance announces the address it listens on.

--- /dev/null
+++ b/standin/e2e/calls_test.go
@@ -0,0 +1,243 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/exp/jsonrpc2"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/kvservice"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/member"
+)
+
+const callBound = 5 * time.Second
+
+// callJSON makes one JSON-RPC call to a stand-in.
+func callJSON(address, method string, params, result any) error {
+	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(1), method, params)
+	if err != nil {
+		return err
+	}
+	frame, err := rpc.Append(nil, call)
+	if err != nil {
+		return err
+	}
+	conn, err := net.DialTimeout("tcp", address, callBound)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(callBound))
+	if _, err := conn.Write(frame); err != nil {
+		return err
+	}
+	var buffer []byte
+	for {
+		message, _, err := rpc.Decode(buffer)
+		if err != nil {
+			return err
+		}
+		if response, ok := message.(*jsonrpc2.Response); ok {
+			if response.Error != nil {
+				return response.Error
+			}
+			return json.Unmarshal(response.Result, result)
+		}
+		chunk := make([]byte, 64<<10)
+		n, err := conn.Read(chunk)
+		if err != nil {
+			return err
+		}
+		buffer = append(buffer, chunk[:n]...)
+	}
+}
+
+// link applies "cut" or "restore" to every link whose name begins with prefix.
+func (f *fleet) link(method, prefix, direction string) error {
+	control := f.proxy.ControlAddress().String()
+	var all map[string]faultproxyStatus
+	if err := callJSON(control, "status", struct{}{}, &all); err != nil {
+		return err
+	}
+	found := false
+	for name := range all {
+		if name != prefix && !strings.HasPrefix(name, prefix+"/") {
+			continue
+		}
+		found = true
+		var ignored json.RawMessage
+		params := map[string]string{"link": name, "direction": direction}
+		if err := callJSON(control, method, params, &ignored); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return errors.New("no link " + prefix)
+	}
+	return nil
+}
+
+type faultproxyStatus struct {
+	Connections int `json:"connections"`
+}
+
+// isolate stops replication between a member and the members listed; an empty
+// list ends it.
+func (f *fleet) isolate(m *memberNode, others ...string) error {
+	var status member.Status
+	return callJSON(m.status, "fault.cut", member.CutParams{Peers: append([]string{}, others...)}, &status)
+}
+
+func (f *fleet) fault(faults kvservice.Faults) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	response, err := http.Post("http://"+f.platformAddress+"/fault", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.New("platform fault: " + response.Status)
+	}
+	return nil
+}
+
+func (f *fleet) admin(i int, method, path string, body, result any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(method, "http://"+f.instances[i].admin+path, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	client := http.Client{Timeout: callBound}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: %s %s", method, path, response.Status, answer)
+	}
+	return json.Unmarshal(answer, result)
+}
+
+func (f *fleet) ready(i int) error {
+	client := http.Client{Timeout: callBound}
+	response, err := client.Get("http://" + f.instances[i].admin + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.New("not ready: " + response.Status)
+	}
+	return nil
+}
+
+func (f *fleet) status(i int) (s control.Status, err error) {
+	err = f.admin(i, http.MethodGet, "/v1/status", struct{}{}, &s)
+	return s, err
+}
+
+// ctl runs the operators' command line against an instance.
+func (f *fleet) ctl(i int, args ...string) (string, int, error) {
+	keyFile := filepath.Join(f.dir, "operator.key")
+	if err := os.WriteFile(keyFile, []byte(operatorKey), 0o600); err != nil {
+		return "", -1, err
+	}
+	args = append(args, "-address", f.instances[i].admin)
+	cmd := exec.Command(filepath.Join(binaries, "sassafrasshuntctl"), args...)
+	cmd.Env = append(os.Environ(), "SASSAFRASSHUNT_OPERATOR_KEY_FILE="+keyFile)
+	out, err := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode(), err
+}
+
+// edit applies catalogue edits through an instance.
+func (f *fleet) edit(i int, edits ...map[string]any) (string, int, error) {
+	text, err := json.Marshal(edits)
+	if err != nil {
+		return "", -1, err
+	}
+	file, err := os.CreateTemp(f.dir, "edits-*.json")
+	if err != nil {
+		return "", -1, err
+	}
+	defer file.Close()
+	if _, err := file.Write(text); err != nil {
+		return "", -1, err
+	}
+	return f.ctl(i, "catalogue", "edit", "-file", file.Name())
+}
+
+func op(name string, args map[string]any) map[string]any {
+	return map[string]any{"op": name, "args": args}
+}
+
+func (f *fleet) putDatabase() map[string]any {
+	var members []map[string]any
+	for i, m := range f.members {
+		members = append(members, map[string]any{
+			"id": m.id, "address": m.advertisedSQL, "status_address": m.advertisedStatus,
+			"domain": domains[i], "slots": f.options.slots,
+		})
+	}
+	return op("put_database", map[string]any{"name": database, "connections": f.options.connections, "members": members})
+}
+
+func (f *fleet) writeCatalogue() error {
+	err := eventually(startBound, func() error {
+		out, _, err := f.edit(0,
+			f.putDatabase(),
+			op("put_account", map[string]any{"name": account, "weight": 4, "rate": f.options.rate, "burst": f.options.burst}),
+			op("put_entry", map[string]any{
+				"name": entry, "owner": "roads", "account": account, "database": database,
+				"class": "urgent", "max_age_ms": 1000, "deadline_ms": 8000,
+			}))
+		if err != nil {
+			return fmt.Errorf("catalogue edit: %w: %s", err, out)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	f.keyID, f.key, err = f.giveKey(0)
+	return err
+}
+
+func (f *fleet) giveKey(i int) (id, key string, err error) {
+	out, _, err := f.ctl(i, "keys", "give", "-account", account)
+	if err != nil {
+		return "", "", fmt.Errorf("keys give: %w: %s", err, out)
+	}
+	for line := range strings.Lines(out) {
+		line = strings.TrimSpace(line)
+		if rest, ok := strings.CutPrefix(line, "key id "); ok {
+			id = rest
+		} else if rest, ok := strings.CutPrefix(line, "key "); ok {
+			key = rest
+		}
+	}
+	return id, key, nil
+}
--- /dev/null
+++ b/standin/e2e/fleet_test.go
@@ -0,0 +1,297 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/faultproxy"
+)
+
+const (
+	memberCount = 3
+	database    = "notices"
+	entry       = "hazards"
+	account     = "inspectors"
+	operatorKey = "operator-key-of-the-test"
+	// startBound is how long a fleet may take until it is ready.
+	startBound = 20 * time.Second
+)
+
+var domains = []string{"jylland", "fyn", "sjaelland", "bornholm"}
+
+// options describes a fleet.
+type options struct {
+	instances int
+	// proxied puts the paths between instances and members through the fault
+	// proxy; the paths to the platform always go through it.
+	proxied     bool
+	lag         time.Duration
+	service     time.Duration
+	slots       int
+	connections int
+	rate, burst int
+	// settings are further lines of every instance's settings file.
+	settings []string
+}
+
+func defaults() options {
+	return options{
+		instances: 3, lag: 5 * time.Millisecond, service: time.Millisecond,
+		slots: 2, connections: 35, rate: 4000, burst: 4000,
+	}
+}
+
+// memberNode is a member and its addresses.
+type memberNode struct {
+	*process
+	id, sql, status string
+	// advertisedSQL and advertisedStatus are the addresses in the catalogue.
+	advertisedSQL, advertisedStatus string
+	records                         string
+}
+
+// instanceNode is an instance and its addresses.
+type instanceNode struct {
+	*process
+	callers, peers, admin string
+}
+
+// fleet is a platform, one database with three members, and instances.
+type fleet struct {
+	options  options
+	dir      string
+	platform *process
+	// platformAddress is the direct address of the platform.
+	platformAddress string
+	members         []*memberNode
+	instances       []*instanceNode
+	proxy           *faultproxy.Proxy
+	duties          duty.Group
+	splitters       []*splitter
+	key, keyID      string
+}
+
+func newFleet(dir string, o options) (*fleet, error) {
+	f := &fleet{options: o, dir: dir}
+	for _, step := range []func() error{
+		f.startPlatform, f.startMembers, f.startProxy, f.startInstances, f.writeCatalogue, f.awaitReady,
+	} {
+		if err := step(); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// close ends every process of the fleet and the proxy.
+func (f *fleet) close() {
+	for _, p := range f.processes() {
+		p.kill()
+	}
+	for _, s := range f.splitters {
+		s.close()
+	}
+	if f.proxy != nil {
+		f.proxy.Stop()
+		f.duties.Wait()
+	}
+}
+
+func (f *fleet) processes() []*process {
+	var all []*process
+	for _, i := range f.instances {
+		all = append(all, i.process)
+	}
+	for _, m := range f.members {
+		all = append(all, m.process)
+	}
+	if f.platform != nil {
+		all = append(all, f.platform)
+	}
+	return all
+}
+
+func (f *fleet) process(name string) (*process, error) {
+	for _, p := range f.processes() {
+		if p.name == name {
+			return p, nil
+		}
+	}
+	return nil, errors.New("no process " + name)
+}
+
+func (f *fleet) startPlatform() (err error) {
+	if f.platformAddress, err = reserve(); err != nil {
+		return err
+	}
+	f.platform, err = f.start("platform", "standin-platform", "-listen", f.platformAddress, "-instance-lag", "500ms")
+	return err
+}
+
+func (f *fleet) startMembers() error {
+	var peers []string
+	for i := range memberCount {
+		m := &memberNode{id: fmt.Sprintf("member-%d", i)}
+		m.records = filepath.Join(f.dir, m.id+".records")
+		var err, err2 error
+		m.sql, err = reserve()
+		m.status, err2 = reserve()
+		if err := errors.Join(err, err2); err != nil {
+			return err
+		}
+		m.advertisedSQL, m.advertisedStatus = m.sql, m.status
+		peers = append(peers, m.id+"="+m.status)
+		f.members = append(f.members, m)
+	}
+	for i, m := range f.members {
+		if err := f.startMember(i, m, strings.Join(peers, ",")); err != nil {
+			f.members = f.members[:i]
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startMember(i int, m *memberNode, peers string) (err error) {
+	args := []string{
+		"-member", m.id, "-listen", m.sql, "-status", m.status, "-peers", peers,
+		"-slots", fmt.Sprint(f.options.slots), "-service-time", f.options.service.String(),
+		"-connect-delay", "12ms", "-max-connections", fmt.Sprint(f.options.connections),
+		"-apply-lag", f.options.lag.String(), "-record", m.records, "-data", filepath.Join(f.dir, m.id+".data"),
+	}
+	if i == 0 {
+		args = append(args, "-role", "primary")
+	} else {
+		args = append(args, "-role", "replica", "-follow", "member-0")
+	}
+	m.process, err = f.start(m.id, "standin-member", args...)
+	return err
+}
+
+// startProxy starts the fault proxy with a link from every instance to the
+// platform and, if wanted, to every member's two addresses.
+func (f *fleet) startProxy() (err error) {
+	var links []faultproxy.LinkOptions
+	add := func(name, target string) {
+		links = append(links, faultproxy.LinkOptions{Name: name, Listen: "127.0.0.1:0", Target: target})
+	}
+	for i := range f.options.instances {
+		add(fmt.Sprintf("instance-%d/platform", i), f.platformAddress)
+		for _, m := range f.members {
+			add(fmt.Sprintf("instance-%d/%s/sql", i, m.id), m.sql)
+			add(fmt.Sprintf("instance-%d/%s/status", i, m.id), m.status)
+		}
+	}
+	if f.proxy, err = faultproxy.New("127.0.0.1:0", links); err != nil {
+		return err
+	}
+	f.proxy.Start(&f.duties)
+	if !f.options.proxied {
+		return nil
+	}
+	for _, m := range f.members {
+		if m.advertisedSQL, err = f.split(m.id + "/sql"); err != nil {
+			return err
+		}
+		if m.advertisedStatus, err = f.split(m.id + "/status"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startInstances() error {
+	for range f.options.instances {
+		if _, err := f.addInstance(nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addInstance starts one more instance; the ones beyond the first fleet reach
+// the platform without the proxy.
+func (f *fleet) addInstance(settings []string) (*instanceNode, error) {
+	i := len(f.instances)
+	n := &instanceNode{}
+	var errs [3]error
+	n.callers, errs[0] = reserve()
+	n.peers, errs[1] = reserve()
+	n.admin, errs[2] = reserve()
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, err
+	}
+	platform := f.platformAddress
+	if i < f.options.instances {
+		platform = f.proxy.Address(fmt.Sprintf("instance-%d/platform", i)).String()
+	}
+	sum := sha256.Sum256([]byte(operatorKey))
+	lines := []string{
+		fmt.Sprintf("instance.domain = %q", domains[i%len(domains)]),
+		fmt.Sprintf("listen.callers = %q", n.callers),
+		fmt.Sprintf("listen.peers = %q", n.peers),
+		fmt.Sprintf("listen.admin = %q", n.admin),
+		fmt.Sprintf("platform.address = %q", platform),
+		fmt.Sprintf("admin.operator_key_sha256 = %q", hex.EncodeToString(sum[:])),
+	}
+	lines = append(append(lines, f.options.settings...), settings...)
+	name := fmt.Sprintf("instance-%d", i)
+	file := filepath.Join(f.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+		return nil, err
+	}
+	var err error
+	if n.process, err = f.start(name, "sassafrasshunt", "run", "-settings", file); err != nil {
+		return nil, err
+	}
+	f.instances = append(f.instances, n)
+	return n, nil
+}
+
+func (f *fleet) awaitReady() error {
+	for i := range f.instances {
+		if err := f.awaitInstance(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) awaitInstance(i int) error {
+	err := eventually(startBound, func() error { return f.ready(i) })
+	if err == nil {
+		return nil
+	}
+	text, _ := os.ReadFile(f.instances[i].log)
+	return fmt.Errorf("instance-%d is not ready: %w\n%s", i, err, tail(string(text), 4000))
+}
+
+func tail(text string, n int) string {
+	return text[max(0, len(text)-n):]
+}
+
+// freeze stops a process with SIGSTOP and returns; thaw lets it go on.
+func (f *fleet) freeze(name string) error {
+	return f.signal(name, syscall.SIGSTOP)
+}
+
+func (f *fleet) thaw(name string) error {
+	return f.signal(name, syscall.SIGCONT)
+}
+
+func (f *fleet) signal(name string, s syscall.Signal) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.signal(s)
+}
--- /dev/null
+++ b/standin/e2e/main_test.go
@@ -0,0 +1,57 @@
+// Package e2e proves the guarantees of the design with real processes: the
+// platform stand-in, members and instances, clients that record what they were
+// answered, and a checker that compares it with what the members ran.
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binaries is the folder of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "e2e:", err)
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	dir, err := os.MkdirTemp("", "sassafrasshunt-e2e-")
+	if err != nil {
+		return 1, err
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		return 1, err
+	}
+	for folder, packages := range map[string]string{
+		root:                           "./cmd/...",
+		filepath.Join(root, "standin"): "./cmd/...",
+	} {
+		build := exec.Command("go", "build", "-o", dir+"/", packages)
+		build.Dir = folder
+		if out, err := build.CombinedOutput(); err != nil {
+			return 1, fmt.Errorf("go build in %s: %w\n%s", folder, err, out)
+		}
+	}
+	return m.Run(), nil
+}
+
+// parallel bounds the scenarios that run at a time, because each has up to ten
+// processes.
+var parallel = make(chan struct{}, 3)
+
+func takeTurn(t *testing.T) {
+	t.Parallel()
+	parallel <- struct{}{}
+	t.Cleanup(func() { <-parallel })
+}
