Measure changes of primary by part under load

Cause: the gap in writes is the road association's first measure and had no repeatable measurement. Change: scripts/bench-failover kills the primary repeatedly at both associations' sizes; measure failovers and measure writes print the parts and the fate of every write.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,14 @@
 # Starts the platform stand-in, the databases of the road association and
 # instances as separate processes. Sourced by the demo and the benchmarks.
 
-base=${BASE_PORT:-26000}
+free_base() { # prints the first of 300 ports that nobody seems to use
+  local candidate
+  while candidate=$((20000 + RANDOM % 40 * 300)); do
+    (: <"/dev/tcp/127.0.0.1/$candidate") 2>/dev/null || break
+  done
+  echo "$candidate"
+}
+base=${BASE_PORT:-$(free_base)}
 bin=$(pwd)/bin
 work=${WORK_DIR:-$(mktemp -d)}
 pids=()
@@ -18,7 +25,7 @@
 start() { # start NAME COMMAND...: runs a process in the background and remembers its id
   local name=$1
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  "$@" >>"$work/$name.log" 2>&1 &
   pids+=($!)
   declare -g "pid_${name//-/_}=$!"
 }
@@ -32,6 +39,11 @@
   wait 2>/dev/null || true
 }
 
+kill_process() { # kill_process NAME: SIGKILL, without the shell's report
+  disown "$(pid_of "$1")" 2>/dev/null || true
+  kill -KILL "$(pid_of "$1")"
+}
+
 pid_of() { # pid_of NAME: prints the process id
   local variable="pid_${1//-/_}"
   echo "${!variable}"
@@ -43,18 +55,25 @@
 peer_address() { echo "127.0.0.1:$((base + 11 + $1 * 4))"; }
 admin_address() { echo "127.0.0.1:$((base + 12 + $1 * 4))"; }
 
+member_peers() { # member_peers DATABASE: the status addresses of the group
+  local m peers=""
+  for m in 0 1 2; do peers+="notices-$1-$m=127.0.0.1:$(status_port "$1" "$m"),"; done
+  echo "${peers%,}"
+}
+
+start_member() { # start_member DATABASE MEMBER: its data file survives a kill
+  local d=$1 m=$2 role=(-role replica -follow "notices-$1-0")
+  [ "$m" = 0 ] && role=(-role primary)
+  start "notices-$d-$m" "$bin/standin-member" -member "notices-$d-$m" \
+    -listen "127.0.0.1:$(member_port "$d" "$m")" -status "127.0.0.1:$(status_port "$d" "$m")" \
+    -peers "$(member_peers "$d")" "${role[@]}" -slots "$slots" -service-time "$service_time" \
+    -connect-delay "$connect_delay" -max-connections "$connections" -apply-lag "$apply_lag" \
+    -data "$work/notices-$d-$m.data" -record "$work/notices-$d-$m.records"
+}
+
 start_database() { # start_database N
-  local d=$1 m peers="" role
-  for m in 0 1 2; do peers+="notices-$d-$m=127.0.0.1:$(status_port "$d" "$m"),"; done
-  for m in 0 1 2; do
-    role=(-role replica -follow "notices-$d-0")
-    [ "$m" = 0 ] && role=(-role primary)
-    start "notices-$d-$m" "$bin/standin-member" -member "notices-$d-$m" \
-      -listen "127.0.0.1:$(member_port "$d" "$m")" -status "127.0.0.1:$(status_port "$d" "$m")" \
-      -peers "${peers%,}" "${role[@]}" -slots "$slots" -service-time "$service_time" \
-      -connect-delay "$connect_delay" -max-connections "$connections" -apply-lag "$apply_lag" \
-      -record "$work/notices-$d-$m.records"
-  done
+  local m
+  for m in 0 1 2; do start_member "$1" "$m"; done
 }
 
 start_instance() { # start_instance N
@@ -107,6 +126,10 @@
 
 ready() { "$bin/sassafrasshuntctl" ready -address "$(admin_address "$1")"; }
 
+primary_of() { # primary_of DATABASE: as instance 0 sees it
+  "$bin/sassafrasshuntctl" status -address "$(admin_address 0)" | sed -n "s/^database notices-$1: healthy, .*primary \(.*\)$/\1/p"
+}
+
 start_fleet() { # start_fleet INSTANCES
   local i d
   printf %s operator-key >"$work/operator.key"
--- a/standin/cmd/measure/main.go
+++ b/standin/cmd/measure/main.go
@@ -1,7 +1,8 @@
-// Command measure prints the four measures of a run: reads served by replicas,
-// the gap in writes, the worst-served client account, and requests refused
-// although within the account's rate. It reads the metrics pages of the
-// instances and the reports of the load tool.
+// Command measure reads what a run left behind and prints figures:
+//
+//	measure run -pages ADDRESSES -report FILE     the four measures
+//	measure failovers LOG...                      the gap of each change of primary by part
+//	measure writes -member ADDRESS ...            writes acknowledged, lost and uncertain
 package main
 
 import (
@@ -22,32 +23,49 @@
 const pageBound = 5 * time.Second
 
 func main() {
-	pages := flag.String("pages", "", "administration `addresses` of the instances, comma separated")
-	report := flag.String("report", "", "`file` with the load tool's report")
-	flag.Parse()
-	if err := run(strings.Split(*pages, ","), *report); err != nil {
+	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites}
+	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes ...")
+		os.Exit(2)
+	}
+	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(addresses []string, reportFile string) error {
-	total, err := sum(addresses)
-	if err != nil {
+// measureRun prints the four measures of a run: reads served by replicas, the
+// gap in writes, the worst-served client account, and requests refused
+// although within the account's rate.
+func measureRun(args []string) error {
+	flags := flag.NewFlagSet("run", flag.ExitOnError)
+	pages := flags.String("pages", "", "administration `addresses` of the instances, comma separated")
+	reportFile := flags.String("report", "", "`file` with the load tool's report")
+	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	text, err := os.ReadFile(reportFile)
+	total, err := sum(strings.Split(*pages, ","))
 	if err != nil {
 		return err
 	}
-	var report load.Report
-	if err := json.Unmarshal(text, &report); err != nil {
+	report, err := readReport(*reportFile)
+	if err != nil {
 		return err
 	}
-	print(total, &report)
+	print(total, report)
 	return nil
 }
 
+func readReport(file string) (*load.Report, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var report load.Report
+	err = json.Unmarshal(text, &report)
+	return &report, err
+}
+
 func sum(addresses []string) (session.Inspection, error) {
 	total := session.Inspection{Refusals: map[string]uint64{}}
 	for _, address := range addresses {
