Shorten detection when the primary's host refuses connections

Cause: detection was 617 of the 620 ms between the death of a primary and the promotion, although the host refused connections after 200 ms at the latest. Change: after two refused status calls in a row, and with a majority of replicas that lost the stream for as long, the bound is 150 ms (three replication heartbeats) instead of 600 ms. Corroboration stays: a firewall that refuses one instance promotes nobody. Red first: without the shorter bound TestRefusedConnectionsShortenDetection fails, without corroboration TestRefusedConnectionsAloneDoNotPromote fails. Ruled out: a shorter silence bound for all failures, which would promote needlessly in pauses below 600 ms.

--- a/pkg/failover/answers.go
+++ b/pkg/failover/answers.go
@@ -149,6 +149,7 @@
 // term counts: a primary that was restarted or fenced does not serve.
 func (m *member) heard(in MemberAnswered) {
 	g := m.group
+	m.refusals = 0
 	if m != g.primary {
 		m.unansweredSince = time.Time{}
 		return
@@ -194,6 +195,7 @@
 	l.notUntil = g.now.Add(g.config.FastHeartbeat)
 	g.view.dirty = true
 	if l == &m.probe {
+		m.probeFailed(in.Failure)
 		m.fire(g.rules.reports.failed)
 		return
 	}
--- a/pkg/failover/config.go
+++ b/pkg/failover/config.go
@@ -22,6 +22,11 @@
 	FastHeartbeat time.Duration
 	// SilenceBound is how long the primary may leave calls unanswered.
 	SilenceBound time.Duration
+	// RefusedBound replaces SilenceBound when the primary's host refuses
+	// connections, which proves that no process serves there. It is three times
+	// the heartbeat of the members' replication (50 ms), so that replicas of a
+	// living primary never report as much silence.
+	RefusedBound time.Duration
 	// PauseGap is the lateness of a tick above which the instance itself was
 	// paused, so that the silence measured so far does not count.
 	PauseGap time.Duration
@@ -59,6 +64,7 @@
 		Heartbeat:          200 * time.Millisecond,
 		FastHeartbeat:      25 * time.Millisecond,
 		SilenceBound:       600 * time.Millisecond,
+		RefusedBound:       150 * time.Millisecond,
 		PauseGap:           150 * time.Millisecond,
 		StatusTimeout:      900 * time.Millisecond,
 		WaitTimeout:        time.Second,
--- a/pkg/failover/detect.go
+++ b/pkg/failover/detect.go
@@ -29,8 +29,33 @@
 	return g.primary.unansweredSince
 }
 
+// refusalsNeeded is the number of refused calls in a row that count as proof; a
+// single one can meet a member that is just being restarted.
+const refusalsNeeded = 2
+
+// silenceBound returns how long the primary must be silent before it counts as
+// lost.
+func (g *Group) silenceBound() time.Duration {
+	if g.hasPrimary() && g.primary.refusals >= refusalsNeeded {
+		return g.config.RefusedBound
+	}
+	return g.config.SilenceBound
+}
+
+// probeFailed counts refused calls and asks all members sooner when the
+// primary did not answer.
+func (m *member) probeFailed(f Failure) {
+	m.refusals++
+	if f != FailureRefused {
+		m.refusals = 0
+	}
+	if m == m.group.primary {
+		m.group.hurry()
+	}
+}
+
 func (g *Group) checkSilence() {
-	if g.silence() >= g.config.SilenceBound {
+	if g.silence() >= g.silenceBound() {
 		g.fire(g.rules.events.primarySilent)
 	}
 }
@@ -40,7 +65,7 @@
 	if since.IsZero() {
 		return time.Time{}
 	}
-	due := since.Add(g.config.SilenceBound)
+	due := since.Add(g.silenceBound())
 	if !due.After(g.now) {
 		return time.Time{}
 	}
@@ -53,7 +78,7 @@
 	if g.reason == ReasonDecider || g.reason == ReasonMember {
 		return !g.hasPrimary() && g.answering() >= g.majority()
 	}
-	return g.silence() >= g.config.SilenceBound && g.corroborated() >= g.majority()
+	return g.silence() >= g.silenceBound() && g.corroborated() >= g.majority()
 }
 
 // answering counts the members that answered within the silence bound, because
@@ -87,7 +112,7 @@
 	if m.status.Role == core.RoleFenced {
 		return true
 	}
-	return m.status.Role == core.RoleReplica && m.status.PrimarySilence >= m.group.config.SilenceBound
+	return m.status.Role == core.RoleReplica && m.status.PrimarySilence >= m.group.silenceBound()
 }
 
 func (g *Group) checkLost() {
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -85,6 +85,27 @@
 	s.requireSafe(t)
 }
 
+// Guards against waiting out the silence bound although the host refuses
+// connections, which proves that the primary is dead.
+func TestRefusedConnectionsShortenDetection(t *testing.T) {
+	s := started(t, 20, 3)
+	s.members[0].alive = false
+	require.True(t, s.runUntil(DefaultConfig().SilenceBound, func() bool { return s.leader() != nil && s.leader().term == 2 }))
+	s.run(time.Second)
+	s.requireSafe(t)
+}
+
+// Guards against a promotion because one instance's connections are refused
+// while the replicas still hear the primary.
+func TestRefusedConnectionsAloneDoNotPromote(t *testing.T) {
+	s := started(t, 21, 3)
+	s.refuses = map[string]bool{"i0m0": true}
+	s.run(10 * time.Second)
+	require.Len(t, s.promoted, 1)
+	require.Zero(t, s.revision)
+	s.requireSafe(t)
+}
+
 // Guards against a write acknowledged by a primary that was cut off together
 // with an instance.
 func TestPrimaryCutOffWithAnInstance(t *testing.T) {
--- a/pkg/failover/member.go
+++ b/pkg/failover/member.go
@@ -53,6 +53,8 @@
 	// unansweredSince is when the first status call since the last good answer
 	// of this member was sent; zero when there is none.
 	unansweredSince time.Time
+	// refusals counts the status calls in a row that the host refused.
+	refusals int
 	// got is the greatest received position whose entries are of the term that
 	// the member had accepted.
 	got core.Position
--- a/pkg/failover/sim_test.go
+++ b/pkg/failover/sim_test.go
@@ -48,6 +48,9 @@
 
 // sim is a group of members, instances and a platform on one virtual clock.
 type sim struct {
+	// refuses lists instance and member pairs whose connections are refused.
+	refuses map[string]bool
+
 	now       time.Time
 	queue     simQueue
 	seq       int
--- a/pkg/failover/siminstance_test.go
+++ b/pkg/failover/siminstance_test.go
@@ -96,7 +96,7 @@
 		})
 	}
 	s.after(s.delay(), func() {
-		if !m.alive {
+		if !m.alive || s.refuses[string(in.id)+string(m.id)] {
 			finish(func() { fail(FailureRefused, 0) })
 			return
 		}
