Measure accounts in calm and surge at both associations' sizes

Cause: the worst-served account and refusals within the rate had no measurement on the running system.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -103,18 +103,29 @@
   echo "{\"op\":\"put_database\",\"args\":{\"name\":\"notices-$d\",\"connections\":$connections,\"members\":[${members%,}]}}"
 }
 
+account_json() { # account_json NAME WEIGHT RATE BURST
+  echo "{\"op\":\"put_account\",\"args\":{\"name\":\"$1\",\"weight\":$2,\"rate\":$3,\"burst\":$4}}"
+}
+
+entry_json() { # entry_json NAME ACCOUNT DATABASE CLASS MAX_AGE_MS
+  echo "{\"op\":\"put_entry\",\"args\":{\"name\":\"$1\",\"owner\":\"roads\",\"account\":\"$2\",\"database\":\"$3\",\"class\":\"$4\",\"max_age_ms\":$5,\"deadline_ms\":8000}}"
+}
+
 write_catalogue() { # writes the first edit: databases, accounts and entries
   local d edits=""
   for ((d = 0; d < databases; d++)); do edits+="$(database_json "$d"),"; done
-  edits+='{"op":"put_account","args":{"name":"inspectors","weight":4,"rate":4000,"burst":4000}},'
-  edits+='{"op":"put_account","args":{"name":"landowners","weight":1,"rate":4000,"burst":4000}},'
+  edits+="$(account_json inspectors 4 4000 4000),$(account_json landowners 1 4000 4000),"
   for ((d = 0; d < databases; d++)); do
-    edits+="{\"op\":\"put_entry\",\"args\":{\"name\":\"hazards-$d\",\"owner\":\"roads\",\"account\":\"inspectors\",\"database\":\"notices-$d\",\"class\":\"urgent\",\"max_age_ms\":1000,\"deadline_ms\":8000}},"
-    edits+="{\"op\":\"put_entry\",\"args\":{\"name\":\"status-$d\",\"owner\":\"roads\",\"account\":\"landowners\",\"database\":\"notices-$d\",\"class\":\"browse\",\"max_age_ms\":5000,\"deadline_ms\":8000}},"
+    edits+="$(entry_json "hazards-$d" inspectors "notices-$d" urgent 1000),"
+    edits+="$(entry_json "status-$d" landowners "notices-$d" browse 5000),"
   done
   echo "[${edits%,}]" >"$work/edits.json"
 }
 
+give_key() { # give_key ACCOUNT: prints a new key
+  "$bin/sassafrasshuntctl" keys give -address "$(admin_address 0)" -account "$1" | sed -n '/^key id /d; s/^key //p'
+}
+
 await() { # await SECONDS COMMAND...: repeats a command until it succeeds
   local end=$((SECONDS + $1))
   shift
@@ -138,6 +149,6 @@
   for ((i = 0; i < $1; i++)); do start_instance "$i"; done
   write_catalogue
   await 10 "$bin/sassafrasshuntctl" catalogue edit -address "$(admin_address 0)" -file "$work/edits.json"
-  inspectors_key=$("$bin/sassafrasshuntctl" keys give -address "$(admin_address 0)" -account inspectors | sed -n '/^key id /d; s/^key //p')
+  inspectors_key=$(give_key inspectors)
   for ((i = 0; i < $1; i++)); do await 15 ready "$i"; done
 }
--- a/standin/cmd/measure/main.go
+++ b/standin/cmd/measure/main.go
@@ -3,6 +3,7 @@
 //	measure run -pages ADDRESSES -report FILE     the four measures
 //	measure failovers LOG...                      the gap of each change of primary by part
 //	measure writes -member ADDRESS ...            writes acknowledged, lost and uncertain
+//	measure fairness -directory FOLDER ...        accounts in calm and surge
 package main
 
 import (
@@ -23,9 +24,9 @@
 const pageBound = 5 * time.Second
 
 func main() {
-	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites}
+	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites, "fairness": measureFairness}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes ...")
+		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes|fairness ...")
 		os.Exit(2)
 	}
 	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
