Group equal connection shares in the table's JSON form

Cause: at 930 slots and 1,000 databases the table took 818 KB of the 1 MB that a value may have, with short instance and lease identities. Change: databases with the same figures in a slot are one array.

--- a/pkg/share/encode.go
+++ b/pkg/share/encode.go
@@ -65,7 +65,8 @@
 	// Rates holds [account, held rate, held burst] and, where they differ,
 	// limit rate and limit burst.
 	Rates [][]int64 `json:"rates,omitempty"`
-	// Connections holds [database, held] and, where it differs, the limit.
+	// Connections holds [held, limit, database, database, ...]: most databases of
+	// a slot have the same small figures.
 	Connections [][]int64 `json:"connections,omitempty"`
 }
 
@@ -130,11 +131,7 @@
 			d.Rates = append(d.Rates, encodeRate(i, share))
 		}
 	}
-	for i, name := range databases {
-		if share, ok := s.Databases[name]; ok {
-			d.Connections = append(d.Connections, encodeConnections(i, share))
-		}
-	}
+	d.Connections = encodeConnections(s.Databases, databases)
 	return d
 }
 
@@ -146,12 +143,23 @@
 	return fields
 }
 
-func encodeConnections(index int, c ConnectionShare) []int64 {
-	fields := []int64{int64(index), int64(c.Held)}
-	if c.Limit != c.Held {
-		fields = append(fields, int64(c.Limit))
+func encodeConnections(shares map[core.DatabaseName]ConnectionShare, names []core.DatabaseName) [][]int64 {
+	groups := map[ConnectionShare]int{}
+	var encoded [][]int64
+	for i, name := range names {
+		share, ok := shares[name]
+		if !ok {
+			continue
+		}
+		group, ok := groups[share]
+		if !ok {
+			group = len(encoded)
+			groups[share] = group
+			encoded = append(encoded, []int64{int64(share.Held), int64(share.Limit)})
+		}
+		encoded[group] = append(encoded[group], int64(i))
 	}
-	return fields
+	return encoded
 }
 
 // Decode parses the JSON form of a table. It returns a *TableError for text
@@ -207,18 +215,16 @@
 		faults = append(faults, fmt.Sprintf("unknown state %q", d.State))
 	}
 	for _, fields := range d.Rates {
-		if !validShare(fields, len(t.Accounts), rateFields, rateLimitFields) {
+		if !validRate(fields, len(t.Accounts)) {
 			faults = append(faults, "invalid rate share")
 			continue
 		}
 		s.setRate(t.Accounts[fields[0]], decodeRate(fields))
 	}
 	for _, fields := range d.Connections {
-		if !validShare(fields, len(t.Databases), connectionFields, connectionLimitFields) {
+		if !s.addConnections(fields, t.Databases) {
 			faults = append(faults, "invalid connection share")
-			continue
 		}
-		s.setConnections(t.Databases[fields[0]], decodeConnections(fields))
 	}
 	return s, faults
 }
@@ -226,24 +232,39 @@
 // stateNames lists the states of the chart "share".
 var stateNames = []string{StateVacant, "granted", "shrinking", StateLost}
 
-// validShare checks the length, the index, the range of each figure and that
-// no limit exceeds what is held.
-func validShare(fields []int64, names, short, long int) bool {
-	if len(fields) != short && len(fields) != long {
+// validRate checks the length, the index, the range of each figure and that no
+// limit exceeds what is held.
+func validRate(fields []int64, names int) bool {
+	if len(fields) != rateFields && len(fields) != rateLimitFields || !inRange(fields) {
+		return false
+	}
+	if fields[0] >= int64(names) {
 		return false
 	}
+	return len(fields) == rateFields || fields[3] <= fields[1] && fields[4] <= fields[2]
+}
+
+func inRange(fields []int64) bool {
 	for _, f := range fields {
 		if f < 0 || f > largestShare {
 			return false
 		}
 	}
-	if fields[0] >= int64(names) {
+	return true
+}
+
+// addConnections stores one group of connection shares and reports whether it
+// is valid.
+func (s *Slot) addConnections(fields []int64, names []core.DatabaseName) bool {
+	if len(fields) <= connectionFields || !inRange(fields) || fields[1] > fields[0] {
 		return false
 	}
-	for i := short; i < len(fields); i++ {
-		if fields[i] > fields[i-short+1] {
+	share := ConnectionShare{Held: int(fields[0]), Limit: int(fields[1])}
+	for _, index := range fields[connectionFields:] {
+		if index >= int64(len(names)) {
 			return false
 		}
+		s.setConnections(names[index], share)
 	}
 	return true
 }
@@ -257,14 +278,6 @@
 	return r
 }
 
-func decodeConnections(fields []int64) ConnectionShare {
-	c := ConnectionShare{Held: int(fields[1]), Limit: int(fields[1])}
-	if len(fields) == connectionLimitFields {
-		c.Limit = int(fields[2])
-	}
-	return c
-}
-
 func (s *Slot) setRate(name core.AccountName, r RateShare) {
 	if s.Accounts == nil {
 		s.Accounts = map[core.AccountName]RateShare{}
--- a/pkg/share/encode_test.go
+++ b/pkg/share/encode_test.go
@@ -10,7 +10,7 @@
 // accepts a table that it does not write back the same way.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"revision":3,"accounts":["a"],"databases":["d"],"slots":[{"state":"granted","instance":"i",
-		"rates":[[0,10,20],[0,10,20,5,5]],"connections":[[0,3,1]]},{"state":"vacant"}]}`))
+		"rates":[[0,10,20],[0,10,20,5,5]],"connections":[[3,1,0]]},{"state":"vacant"}]}`))
 	f.Add([]byte(`{"slots":[{"state":"granted","rates":[[9,1,1]]}]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		table, err := Decode(text)
