--- a/pkg/membership/mesh_test.go
+++ b/pkg/membership/mesh_test.go
@@ -176,6 +176,24 @@
 	require.Empty(t, m.Received("c", Versions{Revoked: []core.KeyID{"k1"}}, now).Revoked)
 }
 
+// Guards against a new catalogue or term that waits for the next second on each
+// of its hops, and against one that is sent back to the peer it came from.
+func TestNewCatalogueIsPassedOnAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := NewMesh(Peer{ID: "a"}, testSettings, rand.New(rand.NewPCG(1, 1)))
+	m.Connected("b")
+	m.Connected("c")
+	require.True(t, m.Received("b", Versions{Catalogue: 5}, now).Pull.Catalogue)
+	m.SetState(State{Catalogue: 5, Shares: 9})
+	sends := m.Urgent(now)
+	require.Len(t, sends, 1)
+	require.Equal(t, core.InstanceID("c"), sends[0].Peer)
+	m.SetState(State{Catalogue: 5, Shares: 10})
+	require.Empty(t, m.Urgent(now))
+	m.SetState(State{Catalogue: 5, Terms: map[core.DatabaseName]core.Term{"fyn": 2}})
+	require.Len(t, m.Urgent(now), 2)
+}
+
 // Guards against a busy loop of connections to a peer that is gone, and against
 // a peer that is never tried again.
 func TestFailedPeerBacksOffAndReturns(t *testing.T) {
