Make the test rings report room as the real ring does

The rings of the tests claimed room while the ring behind them was full, so a stop with a thousand open callers never ended in a trial. The stop no longer waits for events that session may not take any more. The outbox and pgx tests now also catch an event that overtakes held ones and a digest without the text.

--- a/pkg/callerio/duty.go
+++ b/pkg/callerio/duty.go
@@ -206,8 +206,10 @@
 	return !now.Before(d.stopBy) || !d.outputWaits()
 }
 
+// outputWaits reports answers that are not sent yet. Events for session do not
+// count: it may have stopped before.
 func (d *Duty) outputWaits() bool {
-	if d.ring.Len() > 0 || d.outbox.Blocked() {
+	if d.ring.Len() > 0 {
 		return true
 	}
 	for _, c := range d.callers {
--- a/pkg/callerio/harness_test.go
+++ b/pkg/callerio/harness_test.go
@@ -238,7 +238,7 @@
 
 func (s *slowRing) NotifyRoom(w ring.Waker) bool {
 	s.room.Store(&w)
-	return s.full.Load()
+	return s.full.Load() || s.Ring.NotifyRoom(w)
 }
 
 func (s *slowRing) release() {
--- a/pkg/targetio/member_test.go
+++ b/pkg/targetio/member_test.go
@@ -309,6 +309,9 @@
 		return
 	}
 	value := c.value
+	if strings.Contains(text, "--") {
+		value = append([]byte(text+" = "), value...)
+	}
 	if text == "big" {
 		value = make([]byte, bigRow)
 	}
--- a/pkg/targetio/pgx_test.go
+++ b/pkg/targetio/pgx_test.go
@@ -280,9 +280,10 @@
 	for round := range rounds {
 		// Half of the texts are the same for all callers.
 		text := fmt.Sprintf("select $1 -- %d %d", caller*(round%2), round%5)
-		want := fmt.Sprint(caller, round)
+		value := fmt.Sprint(caller, round)
+		want := text + " = " + value
 		var got string
-		if err := conn.QueryRow(ctx, text, want).Scan(&got); err != nil {
+		if err := conn.QueryRow(ctx, text, value).Scan(&got); err != nil {
 			return err
 		}
 		if got != want {
--- a/pkg/targetio/target_test.go
+++ b/pkg/targetio/target_test.go
@@ -40,7 +40,7 @@
 
 func (g *gatedRing) NotifyRoom(w ring.Waker) bool {
 	g.room.Store(&w)
-	return g.full.Load()
+	return g.full.Load() || g.Ring.NotifyRoom(w)
 }
 
 func (g *gatedRing) release() {
--- a/pkg/wire/outbox/outbox_test.go
+++ b/pkg/wire/outbox/outbox_test.go
@@ -23,7 +23,12 @@
 	}
 	require.True(t, o.Blocked())
 	require.Equal(t, count-4, o.Held())
-	for id := range count {
+	// One cell is free now, but the held events come first.
+	event, ok := events.Pop()
+	require.True(t, ok)
+	require.Equal(t, session.CallerClosed{Caller: 0}, event)
+	o.Push(session.CallerClosed{Caller: count})
+	for id := 1; id <= count; id++ {
 		event, ok := events.Pop()
 		require.True(t, ok)
 		require.Equal(t, session.CallerClosed{Caller: session.CallerID(id)}, event)
