--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -23,6 +23,8 @@
 	ReceiveDelay time.Duration
 	// ApplyLag passes between receiving and applying an entry.
 	ApplyLag time.Duration
+	// Journal is told of each durable change before it is answered; nil for none.
+	Journal func(JournalRecord)
 }
 
 // TermError refuses a command of a lower term than the accepted one.
@@ -92,6 +94,7 @@
 		s.state = table.StateID(string(core.RolePrimary))
 		s.primary = ""
 		s.log.BeginTerm(config.Term)
+		s.appendTermStart()
 	}
 	return s, nil
 }
@@ -150,8 +153,8 @@
 
 // Follow makes the member a replica of the primary of term at the status
 // address; entries of older terms beyond start are dropped. It returns a
-// *TermError for a lower term and a *RoleError when the member already has
-// another part in this term.
+// *TermError for a lower term and a *RoleError when the member is the primary
+// of this term.
 func (s *Store) Follow(term core.Term, address string, start core.LSN, now time.Time) error {
 	return s.fire(s.events.follow, command{name: "follow", term: term, address: address, start: start, now: now})
 }
@@ -162,6 +165,9 @@
 	}
 	s.command = c
 	s.table.Fire(s, &s.state, event)
+	if s.command.err == nil {
+		s.journalState()
+	}
 	return s.command.err
 }
 
