Shorten the tests of the PostgreSQL edges

The tests load the embedded charts, fill the real ring instead of wrapping it and share one scripted account. pgx now runs every mode over a shared target connection.

--- a/pkg/callerio/harness_test.go
+++ b/pkg/callerio/harness_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"net"
-	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
@@ -29,7 +28,7 @@
 type harness struct {
 	t      testing.TB
 	duty   *Duty
-	events *slowRing
+	events *ring.Ring[session.Input]
 	signal *ring.Signal
 }
 
@@ -58,16 +57,14 @@
 }
 
 func loadChart(t testing.TB) *chart.Definition {
-	text, err := os.ReadFile("../../charts/caller_startup.toml")
-	require.NoError(t, err)
-	definition, err := chart.Parse("caller_startup.toml", text)
+	definition, err := charts.Load("caller_startup")
 	require.NoError(t, err)
 	return definition
 }
 
 func start(t testing.TB, config Config, ringSize int) *harness {
 	h := &harness{t: t, signal: ring.NewSignal()}
-	h.events = &slowRing{Ring: ring.New[session.Input](ringSize, h.signal)}
+	h.events = ring.New[session.Input](ringSize, h.signal)
 	config.Address = "127.0.0.1:0"
 	if config.BaseDelay == 0 {
 		config.BaseDelay = time.Millisecond
@@ -220,30 +217,8 @@
 	return p
 }
 
-// slowRing is a session ring that a test can make full.
-type slowRing struct {
-	*ring.Ring[session.Input]
-	full    atomic.Bool
-	refused atomic.Int64
-	room    atomic.Pointer[ring.Waker]
-}
-
-func (s *slowRing) TryPush(v session.Input) bool {
-	if s.full.Load() {
-		s.refused.Add(1)
-		return false
-	}
-	return s.Ring.TryPush(v)
-}
-
-func (s *slowRing) NotifyRoom(w ring.Waker) bool {
-	s.room.Store(&w)
-	return s.full.Load() || s.Ring.NotifyRoom(w)
-}
-
-func (s *slowRing) release() {
-	s.full.Store(false)
-	if w := s.room.Load(); w != nil {
-		(*w).Wake()
+// fill makes the session ring full with events that tests do not look at.
+func (h *harness) fill() {
+	for h.events.TryPush(session.Drain{}) {
 	}
 }
--- a/pkg/callerio/request_test.go
+++ b/pkg/callerio/request_test.go
@@ -271,13 +271,13 @@
 	for i := range peers {
 		peers[i] = h.open()
 	}
-	h.events.full.Store(true)
+	h.fill()
+	before := h.events.Stats().Refusals
 	for _, p := range peers {
 		selectOne(p)
 		require.NoError(t, p.conn.Close())
 	}
-	require.Eventually(t, func() bool { return h.events.refused.Load() > 0 }, testWait, time.Millisecond)
-	h.events.release()
+	require.Eventually(t, func() bool { return h.events.Stats().Refusals > before }, testWait, time.Millisecond)
 	requests, closed := map[session.CallerID]int{}, map[session.CallerID]int{}
 	for len(closed) < callers {
 		switch event := h.next().(type) {
--- a/pkg/targetio/member_test.go
+++ b/pkg/targetio/member_test.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
 	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
 )
 
 // bigRow is the size in bytes of a row that no socket buffer takes at once.
@@ -328,3 +329,14 @@
 func StartScriptedMember(t testing.TB) string {
 	return startMember(t).address()
 }
+
+// ScriptedAccount returns the account "roads" with one key.
+func ScriptedAccount(t testing.TB, key string) *catalogue.Account {
+	const salt, iterations = "0123456789abcdef", 4096
+	client, err := scram.SHA256.NewClient("", key, "")
+	require.NoError(t, err)
+	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: iterations})
+	require.NoError(t, err)
+	verifier := catalogue.Key{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}
+	return &catalogue.Account{Name: "roads", Salt: []byte(salt), Iterations: iterations, Keys: []catalogue.Key{verifier}}
+}
--- a/pkg/targetio/pgx_test.go
+++ b/pkg/targetio/pgx_test.go
@@ -3,20 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/stretchr/testify/require"
-	"github.com/xdg-go/scram"
 )
 
 const (
@@ -25,21 +23,17 @@
 	noOwner = ^session.CallerID(0)
 )
 
-// passThrough is a session duty that gives every caller a target connection
-// of its own and passes everything on.
+// passThrough is a session duty that sends the requests of all callers over
+// target 1, one at a time.
 type passThrough struct {
-	t       testing.TB
 	events  *ring.Ring[session.Input]
 	signal  *ring.Signal
 	callers *callerio.Duty
 	targets *targetio.Duty
-	address string
 	done    chan struct{}
-	// shared is set when all callers use target 1, one request at a time.
-	shared bool
-	opened bool
-	queue  []session.CallerRequest
-	owner  session.CallerID
+	queue   []session.CallerRequest
+	// owner is the caller whose request runs, noOwner until the target is open.
+	owner session.CallerID
 }
 
 func (p *passThrough) run() {
@@ -69,17 +63,16 @@
 	p.targets.Ring().TryPush(targetio.FromSession(command))
 }
 
-// passShared handles the events that differ when callers share a target.
-func (p *passThrough) passShared(event session.Input) {
+func (p *passThrough) pass(event session.Input) {
 	switch e := event.(type) {
 	case session.CallerOpened:
-		if !p.opened {
-			p.opened = true
-			p.target(session.TargetOpen{Target: 1, Address: p.address})
-		}
 		p.caller(session.CallerAdmitted{Caller: e.Caller})
 	case session.CallerRequest:
 		p.queue = append(p.queue, e)
+	case session.CallerCancel:
+		if e.Caller == p.owner {
+			p.target(session.TargetCancel{Target: 1})
+		}
 	case session.TargetData:
 		p.caller(session.CallerWrite{Caller: p.owner, Frames: e.Frames})
 	case session.TargetReady:
@@ -88,44 +81,13 @@
 	case session.TargetOpened:
 		p.owner = 0
 	}
-	if p.owner == 0 && p.opened && len(p.queue) > 0 {
+	if p.owner == 0 && len(p.queue) > 0 {
 		p.owner = p.queue[0].Caller
 		p.target(session.TargetSend{Target: 1, Payload: p.queue[0].Request.Payload})
 		p.queue = p.queue[1:]
 	}
 }
 
-func (p *passThrough) pass(event session.Input) {
-	if p.shared {
-		p.passShared(event)
-		return
-	}
-	switch e := event.(type) {
-	case session.CallerOpened:
-		p.target(session.TargetOpen{Target: session.TargetID(e.Caller), Address: p.address})
-	case session.TargetOpened:
-		p.caller(session.CallerAdmitted{Caller: session.CallerID(e.Target)})
-	case session.CallerRequest:
-		p.target(session.TargetSend{Target: session.TargetID(e.Caller), Payload: e.Request.Payload})
-	case session.TargetData:
-		p.caller(session.CallerWrite{Caller: session.CallerID(e.Target), Frames: e.Frames})
-	case session.TargetReady:
-		p.caller(session.CallerWrite{Caller: session.CallerID(e.Target), Frames: e.Frames, Done: true, Position: e.Position})
-	case session.CallerCancel:
-		p.target(session.TargetCancel{Target: session.TargetID(e.Caller)})
-	case session.CallerClosed:
-		p.target(session.TargetClose{Target: session.TargetID(e.Caller)})
-	}
-}
-
-func definition(t testing.TB, name string) *chart.Definition {
-	text, err := os.ReadFile("../../charts/" + name + ".toml")
-	require.NoError(t, err)
-	d, err := chart.Parse(name, text)
-	require.NoError(t, err)
-	return d
-}
-
 func runDuty(t testing.TB, run func() error, stop func()) {
 	done := make(chan error, 1)
 	go func() { done <- run() }()
@@ -135,26 +97,24 @@
 	})
 }
 
-// startProxy runs both duties in front of one member and returns a connection string.
-func startProxy(t testing.TB, memberAddress string, shared bool) string {
+// startProxy runs both duties in front of a scripted member and returns a
+// connection string.
+func startProxy(t testing.TB) string {
 	signal := ring.NewSignal()
-	p := &passThrough{t: t, signal: signal, events: ring.New[session.Input](1024, signal), address: memberAddress, done: make(chan struct{}), shared: shared}
-	// A request waits for the first TargetOpened.
-	p.owner = noOwner
-	var err error
-	p.callers, err = callerio.New(callerio.Config{Address: "127.0.0.1:0"}, callerio.Deps{Session: p.events, Chart: definition(t, "caller_startup")})
+	p := &passThrough{signal: signal, events: ring.New[session.Input](1024, signal), done: make(chan struct{}), owner: noOwner}
+	callerChart, err := charts.Load("caller_startup")
 	require.NoError(t, err)
-	p.targets, err = targetio.New(targetio.Config{}, targetio.Deps{Session: p.events, Chart: definition(t, "target_startup")})
+	targetChart, err := charts.Load("target_startup")
 	require.NoError(t, err)
-	client, err := scram.SHA256.NewClient("", "key", "")
+	p.callers, err = callerio.New(callerio.Config{Address: "127.0.0.1:0"}, callerio.Deps{Session: p.events, Chart: callerChart})
 	require.NoError(t, err)
-	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	p.targets, err = targetio.New(targetio.Config{}, targetio.Deps{Session: p.events, Chart: targetChart})
 	require.NoError(t, err)
 	p.callers.Ring().TryPush(callerio.Input{Control: callerio.Publish{Catalogue: &catalogue.Catalogue{
-		Accounts: []catalogue.Account{{Name: "roads", Salt: []byte("0123456789abcdef"), Iterations: 4096,
-			Keys: []catalogue.Key{{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}}}},
-		Entries: []catalogue.Entry{{Name: "notices", Account: "roads"}},
+		Accounts: []catalogue.Account{*targetio.ScriptedAccount(t, "key")},
+		Entries:  []catalogue.Entry{{Name: "notices", Account: "roads"}},
 	}}})
+	p.target(session.TargetOpen{Target: 1, Address: targetio.StartScriptedMember(t)})
 	t.Cleanup(func() { close(p.done) })
 	go p.run()
 	runDuty(t, p.callers.Run, p.callers.Stop)
@@ -165,7 +125,7 @@
 // Guards against an ordinary driver that cannot connect, query, prepare,
 // recover from an error or cancel through the proxy.
 func TestPgxInEveryMode(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t), false)
+	url := startProxy(t)
 	modes := []pgx.QueryExecMode{
 		pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe,
 		pgx.QueryExecModeDescribeExec, pgx.QueryExecModeExec,
@@ -219,7 +179,7 @@
 
 // Guards against a cancel request that does not reach the member.
 func TestPgxCancel(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t), false)
+	url := startProxy(t)
 	ctx, cancel := context.WithTimeout(t.Context(), pgxWait)
 	defer cancel()
 	conn, err := pgx.Connect(ctx, url)
@@ -245,7 +205,7 @@
 
 // Guards against a wrong key that gets through an ordinary driver's SCRAM.
 func TestPgxWrongKey(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t), false)
+	url := startProxy(t)
 	config, err := pgx.ParseConfig(url)
 	require.NoError(t, err)
 	config.Password = "wrong"
@@ -258,7 +218,7 @@
 // Guards against answers and prepared statements that get mixed when several
 // callers take turns on one target connection (G3, G8).
 func TestPgxCallersShareATarget(t *testing.T) {
-	url := startProxy(t, targetio.StartScriptedMember(t), true)
+	url := startProxy(t)
 	const callers, rounds = 6, 40
 	failures := make(chan error, callers)
 	for caller := range callers {
--- a/pkg/targetio/target_test.go
+++ b/pkg/targetio/target_test.go
@@ -2,74 +2,39 @@
 
 import (
 	"net"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
 	"github.com/stretchr/testify/require"
-	"github.com/xdg-go/scram"
 )
 
 // testWait bounds every wait of a test; it is not a figure under test.
 const testWait = 10 * time.Second
 
-// gatedRing is a session ring that a test can make full.
-type gatedRing struct {
-	*ring.Ring[session.Input]
-	full    atomic.Bool
-	refused atomic.Int64
-	room    atomic.Pointer[ring.Waker]
-}
-
-func (g *gatedRing) TryPush(v session.Input) bool {
-	if g.full.Load() {
-		g.refused.Add(1)
-		return false
-	}
-	return g.Ring.TryPush(v)
-}
-
-func (g *gatedRing) NotifyRoom(w ring.Waker) bool {
-	g.room.Store(&w)
-	return g.full.Load() || g.Ring.NotifyRoom(w)
-}
-
-func (g *gatedRing) release() {
-	g.full.Store(false)
-	if w := g.room.Load(); w != nil {
-		(*w).Wake()
-	}
-}
+// ringSize is the capacity of the session ring in tests.
+const ringSize = 64
 
 // harness runs the duty; the test plays the session duty.
 type harness struct {
 	t      testing.TB
 	duty   *Duty
-	events *gatedRing
+	events *ring.Ring[session.Input]
 	signal *ring.Signal
 }
 
-func loadChart(t testing.TB, name string) *chart.Definition {
-	text, err := os.ReadFile("../../charts/" + name + ".toml")
-	require.NoError(t, err)
-	definition, err := chart.Parse(name, text)
-	require.NoError(t, err)
-	return definition
-}
-
 func start(t testing.TB, config Config) *harness {
 	h := &harness{t: t, signal: ring.NewSignal()}
-	h.events = &gatedRing{Ring: ring.New[session.Input](64, h.signal)}
-	duty, err := New(config, Deps{Session: h.events, Chart: loadChart(t, "target_startup")})
+	h.events = ring.New[session.Input](ringSize, h.signal)
+	definition, err := charts.Load("target_startup")
+	require.NoError(t, err)
+	duty, err := New(config, Deps{Session: h.events, Chart: definition})
 	require.NoError(t, err)
 	h.duty = duty
 	done := make(chan error, 1)
@@ -101,7 +66,7 @@
 
 func expect[T session.Input](h *harness) T {
 	h.t.Helper()
-	v, ok := popWait(h.events.Ring, h.signal, testWait)
+	v, ok := popWait(h.events, h.signal, testWait)
 	require.True(h.t, ok, "no event arrived")
 	event, ok := v.(T)
 	require.True(h.t, ok, "unexpected event %T %+v", v, v)
@@ -124,7 +89,7 @@
 	h.t.Helper()
 	var frames []byte
 	for {
-		v, ok := popWait(h.events.Ring, h.signal, testWait)
+		v, ok := popWait(h.events, h.signal, testWait)
 		require.True(h.t, ok, "no event arrived")
 		switch event := v.(type) {
 		case session.TargetData:
@@ -339,9 +304,11 @@
 	h.open(m, 1)
 	h.open(m, 2)
 	h.open(m, 3)
-	h.events.full.Store(true)
+	for range ringSize {
+		require.True(t, h.events.TryPush(session.Drain{}))
+	}
 	h.send(session.TargetSend{Target: 1, Payload: simple("select 1")})
-	require.Eventually(t, func() bool { return h.events.refused.Load() > 0 }, testWait, time.Millisecond)
+	require.Eventually(t, func() bool { return h.events.Stats().Refusals > 0 }, testWait, time.Millisecond)
 	h.send(session.TargetSend{Target: 2, Payload: simple("select 2")})
 	m.awaitAnswers(5)
 	// The next command is handled after a poll that found the answer.
@@ -349,7 +316,9 @@
 	require.Eventually(t, func() bool { return h.duty.Stats().Open == 2 }, testWait, time.Millisecond)
 	h.send(session.TargetPause{Target: 2})
 	require.Eventually(t, func() bool { return h.duty.Ring().Len() == 0 }, testWait, time.Millisecond)
-	h.events.release()
+	for range ringSize {
+		expect[session.Drain](h)
+	}
 	got, _ := h.finishOf(1)
 	require.Equal(t, "TDCZ", got)
 	require.Equal(t, session.TargetID(3), expect[session.TargetClosed](h).Target)
@@ -362,12 +331,7 @@
 // Guards against a member that refuses, is silent or asks for credentials and
 // is not reported as such.
 func TestStartup(t *testing.T) {
-	client, err := scram.SHA256.NewClient("", "secret", "")
-	require.NoError(t, err)
-	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
-	require.NoError(t, err)
-	m := startMemberWith(t, &catalogue.Account{Name: "p", Salt: []byte("0123456789abcdef"), Iterations: 4096,
-		Keys: []catalogue.Key{{ID: "k", StoredKey: credentials.StoredKey, ServerKey: credentials.ServerKey}}})
+	m := startMemberWith(t, ScriptedAccount(t, "secret"))
 	start(t, Config{Password: "secret"}).open(m, 1)
 	for password, reason := range map[string]string{"wrong": "28P01", "": "not configured"} {
 		h := start(t, Config{Password: password})
