--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -47,17 +47,36 @@
 			return
 		}
 		item, _ := m.queue.Pop()
-		if s := item.Value; s.deadline.After(m.db.e.now) {
-			m.start(s)
-		} else {
-			s.fire(m.db.e.charts.stmt.timedOut)
-		}
+		m.serve(item.Value)
 	}
 	if len(m.idle) > 0 {
 		m.offerIdle()
 	}
 }
 
+// serve starts the statement that is next, unless the wait has made it late or
+// the member unfit for it.
+func (m *member) serve(s *statement) {
+	events := &m.db.e.charts.stmt
+	switch {
+	case !s.deadline.After(m.db.e.now):
+		s.fire(events.timedOut)
+	case !m.stillServes(s):
+		s.fire(events.rerouted)
+	default:
+		m.start(s)
+	}
+}
+
+// stillServes reports whether a replica is fresh enough for a read that has
+// waited in its queue.
+func (m *member) stillServes(s *statement) bool {
+	if m == m.db.primary || s.readsNoData() {
+		return true
+	}
+	return m.view.Status.Covers(s.c.floor) && m.age() <= s.maxAge()
+}
+
 // start sends the statement on an idle connection, preferably one that has the
 // session's settings.
 func (m *member) start(s *statement) {
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -41,6 +41,19 @@
 	require.Contains(t, h.e.Explain(2), "member m0")
 }
 
+// Guards against a replica that grew too old while the read was in its queue.
+func TestQueuedReadIsCheckedAgain(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Bounds.ReplicaWait = time.Second })
+	h.open(1, at100)
+	h.ask(1, "read", Verdict{Kind: KindRead, Hints: Hints{MaxAge: 2 * time.Second}})
+	h.wait(1500 * time.Millisecond)
+	h.connect()
+	require.Zero(t, h.countSent())
+	h.view(1, "m0", 100, 100, 100)
+	h.connect()
+	require.Equal(t, 1, h.countSent())
+}
+
 // Guards against a floor round that began before the session did.
 func TestFloorRoundBeginsAfterTheSession(t *testing.T) {
 	h := newHarness(t, nil)
