Do not wait for a primary that was replaced

A statement on a primary that is cut off waited until its deadline although the group had a newer primary. When the term advances, what runs on the old primary is now ended: transactions are reported as rolled back, writes as uncertain, reads without rows are repeated elsewhere. Results that already reach their caller go on. The last primary is remembered, because a view without a primary comes in between.

--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -18,6 +18,8 @@
 
 	term    core.Term
 	primary *member
+	// reigned is the last primary, also while there is none.
+	reigned *member
 	// confirmed is the newest position that a majority is known to have.
 	confirmed core.Position
 
@@ -96,6 +98,9 @@
 		if db.primary == m {
 			db.primary = nil
 		}
+		if db.reigned == m {
+			db.reigned = nil
+		}
 	}
 	clear(db.members[len(kept):])
 	db.members = kept
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -34,22 +34,30 @@
 
 // advance applies a change of term or primary.
 func (db *database) advance(term core.Term, primary *member) {
-	old := db.primary
 	changed := term > db.term
 	db.term = term
 	db.primary = primary
-	if changed && old != nil {
-		old.abandonTransactions()
+	if changed && db.reigned != nil && db.reigned != primary {
+		db.reigned.depose()
+	}
+	if primary != nil {
+		db.reigned = primary
 	}
 }
 
-// abandonTransactions ends the open transactions of a primary that was
-// replaced: they cannot commit any more. A request that runs is left to end.
-func (m *member) abandonTransactions() {
+// depose ends what runs on a primary that was replaced. Its transactions cannot
+// commit any more and its answers can confirm nothing; a member that is cut off
+// would let its callers wait until their deadline. Results that already reach
+// their caller go on.
+func (m *member) depose() {
 	e := m.db.e
 	for _, t := range m.db.targets {
 		c := t.caller
-		if t.member != m || c == nil || t.state != e.states.pinned || c.stmt.active {
+		if t.member != m || c == nil {
+			continue
+		}
+		if c.stmt.active {
+			c.stmt.fire(e.charts.stmt.deposed)
 			continue
 		}
 		c.unpin()
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -147,6 +147,37 @@
 	require.Equal(t, CallerReply{Caller: 1, Tag: "ROLLBACK", TxStatus: 'I'}, h.last())
 }
 
+// Guards against callers that wait for a primary that is cut off until their
+// deadline, although another one has replaced it.
+func TestReplacedPrimaryIsNotWaitedFor(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.RetryFraction = 1 })
+	h.open(1, at100)
+	h.open(2, at100)
+	s := h.run(1, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	h.run(1, "write", write)
+	h.ask(2, "write", write)
+	h.wait(h.e.cfg.OpenTime)
+	h.connect()
+	require.Equal(t, 3, h.countSent())
+	h.view(1, "", 100, 100, 100)
+	h.view(2, "m1", 100, 100, 100)
+	states := map[CallerID]string{}
+	for _, c := range h.callers {
+		if fail, ok := c.(CallerFail); ok {
+			states[fail.Caller] = fail.Refusal.SQLState
+		}
+	}
+	want := map[CallerID]string{1: core.StateTransactionAborted, 2: core.StateUncertain}
+	require.Equal(t, want, states)
+	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus})
+	h.view(3, "m2", 100, 100, 100)
+	h.connect()
+	require.Equal(t, 5, h.countSent(), "a question is asked again at the new primary")
+	require.Equal(t, core.MemberID("m2"), h.memberOf(h.sent().Target))
+	require.Contains(t, h.targets, TargetClose{Target: s.Target})
+}
+
 // Guards against a read-only answer that is lost for want of a repetition, and
 // against one that is repeated after rows were forwarded.
 func TestRepetition(t *testing.T) {
--- a/pkg/session/tables.go
+++ b/pkg/session/tables.go
@@ -21,7 +21,7 @@
 
 type statementEvents struct {
 	admitted, denied, classified, floorKnown, viewChanged, rerouted, dispatched event
-	data, ready, lost, confirmed, superseded                                    event
+	data, ready, lost, confirmed, superseded, deposed                           event
 	cancelled, leaving, aborted, timedOut                                       event
 }
 
@@ -78,7 +78,7 @@
 		admitted: s("admitted"), denied: s("denied"), classified: s("classified"),
 		floorKnown: s("floor_known"), viewChanged: s("view_changed"), rerouted: s("rerouted"),
 		dispatched: s("dispatched"), data: s("data"), ready: s("ready"), lost: s("lost"),
-		confirmed: s("confirmed"), superseded: s("superseded"), cancelled: s("cancelled"),
+		confirmed: s("confirmed"), superseded: s("superseded"), deposed: s("deposed"), cancelled: s("cancelled"),
 		leaving: s("leaving"), aborted: s("aborted"), timedOut: s(chart.TimeoutEvent),
 	}
 	t.conn = targetEvents{
