Tie the answer to a status query to the term it was given in

A query for the fate of a write that a replaced primary had answered could be confirmed by the log of the new primary, which need not hold that write. Inside a transaction its rows were passed on before the confirmation.

--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -254,6 +254,16 @@
 	require.Len(t, h.callers, answers)
 	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 200}})
 	require.Len(t, h.callers, answers+1)
+	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
+	h.ready(s.Target, 'I', core.Position{})
+	h.view(2, "m1", 200, 200, 200)
+	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	s = h.run(1, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
+	answers = len(h.callers)
+	h.do(TargetData{Target: s.Target, Frames: []byte("committed")})
+	require.Len(t, h.callers, answers, "nothing is told before the confirmation")
 }
 
 // Guards against a member whose queue starves because the others hold every
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -87,12 +87,22 @@
 // supersede answers the commits whose term is over before a majority had them.
 func (db *database) supersede() {
 	for _, s := range slices.Clone(db.confirming) {
-		if !s.position.IsZero() && s.position.Term < db.term {
+		if s.confirmTerm() < db.term {
 			s.fire(db.e.charts.stmt.superseded)
 		}
 	}
 }
 
+// confirmTerm is the term in which a majority has to confirm the statement. A
+// status query without a position has the term of its answer: the log of a
+// newer primary says nothing about what the old one has answered.
+func (s *statement) confirmTerm() core.Term {
+	if s.position.IsZero() {
+		return s.readyTerm
+	}
+	return s.position.Term
+}
+
 // confirm lists the statement among those that wait for a majority, ordered by
 // position. New commits are mostly the furthest.
 func (db *database) confirm(s *statement) {
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -132,4 +132,5 @@
 		return
 	}
 	c.entry = now
+	c.ending = nil
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -56,6 +56,7 @@
 	// confirming is set while the statement waits for a majority.
 	confirming bool
 	readyAt    time.Time
+	readyTerm  core.Term
 	outcome    string
 }
 
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -125,8 +125,9 @@
 // askConfirm waits for a majority. The position of a status query that came
 // without one is the end of the primary's log in a later view.
 func (s *statement) askConfirm() {
-	s.readyAt = s.c.e.now
 	db := s.c.db
+	s.readyAt = s.c.e.now
+	s.readyTerm = db.term
 	db.confirm(s)
 	if s.position.IsZero() {
 		return
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -155,7 +155,7 @@
 	if s.c.e.cfg.AckAtCommit || s.verdict.Kind == KindRead || s.readsNoData() {
 		return false
 	}
-	return !s.c.inTransaction() || s.mayCommit()
+	return !s.c.inTransaction() || s.mayCommit() || s.isStatusQuery()
 }
 
 // mayCommit reports a request that ends a transaction and keeps its changes.
