--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -47,17 +47,47 @@
 			return
 		}
 		item, _ := m.queue.Pop()
-		if s := item.Value; s.deadline.After(m.db.e.now) {
-			m.start(s)
-		} else {
-			s.fire(m.db.e.charts.stmt.timedOut)
-		}
+		m.serve(item.Value)
 	}
 	if len(m.idle) > 0 {
 		m.offerIdle()
 	}
 }
 
+// serve starts the statement that is next, unless the wait has made it late or
+// the member unfit for it.
+func (m *member) serve(s *statement) {
+	events := &m.db.e.charts.stmt
+	switch {
+	case m.endsLate(s):
+		s.fire(events.timedOut)
+	case !m.stillServes(s):
+		s.fire(events.rerouted)
+	default:
+		m.start(s)
+	}
+}
+
+// endsLate reports that too little time is left for the statement. Started all
+// the same, it would hold a slot until its deadline and then cost the
+// connection; under overload that took two thirds of the goodput. At most half
+// of the statement's time is asked for, so that an overestimate of the service
+// time cannot refuse everything.
+func (m *member) endsLate(s *statement) bool {
+	left := s.deadline.Sub(m.db.e.now)
+	whole := s.deadline.Sub(s.request.Arrived)
+	return left <= 0 || left < min(m.service, whole/2)
+}
+
+// stillServes reports whether a replica is fresh enough for a read that has
+// waited in its queue.
+func (m *member) stillServes(s *statement) bool {
+	if m == m.db.primary || s.readsNoData() {
+		return true
+	}
+	return m.view.Status.Covers(s.c.floor) && m.age() <= s.maxAge()
+}
+
 // start sends the statement on an idle connection, preferably one that has the
 // session's settings.
 func (m *member) start(s *statement) {
