Publish no confirmation of position 0; test lost claims and held results

Cause: after a change of primary a confirmation of lsn 0 was published, which confirms nothing; found by the new test of evidence of an older term. Change: raiseConfirmed skips lsn 0. The claim guard no longer looks at the back-off, because the chart's no_platform state already waits for it.

--- a/pkg/failover/claim.go
+++ b/pkg/failover/claim.go
@@ -209,8 +209,7 @@
 // backOff replaces the state's timeout by a growing delay.
 func (g *Group) backOff() {
 	g.backoff = min(max(2*g.backoff, g.config.PlatformBackoff), g.config.PlatformBackoffMax)
-	g.retryAt = g.now.Add(g.backoff)
-	g.deadline = g.retryAt
+	g.deadline = g.now.Add(g.backoff)
 }
 
 func (g *Group) waitForDecider() {
--- a/pkg/failover/confirm.go
+++ b/pkg/failover/confirm.go
@@ -80,7 +80,7 @@
 func (g *Group) raiseConfirmed() {
 	c := &g.confirm
 	p := core.Position{Term: g.term, LSN: g.majorityReceived()}
-	if p.After(c.confirmed) {
+	if p.LSN > 0 && p.After(c.confirmed) {
 		c.confirmed = p
 		c.unsent = true
 	}
--- a/pkg/failover/detect.go
+++ b/pkg/failover/detect.go
@@ -135,7 +135,7 @@
 
 // mayClaim is the guard of the claim.
 func (g *Group) mayClaim() bool {
-	if !g.recordKnown || g.lostSince.IsZero() || g.now.Before(g.retryAt) {
+	if !g.recordKnown || g.lostSince.IsZero() {
 		return false
 	}
 	return g.now.Sub(g.lostSince) >= g.stagger()
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -134,12 +134,17 @@
 	for step, phase := range []Phase{"", PhaseFencing, PhaseServing} {
 		s := started(t, uint64(10+step), 3)
 		s.platformDown = phase == ""
-		s.onSwap = func(c RecordSwap) { s.platformDown = s.platformDown || c.Record.Phase == phase && step == 2 }
+		swaps := 0
+		s.onSwap = func(c RecordSwap) {
+			swaps++
+			s.platformDown = s.platformDown || c.Record.Phase == phase && step == 2
+		}
 		if step == 1 {
 			s.onSwap = func(RecordSwap) { s.after(3*time.Millisecond, func() { s.platformDown = true }) }
 		}
 		s.members[0].alive = false
 		s.run(4 * time.Second)
+		require.Less(t, swaps, 40)
 		decided := s.revision > 0
 		require.Equal(t, decided, s.leader() != nil)
 		require.Equal(t, step > 0, decided)
--- a/pkg/failover/group.go
+++ b/pkg/failover/group.go
@@ -55,7 +55,6 @@
 	swap      RecordSwap
 	readCall  CallID
 	backoff   time.Duration
-	retryAt   time.Time
 
 	// lostSince is since when the conditions of a claim hold, zero if not.
 	lostSince time.Time
--- a/pkg/failover/unit_test.go
+++ b/pkg/failover/unit_test.go
@@ -126,7 +126,7 @@
 	s.Role, s.Term, s.Terms = core.RolePrimary, 3, core.TermHistory{{Term: 3, Start: 400}}
 	h.answer(MethodStatus, s)
 	h.NeedConfirm(h.clock, session.NeedConfirm{Position: core.Position{Term: 3, LSN: 410}})
-	require.NotContains(t, h.confirmed, core.LSN(410))
+	require.Empty(t, h.confirmed)
 }
 
 // Guards against a floor taken from an answer that was asked for before the
@@ -194,3 +194,22 @@
 	h.RecordSeen(h.clock, RecordSeen{Exists: true, Revision: 6, Record: first.Record})
 	require.Zero(t, h.sent(MethodFence, 9))
 }
+
+// Guards against a second claim beside one whose answer was lost, and against
+// the first one going unnoticed when it takes effect late.
+func TestLostClaimIsRepeatedUnchanged(t *testing.T) {
+	h := newManual()
+	h.loseReplicas(900 * time.Millisecond)
+	first := h.swaps[0]
+	h.SwapResult(h.clock, SwapResult{Call: first.Call, Outcome: SwapUnknown})
+	h.ReadResult(h.clock, ReadResult{Call: h.readCall, Seen: RecordSeen{Exists: true, Revision: 5, Record: h.record}})
+	h.loseReplicas(200 * time.Millisecond)
+	require.Len(t, h.swaps, 2)
+	require.Equal(t, first.Record, h.swaps[1].Record)
+	h.SwapResult(h.clock, SwapResult{
+		Call:    h.swaps[1].Call,
+		Outcome: SwapConflict,
+		Current: RecordSeen{Exists: true, Revision: 6, Record: first.Record},
+	})
+	require.Equal(t, 3, h.sent(MethodFence, 3))
+}
--- a/pkg/rpc/duty_test.go
+++ b/pkg/rpc/duty_test.go
@@ -215,6 +215,20 @@
 		require.NoError(t, r.Err)
 		require.Equal(t, i, r.Tag)
 	}
+	// Many results at once: the calls to an address that refuses.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener.Close()
+	client.full.Store(true)
+	for i := range calls {
+		require.True(t, client.Send(Call{Tag: i, Address: listener.Addr().String(), Timeout: callTimeout}))
+	}
+	require.Eventually(t, func() bool { return client.Commands().Len() == 0 }, callTimeout, time.Millisecond)
+	client.full.Store(false)
+	client.Wake()
+	for i := range calls {
+		require.Equal(t, i, client.next(t).Tag)
+	}
 	require.Zero(t, client.Dropped())
 }
 
