--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -181,6 +181,11 @@
 
 // ShareInForce publishes the shares that this instance may spend.
 type ShareInForce struct {
+	// Revision is the share table's revision, returned in ShareApplied.
+	Revision uint64
+	// Grant identifies the holding of the slot; buckets are emptied when it
+	// changes.
+	Grant    uint64
 	Accounts map[core.AccountName]RateShare
 	// Connections bounds the target connections of this instance.
 	Connections map[core.DatabaseName]int
@@ -197,6 +202,18 @@
 	Burst float64
 }
 
+// KeysTrusted publishes until when keys may be honoured without newer word of
+// revocations. Until it has been published once, keys are honoured.
+type KeysTrusted struct {
+	Until time.Time
+}
+
+// KeysRevoked ends the sessions of keys whose revocation came ahead of the
+// catalogue that holds it.
+type KeysRevoked struct {
+	Keys []core.KeyID
+}
+
 // Drain starts the graceful stop: no new callers, and connected callers are
 // told to reconnect at a clean boundary.
 type Drain struct{}
@@ -217,4 +234,6 @@
 func (FloorAnswer) sessionInput()      {}
 func (ConfirmedUpTo) sessionInput()    {}
 func (ShareInForce) sessionInput()     {}
+func (KeysTrusted) sessionInput()      {}
+func (KeysRevoked) sessionInput()      {}
 func (Drain) sessionInput()            {}
