Tell claims and calls of a rebuilt group apart; follow a deleted record

Cause: control rebuilds a group when its members change. The new one counted claims and calls from 1 again, so a late result or an earlier claim of the same instance could be taken for its own. A record deleted by an operator made every later claim conflict. Change: call identities and nonces contain the time; an absent record resets the revision. StateName is gone in favour of State.

--- a/pkg/failover/claim.go
+++ b/pkg/failover/claim.go
@@ -13,7 +13,6 @@
 	open     bool
 	record   Record
 	revision uint64
-	count    int
 
 	previous   *member
 	lastSign   time.Time
@@ -80,11 +79,13 @@
 
 // adoptRecord takes a record that is newer than the one known.
 func (g *Group) adoptRecord(seen RecordSeen) {
-	if g.recordKnown && seen.Revision <= g.revision {
-		return
-	}
+	known := g.recordKnown
 	g.recordKnown = true
 	if !seen.Exists {
+		g.forgetRecord()
+		return
+	}
+	if known && seen.Revision <= g.revision {
 		return
 	}
 	g.record = seen.Record
@@ -100,6 +101,14 @@
 	g.adoptFencing(seen.Record)
 }
 
+// forgetRecord follows a record that does not exist, or was deleted by an
+// operator. An absence that is reported late is corrected by the conflict of
+// the next compare-and-swap; the terms known stay.
+func (g *Group) forgetRecord() {
+	g.record = Record{}
+	g.revision = 0
+}
+
 func (g *Group) adoptServing(r Record) {
 	if g.isMine(r) {
 		g.fire(g.rules.events.announced)
@@ -159,14 +168,14 @@
 }
 
 func (g *Group) newClaim(term core.Term) {
-	c := claim{open: true, revision: g.revision, count: g.claim.count + 1, sentAt: g.now}
+	c := claim{open: true, revision: g.revision, sentAt: g.now}
 	c.previous = g.primary
 	c.lastSign = g.lastSign()
 	c.record = Record{
 		Term:    term,
 		Phase:   PhaseFencing,
 		Decider: g.self,
-		Nonce:   fmt.Sprintf("%s-%d", g.self, c.count),
+		Nonce:   fmt.Sprintf("%s-%d-%d", g.self, term, g.now.UnixNano()),
 	}
 	if g.primary != nil {
 		c.record.Primary = g.primary.id
--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -17,7 +17,7 @@
 	s := newSim(seed, instances)
 	s.run(time.Second)
 	for _, in := range s.instances {
-		require.Equal(t, "healthy", in.group.StateName())
+		require.Equal(t, "healthy", in.group.State())
 		in.writeEvery(writePeriod)
 	}
 	s.run(time.Second)
@@ -32,7 +32,7 @@
 		return false
 	}
 	for _, in := range s.instances {
-		if !in.dead && (in.view.Primary != leader.id || in.group.StateName() != "healthy") {
+		if !in.dead && (in.view.Primary != leader.id || in.group.State() != "healthy") {
 			return false
 		}
 	}
--- a/pkg/failover/group.go
+++ b/pkg/failover/group.go
@@ -79,9 +79,12 @@
 	return g
 }
 
-// Start reads the record and asks every member.
+// Start reads the record and asks every member. Call identities begin at the
+// time, so that a late result for an earlier Group of the same database is not
+// taken for one of this Group's.
 func (g *Group) Start(now time.Time) {
 	g.now = now
+	g.lastCall = CallID(now.UnixNano())
 	g.aloneSince = now
 	g.hurryUntil = now.Add(g.config.SilenceBound)
 	g.deadline = now.Add(g.rules.group.Timeout(g.state))
@@ -110,11 +113,6 @@
 	g.settle()
 }
 
-// StateName returns the state of the chart "group".
-func (g *Group) StateName() string {
-	return g.rules.group.StateName(g.state)
-}
-
 // Primary returns the member that serves writes and its term; the member is
 // empty while there is none.
 func (g *Group) Primary() (core.MemberID, core.Term) {
--- a/pkg/failover/promote.go
+++ b/pkg/failover/promote.go
@@ -244,7 +244,7 @@
 		return &SwitchoverError{Reason: string(to) + " does not answer"}
 	}
 	if g.state != g.rules.healthy || !g.recordKnown {
-		return &SwitchoverError{Reason: "the group is " + g.StateName()}
+		return &SwitchoverError{Reason: "the group is " + g.State()}
 	}
 	return nil
 }
--- a/pkg/failover/unit_test.go
+++ b/pkg/failover/unit_test.go
@@ -34,7 +34,11 @@
 
 // newManual returns a group with m0 as the primary of term 2 from lsn 100 on.
 func newManual() *manual {
-	h := &manual{clock: time.Unix(1000, 0)}
+	return newManualAt(time.Unix(1000, 0))
+}
+
+func newManualAt(clock time.Time) *manual {
+	h := &manual{clock: clock}
 	d := Database{Name: "db", Members: []Member{{ID: "m0"}, {ID: "m1"}, {ID: "m2"}}}
 	h.Group = New(simRules(DefaultConfig()), d, "i0", h)
 	h.Start(h.clock)
@@ -153,7 +157,7 @@
 	h.sleep(210 * time.Millisecond)
 	h.clock = h.clock.Add(5 * time.Second)
 	h.Tick(h.clock)
-	require.Equal(t, "healthy", h.StateName())
+	require.Equal(t, "healthy", h.State())
 	h.loseReplicas(500 * time.Millisecond)
 	require.Empty(t, h.swaps)
 	h.loseReplicas(300 * time.Millisecond)
@@ -213,3 +217,19 @@
 	})
 	require.Equal(t, 3, h.sent(MethodFence, 3))
 }
+
+// Guards against a claim that conflicts for ever after an operator deleted the
+// record, and against a late result for an earlier Group of the database.
+func TestDeletedRecordAndEarlierGroup(t *testing.T) {
+	h := newManual()
+	again := newManualAt(h.clock.Add(time.Second))
+	for _, c := range h.calls {
+		for _, other := range again.calls {
+			require.NotEqual(t, c.Call, other.Call)
+		}
+	}
+	h.RecordSeen(h.clock, RecordSeen{})
+	h.loseReplicas(900 * time.Millisecond)
+	require.Zero(t, h.swaps[0].Revision)
+	require.Equal(t, core.Term(3), h.swaps[0].Record.Term)
+}
