--- a/pkg/failover/unit_test.go
+++ b/pkg/failover/unit_test.go
@@ -34,7 +34,11 @@
 
 // newManual returns a group with m0 as the primary of term 2 from lsn 100 on.
 func newManual() *manual {
-	h := &manual{clock: time.Unix(1000, 0)}
+	return newManualAt(time.Unix(1000, 0))
+}
+
+func newManualAt(clock time.Time) *manual {
+	h := &manual{clock: clock}
 	d := Database{Name: "db", Members: []Member{{ID: "m0"}, {ID: "m1"}, {ID: "m2"}}}
 	h.Group = New(simRules(DefaultConfig()), d, "i0", h)
 	h.Start(h.clock)
@@ -126,7 +130,7 @@
 	s.Role, s.Term, s.Terms = core.RolePrimary, 3, core.TermHistory{{Term: 3, Start: 400}}
 	h.answer(MethodStatus, s)
 	h.NeedConfirm(h.clock, session.NeedConfirm{Position: core.Position{Term: 3, LSN: 410}})
-	require.NotContains(t, h.confirmed, core.LSN(410))
+	require.Empty(t, h.confirmed)
 }
 
 // Guards against a floor taken from an answer that was asked for before the
@@ -153,7 +157,7 @@
 	h.sleep(210 * time.Millisecond)
 	h.clock = h.clock.Add(5 * time.Second)
 	h.Tick(h.clock)
-	require.Equal(t, "healthy", h.StateName())
+	require.Equal(t, "healthy", h.State())
 	h.loseReplicas(500 * time.Millisecond)
 	require.Empty(t, h.swaps)
 	h.loseReplicas(300 * time.Millisecond)
@@ -194,3 +198,38 @@
 	h.RecordSeen(h.clock, RecordSeen{Exists: true, Revision: 6, Record: first.Record})
 	require.Zero(t, h.sent(MethodFence, 9))
 }
+
+// Guards against a second claim beside one whose answer was lost, and against
+// the first one going unnoticed when it takes effect late.
+func TestLostClaimIsRepeatedUnchanged(t *testing.T) {
+	h := newManual()
+	h.loseReplicas(900 * time.Millisecond)
+	first := h.swaps[0]
+	h.SwapResult(h.clock, SwapResult{Call: first.Call, Outcome: SwapUnknown})
+	h.ReadResult(h.clock, ReadResult{Call: h.readCall, Seen: RecordSeen{Exists: true, Revision: 5, Record: h.record}})
+	h.loseReplicas(200 * time.Millisecond)
+	require.Len(t, h.swaps, 2)
+	require.Equal(t, first.Record, h.swaps[1].Record)
+	h.SwapResult(h.clock, SwapResult{
+		Call:    h.swaps[1].Call,
+		Outcome: SwapConflict,
+		Current: RecordSeen{Exists: true, Revision: 6, Record: first.Record},
+	})
+	require.Equal(t, 3, h.sent(MethodFence, 3))
+}
+
+// Guards against a claim that conflicts for ever after an operator deleted the
+// record, and against a late result for an earlier Group of the database.
+func TestDeletedRecordAndEarlierGroup(t *testing.T) {
+	h := newManual()
+	again := newManualAt(h.clock.Add(time.Second))
+	for _, c := range h.calls {
+		for _, other := range again.calls {
+			require.NotEqual(t, c.Call, other.Call)
+		}
+	}
+	h.RecordSeen(h.clock, RecordSeen{})
+	h.loseReplicas(900 * time.Millisecond)
+	require.Zero(t, h.swaps[0].Revision)
+	require.Equal(t, core.Term(3), h.swaps[0].Record.Term)
+}
