--- a/standin/e2e/calls_test.go
+++ b/standin/e2e/calls_test.go
@@ -26,6 +26,10 @@
 
 // callJSON makes one JSON-RPC call to a stand-in.
 func callJSON(address, method string, params, result any) error {
+	return callWithin(callBound, address, method, params, result)
+}
+
+func callWithin(bound time.Duration, address, method string, params, result any) error {
 	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(1), method, params)
 	if err != nil {
 		return err
@@ -34,12 +38,12 @@
 	if err != nil {
 		return err
 	}
-	conn, err := net.DialTimeout("tcp", address, callBound)
+	conn, err := net.DialTimeout("tcp", address, bound)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(callBound))
+	_ = conn.SetDeadline(time.Now().Add(bound))
 	if _, err := conn.Write(frame); err != nil {
 		return err
 	}
@@ -66,6 +70,15 @@
 
 // link applies "cut" or "restore" to every link whose name begins with prefix.
 func (f *fleet) link(method, prefix, direction string) error {
+	return f.changeLinks(method, prefix, map[string]any{"direction": direction})
+}
+
+// delay delays both directions of every link whose name begins with prefix.
+func (f *fleet) delay(prefix string, d time.Duration) error {
+	return f.changeLinks("delay", prefix, map[string]any{"ms": d.Milliseconds()})
+}
+
+func (f *fleet) changeLinks(method, prefix string, params map[string]any) error {
 	control := f.proxy.ControlAddress().String()
 	var all map[string]faultproxyStatus
 	if err := callJSON(control, "status", struct{}{}, &all); err != nil {
@@ -78,7 +91,7 @@
 		}
 		found = true
 		var ignored json.RawMessage
-		params := map[string]string{"link": name, "direction": direction}
+		params["link"] = name
 		if err := callJSON(control, method, params, &ignored); err != nil {
 			return err
 		}
--- /dev/null
+++ b/standin/e2e/client_test.go
@@ -0,0 +1,291 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// outcome is what a client was told about an operation.
+type outcome string
+
+const (
+	acknowledged outcome = "acknowledged"
+	notRun       outcome = "not run"
+	uncertain    outcome = "uncertain"
+	// otherError is an error that no client should see.
+	otherError outcome = "other error"
+)
+
+// statementBound ends a statement whose answer never comes; it is above every
+// deadline of the product.
+const statementBound = 20 * time.Second
+
+// outcomeOf tells what an error says about a write. A connection that was lost
+// may have carried the write.
+func outcomeOf(err error) outcome {
+	var pg *pgconn.PgError
+	switch {
+	case err == nil:
+		return acknowledged
+	case !errors.As(err, &pg):
+		return uncertain
+	case strings.HasPrefix(pg.Code, "SH"), pg.Code == "40000", pg.Code == "25006":
+		return notRun
+	case pg.Code == "40003":
+		return uncertain
+	}
+	return otherError
+}
+
+// codeOf returns the SQLSTATE of an error, or "lost".
+func codeOf(err error) string {
+	var pg *pgconn.PgError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &pg):
+		return pg.Code
+	}
+	return "lost"
+}
+
+// write is one row that a client wrote, or a pair of rows in one transaction.
+type write struct {
+	session  int
+	keys     []string
+	value    string
+	identity string
+	register bool
+	start    time.Time
+	end      time.Time
+	outcome  outcome
+	err      error
+}
+
+// dial connects with a key through an instance.
+func (f *fleet) dial(ctx context.Context, instance int, key string, change func(*pgx.ConnConfig)) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig("postgres://" + f.instances[instance].callers + "/?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.User, config.Password, config.Database = account, key, entry
+	config.DefaultQueryExecMode = pgx.QueryExecModeCacheStatement
+	if change != nil {
+		change(config)
+	}
+	ctx, cancel := context.WithTimeout(ctx, statementBound)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+// client is one session that writes, reads back what it wrote and moves
+// between instances.
+type client struct {
+	h        *history
+	number   int
+	instance int
+	conn     *pgx.Conn
+	random   *rand.Rand
+	sequence int
+	own      []string
+	// registered is the greatest acknowledged value of the own register,
+	// attempted the greatest that was sent.
+	registered, attempted int
+}
+
+func (c *client) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.connect(ctx) {
+			c.step()
+		}
+		select {
+		case <-time.After(c.h.pause):
+		case <-ctx.Done():
+		}
+	}
+	c.leave()
+}
+
+func (c *client) connect(ctx context.Context) bool {
+	if c.conn != nil && !c.conn.IsClosed() && c.random.IntN(50) > 0 {
+		return true
+	}
+	c.leave()
+	c.instance = (c.instance + 1) % len(c.h.fleet.instances)
+	conn, err := c.h.fleet.dial(ctx, c.instance, c.h.fleet.key, func(config *pgx.ConnConfig) {
+		if c.number%2 == 1 {
+			config.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+		}
+	})
+	if err != nil {
+		c.h.count("connect " + codeOf(err))
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+func (c *client) leave() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+func (c *client) step() {
+	ctx, cancel := context.WithTimeout(context.Background(), statementBound)
+	defer cancel()
+	switch n := c.random.IntN(100); {
+	case n < 25:
+		c.insert(ctx)
+	case n < 40:
+		c.setRegister(ctx)
+	case n < 50:
+		c.pair(ctx)
+	case n < 65:
+		c.constant(ctx)
+	case n < 80:
+		c.readRegister(ctx)
+	default:
+		c.readOwn(ctx)
+	}
+}
+
+func (c *client) next() string {
+	c.sequence++
+	return fmt.Sprintf("s%d-%d", c.number, c.sequence)
+}
+
+func (c *client) register() string {
+	return fmt.Sprintf("register-%d", c.number)
+}
+
+// exec runs a write; pgx must not cache a statement whose text is used once.
+func (c *client) exec(ctx context.Context, sql string, args ...any) (pgconn.CommandTag, error) {
+	if c.conn.Config().DefaultQueryExecMode == pgx.QueryExecModeCacheStatement {
+		args = append([]any{pgx.QueryExecModeExec}, args...)
+	}
+	return c.conn.Exec(ctx, sql, args...)
+}
+
+func (c *client) insert(ctx context.Context) {
+	key := c.next()
+	w := write{session: c.number, keys: []string{key}, value: key, start: time.Now()}
+	sql := "INSERT INTO items(id, value) VALUES ($1, $2)"
+	if c.random.IntN(2) == 0 {
+		w.identity = "identity-" + key
+		sql = "/*+ write_id=" + w.identity + " */ " + sql
+	}
+	_, w.err = c.exec(ctx, sql, key, key)
+	c.done(w)
+}
+
+func (c *client) setRegister(ctx context.Context) {
+	c.attempted++
+	value := c.attempted
+	w := write{session: c.number, keys: []string{c.register()}, register: true, value: fmt.Sprint(value), start: time.Now()}
+	sql := "INSERT INTO items(id, value) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET value = excluded.value"
+	_, w.err = c.exec(ctx, sql, c.register(), w.value)
+	if c.done(w) == acknowledged {
+		c.registered = value
+	}
+}
+
+// pair writes two rows in one transaction, which must be all or nothing.
+func (c *client) pair(ctx context.Context) {
+	a, b := c.next(), c.next()
+	w := write{session: c.number, keys: []string{a, b}, value: a, start: time.Now()}
+	w.err = c.runPair(ctx, a, b)
+	c.done(w)
+}
+
+func (c *client) runPair(ctx context.Context, a, b string) error {
+	if _, err := c.exec(ctx, "BEGIN"); err != nil {
+		return err
+	}
+	for _, key := range []string{a, b} {
+		if _, err := c.exec(ctx, "INSERT INTO items(id, value) VALUES ($1, $2)", key, a); err != nil {
+			_, _ = c.exec(ctx, "ROLLBACK")
+			return err
+		}
+	}
+	tag, err := c.exec(ctx, "COMMIT")
+	if err == nil && tag.String() != "COMMIT" {
+		c.h.violate("a COMMIT of session %d was answered %q without an error", c.number, tag.String())
+	}
+	return err
+}
+
+// done records a write and returns its outcome.
+func (c *client) done(w write) outcome {
+	w.end = time.Now()
+	w.outcome = outcomeOf(w.err)
+	if w.outcome == acknowledged && !w.register {
+		c.own = append(c.own, w.keys...)
+	}
+	c.h.add(w)
+	return w.outcome
+}
+
+// constant guards against an answer that belongs to another request.
+func (c *client) constant(ctx context.Context) {
+	want := c.random.Int32()
+	var got int32
+	err := c.conn.QueryRow(ctx, fmt.Sprintf("SELECT %d", want)).Scan(&got)
+	c.h.count("constant " + codeOf(err))
+	if err == nil && got != want {
+		c.h.violate("SELECT %d was answered %d", want, got)
+	}
+}
+
+func (c *client) readOwn(ctx context.Context) {
+	if len(c.own) == 0 {
+		return
+	}
+	// Mostly the newest row, because replicas have the old ones.
+	key := c.own[len(c.own)-1]
+	if c.random.IntN(4) == 0 {
+		key = c.own[c.random.IntN(len(c.own))]
+	}
+	var value string
+	err := c.conn.QueryRow(ctx, "SELECT value FROM items WHERE id = $1", key).Scan(&value)
+	if errors.Is(err, pgx.ErrNoRows) {
+		c.h.violate("session %d does not see its acknowledged row %s at instance %d", c.number, key, c.instance)
+		return
+	}
+	c.h.count("read " + codeOf(err))
+}
+
+// readRegister checks the own register, which only this session writes: a read
+// must not be behind the last acknowledged value.
+func (c *client) readRegister(ctx context.Context) {
+	if c.registered == 0 {
+		return
+	}
+	var value int
+	err := c.conn.QueryRow(ctx, "SELECT value FROM items WHERE id = $1", c.register()).Scan(&text{&value})
+	c.h.count("read " + codeOf(err))
+	if errors.Is(err, pgx.ErrNoRows) || err == nil && (value < c.registered || value > c.attempted) {
+		c.h.violate("session %d reads %d (%v) from its register after %d was acknowledged and %d sent",
+			c.number, value, err, c.registered, c.attempted)
+	}
+}
+
+// text scans an integer from a text column.
+type text struct{ value *int }
+
+// Scan implements sql.Scanner.
+func (t *text) Scan(source any) error {
+	_, err := fmt.Sscan(fmt.Sprint(source), t.value)
+	return err
+}
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -79,8 +79,20 @@
 	key, keyID      string
 }
 
+// keep returns a folder below E2E_KEEP for the logs and records of a test, or
+// dir if that variable is not set.
+func keep(dir, name string) string {
+	if parent := os.Getenv("E2E_KEEP"); parent != "" {
+		return filepath.Join(parent, strings.ReplaceAll(name, "/", "_"))
+	}
+	return dir
+}
+
 func newFleet(dir string, o options) (*fleet, error) {
 	f := &fleet{options: o, dir: dir}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
 	for _, step := range []func() error{
 		f.startPlatform, f.startMembers, f.startProxy, f.startInstances, f.writeCatalogue, f.awaitReady,
 	} {
@@ -199,10 +211,10 @@
 		return nil
 	}
 	for _, m := range f.members {
-		if m.advertisedSQL, err = f.split(m.id + "/sql"); err != nil {
+		if m.advertisedSQL, err = f.split(m.id+"/sql", m.sql); err != nil {
 			return err
 		}
-		if m.advertisedStatus, err = f.split(m.id + "/status"); err != nil {
+		if m.advertisedStatus, err = f.split(m.id+"/status", m.status); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/standin/e2e/history_test.go
@@ -0,0 +1,115 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// history is what the clients of a load were answered.
+type history struct {
+	fleet *fleet
+	pause time.Duration
+
+	mu         sync.Mutex
+	writes     []write
+	counts     map[string]int
+	violations []string
+
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// startLoad starts sessions that run until stop.
+func (f *fleet) startLoad(sessions int, seed uint64) *history {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	h := &history{fleet: f, pause: 4 * time.Millisecond, counts: map[string]int{}, cancel: cancel}
+	for i := range sessions {
+		c := &client{h: h, number: i, instance: i, random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		h.running.Go(func() { c.run(ctx) })
+	}
+	return h
+}
+
+func (h *history) stop() {
+	h.cancel()
+	h.running.Wait()
+}
+
+func (h *history) add(w write) {
+	h.count("write " + codeOf(w.err))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.writes = append(h.writes, w)
+}
+
+func (h *history) count(what string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[strings.TrimSpace(what)]++
+}
+
+func (h *history) violate(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, fmt.Sprintf(format, args...))
+}
+
+// summary lists how often each answer was seen.
+func (h *history) summary() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var parts []string
+	for _, what := range slices.Sorted(maps.Keys(h.counts)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", what, h.counts[what]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// total returns how often an answer was seen.
+func (h *history) total(what string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts[what]
+}
+
+// gap returns the longest time between two acknowledged writes.
+func (h *history) gap() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ends []time.Time
+	for _, w := range h.writes {
+		if w.outcome == acknowledged {
+			ends = append(ends, w.end)
+		}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(ends); i++ {
+		longest = max(longest, ends[i].Sub(ends[i-1]))
+	}
+	return longest
+}
+
+// acknowledgedSince counts the writes that began after a time and were
+// acknowledged.
+func (h *history) acknowledgedSince(t time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, w := range h.writes {
+		if w.outcome == acknowledged && w.start.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+func sortTimes(times []time.Time) {
+	slices.SortFunc(times, time.Time.Compare)
+}
--- a/standin/e2e/smoke_test.go
+++ b/standin/e2e/smoke_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
 func startFleet(t *testing.T, o options) *fleet {
 	t.Helper()
-	f, err := newFleet(t.TempDir(), o)
+	f, err := newFleet(keep(t.TempDir(), t.Name()), o)
 	require.NoError(t, err)
 	t.Cleanup(f.close)
 	return f
@@ -25,3 +26,16 @@
 	require.NoError(t, err)
 	require.Len(t, s.Groups, 1)
 }
+
+// Guards against a checker or a load that finds violations without a fault.
+func TestHistoryWithoutFaults(t *testing.T) {
+	takeTurn(t)
+	f := startFleet(t, defaults())
+	h := f.startLoad(6, 1)
+	time.Sleep(2 * time.Second)
+	h.stop()
+	t.Log(h.summary())
+	require.NoError(t, h.check())
+	require.Greater(t, h.total("write"), 100)
+	require.Zero(t, h.total("write 40003"))
+}
--- a/standin/e2e/splitter_test.go
+++ b/standin/e2e/splitter_test.go
@@ -16,18 +16,19 @@
 type splitter struct {
 	fleet    *fleet
 	member   string
+	direct   string
 	listener net.Listener
 	running  sync.WaitGroup
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 }
 
-func (f *fleet) split(member string) (string, error) {
+func (f *fleet) split(member, direct string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	s := &splitter{fleet: f, member: member, listener: l, conns: map[net.Conn]bool{}}
+	s := &splitter{fleet: f, member: member, direct: direct, listener: l, conns: map[net.Conn]bool{}}
 	f.splitters = append(f.splitters, s)
 	s.running.Go(s.accept)
 	return l.Addr().String(), nil
@@ -59,11 +60,7 @@
 	if !ok {
 		return
 	}
-	link := s.fleet.proxy.Address(owner + "/" + s.member)
-	if !link.IsValid() {
-		return
-	}
-	out, err := net.Dial("tcp", link.String())
+	out, err := net.Dial("tcp", s.target(owner))
 	if err != nil {
 		return
 	}
@@ -75,6 +72,16 @@
 	s.forget(c, out)
 }
 
+// target returns the link of an instance; members follow a primary by its
+// address in the catalogue and reach it directly.
+func (s *splitter) target(owner string) string {
+	link := s.fleet.proxy.Address(owner + "/" + s.member)
+	if link.IsValid() {
+		return link.String()
+	}
+	return s.direct
+}
+
 func (s *splitter) track(conns ...net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,7 +104,7 @@
 	_ = from.Close()
 }
 
-// ownerOf returns the name of the instance that owns the socket with a local
+// ownerOf returns the name of the process that owns the socket with a local
 // port, from the kernel's socket table.
 func (f *fleet) ownerOf(port int) (string, bool) {
 	inode, ok := inodeOf(port)
@@ -105,15 +112,15 @@
 		return "", false
 	}
 	want := "socket:[" + inode + "]"
-	for _, n := range f.instances {
-		dir := fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid)
+	for _, p := range f.processes() {
+		dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
 		descriptors, err := os.ReadDir(dir)
 		if err != nil {
 			continue
 		}
 		for _, d := range descriptors {
 			if link, err := os.Readlink(dir + "/" + d.Name()); err == nil && link == want {
-				return n.name, true
+				return p.name, true
 			}
 		}
 	}
