Refuse connections at the descriptor limit instead of spinning

Change: the loop keeps one descriptor in reserve, gives it up to accept and close the waiting connection, and counts it. Result: the new test does not end with the old code and passes now.

--- a/lib/netloop/loop.go
+++ b/lib/netloop/loop.go
@@ -67,6 +67,10 @@
 	events    [maxEvents]unix.EpollEvent
 	scratch   [readSize]byte
 	dead      []*Conn
+	// reserve is a descriptor that is given up to refuse a connection when the
+	// process has no other one left.
+	reserve int
+	refused uint64
 }
 
 // New returns a loop. It returns an *OpError when the kernel refuses the
@@ -82,6 +86,7 @@
 		return nil, opError("eventfd", err)
 	}
 	l := &Loop{epoll: epoll, wake: wake, conns: map[int]*Conn{}, listeners: map[int]func(*Conn) Handler{}}
+	l.reserve = openReserve()
 	if err := l.control(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
 		l.Close()
 		return nil, err
@@ -221,6 +226,10 @@
 func (l *Loop) accept(listener int, accept func(*Conn) Handler) {
 	for range acceptBatch {
 		fd, peer, err := unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) {
+			l.refuse(listener)
+			return
+		}
 		if err != nil {
 			return
 		}
@@ -233,6 +242,35 @@
 	}
 }
 
+// refuse closes a waiting connection when no descriptor is left. Left in the
+// accept queue, it would make the listener readable and the thread spin.
+func (l *Loop) refuse(listener int) {
+	if l.reserve < 0 {
+		return
+	}
+	unix.Close(l.reserve)
+	fd, _, err := unix.Accept4(listener, unix.SOCK_CLOEXEC)
+	if err == nil {
+		unix.Close(fd)
+		l.refused++
+	}
+	l.reserve = openReserve()
+}
+
+func openReserve() int {
+	fd, err := unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		return -1
+	}
+	return fd
+}
+
+// Refused returns the number of connections that were closed at once because
+// the process had no descriptor left.
+func (l *Loop) Refused() uint64 {
+	return l.refused
+}
+
 // Connect starts a connection to address (IP:port) and returns at once; the
 // handler's Opened or Closed follows. It returns an *OpError when the address
 // is invalid or the attempt fails at once.
@@ -273,6 +311,9 @@
 	clear(l.conns)
 	unix.Close(l.wake)
 	unix.Close(l.epoll)
+	if l.reserve >= 0 {
+		unix.Close(l.reserve)
+	}
 }
 
 // Conns returns the number of open connections.
--- a/lib/netloop/netloop_test.go
+++ b/lib/netloop/netloop_test.go
@@ -126,6 +126,24 @@
 	require.False(t, refused.opened)
 }
 
+// Guards against a loop that spins, and a caller that hangs, when the process
+// has no descriptor left for a new connection.
+func TestConnectionsBeyondTheDescriptorLimitAreClosed(t *testing.T) {
+	l := newLoop(t)
+	address, err := l.Listen("127.0.0.1:0", func(*Conn) Handler { return &recorder{} })
+	require.NoError(t, err)
+	client := &recorder{}
+	_, err = l.Connect(address.String(), client)
+	require.NoError(t, err)
+	var old unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &old))
+	none := unix.Rlimit{Cur: uint64(l.reserve) + 1, Max: old.Max}
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &none))
+	defer func() { require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &old)) }()
+	pollUntil(t, l, func() bool { return client.closed })
+	require.EqualValues(t, 1, l.Refused())
+}
+
 // Guards against a lost wake-up between producers and a parked loop.
 func TestWakeEndsPoll(t *testing.T) {
 	l := newLoop(t)
