Check follow orders, queued floors, the primary's age and held input

Cause: faults on a scratch copy still passed: a wrong start in follow, a floor round that is never begun, an age bound under a cut, and a full consumer whose sockets are still read. Change: tests for each.

--- a/pkg/failover/failover_test.go
+++ b/pkg/failover/failover_test.go
@@ -248,6 +248,13 @@
 	age := in.view.Members[2].AgeBound + s.now.Sub(in.view.Members[2].SeenAt)
 	require.GreaterOrEqual(t, age, s.now.Sub(lost))
 	require.Less(t, in.view.Members[1].AgeBound, 450*time.Millisecond)
+	// A primary that cannot be known to be in force has an unknown age too.
+	s.cut("i0", "m1", true)
+	s.cut("i0", "m2", true)
+	lost = s.now
+	s.run(800 * time.Millisecond)
+	age = in.view.Members[0].AgeBound + s.now.Sub(in.view.Members[0].SeenAt)
+	require.GreaterOrEqual(t, age, s.now.Sub(lost))
 }
 
 // Guards against a call for each pending write.
@@ -260,5 +267,5 @@
 	}
 	s.run(100 * time.Millisecond)
 	require.GreaterOrEqual(t, len(s.acked)-acked, 500)
-	require.Less(t, in.calls[MethodWait]-before, 200)
+	require.Less(t, in.calls[MethodWait]-before, 60)
 }
--- a/pkg/failover/sim_test.go
+++ b/pkg/failover/sim_test.go
@@ -66,6 +66,7 @@
 	onSwap      func(RecordSwap)
 
 	promoted  map[core.Term]core.MemberID
+	starts    map[core.Term]core.LSN
 	writes    int
 	committed []simWrite
 	acked     []simWrite
@@ -101,6 +102,7 @@
 		rules:    simRules(DefaultConfig()),
 		cuts:     map[string]bool{},
 		promoted: map[core.Term]core.MemberID{1: "m0"},
+		starts:   map[core.Term]core.LSN{1: 0},
 	}
 	for i := range 3 {
 		m := &simMember{sim: s, id: core.MemberID(fmt.Sprintf("m%d", i)), alive: true, term: 1, role: core.RoleReplica, primary: "m0", heard: s.now}
@@ -191,6 +193,14 @@
 	}
 }
 
+// checkFollow notes an order that names another primary or log position than
+// those of the term: the member would cut its log at the wrong place.
+func (s *sim) checkFollow(c MemberCall) {
+	if string(s.promoted[c.Term]) != c.Primary || s.starts[c.Term] != c.Start {
+		s.faults = append(s.faults, fmt.Sprintf("follow %s from %d in term %d", c.Primary, c.Start, c.Term))
+	}
+}
+
 // missing counts the writes that are not in the member's log.
 func (s *sim) missing(m *simMember, writes []simWrite) int {
 	n := 0
--- a/pkg/failover/simmember_test.go
+++ b/pkg/failover/simmember_test.go
@@ -85,6 +85,7 @@
 func (m *simMember) promote(term core.Term) {
 	m.accept(term, core.RolePrimary)
 	m.sim.checkPromotion(m, term)
+	m.sim.starts[term] = core.LSN(len(m.log))
 	m.starts = append(m.starts, core.TermStart{Term: term, Start: core.LSN(len(m.log))})
 	m.log = append(m.log, simEntry{term: term})
 	m.stream()
@@ -92,6 +93,7 @@
 
 func (m *simMember) follow(c MemberCall) {
 	m.accept(c.Term, core.RoleReplica)
+	m.sim.checkFollow(c)
 	m.primary = core.MemberID(c.Primary)
 	m.log = m.log[:min(len(m.log), int(c.Start))]
 	m.heard = m.sim.now
--- a/pkg/failover/unit_test.go
+++ b/pkg/failover/unit_test.go
@@ -147,8 +147,12 @@
 		h.MemberAnswered(h.clock, MemberAnswered{Call: c.Call, Status: s, Asked: asked, Answered: h.clock})
 	}
 	require.Empty(t, h.floors)
+	h.NeedFloor(h.clock, session.NeedFloor{Round: 2})
 	h.answerAll(120)
 	require.Equal(t, core.Position{Term: 2, LSN: 120}, h.floors[0].Position)
+	h.sleep(50 * time.Millisecond)
+	h.answerAll(130)
+	require.Equal(t, session.FloorAnswer{Database: "db", Round: 2, Position: core.Position{Term: 2, LSN: 130}}, h.floors[1])
 }
 
 // Guards against the instance's own pause being taken for silence.
--- a/pkg/rpc/duty_test.go
+++ b/pkg/rpc/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -232,6 +233,31 @@
 	require.Zero(t, client.Dropped())
 }
 
+// Guards against memory that grows with the input while the consumer is full.
+func TestFullConsumerStopsReading(t *testing.T) {
+	const unread = 64 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client := start(t, DefaultConfig(), silent)
+	client.full.Store(true)
+	require.True(t, client.Send(Call{Address: listener.Addr().String(), Method: "status", Timeout: callTimeout}))
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	require.True(t, client.Send(Call{Address: "nowhere", Timeout: callTimeout}))
+	require.Eventually(t, func() bool { return client.Commands().Len() == 0 }, callTimeout, time.Millisecond)
+	late, err := jsonrpc2.NewResponse(jsonrpc2.Int64ID(-1), make([]byte, 1<<20), nil)
+	require.NoError(t, err)
+	frame, err := Append(nil, late)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Second)))
+	for sent := 0; sent < unread && err == nil; sent += len(frame) {
+		_, err = conn.Write(frame)
+	}
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 // Guards against an unbounded number of open requests of one peer.
 func TestOpenRequestsAreBounded(t *testing.T) {
 	config := DefaultConfig()
