Count preparations apart from executed statements

Cause: an account that offered 5x its rate was served a tenth of it. pgx forgets a cached statement when its execution is refused, so it prepares it again; each token of the small share went to the Parse/Describe request, and the execution that followed was refused. Change: requests without Execute draw from a second bucket of the same share. The bound on executed statements stays rate*t + burst. Ruled out: holder, allocator, re-grants and repeated ShareInForce keep the tokens; a prepaid execution would exceed the bound when many callers prepared earlier execute together.

--- a/pkg/callerio/batch.go
+++ b/pkg/callerio/batch.go
@@ -1,6 +1,8 @@
 package callerio
 
 import (
+	"slices"
+
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
@@ -139,6 +141,11 @@
 	return texts
 }
 
+// preparesOnly reports whether the batch executes nothing.
+func (b *batch) preparesOnly() bool {
+	return !slices.Contains(b.steps, stepExecute)
+}
+
 // local reports whether the batch is answered without a target.
 func (b *batch) local() bool {
 	return !b.remote || len(b.texts()) == 0
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -305,8 +305,9 @@
 		return
 	}
 	c.deliver(r, &session.Request{
-		Texts:   b.texts(),
-		Payload: &session.Payload{Frames: wire.Append(b.frames, &pgproto3.Sync{}), Prepared: b.prepared()},
+		Texts:        b.texts(),
+		PreparesOnly: b.preparesOnly(),
+		Payload:      &session.Payload{Frames: wire.Append(b.frames, &pgproto3.Sync{}), Prepared: b.prepared()},
 	})
 }
 
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -9,14 +9,19 @@
 
 // account is a client account as this instance sees it.
 type account struct {
-	e       *Engine
-	name    core.AccountName
-	weight  int
-	keys    map[core.KeyID]bool
-	bucket  bucket
-	waiters []tokenWaiter
-	item    timerq.Item[timed]
-	// asked counts requests since the last demand report.
+	e      *Engine
+	name   core.AccountName
+	weight int
+	keys   map[core.KeyID]bool
+	// bucket holds the tokens of requests that execute statements.
+	bucket bucket
+	// preparations is a bucket of the same share for requests that execute
+	// nothing. A driver prepares a refused statement again before it repeats it;
+	// in a common bucket the preparations take nearly every token.
+	preparations bucket
+	waiters      []tokenWaiter
+	item         timerq.Item[timed]
+	// asked counts statements since the last demand report.
 	asked   int
 	metrics *AccountMetrics
 }
@@ -46,6 +51,18 @@
 	at     time.Time
 }
 
+// set replaces the share; another grant empties the bucket.
+func (b *bucket) set(share RateShare, regranted bool, now, until time.Time) {
+	b.refill(now, until)
+	b.rate = share.Rate
+	b.burst = share.Burst
+	b.tokens = min(b.tokens, share.Burst)
+	if regranted {
+		b.tokens = 0
+	}
+	b.at = now
+}
+
 // refill adds what the rate gives up to now, but nothing for the time after
 // the share may no longer be spent.
 func (b *bucket) refill(now, until time.Time) {
@@ -73,21 +90,37 @@
 // request does not overtake those that already wait for a token.
 func (e *Engine) admits(c *caller) bool {
 	c.account.dropIdleWaiters()
-	return len(c.account.waiters) == 0 && e.keyTrusted(c) && e.takeToken(c.account)
+	return len(c.account.waiters) == 0 && e.keyTrusted(c) && e.takeToken(&c.stmt)
 }
 
-func (e *Engine) takeToken(a *account) bool {
+func (e *Engine) takeToken(s *statement) bool {
 	if e.now.After(e.shareUntil) {
 		return false
 	}
-	a.bucket.refill(e.now, e.shareUntil)
-	if a.bucket.tokens < 1 {
+	b := s.bucket()
+	b.refill(e.now, e.shareUntil)
+	if b.tokens < 1 {
 		return false
 	}
-	a.bucket.tokens--
+	b.tokens--
 	return true
 }
 
+// bucket returns the bucket that the statement's token comes from.
+func (s *statement) bucket() *bucket {
+	if s.request.PreparesOnly {
+		return &s.c.account.preparations
+	}
+	return &s.c.account.bucket
+}
+
+// countDemand counts a new request for the demand report.
+func (a *account) countDemand(r *Request) {
+	if !r.PreparesOnly {
+		a.asked++
+	}
+}
+
 // keyTrusted reports whether a key may be honoured: the revocations known here
 // are recent enough.
 func (e *Engine) keyTrusted(c *caller) bool {
@@ -100,10 +133,16 @@
 	}
 }
 
-// armAccount sets the time of the next token for which a statement waits.
+// armAccount sets the time of the token for which the first waiter waits.
 func (e *Engine) armAccount(a *account) {
-	a.bucket.refill(e.now, e.shareUntil)
-	after, ok := a.bucket.wait()
+	a.dropIdleWaiters()
+	if len(a.waiters) == 0 {
+		e.timers.Disarm(&a.item)
+		return
+	}
+	b := a.waiters[0].s.bucket()
+	b.refill(e.now, e.shareUntil)
+	after, ok := b.wait()
 	if !ok || e.now.After(e.shareUntil) {
 		e.timers.Disarm(&a.item)
 		return
@@ -120,7 +159,7 @@
 			return
 		}
 		s := a.waiters[0].s
-		if !e.keyTrusted(s.c) || !e.takeToken(a) {
+		if !e.keyTrusted(s.c) || !e.takeToken(s) {
 			e.armAccount(a)
 			return
 		}
@@ -134,23 +173,14 @@
 func (e *Engine) shareInForce(in ShareInForce) {
 	regranted := in.Grant != e.grant
 	for name, a := range e.accounts {
-		a.bucket.refill(e.now, e.shareUntil)
-		share := in.Accounts[name]
-		a.bucket.rate = share.Rate
-		a.bucket.burst = share.Burst
-		a.bucket.tokens = min(a.bucket.tokens, share.Burst)
-		if regranted {
-			a.bucket.tokens = 0
-		}
-		a.bucket.at = e.now
+		a.bucket.set(in.Accounts[name], regranted, e.now, e.shareUntil)
+		a.preparations.set(in.Accounts[name], regranted, e.now, e.shareUntil)
 	}
 	e.grant = in.Grant
 	e.shareUntil = in.Until
 	e.shares = in.Accounts
 	for _, a := range e.accounts {
-		if len(a.waiters) > 0 {
-			e.armAccount(a)
-		}
+		e.armAccount(a)
 	}
 	for name, db := range e.databases {
 		db.setBound(in.Connections[name])
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -42,6 +42,9 @@
 	Texts []string
 	// Simple marks the simple query protocol.
 	Simple bool
+	// PreparesOnly marks a request that executes nothing: it creates or describes
+	// prepared statements.
+	PreparesOnly bool
 	// Payload is the encoded request, opaque to decisions.
 	Payload *Payload
 	// Arrived is when the request was complete.
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -53,11 +53,13 @@
 
 func (e *Engine) newAccount(name core.AccountName) *account {
 	share := e.shares[name]
+	empty := bucket{rate: share.Rate, burst: share.Burst, at: e.now}
 	a := &account{
-		e:       e,
-		name:    name,
-		bucket:  bucket{rate: share.Rate, burst: share.Burst, at: e.now},
-		metrics: e.metrics.account(name),
+		e:            e,
+		name:         name,
+		bucket:       empty,
+		preparations: empty,
+		metrics:      e.metrics.account(name),
 	}
 	a.item.Value = a
 	return a
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -12,7 +12,7 @@
 	s := &c.stmt
 	s.start(c.incoming)
 	c.incoming = nil
-	c.account.asked++
+	c.account.countDemand(s.request)
 	if c.e.admits(c) {
 		s.fire(c.e.charts.stmt.admitted)
 		return
