Test the control duty and fix what the tests found

Faults, each with a test that was red before or on a copy with the old code: - a failed table write confirmed the old table as current; - events ignored by a chart started the timeout of its state anew, so the share published once a second kept the drain bound from passing; - the slot was released while session could still admit; now session confirms an empty share without open connections first, and the lease is ended; - an answer without a name counted as another instance's, a proof of death; - late answers revived deleted records in the mirror; - periodic platform calls piled up during an outage until the duty stopped; - a slot was claimed before the records were complete; a failed claim made a new lease and left its slot claimed; - a drain was lost when the session ring was full, an announcement when the platform did not answer, a revocation when the keys were stale; - a restart in a cut-off domain began the staleness bound of keys anew, and a start by seeds linked no peer.

--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -57,7 +57,6 @@
 }
 
 func (c *configuration) start() {
-	c.keys.Heard(c.engine.now, c.engine.now)
 	c.engine.every(trustPeriod, c.extendTrust)
 }
 
@@ -221,14 +220,32 @@
 	return CatalogueRecord{}
 }
 
-// extendTrust moves the time until which keys are honoured.
+// extendTrust moves the time until which keys are honoured. What this instance
+// has heard itself is news for its peers, too: one that is linked to few domains
+// has it from those that hear a majority.
 func (c *configuration) extendTrust() {
 	e := c.engine
-	c.keys.Heard(e.peers.majorityHeard(), e.now)
-	c.keys.Heard(e.mirror.confirmed, e.now)
-	c.keys.Tick(e.now)
-	e.out.Session(session.KeysTrusted{Until: c.keys.StaleAt()})
-	c.endKeys()
+	c.heard(e.mirror.confirmed)
+	if at, known := e.peers.majorityHeard(); known {
+		c.heard(at)
+	}
+	c.publishTrust()
+}
+
+func (c *configuration) heard(at time.Time) {
+	c.engine.peers.mesh.Heard(at)
+	c.keys.Heard(at, c.engine.now)
+}
+
+// newsFromPeer takes the time of the newest news that a peer has.
+func (c *configuration) newsFromPeer(at time.Time) {
+	c.keys.Heard(at, c.engine.now)
+	c.publishTrust()
+}
+
+func (c *configuration) publishTrust() {
+	c.keys.Tick(c.engine.now)
+	c.engine.out.Session(session.KeysTrusted{Until: c.keys.StaleAt()})
 }
 
 // revokedByPeer takes revocations that a peer passed on ahead of the catalogue.
@@ -242,7 +259,7 @@
 // endKeys ends the sessions of revoked keys and passes the revocations on.
 func (c *configuration) endKeys() {
 	ended := c.keys.TakeEnded()
-	if len(ended) == 0 || c.keys.Stale() {
+	if len(ended) == 0 {
 		return
 	}
 	c.publish(session.KeysRevoked{Keys: ended})
--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -110,6 +110,7 @@
 	e.now = now
 	e.mirror.start(e)
 	e.lease.start()
+	e.lease.fire(chart.TimeoutEvent)
 	e.life.start()
 	e.shares.start(e)
 	e.settings.start()
--- /dev/null
+++ b/pkg/control/harness_test.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+const (
+	self        = core.InstanceID("i1")
+	selfAddress = "10.0.0.1:1"
+	staleness   = 5 * time.Minute
+)
+
+// harness drives an engine step by step and records its outputs.
+type harness struct {
+	t       *testing.T
+	e       *Engine
+	now     time.Time
+	stores  []StoreOperation
+	peers   []PeerCall
+	replies []PeerMessage
+	inputs  []session.Input
+	// full makes the session ring refuse inputs.
+	full     bool
+	ready    bool
+	stopped  bool
+	revision Revision
+}
+
+func (h *harness) Store(op StoreOperation)        { h.stores = append(h.stores, op) }
+func (h *harness) Member(failover.MemberCall)     {}
+func (h *harness) Peer(c PeerCall)                { h.peers = append(h.peers, c) }
+func (h *harness) Reply(_ ReplyTo, m PeerMessage) { h.replies = append(h.replies, m) }
+func (h *harness) Callers(*catalogue.Catalogue)   {}
+func (h *harness) StopAccepting()                 {}
+func (h *harness) Ready(r bool)                   { h.ready = r }
+func (h *harness) Finished(failover.Report)       {}
+func (h *harness) Log(LogEvent)                   {}
+func (h *harness) Stopped()                       { h.stopped = true }
+func (h *harness) Session(in session.Input) bool {
+	if !h.full {
+		h.inputs = append(h.inputs, in)
+	}
+	return !h.full
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, now: start}
+	load := func(name string) *chart.Definition {
+		d, err := charts.Load(name)
+		require.NoError(t, err)
+		return d
+	}
+	e, err := New(Config{
+		Self:     Identity{Instance: self, Domain: "jylland", PeerAddress: selfAddress},
+		Failover: failover.DefaultConfig(),
+		Share: share.Settings{
+			MaxInstances: 4, FloorFraction: share.DefaultFloorFraction, CutoffBound: share.DefaultCutoffBound,
+			CutoffMargin: share.DefaultCutoffMargin, AcknowledgementBound: share.DefaultAcknowledgementBound,
+		},
+		Seeds:      []string{"10.0.0.9:1"},
+		LeaseRenew: 5 * time.Second, CallTimeout: 500 * time.Millisecond,
+		DrainBound: 10 * time.Second, KeyStaleness: staleness,
+	}, Charts{
+		Group: load("group"), Member: load("member"), Share: load("share"), Lease: load("lease"),
+		Instance: load("instance"), Configuration: load("configuration"), Key: load("key"),
+	}, h)
+	require.NoError(t, err)
+	h.e = e
+	e.Start(h.now)
+	return h
+}
+
+// run lets time pass and runs what is due.
+func (h *harness) run(d time.Duration) {
+	end := h.now.Add(d)
+	for {
+		at, armed := h.e.NextDeadline()
+		if !armed || at.After(end) {
+			break
+		}
+		if at.After(h.now) {
+			h.now = at
+		}
+		h.e.Tick(h.now)
+	}
+	h.now = end
+}
+
+func (h *harness) do(in Input) { h.e.Handle(h.now, in) }
+
+// take removes the newest operation of a type, and reports whether there is one.
+func take[T StoreOperation](h *harness) (T, bool) {
+	for i := len(h.stores) - 1; i >= 0; i-- {
+		if op, ok := h.stores[i].(T); ok {
+			h.stores = append(h.stores[:i:i], h.stores[i+1:]...)
+			return op, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// answer answers the newest operation of a type.
+func answer[T StoreOperation](h *harness, a StoreAnswer) T {
+	op, ok := take[T](h)
+	require.True(h.t, ok, "no %T among %v", op, h.stores)
+	a.Operation = op
+	if a.Sent.IsZero() {
+		a.Sent = h.now
+	}
+	h.do(FromStore{Answer: a})
+	return op
+}
+
+// watched answers the waiting watch with records at the next revision.
+func (h *harness) watched(records ...Record) {
+	h.revision += 10
+	answer[Watch](h, StoreAnswer{Revision: h.revision, Records: records})
+}
+
+func count[T StoreOperation](h *harness) int {
+	n := 0
+	for _, op := range h.stores {
+		if _, ok := op.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func testCatalogue() *catalogue.Catalogue {
+	c := &catalogue.Catalogue{
+		Version:  1,
+		Accounts: []catalogue.Account{{Name: "hansen", Weight: 1, Rate: 40, Burst: 20, Keys: []catalogue.Key{{ID: "k1"}}}},
+	}
+	members := []catalogue.Member{
+		{ID: "m0", Domain: "jylland", Slots: 2}, {ID: "m1", Domain: "fyn", Slots: 2}, {ID: "m2", Domain: "sjaelland", Slots: 2},
+	}
+	c.Databases = []catalogue.Database{{Name: "jylland", State: catalogue.DatabaseActive, Connections: 8, Members: members}}
+	return c
+}
+
+func (h *harness) table(revision uint64, lease share.LeaseID, state string) *share.Table {
+	return &share.Table{Revision: revision, CatalogueVersion: 1, Slots: []share.Slot{{
+		State: state, Instance: self, PeerAddress: selfAddress, Domain: "jylland", Lease: lease, Granted: 1,
+		Accounts: map[core.AccountName]share.RateShare{"hansen": {
+			Held: share.Rate{Rate: 4000, Burst: 2000}, Limit: share.Rate{Rate: 4000, Burst: 2000},
+		}},
+		Databases: map[core.DatabaseName]share.ConnectionShare{"jylland": {Held: 2, Limit: 2}},
+	}}}
+}
+
+// serve brings the engine to a held slot and a share in force.
+func (h *harness) serve() {
+	h.watched(CatalogueRecord{Catalogue: testCatalogue(), Revision: 1})
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	claim := answer[PutClaim](h, StoreAnswer{Revision: 11})
+	h.watched(
+		ClaimRecord{Claim: claim.Claim, Revision: 11},
+		TableRecord{Table: h.table(1, "l1", "granted"), Revision: 12},
+	)
+	require.True(h.t, h.ready)
+}
+
+// lastShare returns the newest share that session was given.
+func (h *harness) lastShare() session.ShareInForce {
+	return last[session.ShareInForce](h)
+}
+
+func last[T session.Input](h *harness) T {
+	for i := len(h.inputs) - 1; i >= 0; i-- {
+		if in, ok := h.inputs[i].(T); ok {
+			return in
+		}
+	}
+	var none T
+	require.Fail(h.t, "session was given no such input", "%T", none)
+	return none
+}
+
+func has[T session.Input](h *harness) bool {
+	for _, in := range h.inputs {
+		if _, ok := in.(T); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// calls returns the messages of one type that were sent to an address.
+func calls[T PeerMessage](h *harness, address string) []T {
+	var found []T
+	for _, c := range h.peers {
+		if m, ok := c.Message.(T); ok && (address == "" || c.Address == address) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
@@ -14,29 +15,29 @@
 // lease is the lease and slot of this instance; its life cycle is the chart
 // "lease".
 type lease struct {
-	engine *Engine
-	chart  *chart.Table[*lease]
-	state  chart.State
-	timer  timer
-	id     share.LeaseID
+	machine[*lease]
+	id share.LeaseID
+	// created is the answer to the last creation of a lease.
+	created StoreAnswer
 	// slot is the slot claimed or held, -1 for none.
 	slot int
-	// sent is when the call that created or renewed the lease was sent.
-	sent time.Time
 }
 
 func newLease(e *Engine, d *chart.Definition) (*lease, error) {
-	l := &lease{engine: e, slot: -1}
-	var err error
-	l.chart, err = chart.Compile(d, chart.Registry[*lease]{
+	l := &lease{slot: -1}
+	table, err := chart.Compile(d, chart.Registry[*lease]{
 		Guards: map[string]func(*lease) bool{"slot_free": (*lease).slotFree},
 		Actions: map[string]func(*lease){
-			"create_lease": (*lease).create,
-			"claim_slot":   (*lease).claim,
-			"adopt_slot":   (*lease).adopt,
-			"renew_lease":  (*lease).renew,
-			"drop_lease":   (*lease).drop,
-			"release_slot": (*lease).release,
+			"create_lease":    func(l *lease) { l.engine.out.Store(CreateLease{}) },
+			"keep_lease":      (*lease).keep,
+			"claim_slot":      (*lease).claim,
+			"adopt_slot":      (*lease).adopt,
+			"renew_lease":     (*lease).renew,
+			"drop_lease":      (*lease).drop,
+			"report_no_slot":  (*lease).reportNoSlot,
+			"release_slot":    (*lease).release,
+			"end_lease":       func(l *lease) { l.engine.out.Store(RevokeLease{Lease: l.id}) },
+			"report_released": func(l *lease) { l.engine.life.fire("released") },
 		},
 		Timeouts: map[string]time.Duration{
 			"retry": leaseRetry,
@@ -49,31 +50,26 @@
 	if err != nil {
 		return nil, err
 	}
-	l.timer.Value = func() { l.fire(chart.TimeoutEvent) }
+	l.machine = newMachine(e, table, l)
 	return l, nil
 }
 
-func (l *lease) start() {
-	l.state = l.chart.Initial()
-	l.fire(chart.TimeoutEvent)
+// keep takes the lease that was created.
+func (l *lease) keep() {
+	l.id = l.created.Lease
+	l.engine.holder.LeaseRenewed(l.id, l.created.Sent)
 }
 
-func (l *lease) fire(event string) {
-	l.chart.Fire(l, &l.state, l.chart.Event(event))
-	if l.chart.Final(l.state) {
-		l.engine.timers.disarm(&l.timer)
-		return
-	}
-	l.engine.timers.arm(&l.timer, l.engine.now.Add(l.chart.Timeout(l.state)))
-}
-
-func (l *lease) create() {
-	l.engine.out.Store(CreateLease{})
+func (l *lease) claim() {
+	l.slot = l.choose()
+	l.engine.out.Store(PutClaim{Claim: l.claimOf(false), Revision: l.engine.mirror.claimRevision(l.slot)})
 }
 
-// claim chooses a slot by the mirror; it starts at a place that depends on the
-// instance, so that instances that start together rarely conflict.
-func (l *lease) claim() {
+// choose returns the slot to claim by the mirror, -1 for none. The search
+// starts at a place that depends on the instance, so that instances that start
+// together rarely conflict. A claim of this instance whose answer was lost does
+// not count as taken.
+func (l *lease) choose() int {
 	e := l.engine
 	table := e.mirror.table
 	if table == nil {
@@ -84,12 +80,8 @@
 	if start < 0 {
 		start = startSlot(string(self.Instance), e.config.Share.MaxInstances)
 	}
-	l.slot = share.ChooseSlot(table, e.mirror.claimList(), self.PeerAddress, e.config.Share.MaxInstances, start)
-	if l.slot < 0 {
-		e.warn("no_slot_free", "no slot is free; share.max_instances is too small", nil)
-		return
-	}
-	e.out.Store(PutClaim{Claim: l.claimOf(false), Revision: e.mirror.claims[l.slot].Revision})
+	others := slices.DeleteFunc(e.mirror.claimList(), func(c share.Claim) bool { return c.Instance == self.Instance })
+	return share.ChooseSlot(table, others, self.PeerAddress, e.config.Share.MaxInstances, start)
 }
 
 func startSlot(instance string, slots int) int {
@@ -106,8 +98,16 @@
 	}
 }
 
+// slotFree reports whether there is a slot to claim. Before the mirror is
+// complete, a slot of another instance might look free.
 func (l *lease) slotFree() bool {
-	return l.engine.mirror.complete
+	return l.engine.mirror.complete && l.choose() >= 0
+}
+
+func (l *lease) reportNoSlot() {
+	if l.engine.mirror.complete {
+		l.engine.warn("no_slot_free", "no slot is free; share.max_instances is too small", nil)
+	}
 }
 
 func (l *lease) renew() {
@@ -116,8 +116,7 @@
 
 func (l *lease) adopt() {
 	e := l.engine
-	e.holder.LeaseRenewed(l.id, l.sent)
-	e.out.Store(Announce{})
+	e.peers.announce(false)
 	e.log("slot_claimed", "slot claimed", map[string]any{"slot": l.slot})
 	e.shares.publish(e)
 }
@@ -130,9 +129,7 @@
 // release gives the slot back. The record outlives the lease, so that the
 // allocator knows that this instance stopped spending.
 func (l *lease) release() {
-	e := l.engine
-	e.holder.Release()
-	e.out.Store(PutClaim{Claim: l.claimOf(true), Revision: e.mirror.claims[l.slot].Revision})
+	l.engine.out.Store(PutClaim{Claim: l.claimOf(true), Revision: l.engine.mirror.claimRevision(l.slot)})
 }
 
 // answer takes the result of a call of the lease.
@@ -140,22 +137,31 @@
 	l.engine.mirror.apply(a.Records)
 	switch op := a.Operation.(type) {
 	case CreateLease:
-		l.created(a)
+		l.creationAnswered(a)
 	case RenewLease:
 		l.renewed(op, a)
 	case PutClaim:
-		l.claimed(op, a)
+		l.claimAnswered(op, a)
+	case RevokeLease:
+		l.fire(eventOf[a.Outcome])
 	}
 }
 
-func (l *lease) created(a StoreAnswer) {
+// eventOf gives the events of the answers to PutClaim and RevokeLease.
+var eventOf = map[Outcome]string{
+	Done:        "ended",
+	NotFound:    "ended",
+	Conflict:    "conflict",
+	Unavailable: "failed",
+	Unknown:     "failed",
+}
+
+func (l *lease) creationAnswered(a StoreAnswer) {
 	if a.Outcome != Done {
 		l.fire("failed")
 		return
 	}
-	l.id = a.Lease
-	l.sent = a.Sent
-	l.engine.holder.LeaseRenewed(a.Lease, a.Sent)
+	l.created = a
 	l.fire("created")
 }
 
@@ -175,20 +181,18 @@
 	}
 }
 
-func (l *lease) claimed(op PutClaim, a StoreAnswer) {
-	if op.Claim.Lease != l.id || op.Claim.Released {
+func (l *lease) claimAnswered(op PutClaim, a StoreAnswer) {
+	if op.Claim.Lease != l.id || op.Claim.Slot != l.slot {
 		return
 	}
+	event := eventOf[a.Outcome]
 	switch {
-	case a.Outcome == Done || l.ownClaimFound(a):
-		l.fire("claimed")
-	case a.Outcome == Conflict:
-		l.fire("conflict")
-	case a.Outcome == NotFound:
-		l.fire("ended")
-	default:
-		l.fire("failed")
+	case op.Claim.Released && a.Outcome == Done:
+		event = "released"
+	case !op.Claim.Released && (a.Outcome == Done || l.ownClaimFound(a)):
+		event = "claimed"
 	}
+	l.fire(event)
 }
 
 // ownClaimFound reports that the record that was in the way is the claim of
--- a/pkg/control/life.go
+++ b/pkg/control/life.go
@@ -13,60 +13,54 @@
 	// readinessLead is how long readiness is down before callers are asked to
 	// reconnect, so that the balancer sends no new ones here.
 	readinessLead = time.Second
+	// withdrawalBound bounds the wait until session has confirmed that it spends
+	// nothing and has closed its connections. The empty share is published once
+	// a second, and a confirmation that finds connections open does not count.
+	withdrawalBound = 5 * time.Second
+	// releaseCalls is how many platform calls the bound of the release covers:
+	// the two of a release, each with the margin that the lease chart gives it.
+	releaseCalls = 10
 	// watchdogPeriod is only a bound of the state "serving"; nothing happens.
 	watchdogPeriod = time.Hour
 )
 
 // life is the life cycle of this run, the chart "instance".
 type life struct {
-	engine *Engine
-	chart  *chart.Table[*life]
-	state  chart.State
-	timer  timer
+	machine[*life]
 }
 
 func newLife(e *Engine, d *chart.Definition) (*life, error) {
-	l := &life{engine: e}
-	var err error
-	l.chart, err = chart.Compile(d, chart.Registry[*life]{
+	l := &life{}
+	table, err := chart.Compile(d, chart.Registry[*life]{
 		Actions: map[string]func(*life){
-			"become_ready":       (*life).becomeReady,
-			"become_not_ready":   func(l *life) { l.engine.out.Ready(false) },
-			"report_not_ready":   (*life).reportNotReady,
-			"announce_leaving":   func(l *life) { l.engine.out.Store(Announce{Leaving: true}) },
-			"drain_callers":      (*life).drainCallers,
-			"report_drain_bound": (*life).reportDrainBound,
-			"release":            func(l *life) { l.engine.lease.fire("stop_requested") },
-			"finish":             func(l *life) { l.engine.out.Stopped() },
+			"become_ready":         (*life).becomeReady,
+			"become_not_ready":     func(l *life) { l.engine.out.Ready(false) },
+			"report_not_ready":     (*life).reportNotReady,
+			"announce_leaving":     func(l *life) { l.engine.peers.announce(true) },
+			"drain_callers":        (*life).drainCallers,
+			"report_drain_bound":   (*life).reportDrainBound,
+			"withdraw_share":       func(l *life) { l.engine.shares.withdraw(l.engine) },
+			"report_not_withdrawn": (*life).reportNotWithdrawn,
+			"release_slot":         func(l *life) { l.engine.lease.fire("stop_requested") },
+			"report_not_released":  (*life).reportNotReleased,
+			"finish":               func(l *life) { l.engine.out.Stopped() },
 		},
 		Timeouts: map[string]time.Duration{
 			"start":          startReport,
 			"watchdog":       watchdogPeriod,
 			"readiness_lead": readinessLead,
 			"drain":          e.config.DrainBound,
+			"withdrawal":     withdrawalBound,
+			"release":        releaseCalls * e.config.CallTimeout,
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
-	l.timer.Value = func() { l.fire(chart.TimeoutEvent) }
+	l.machine = newMachine(e, table, l)
 	return l, nil
 }
 
-func (l *life) start() {
-	l.state = l.chart.Initial()
-	l.engine.timers.arm(&l.timer, l.engine.now.Add(l.chart.Timeout(l.state)))
-}
-
-func (l *life) fire(event string) {
-	l.chart.Fire(l, &l.state, l.chart.Event(event))
-	if l.chart.Final(l.state) {
-		l.engine.timers.disarm(&l.timer)
-		return
-	}
-	l.engine.timers.arm(&l.timer, l.engine.now.Add(l.chart.Timeout(l.state)))
-}
-
 func (l *life) becomeReady() {
 	l.engine.log("instance_ready", "catalogue and share are in force", nil)
 	l.engine.out.Ready(true)
@@ -81,9 +75,17 @@
 
 func (l *life) drainCallers() {
 	l.engine.out.StopAccepting()
-	l.engine.out.Session(session.Drain{})
+	l.engine.settings.publish(session.Drain{})
 }
 
 func (l *life) reportDrainBound() {
 	l.engine.warn("drain_bound_passed", "callers were still connected when the drain bound passed", nil)
 }
+
+func (l *life) reportNotWithdrawn() {
+	l.engine.warn("share_not_withdrawn", "session did not confirm in time that it spends nothing; the slot is not released", nil)
+}
+
+func (l *life) reportNotReleased() {
+	l.engine.warn("slot_not_released", "the platform did not confirm the release of the slot in time", nil)
+}
--- /dev/null
+++ b/pkg/control/life_test.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+)
+
+// drain brings a serving engine to the point where callers were told to go.
+func (h *harness) drain() {
+	h.do(StopRequested{})
+	require.False(h.t, h.ready)
+	h.run(readinessLead)
+	require.True(h.t, has[session.Drain](h))
+}
+
+func (h *harness) applied(revision uint64, open int) {
+	h.do(FromSession{Report: session.ShareApplied{Revision: revision, Open: map[core.DatabaseName]int{"jylland": open}}})
+}
+
+// Guards against a slot that is released while session may still admit
+// statements or has connections open, and against a stop that is complete
+// before the release has an answer.
+func TestSlotIsReleasedAfterSessionStopped(t *testing.T) {
+	for _, drained := range []bool{true, false} {
+		h := newHarness(t)
+		h.serve()
+		h.drain()
+		require.Zero(t, count[PutClaim](h))
+		if drained {
+			h.do(FromSession{Report: session.Drained{}})
+		} else {
+			h.run(h.e.config.DrainBound)
+		}
+		require.Empty(t, h.lastShare().Accounts)
+		require.Zero(t, count[PutClaim](h), "session has not confirmed")
+		h.applied(1, 0)
+		require.Zero(t, count[PutClaim](h), "a confirmation of an older share")
+		h.applied(nothingRevision, 1)
+		require.Zero(t, count[PutClaim](h), "a connection is open")
+		h.applied(nothingRevision, 0)
+		require.False(t, h.stopped)
+		claim := answer[PutClaim](h, StoreAnswer{Revision: 90})
+		require.True(t, claim.Claim.Released)
+		require.Equal(t, Revision(11), claim.Revision)
+		require.False(t, h.stopped)
+		answer[RevokeLease](h, StoreAnswer{})
+		require.True(t, h.stopped)
+	}
+}
+
+// Guards against a planned stop that never ends, and against a release without
+// the confirmation that nothing is spent.
+func TestStopIsBounded(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	h.drain()
+	h.do(FromSession{Report: session.Drained{}})
+	h.run(withdrawalBound)
+	require.True(t, h.stopped)
+	require.Zero(t, count[PutClaim](h))
+
+	h = newHarness(t)
+	h.serve()
+	h.drain()
+	h.do(FromSession{Report: session.Drained{}})
+	h.applied(nothingRevision, 0)
+	h.run(releaseCalls * h.e.config.CallTimeout)
+	require.True(t, h.stopped)
+}
+
+// Guards against a slot that stays claimed after a stop before readiness.
+func TestStopBeforeReady(t *testing.T) {
+	h := newHarness(t)
+	h.watched()
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	answer[PutClaim](h, StoreAnswer{Revision: 11})
+	h.do(StopRequested{})
+	h.applied(nothingRevision, 0)
+	require.True(t, answer[PutClaim](h, StoreAnswer{Revision: 90}).Claim.Released)
+	answer[RevokeLease](h, StoreAnswer{Outcome: NotFound})
+	require.True(t, h.stopped)
+}
+
+// Guards against a drain or a catalogue that is lost because the session ring
+// was full.
+func TestFullSessionRingLosesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.full = true
+	h.watched(CatalogueRecord{Catalogue: testCatalogue(), Revision: 1})
+	h.full = false
+	h.run(time.Second)
+	require.True(t, has[session.CatalogueInForce](h))
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	answer[PutClaim](h, StoreAnswer{Revision: 11})
+	h.watched(TableRecord{Table: h.table(1, "l1", "granted"), Revision: 12})
+	h.full = true
+	h.do(StopRequested{})
+	h.run(readinessLead)
+	require.False(t, has[session.Drain](h))
+	h.full = false
+	h.run(time.Second)
+	require.True(t, has[session.Drain](h))
+}
+
+// Guards against a claim by an incomplete view, in which the slot of another
+// instance looks free.
+func TestClaimWaitsForTheRecords(t *testing.T) {
+	h := newHarness(t)
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	h.run(time.Second)
+	require.Zero(t, count[PutClaim](h))
+	table := h.table(7, "l0", "granted")
+	table.Slots[0].Instance = "i0"
+	h.watched(TableRecord{Table: table, Revision: 3})
+	h.run(time.Second)
+	require.Zero(t, answer[PutClaim](h, StoreAnswer{Revision: 11}).Claim.Slot, "the slot of the predecessor at this address")
+}
+
+// Guards against a claim with a lost answer that leaves a second slot claimed,
+// and against a new lease for each failed claim.
+func TestFailedClaimIsRepeatedWithItsLease(t *testing.T) {
+	h := newHarness(t)
+	h.watched()
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	first := answer[PutClaim](h, StoreAnswer{Outcome: Unknown})
+	h.watched(ClaimRecord{Claim: first.Claim, Revision: 11})
+	h.run(time.Second)
+	require.Zero(t, count[CreateLease](h))
+	second := answer[PutClaim](h, StoreAnswer{Outcome: Conflict, Records: []Record{ClaimRecord{Claim: first.Claim, Revision: 11}}})
+	require.Equal(t, first.Claim, second.Claim)
+	require.Equal(t, "held", h.e.lease.stateName())
+}
+
+// Guards against an instance that claims nothing but takes a new lease again and
+// again on a full fleet, and that gets no slot when one is released.
+func TestFullFleet(t *testing.T) {
+	h := newHarness(t)
+	var records []Record
+	for slot := range 4 {
+		claim := share.Claim{Slot: slot, Instance: "other", PeerAddress: "10.0.0.8:1", Lease: "l8"}
+		records = append(records, ClaimRecord{Claim: claim, Revision: Revision(slot + 1)})
+	}
+	h.watched(records...)
+	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
+	h.run(time.Minute)
+	require.Zero(t, count[PutClaim](h))
+	require.Zero(t, count[CreateLease](h))
+	h.watched(ClaimRecord{Claim: share.Claim{Slot: 2}, Revision: 30, Deleted: true})
+	h.run(time.Second)
+	claim := answer[PutClaim](h, StoreAnswer{Revision: 31})
+	require.Equal(t, 2, claim.Claim.Slot)
+	require.Zero(t, claim.Revision)
+}
+
+// Guards against an instance without a slot after its lease ended in a pause,
+// and against spending by the old lease beyond its bound.
+func TestLeaseEndedWhilePaused(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	until := h.lastShare().Until
+	h.now = h.now.Add(time.Minute)
+	h.run(0)
+	answer[RenewLease](h, StoreAnswer{Outcome: NotFound})
+	require.Equal(t, until, h.lastShare().Until)
+	h.run(time.Second)
+	answer[CreateLease](h, StoreAnswer{Lease: "l2"})
+	h.run(time.Second)
+	claim := answer[PutClaim](h, StoreAnswer{Revision: 50})
+	require.Equal(t, 0, claim.Claim.Slot)
+	require.Equal(t, share.LeaseID("l2"), claim.Claim.Lease)
+	h.watched(TableRecord{Table: h.table(2, "l2", "granted"), Revision: 51})
+	require.True(t, h.lastShare().Until.After(until))
+}
+
+// Guards against an instance that is not in the platform's list for ever,
+// because its announcement was lost or the platform went back.
+func TestLostAnnouncementIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	answer[Announce](h, StoreAnswer{Outcome: Unavailable})
+	answer[ListInstances](h, StoreAnswer{})
+	require.Equal(t, Announce{}, answer[Announce](h, StoreAnswer{}))
+	h.run(listPeriod)
+	answer[ListInstances](h, StoreAnswer{Instances: []Peer{{ID: self, PeerAddress: selfAddress, Domain: "jylland"}}})
+	require.Zero(t, count[Announce](h))
+}
--- a/pkg/control/mirror.go
+++ b/pkg/control/mirror.go
@@ -23,19 +23,19 @@
 // mirror holds what this instance knows of the platform's records. One waiting
 // watch over all keys keeps it current.
 type mirror struct {
-	engine    *Engine
-	revision  Revision
-	complete  bool
-	backoff   time.Duration
-	retry     timer
+	engine   *Engine
+	revision Revision
+	complete bool
+	backoff  time.Duration
+	retry    timer
+	// confirmed is when the last successful watch was sent.
 	confirmed time.Time
 
-	catalogueRevision Revision
-	tableRevision     Revision
-	table             *share.Table
-	groups            map[core.DatabaseName]failover.RecordSeen
-	claims            map[int]ClaimRecord
-	allocator         AllocatorRecord
+	tableRevision Revision
+	table         *share.Table
+	groups        map[core.DatabaseName]failover.RecordSeen
+	claims        map[int]ClaimRecord
+	allocator     AllocatorRecord
 }
 
 func newMirror() mirror {
@@ -75,6 +75,7 @@
 	m.complete = true
 	m.confirmed = a.Sent
 	m.apply(a.Records)
+	m.engine.settings.extendTrust()
 	m.engine.mirrorChanged(a)
 	m.watch()
 }
@@ -85,10 +86,11 @@
 	}
 }
 
+// applyOne takes a record unless a newer one is known: an answer to a call may
+// come after a watch that saw a later change. Deleted records are kept, so that
+// an older answer does not revive them.
 func (m *mirror) applyOne(r Record) {
 	switch v := r.(type) {
-	case CatalogueRecord:
-		m.catalogueRevision = v.Revision
 	case GroupRecord:
 		m.groups[v.Database] = v.Seen
 	case TableRecord:
@@ -97,20 +99,39 @@
 			m.table = v.Table
 		}
 	case ClaimRecord:
-		if v.Deleted {
-			delete(m.claims, v.Claim.Slot)
-			return
+		if v.Revision > m.claims[v.Claim.Slot].Revision {
+			m.claims[v.Claim.Slot] = v
 		}
-		m.claims[v.Claim.Slot] = v
 	case AllocatorRecord:
-		m.allocator = v
+		if v.Revision > m.allocator.Revision {
+			m.allocator = v
+		}
+	}
+}
+
+// claimRevision returns the revision from which the record of a slot is
+// written.
+func (m *mirror) claimRevision(slot int) Revision {
+	c := m.claims[slot]
+	if c.Deleted {
+		return 0
 	}
+	return c.Revision
+}
+
+func (m *mirror) allocatorRevision() Revision {
+	if m.allocator.Deleted {
+		return 0
+	}
+	return m.allocator.Revision
 }
 
 func (m *mirror) claimList() []share.Claim {
 	claims := make([]share.Claim, 0, len(m.claims))
 	for _, c := range m.claims {
-		claims = append(claims, c.Claim)
+		if !c.Deleted {
+			claims = append(claims, c.Claim)
+		}
 	}
 	return claims
 }
@@ -147,12 +168,12 @@
 		e.settings.answer(a)
 	case SwapTable:
 		e.shares.tableSwapped(e, op, a)
-	case CreateLease, RenewLease, PutClaim:
+	case CreateLease, RenewLease, PutClaim, RevokeLease:
 		e.lease.answer(a)
 	case PutAllocator:
-		e.mirror.apply(a.Records)
+		e.shares.roleAnswered(e, a)
 	case ListInstances:
-		e.peers.listed(a)
+		e.peers.listAnswered(a)
 	}
 }
 
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -53,8 +53,8 @@
 	s := &Status{
 		Instance:  e.config.Self.Instance,
 		Domain:    e.config.Self.Domain,
-		State:     e.life.chart.StateName(e.life.state),
-		Lease:     e.lease.chart.StateName(e.lease.state),
+		State:     e.life.stateName(),
+		Lease:     e.lease.stateName(),
 		Slot:      spendable.Slot,
 		Allocator: e.mirror.allocator.Allocator.Instance,
 		Peers:     e.peers.status(),
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,12 @@
 	versions  map[core.InstanceID]uint64
 	// heard is when a peer of a failure domain was last heard.
 	heard map[core.Domain]time.Time
+	// listed holds the failure domains of the platform's list.
+	listed map[core.Domain]bool
+	// listing is set while a read of the list has no answer.
+	listing bool
+	// announced is the last announcement, nil before the first.
+	announced *Announce
 }
 
 func newPeers(e *Engine) *peers {
@@ -42,42 +49,82 @@
 		addresses: map[core.InstanceID]string{},
 		versions:  map[core.InstanceID]uint64{},
 		heard:     map[core.Domain]time.Time{},
+		listed:    map[core.Domain]bool{},
 	}
 }
 
 func (p *peers) start() {
 	e := p.engine
-	e.out.Store(ListInstances{})
-	e.every(listPeriod, func() { e.out.Store(ListInstances{}) })
+	p.list()
+	e.every(listPeriod, p.list)
 	e.every(exchangePeriod, p.exchange)
 }
 
+// list reads the platform's list unless a read is still open: during an outage
+// each call takes its whole timeout.
+func (p *peers) list() {
+	if p.listing {
+		return
+	}
+	p.listing = true
+	p.engine.out.Store(ListInstances{})
+}
+
+// announce puts this instance into the platform's list.
+func (p *peers) announce(leaving bool) {
+	p.announced = &Announce{Leaving: leaving}
+	p.engine.out.Store(*p.announced)
+}
+
+// repairAnnouncement repeats an announcement that was lost.
+func (p *peers) repairAnnouncement(list []Peer) {
+	if p.announced == nil {
+		return
+	}
+	wanted := Peer{
+		ID: p.engine.config.Self.Instance, PeerAddress: p.engine.config.Self.PeerAddress,
+		Domain: p.engine.config.Self.Domain, Leaving: p.announced.Leaving,
+	}
+	if !slices.Contains(list, wanted) {
+		p.engine.out.Store(*p.announced)
+	}
+}
+
 // listed takes the platform's list. A failed read leaves the known list.
-func (p *peers) listed(a StoreAnswer) {
+func (p *peers) listAnswered(a StoreAnswer) {
+	p.listing = false
 	if a.Outcome != Done {
 		return
 	}
 	var list []membership.Peer
+	p.forget()
 	for _, i := range a.Instances {
-		p.noteDomain(i.Domain, time.Time{})
+		p.listed[i.Domain] = true
 		p.addresses[i.ID] = i.PeerAddress
 		if !i.Leaving {
 			list = append(list, membership.Peer{ID: i.ID, Address: i.PeerAddress, Domain: i.Domain})
 		}
 	}
 	p.mesh.SetList(list)
+	p.repairAnnouncement(a.Instances)
 	p.exchange()
 }
 
+// forget drops what is known of instances and domains, but for linked peers.
+func (p *peers) forget() {
+	links := p.mesh.Links()
+	unlinked := func(id core.InstanceID) bool { return !slices.Contains(links, id) }
+	maps.DeleteFunc(p.addresses, func(id core.InstanceID, _ string) bool { return unlinked(id) })
+	maps.DeleteFunc(p.versions, func(id core.InstanceID, _ uint64) bool { return unlinked(id) })
+	clear(p.listed)
+}
+
 // exchange opens wanted links and sends the messages of one period.
 func (p *peers) exchange() {
 	p.setState()
-	linked := map[core.InstanceID]bool{}
-	for _, id := range p.mesh.Links() {
-		linked[id] = true
-	}
+	links := p.mesh.Links()
 	for _, peer := range p.mesh.Wanted(p.engine.now) {
-		if !linked[peer.ID] {
+		if !slices.Contains(links, peer.ID) {
 			p.send(peer.ID, peer.Address, membership.Versions{Catalogue: p.catalogueVersion()})
 		}
 	}
@@ -87,10 +134,15 @@
 	}
 }
 
+// unknownInstance addresses a seed whose ID is not known yet; its answer names
+// it, and it is linked from then on.
+const unknownInstance core.InstanceID = ""
+
 // askSeeds gets the catalogue and the share table of an instance that starts
 // while the platform is down.
 func (p *peers) askSeeds() {
 	for _, address := range p.engine.config.Seeds {
+		p.send(unknownInstance, address, membership.Versions{Catalogue: p.catalogueVersion()})
 		p.engine.out.Peer(PeerCall{Address: address, Message: CatalogueRequest{}})
 		p.engine.out.Peer(PeerCall{Address: address, Message: TableRequest{}})
 	}
@@ -159,7 +211,7 @@
 
 // received takes the versions of a peer and fetches what is newer there.
 func (p *peers) received(v Versions) {
-	if v.To != p.engine.config.Self.Instance {
+	if v.To != p.engine.config.Self.Instance || v.From == v.To {
 		return
 	}
 	p.addresses[v.From] = v.PeerAddress
@@ -172,29 +224,37 @@
 	if pull.Catalogue {
 		p.engine.out.Peer(PeerCall{Address: v.PeerAddress, Message: CatalogueRequest{}})
 	}
-	p.noteDomain(v.Domain, p.engine.now)
+	p.heard[v.Domain] = p.engine.now
+	p.engine.settings.newsFromPeer(received.News)
 	p.pullTerms(pull)
 }
 
-// noteDomain records when a failure domain was heard; the zero time only makes
-// it known.
-func (p *peers) noteDomain(domain core.Domain, at time.Time) {
-	if known, ok := p.heard[domain]; !ok || at.After(known) {
-		p.heard[domain] = at
+// domains returns the failure domains of the list and of the databases in the
+// catalogue, and the own one.
+func (p *peers) domains() map[core.Domain]bool {
+	domains := maps.Clone(p.listed)
+	domains[p.engine.config.Self.Domain] = true
+	databases := p.engine.settings.keeper.InForce().Databases
+	for i := range databases {
+		for _, m := range databases[i].Members {
+			domains[m.Domain] = true
+		}
 	}
+	return domains
 }
 
 // majorityHeard returns the latest time at which a majority of the failure
-// domains, the own one included, had been heard.
-func (p *peers) majorityHeard() time.Time {
-	times := []time.Time{p.engine.now}
-	for domain, at := range p.heard {
-		if domain != p.engine.config.Self.Domain {
-			times = append(times, at)
-		}
+// domains, the own one included, had been heard directly. It reports false
+// before the first catalogue, which tells what domains there are.
+func (p *peers) majorityHeard() (time.Time, bool) {
+	p.heard[p.engine.config.Self.Domain] = p.engine.now
+	var times []time.Time
+	for domain := range p.domains() {
+		times = append(times, p.heard[domain])
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[len(times)/2]
+	_, known := p.engine.settings.inForce()
+	return times[len(times)/2], known
 }
 
 // pullTerms looks at the members of groups of which a peer knows a later term.
@@ -207,12 +267,9 @@
 }
 
 func (p *peers) connect(id core.InstanceID) {
-	for _, linked := range p.mesh.Links() {
-		if linked == id {
-			return
-		}
+	if !slices.Contains(p.mesh.Links(), id) {
+		p.mesh.Connected(id)
 	}
-	p.mesh.Connected(id)
 }
 
 // answer takes the result of a call to a peer.
@@ -231,7 +288,10 @@
 
 func (p *peers) versionsAnswered(request Versions, m FromPeerAnswer) {
 	accepted, ok := m.Answer.(Accepted)
+	ok = ok && accepted.Instance != unknownInstance
 	switch {
+	case request.To == unknownInstance:
+		p.seedAnswered(accepted, m.Call.Address)
 	case ok && accepted.Instance == request.To:
 		p.connect(request.To)
 	case ok || m.Refused:
@@ -241,6 +301,15 @@
 	}
 }
 
+// seedAnswered links a seed that has named itself.
+func (p *peers) seedAnswered(accepted Accepted, address string) {
+	if accepted.Instance == unknownInstance || accepted.Instance == p.engine.config.Self.Instance {
+		return
+	}
+	p.addresses[accepted.Instance] = address
+	p.connect(accepted.Instance)
+}
+
 // dead passes on the proof that an instance is dead: no process listens at its
 // address, or another instance does.
 func (p *peers) dead(id core.InstanceID, m FromPeerAnswer) {
@@ -259,17 +328,14 @@
 }
 
 func (p *peers) status() []PeerStatus {
-	linked := map[core.InstanceID]bool{}
-	for _, id := range p.mesh.Links() {
-		linked[id] = true
-	}
+	links := p.mesh.Links()
 	list := make([]PeerStatus, 0, len(p.addresses))
 	for id, address := range p.addresses {
 		if id == p.engine.config.Self.Instance {
 			continue
 		}
 		list = append(list, PeerStatus{
-			Instance: id, PeerAddress: address, Linked: linked[id], Catalogue: p.versions[id],
+			Instance: id, PeerAddress: address, Linked: slices.Contains(links, id), Catalogue: p.versions[id],
 		})
 	}
 	return list
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -14,6 +14,9 @@
 	reportPeriod = time.Second
 	// roleStagger spreads the attempts of instances to become the allocator.
 	roleStagger = 200 * time.Millisecond
+	// nothingRevision is the revision of an empty share. No table has it, so its
+	// confirmation cannot be taken for that of a table.
+	nothingRevision = 0
 )
 
 // shares joins the holder and the allocator with the platform and the peers.
@@ -22,8 +25,12 @@
 	// reported is the newest revision that session applied; its report does not
 	// wait for the period, so that capacity moves quickly.
 	reported uint64
-	// swapping is set while a table write has no answer.
+	// swapping and claiming are set while a table write or a claim of the
+	// allocator role has no answer.
 	swapping bool
+	claiming bool
+	// withdrawing is set from the planned stop on.
+	withdrawing bool
 }
 
 func (s *shares) start(e *Engine) {
@@ -63,14 +70,27 @@
 	for name, rate := range spendable.Accounts {
 		in.Accounts[name] = session.RateShare{Rate: rate.Rate.Float(), Burst: rate.Burst.Float()}
 	}
+	if spendable.Slot < 0 {
+		in.Revision = nothingRevision
+	}
 	e.out.Session(in)
 	if _, ok := e.settings.inForce(); ok && spendable.Slot >= 0 {
 		e.life.fire("configured")
 	}
 }
 
+// withdraw makes session spend nothing, for the planned stop.
+func (s *shares) withdraw(e *Engine) {
+	s.withdrawing = true
+	e.holder.Release()
+	s.publish(e)
+}
+
 // applied notes that session admits by the table of the given revision.
 func (s *shares) applied(e *Engine, m session.ShareApplied) {
+	if s.withdrawing && m.Revision == nothingRevision && openConnections(m) == 0 {
+		e.life.fire("withdrawn")
+	}
 	news := m.Revision != s.reported
 	e.holder.Applied(m.Revision, m.Open)
 	if news {
@@ -79,6 +99,14 @@
 	}
 }
 
+func openConnections(m session.ShareApplied) int {
+	total := 0
+	for _, n := range m.Open {
+		total += n
+	}
+	return total
+}
+
 // report sends the demand and the acknowledgement to the allocator.
 func (s *shares) report(e *Engine) {
 	report, ok := e.holder.Report()
@@ -105,9 +133,10 @@
 // needless conflicts: the compare-and-swap of the table keeps it right even
 // with two allocators.
 func (s *shares) takeRole(e *Engine) {
-	if !e.mirror.complete || !e.mirror.allocatorVacant() || e.lease.id == "" {
+	if s.claiming || s.withdrawing || !e.mirror.complete || !e.mirror.allocatorVacant() || e.lease.id == "" {
 		return
 	}
+	s.claiming = true
 	e.out.Store(PutAllocator{
 		Allocator: Allocator{Instance: e.config.Self.Instance, PeerAddress: e.config.Self.PeerAddress},
 		Lease:     e.lease.id,
@@ -115,11 +144,11 @@
 	})
 }
 
-func (m *mirror) allocatorRevision() Revision {
-	if m.allocator.Deleted {
-		return 0
-	}
-	return m.allocator.Revision
+// roleAnswered takes the answer to a claim of the role. Whatever it is, the
+// record decides; while it is missing, the claim is repeated.
+func (s *shares) roleAnswered(e *Engine, a StoreAnswer) {
+	s.claiming = false
+	e.mirror.apply(a.Records)
 }
 
 // allocate writes the next table when there is something to change.
@@ -142,15 +171,19 @@
 	e.out.Store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
 }
 
-// tableSwapped adopts a table that was written; a lost answer is resolved by
-// the watch, which brings the record as it is.
+// tableSwapped adopts a table that was written. A lost answer and a conflict
+// are resolved by the watch, which brings the record as it is: the record of a
+// conflict may be newer than the claims in the mirror, and a slot that it
+// grants would look like one whose lease has ended.
 func (s *shares) tableSwapped(e *Engine, op SwapTable, a StoreAnswer) {
 	s.swapping = false
-	if a.Outcome == Done {
-		e.mirror.applyOne(TableRecord{Table: op.Table, Revision: a.Revision})
+	if a.Outcome != Done {
+		return
 	}
-	e.mirror.apply(a.Records)
-	s.mirrorChanged(e, a.Sent)
+	e.mirror.applyOne(TableRecord{Table: op.Table, Revision: a.Revision})
+	e.holder.TableRead(op.Table, a.Sent)
+	e.allocator.Adopt(op.Table, e.now)
+	s.publish(e)
 }
 
 // probeRefused tells the allocator that no process listens at the address of a
