Test the bridges and the decision duty; lose no wake-up, stop or record

Faults, each with a test: - a catalogue that could not be decoded counted as an empty one, which the next edit of a fresh instance would have overwritten; such records are left out; - news and tables with a negative age were taken, which extends trust; - the age of a table was cut to milliseconds, so it arrived younger; - slot/007 and slot/7 were one slot; - a report in the backlog of a parked duty waited for the next input; - a tick ran with a full outlet; - a stop request was lost when the control ring was full, and a delivery that lost the race for room asked for no wake-up; - an operation that could not be encoded had no answer. The signal no longer needs a goroutine outside lib/duty.

--- a/cmd/sassafrasshunt/commands.go
+++ b/cmd/sassafrasshunt/commands.go
@@ -40,11 +40,7 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		i.Stop()
-	}()
-	i.Run()
+	i.Run(signals)
 	return subcommands.ExitSuccess
 }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"io"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,8 +115,9 @@
 	return nil
 }
 
-// Run starts every duty and returns when the planned stop is complete.
-func (i *Instance) Run() {
+// Run starts every duty. A value from stop begins the planned stop; Run returns
+// when it is complete.
+func (i *Instance) Run(stop <-chan os.Signal) {
 	i.duties.Start("telemetry", i.telemetry.Run)
 	i.platform.Start(&i.duties)
 	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
@@ -132,10 +134,21 @@
 	i.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": i.callers.Address().String(), "peers": i.settings.PeerAddress, "admin": i.settings.AdminAddress,
 	})
-	<-i.stopped
+	i.awaitStop(stop)
 	i.stopDuties()
 }
 
+func (i *Instance) awaitStop(stop <-chan os.Signal) {
+	for {
+		select {
+		case <-stop:
+			i.Stop()
+		case <-i.stopped:
+			return
+		}
+	}
+}
+
 // serve starts a duty that can fail. The instance cannot work without it, so
 // a failure ends the run and the platform replaces the instance.
 func (i *Instance) serve(name string, run func() error) {
@@ -169,9 +182,13 @@
 }
 
 // Stop starts the planned stop: readiness falls, callers are asked to
-// reconnect, running work finishes. Run returns when it is complete.
+// reconnect, running work finishes. Run returns when it is complete. It waits
+// while the ring of the control duty is full.
 func (i *Instance) Stop() {
-	i.controls.input.TryPush(control.StopRequested{})
+	room := ring.NewSignal()
+	for !deliver[control.Input](i.controls.input, control.StopRequested{}, room) {
+		room.Wait(-1)
+	}
 }
 
 // Ready reports whether the balancer may send callers here.
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -88,6 +88,8 @@
 	call, err := o.bridge.encode(operation)
 	if err != nil {
 		o.instance.log(logrus.ErrorLevel, "record_not_encoded", err.Error(), nil)
+		answer := control.StoreAnswer{Operation: operation, Outcome: control.Unavailable}
+		o.instance.controls.input.TryPush(control.FromStore{Answer: answer})
 		return
 	}
 	if _, ok := operation.(control.Watch); ok {
@@ -105,6 +107,7 @@
 	call, err := encodePeerCall(c)
 	if err != nil {
 		o.instance.log(logrus.ErrorLevel, "peer_message_not_encoded", err.Error(), nil)
+		o.instance.controls.input.TryPush(control.FromPeerAnswer{Call: c})
 		return
 	}
 	o.rpc.send(call)
@@ -165,10 +168,7 @@
 // deliverRPC decodes the events of the rpc duty for control.
 func (i *Instance) deliverRPC(event rpc.Event) bool {
 	in := i.rpcInput(event)
-	if in == nil || i.controls.input.TryPush(in) {
-		return true
-	}
-	return !i.controls.input.NotifyRoom(i.rpc) && i.controls.input.TryPush(in)
+	return in == nil || deliver(i.controls.input, in, i.rpc)
 }
 
 func (i *Instance) rpcInput(event rpc.Event) control.Input {
@@ -194,12 +194,9 @@
 // deliverPlatform decodes the results of the platform duty for control.
 func (i *Instance) deliverPlatform(r platform.Result) bool {
 	in := (&storeBridge{}).decode(r)
-	if i.controls.input.TryPush(in) {
-		return true
-	}
 	room := i.callRoom
 	if _, ok := r.Op.(platform.WatchOp); ok {
 		room = i.watchRoom
 	}
-	return !i.controls.input.NotifyRoom(room) && i.controls.input.TryPush(in)
+	return deliver(i.controls.input, in, room)
 }
--- a/pkg/instance/peerbridge.go
+++ b/pkg/instance/peerbridge.go
@@ -36,7 +36,7 @@
 
 type tableJSON struct {
 	Table   json.RawMessage `json:"table"`
-	AgeMS   int64           `json:"age_ms"`
+	AgeNS   time.Duration   `json:"age_ns"`
 	Vouched bool            `json:"vouched"`
 }
 
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, eris.Wrap(errPeerMessage, err.Error())
 	}
-	return tableJSON{Table: text, AgeMS: m.Age.Milliseconds(), Vouched: m.Vouched}, nil
+	return tableJSON{Table: text, AgeNS: m.Age, Vouched: m.Vouched}, nil
 }
 
 // decodePeerRequest decodes the message of an incoming request.
@@ -107,7 +107,7 @@
 func peerRequest(method string, params json.RawMessage) (control.PeerMessage, error) {
 	switch method {
 	case methodVersions:
-		return decodeAs[control.Versions](params)
+		return decodeVersions(params)
 	case methodCatalogue:
 		return control.CatalogueRequest{}, nil
 	case methodTable:
@@ -120,6 +120,22 @@
 	return nil, nil
 }
 
+// decodeVersions refuses a message without a sender, and news from the future,
+// by which keys would be honoured too long.
+func decodeVersions(raw json.RawMessage) (control.PeerMessage, error) {
+	var v control.Versions
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return nil, eris.Wrap(errPeerMessage, err.Error())
+	}
+	if v.From == "" || v.PeerAddress == "" || v.Domain == "" {
+		return nil, eris.Wrap(errPeerMessage, "the sender is not named")
+	}
+	if v.Versions.NewsAge < 0 {
+		return nil, eris.Wrap(errPeerMessage, "the age of the news is negative")
+	}
+	return v, nil
+}
+
 func decodeShareReport(raw json.RawMessage) (control.PeerMessage, error) {
 	var report share.Report
 	if err := json.Unmarshal(raw, &report); err != nil {
@@ -187,5 +203,8 @@
 	if err != nil {
 		return nil, eris.Wrap(errPeerMessage, err.Error())
 	}
-	return control.TableMessage{Table: table, Age: time.Duration(m.AgeMS) * time.Millisecond, Vouched: m.Vouched}, nil
+	if m.AgeNS < 0 {
+		return nil, eris.Wrap(errPeerMessage, "the age of the table is negative")
+	}
+	return control.TableMessage{Table: table, Age: m.AgeNS, Vouched: m.Vouched}, nil
 }
--- a/pkg/instance/port.go
+++ b/pkg/instance/port.go
@@ -33,16 +33,36 @@
 	return len(p.backlog) == 0 || p.keep > 0
 }
 
-// awaitRoom asks for a wake-up and reports whether the duty has to wait.
-func (p *port[T]) awaitRoom(w ring.Waker) bool {
-	if len(p.backlog) == 0 || p.keep > 0 {
-		return false
-	}
+// waiting reports whether outputs wait for room.
+func (p *port[T]) waiting() bool {
+	return len(p.backlog) > 0
+}
+
+// blocks reports whether the duty has to wait for room.
+func (p *port[T]) blocks() bool {
+	return p.waiting() && p.keep == 0
+}
+
+// notifyRoom asks for a wake-up when there is room; it reports false when there
+// is some now.
+func (p *port[T]) notifyRoom(w ring.Waker) bool {
 	return p.ring.NotifyRoom(w)
 }
 
 // outlet is a port of any type.
 type outlet interface {
 	flush() bool
-	awaitRoom(ring.Waker) bool
+	waiting() bool
+	blocks() bool
+	notifyRoom(ring.Waker) bool
+}
+
+// deliver pushes v, or asks for a wake-up when there is room and reports false.
+func deliver[T any](r *ring.Ring[T], v T, w ring.Waker) bool {
+	for !r.TryPush(v) {
+		if r.NotifyRoom(w) {
+			return false
+		}
+	}
+	return true
 }
--- a/pkg/instance/storebridge.go
+++ b/pkg/instance/storebridge.go
@@ -170,7 +170,7 @@
 	key := string(r.Key)
 	switch {
 	case r.Key == keyCatalogue:
-		return decodeCatalogueRecord(r, revision)
+		return decodeCatalogueRecord(r, missing)
 	case r.Key == keyTable:
 		table, err := share.Decode(r.Value)
 		if err != nil || missing {
@@ -189,10 +189,16 @@
 	return nil
 }
 
-func decodeCatalogueRecord(r platform.Record, revision control.Revision) control.Record {
+// decodeCatalogueRecord leaves out a catalogue that cannot be decoded. Taken
+// for an empty one, it would be overwritten by the next edit.
+func decodeCatalogueRecord(r platform.Record, missing bool) control.Record {
+	revision := control.Revision(r.Revision)
+	if missing {
+		return control.CatalogueRecord{Revision: revision}
+	}
 	c, err := catalogue.Decode(r.Value)
 	if err != nil {
-		return control.CatalogueRecord{Revision: revision}
+		return nil
 	}
 	return control.CatalogueRecord{Catalogue: c, Revision: revision}
 }
@@ -212,7 +218,7 @@
 func decodeClaimRecord(slot string, r platform.Record, missing bool) control.Record {
 	var c share.Claim
 	n, err := strconv.Atoi(slot)
-	if err != nil {
+	if err != nil || n < 0 || strconv.Itoa(n) != slot {
 		return nil
 	}
 	if json.Unmarshal(r.Value, &c) != nil && !missing {
