--- a/pkg/instance/bridge_test.go
+++ b/pkg/instance/bridge_test.go
@@ -124,7 +124,7 @@
 			PeerAddress: "127.0.0.1:1", Domain: "fyn", Lease: "l1", Released: rapid.Bool().Draw(t, "released"),
 		}
 		record := failover.Record{
-			Term: core.Term(rapid.Uint64().Draw(t, "term")), Phase: failover.PhaseServing, Primary: "m0", Decider: "i1",
+			Term: core.Term(rapid.Uint64Min(1).Draw(t, "term")), Phase: failover.PhaseServing, Primary: "m0", Decider: "i1",
 			Nonce: word[string](t, "nonce"), Start: core.LSN(rapid.Uint64().Draw(t, "start")),
 		}
 		table, allocator := drawTable(t), control.Allocator{Instance: "i1", PeerAddress: "127.0.0.1:1"}
