--- a/cmd/sassafrasshunt/main.go
+++ b/cmd/sassafrasshunt/main.go
@@ -7,14 +7,16 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/sassafrasshunt/sassafrasshunt/cmd/internal/cli"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&runCommand{}, "")
-	subcommands.Register(&checkCommand{}, "")
-	subcommands.Register(&versionCommand{}, "")
+	subcommands.Register(cli.Strict(&runCommand{}), "")
+	subcommands.Register(cli.Strict(&checkCommand{}), "")
+	subcommands.Register(cli.Strict(&versionCommand{}), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/sassafrasshuntctl/client.go
+++ b/cmd/sassafrasshuntctl/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -67,7 +68,7 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return eris.Wrap(errUncertain, err.Error())
+		return transportError(method, err)
 	}
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
@@ -75,11 +76,21 @@
 		return refusal(response.StatusCode, decoder)
 	}
 	if err := decoder.Decode(result); err != nil {
-		return eris.Wrap(errUncertain, err.Error())
+		return transportError(method, err)
 	}
 	return nil
 }
 
+// transportError tells a request that certainly had no effect (it reads, or no
+// connection was made) from one whose outcome is not known.
+func transportError(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(errRefused, err.Error())
+	}
+	return eris.Wrap(errUncertain, err.Error())
+}
+
 func (t *target) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/cmd/sassafrasshuntctl/main.go
+++ b/cmd/sassafrasshuntctl/main.go
@@ -10,6 +10,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/sassafrasshunt/sassafrasshunt/cmd/internal/cli"
 )
 
 func main() {
@@ -36,7 +38,7 @@
 		&group{name: "chart", synopsis: "check and draw the built-in state charts", commands: []subcommands.Command{
 			&chartCheck{}, &chartGraph{},
 		}},
-		&status{}, &ready{}, &explain{}, &switchover{},
+		cli.Strict(&status{}), cli.Strict(&ready{}), cli.Strict(&explain{}), cli.Strict(&switchover{}),
 	}
 }
 
@@ -64,7 +66,7 @@
 	commander := subcommands.NewCommander(inner, g.name)
 	commander.Register(commander.HelpCommand(), "")
 	for _, c := range g.commands {
-		commander.Register(c, "")
+		commander.Register(cli.Strict(c), "")
 	}
 	if err := inner.Parse(f.Args()); err != nil {
 		return subcommands.ExitUsageError
--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -51,6 +52,8 @@
 func convert(err error) error {
 	var check *catalogue.CheckError
 	var edit *control.EditError
+	var busy *catalogue.BusyError
+	var unknown *control.UnknownDatabaseError
 	switch {
 	case err == nil:
 		return nil
@@ -62,6 +65,12 @@
 		return e
 	case errors.As(err, &edit) && edit.Outcome == catalogue.OutcomeUncertain:
 		return &Error{Status: http.StatusGatewayTimeout, Message: "outcome uncertain: repeat with the same identity"}
+	case errors.As(err, &edit) && edit.Outcome == catalogue.OutcomeNotWritten:
+		return &Error{Status: http.StatusServiceUnavailable, Message: "the platform did not take the edit; not run"}
+	case errors.As(err, &busy):
+		return &Error{Status: http.StatusServiceUnavailable, Message: err.Error()}
+	case errors.As(err, &unknown):
+		return &Error{Status: http.StatusNotFound, Message: err.Error()}
 	}
 	return &Error{Status: http.StatusConflict, Message: err.Error()}
 }
@@ -71,11 +80,22 @@
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
-		return body, &Error{Status: http.StatusBadRequest, Message: "invalid body: " + err.Error()}
+		return body, bodyError(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return body, &Error{Status: http.StatusBadRequest, Message: "invalid body: data after the request"}
 	}
 	return body, nil
 }
 
+func bodyError(err error) *Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Error{Status: http.StatusRequestEntityTooLarge, Message: "body is larger than 1 MiB"}
+	}
+	return &Error{Status: http.StatusBadRequest, Message: "invalid body: " + err.Error()}
+}
+
 func (s *Server) getCatalogue(r *http.Request) (any, error) {
 	answer, err := s.ask(r, control.GetCatalogue{})
 	return answer.Catalogue, err
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -30,6 +30,10 @@
 	// readBound and maxBody bound what a client may send.
 	readBound = 5 * time.Second
 	maxBody   = 1 << 20
+	// writeBound bounds a request with its answer, so that a client that does not
+	// read holds no connection for ever; idleBound bounds an unused connection.
+	writeBound = readBound + 2*answerBound
+	idleBound  = time.Minute
 )
 
 // Backend is what the server asks.
@@ -64,7 +68,7 @@
 		return nil, eris.Wrap(ErrListen, err.Error())
 	}
 	s := &Server{backend: backend, keyHash: hash, listener: listener}
-	s.http = http.Server{Handler: s.routes(), ReadTimeout: readBound}
+	s.http = http.Server{Handler: s.routes(), ReadTimeout: readBound, WriteTimeout: writeBound, IdleTimeout: idleBound}
 	return s, nil
 }
 
