--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -88,9 +88,9 @@
 func (c *configuration) carryOut(command catalogue.Command) {
 	switch v := command.(type) {
 	case catalogue.Write:
-		c.engine.out.Store(SwapCatalogue{EditID: v.EditID, Catalogue: v.Catalogue, Revision: Revision(v.Revision)})
+		c.engine.store(SwapCatalogue{EditID: v.EditID, Catalogue: v.Catalogue, Revision: Revision(v.Revision)})
 	case catalogue.Read:
-		c.engine.out.Store(ReadCatalogue{})
+		c.engine.store(ReadCatalogue{})
 	case catalogue.Adopted:
 		c.adopted(v)
 	case catalogue.Finished:
--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -57,6 +57,7 @@
 	out       Outputs
 	now       time.Time
 	timers    schedule
+	calls     callQueue
 	rules     *failover.Rules
 	groups    map[core.DatabaseName]*group
 	settings  *configuration
--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -62,9 +62,9 @@
 
 func (o *groupOutputs) Call(c failover.MemberCall) { o.engine.out.Member(c) }
 
-func (o *groupOutputs) Swap(s failover.RecordSwap) { o.engine.out.Store(SwapGroup{s}) }
+func (o *groupOutputs) Swap(s failover.RecordSwap) { o.engine.store(SwapGroup{s}) }
 
-func (o *groupOutputs) Read(r failover.RecordRead) { o.engine.out.Store(ReadGroup{r}) }
+func (o *groupOutputs) Read(r failover.RecordRead) { o.engine.store(ReadGroup{r}) }
 
 func (o *groupOutputs) View(v session.GroupView) bool {
 	o.group.last = v
--- a/pkg/control/harness_test.go
+++ b/pkg/control/harness_test.go
@@ -31,7 +31,10 @@
 	replies []PeerMessage
 	inputs  []session.Input
 	// full makes the session ring refuse inputs.
-	full     bool
+	full bool
+	// silent leaves the reads of group records without an answer; otherwise they
+	// fail at once.
+	silent   bool
 	ready    bool
 	stopped  bool
 	revision Revision
@@ -93,11 +96,25 @@
 			h.now = at
 		}
 		h.e.Tick(h.now)
+		h.failReads()
 	}
 	h.now = end
 }
 
-func (h *harness) do(in Input) { h.e.Handle(h.now, in) }
+func (h *harness) do(in Input) {
+	h.e.Handle(h.now, in)
+	h.failReads()
+}
+
+func (h *harness) failReads() {
+	for !h.silent {
+		op, ok := take[ReadGroup](h)
+		if !ok {
+			return
+		}
+		h.e.Handle(h.now, FromStore{Answer: StoreAnswer{Operation: op, Outcome: Unavailable, Sent: h.now}})
+	}
+}
 
 // take removes the newest operation of a type, and reports whether there is one.
 func take[T StoreOperation](h *harness) (T, bool) {
@@ -140,12 +157,16 @@
 }
 
 func testCatalogue() *catalogue.Catalogue {
-	c := &catalogue.Catalogue{
-		Version:  1,
-		Accounts: []catalogue.Account{{Name: "hansen", Weight: 1, Rate: 40, Burst: 20, Keys: []catalogue.Key{{ID: "k1"}}}},
-	}
+	verifier := make([]byte, 32)
+	c := &catalogue.Catalogue{Version: 1}
+	c.Accounts = []catalogue.Account{{
+		Name: "hansen", Weight: 1, Rate: 40, Burst: 20, Salt: verifier, Iterations: 4096,
+		Keys: []catalogue.Key{{ID: "k1", StoredKey: verifier, ServerKey: verifier}},
+	}}
 	members := []catalogue.Member{
-		{ID: "m0", Domain: "jylland", Slots: 2}, {ID: "m1", Domain: "fyn", Slots: 2}, {ID: "m2", Domain: "sjaelland", Slots: 2},
+		{ID: "m0", Domain: "jylland", Slots: 2, Address: "10.0.2.1:1", StatusAddress: "10.0.2.1:2"},
+		{ID: "m1", Domain: "fyn", Slots: 2, Address: "10.0.2.2:1", StatusAddress: "10.0.2.2:2"},
+		{ID: "m2", Domain: "sjaelland", Slots: 2, Address: "10.0.2.3:1", StatusAddress: "10.0.2.3:2"},
 	}
 	c.Databases = []catalogue.Database{{Name: "jylland", State: catalogue.DatabaseActive, Connections: 8, Members: members}}
 	return c
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -28,7 +28,7 @@
 	table, err := chart.Compile(d, chart.Registry[*lease]{
 		Guards: map[string]func(*lease) bool{"slot_free": (*lease).slotFree},
 		Actions: map[string]func(*lease){
-			"create_lease":    func(l *lease) { l.engine.out.Store(CreateLease{}) },
+			"create_lease":    func(l *lease) { l.engine.store(CreateLease{}) },
 			"keep_lease":      (*lease).keep,
 			"claim_slot":      (*lease).claim,
 			"adopt_slot":      (*lease).adopt,
@@ -36,7 +36,7 @@
 			"drop_lease":      (*lease).drop,
 			"report_no_slot":  (*lease).reportNoSlot,
 			"release_slot":    (*lease).release,
-			"end_lease":       func(l *lease) { l.engine.out.Store(RevokeLease{Lease: l.id}) },
+			"end_lease":       func(l *lease) { l.engine.store(RevokeLease{Lease: l.id}) },
 			"report_released": func(l *lease) { l.engine.life.fire("released") },
 		},
 		Timeouts: map[string]time.Duration{
@@ -62,7 +62,7 @@
 
 func (l *lease) claim() {
 	l.slot = l.choose()
-	l.engine.out.Store(PutClaim{Claim: l.claimOf(false), Revision: l.engine.mirror.claimRevision(l.slot)})
+	l.engine.store(PutClaim{Claim: l.claimOf(false), Revision: l.engine.mirror.claimRevision(l.slot)})
 }
 
 // choose returns the slot to claim by the mirror, -1 for none. The search
@@ -111,7 +111,7 @@
 }
 
 func (l *lease) renew() {
-	l.engine.out.Store(RenewLease{Lease: l.id})
+	l.engine.store(RenewLease{Lease: l.id})
 }
 
 func (l *lease) adopt() {
@@ -129,7 +129,7 @@
 // release gives the slot back. The record outlives the lease, so that the
 // allocator knows that this instance stopped spending.
 func (l *lease) release() {
-	l.engine.out.Store(PutClaim{Claim: l.claimOf(true), Revision: l.engine.mirror.claimRevision(l.slot)})
+	l.engine.store(PutClaim{Claim: l.claimOf(true), Revision: l.engine.mirror.claimRevision(l.slot)})
 }
 
 // answer takes the result of a call of the lease.
--- a/pkg/control/life_test.go
+++ b/pkg/control/life_test.go
@@ -148,7 +148,12 @@
 	}
 	h.watched(records...)
 	answer[CreateLease](h, StoreAnswer{Lease: "l1"})
-	h.run(time.Minute)
+	for range 60 {
+		h.run(time.Second)
+		for count[RenewLease](h) > 0 {
+			answer[RenewLease](h, StoreAnswer{})
+		}
+	}
 	require.Zero(t, count[PutClaim](h))
 	require.Zero(t, count[CreateLease](h))
 	h.watched(ClaimRecord{Claim: share.Claim{Slot: 2}, Revision: 30, Deleted: true})
--- a/pkg/control/mirror.go
+++ b/pkg/control/mirror.go
@@ -67,8 +67,9 @@
 	if a.Revision < m.revision {
 		// The platform went back to an older state. Versions and terms in force
 		// do not go back; the mirror is read again from the beginning.
+		engine := m.engine
 		*m = newMirror()
-		m.start(m.engine)
+		m.start(engine)
 		return
 	}
 	m.revision = a.Revision
@@ -157,6 +158,9 @@
 }
 
 func (e *Engine) storeAnswer(a StoreAnswer) {
+	if _, ok := a.Operation.(Watch); !ok {
+		e.callAnswered()
+	}
 	switch op := a.Operation.(type) {
 	case Watch:
 		e.mirror.watched(a)
--- /dev/null
+++ b/pkg/control/operator_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+func (h *harness) edit(identity string, account core.AccountName) chan OperatorAnswer {
+	reply := make(chan OperatorAnswer, 1)
+	put := catalogue.PutAccount{Name: account, Weight: 1, Rate: 10, Burst: 10}
+	h.do(FromOperator{Request: ApplyEdits{Identity: identity, Edits: []catalogue.Edit{put}}, Reply: reply})
+	return reply
+}
+
+// Guards against an edit whose answer was lost and that is told as failed
+// although it took effect, or written a second time.
+func TestLostAnswerToAnEdit(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		h := newHarness(t)
+		h.serve()
+		reply := h.edit("edit-1", "new")
+		op := answer[SwapCatalogue](h, StoreAnswer{Outcome: Unknown})
+		require.Empty(t, reply)
+		answer[ReadCatalogue](h, StoreAnswer{Outcome: Unavailable})
+		h.run(readRetry)
+		if written {
+			answer[ReadCatalogue](h, StoreAnswer{Records: []Record{CatalogueRecord{Catalogue: op.Catalogue, Revision: 40}}})
+		} else {
+			answer[ReadCatalogue](h, StoreAnswer{Records: []Record{CatalogueRecord{Catalogue: testCatalogue(), Revision: 1}}})
+			answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
+		}
+		require.Equal(t, OperatorAnswer{Version: 2}, <-reply)
+		require.Equal(t, uint64(2), h.e.settings.keeper.InForce().Version)
+	}
+}
+
+// Guards against an edit that is told as not run after its outcome became
+// unknown, and against one that never gets an answer.
+func TestUnresolvedEditIsUncertain(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	reply := h.edit("edit-1", "new")
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Unknown})
+	for end := h.now.Add(time.Minute); h.now.Before(end) && len(reply) == 0; {
+		if count[ReadCatalogue](h) > 0 {
+			answer[ReadCatalogue](h, StoreAnswer{Outcome: Unavailable})
+		}
+		h.run(readRetry)
+	}
+	var err *EditError
+	require.ErrorAs(t, (<-reply).Err, &err)
+	require.Equal(t, catalogue.OutcomeUncertain, err.Outcome)
+}
+
+// Guards against an identity that is applied twice, while the first is on its
+// way or later, and against an operator that waits for ever.
+func TestRepeatedIdentityAppliesOnce(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	first, second := h.edit("edit-1", "new"), h.edit("edit-1", "new")
+	require.Equal(t, 1, count[SwapCatalogue](h))
+	answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
+	require.Equal(t, OperatorAnswer{Version: 2}, <-first)
+	require.Equal(t, OperatorAnswer{Version: 2}, <-second)
+	require.Equal(t, OperatorAnswer{Version: 2}, <-h.edit("edit-1", "new"))
+	require.Zero(t, count[SwapCatalogue](h))
+}
+
+// Guards against an edit that overwrites another one's.
+func TestRacingEditConflicts(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	reply := h.edit("edit-1", "new")
+	other := testCatalogue()
+	other.Version, other.EditID = 2, "edit-2"
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Conflict, Records: []Record{CatalogueRecord{Catalogue: other, Revision: 40}}})
+	var err *EditError
+	require.ErrorAs(t, (<-reply).Err, &err)
+	require.Equal(t, catalogue.OutcomeConflict, err.Outcome)
+	require.Equal(t, other, h.e.settings.keeper.InForce())
+}
+
+// Guards against a platform that went back to an older state and takes the
+// configuration, the slot or the share with it, and against a view that mixes
+// both states.
+func TestPlatformWentBack(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	h.watched(AllocatorRecord{Allocator: Allocator{Instance: "i4", PeerAddress: "10.0.0.4:1"}, Revision: 15})
+	h.revision = 2
+	old := testCatalogue()
+	old.Version = 0
+	answer[Watch](h, StoreAnswer{Revision: 3, Records: []Record{CatalogueRecord{Catalogue: old, Revision: 1}}})
+	restart, ok := take[Watch](h)
+	require.True(t, ok)
+	require.Zero(t, restart.After)
+	h.do(FromStore{Answer: StoreAnswer{Operation: restart, Revision: 3, Sent: h.now}})
+	require.Equal(t, uint64(1), h.e.settings.keeper.InForce().Version)
+	require.Empty(t, h.e.mirror.claimList())
+	require.True(t, h.e.mirror.allocatorVacant())
+	require.Equal(t, 4.0, h.lastShare().Accounts["hansen"].Rate, "the table in force stays")
+	h.run(2 * time.Second)
+	require.Equal(t, 1, count[PutAllocator](h))
+}
+
+// Guards against links that are dropped because the list could not be read.
+func TestFailedListKeepsThePeers(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	answer[ListInstances](h, StoreAnswer{Instances: []Peer{{ID: "i2", PeerAddress: "10.0.0.2:1", Domain: "fyn"}}})
+	require.Len(t, calls[Versions](h, "10.0.0.2:1"), 1)
+	for range 3 {
+		h.run(listPeriod)
+		answer[ListInstances](h, StoreAnswer{Outcome: Unavailable})
+	}
+	require.Greater(t, len(calls[Versions](h, "10.0.0.2:1")), 10)
+	h.run(listPeriod)
+	answer[ListInstances](h, StoreAnswer{})
+	require.Empty(t, h.e.peers.status(), "instances that are gone are forgotten")
+}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -67,13 +67,13 @@
 		return
 	}
 	p.listing = true
-	p.engine.out.Store(ListInstances{})
+	p.engine.store(ListInstances{})
 }
 
 // announce puts this instance into the platform's list.
 func (p *peers) announce(leaving bool) {
 	p.announced = &Announce{Leaving: leaving}
-	p.engine.out.Store(*p.announced)
+	p.engine.store(*p.announced)
 }
 
 // repairAnnouncement repeats an announcement that was lost.
@@ -86,7 +86,7 @@
 		Domain: p.engine.config.Self.Domain, Leaving: p.announced.Leaving,
 	}
 	if !slices.Contains(list, wanted) {
-		p.engine.out.Store(*p.announced)
+		p.engine.store(*p.announced)
 	}
 }
 
@@ -261,7 +261,7 @@
 func (p *peers) pullTerms(pull membership.Pull) {
 	for database := range pull.Terms {
 		if p.engine.groups[database] != nil {
-			p.engine.out.Store(ReadGroup{failover.RecordRead{Database: database}})
+			p.engine.store(ReadGroup{failover.RecordRead{Database: database}})
 		}
 	}
 }
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -137,7 +137,7 @@
 		return
 	}
 	s.claiming = true
-	e.out.Store(PutAllocator{
+	e.store(PutAllocator{
 		Allocator: Allocator{Instance: e.config.Self.Instance, PeerAddress: e.config.Self.PeerAddress},
 		Lease:     e.lease.id,
 		Revision:  e.mirror.allocatorRevision(),
@@ -168,7 +168,7 @@
 		return
 	}
 	s.swapping = true
-	e.out.Store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
+	e.store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
 }
 
 // tableSwapped adopts a table that was written. A lost answer and a conflict
