Acknowledge a table without repeating the demand

Cause: an acknowledgement carried the last demand again, so the allocator counted it twice and followed its noise; the acknowledgement of closed connections waited for the next period. Change: reports without demand leave it as it is; an acknowledgement is sent when either revision moves. The state 'reported' is gone.

--- a/pkg/callerio/request_test.go
+++ b/pkg/callerio/request_test.go
@@ -311,3 +311,20 @@
 	}
 	require.Equal(t, p.id, expect[session.CallerDrained](h).Caller)
 }
+
+// Guards against a preparation that counts as a statement, and against an
+// execution that does not.
+func TestOnlyRequestsWithoutExecutePrepare(t *testing.T) {
+	h := start(t, Config{}, 64)
+	p := h.open()
+	p.write(&pgproto3.Parse{Name: "s", Query: "select 1"}, &pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{})
+	require.True(t, expect[session.CallerRequest](h).Request.PreparesOnly)
+	h.answer(p.id)
+	receive[*pgproto3.ReadyForQuery](p)
+	p.write(&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	require.False(t, expect[session.CallerRequest](h).Request.PreparesOnly)
+	h.answer(p.id)
+	receive[*pgproto3.ReadyForQuery](p)
+	p.write(&pgproto3.Query{String: "select 1"})
+	require.False(t, expect[session.CallerRequest](h).Request.PreparesOnly)
+}
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -22,9 +22,6 @@
 // shares joins the holder and the allocator with the platform and the peers.
 type shares struct {
 	demand session.Demand
-	// reported is the newest revision that session applied; its report does not
-	// wait for the period, so that capacity moves quickly.
-	reported uint64
 	// swapping and claiming are set while a table write or a claim of the
 	// allocator role has no answer.
 	swapping bool
@@ -91,11 +88,11 @@
 	if s.withdrawing && m.Revision == nothingRevision && openConnections(m) == 0 {
 		e.life.fire("withdrawn")
 	}
-	news := m.Revision != s.reported
+	before, _ := e.holder.Report()
 	e.holder.Applied(m.Revision, m.Open)
-	if news {
-		s.reported = m.Revision
-		s.report(e)
+	after, ok := e.holder.Report()
+	if ok && (before.RatesApplied != after.RatesApplied || before.ConnectionsApplied != after.ConnectionsApplied) {
+		s.send(e, after)
 	}
 }
 
@@ -115,6 +112,12 @@
 	}
 	report.Accounts = s.demand.Accounts
 	report.Databases = s.demand.Connections
+	s.send(e, report)
+}
+
+// send hands a report to the allocator. An acknowledgement does not wait for
+// the period, so that capacity moves quickly.
+func (s *shares) send(e *Engine, report share.Report) {
 	role := e.mirror.allocator.Allocator
 	if e.isAllocator() {
 		e.allocator.Report(report, e.now)
--- a/pkg/control/shares_test.go
+++ b/pkg/control/shares_test.go
@@ -126,6 +126,26 @@
 	require.Equal(t, uint64(1), reports[len(reports)-1].Report.RatesApplied)
 }
 
+// Guards against a demand that counts twice because an acknowledgement repeats
+// it, and against an acknowledgement of closed connections that waits.
+func TestAcknowledgementRepeatsNoDemand(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	h.watched(AllocatorRecord{Allocator: Allocator{Instance: "i4", PeerAddress: "10.0.0.4:1"}, Revision: 31})
+	h.do(FromSession{Report: session.Demand{Accounts: map[core.AccountName]float64{"hansen": 9}}})
+	h.run(time.Second)
+	require.NotNil(t, calls[ShareReport](h, "10.0.0.4:1")[0].Report.Accounts)
+	sent := len(calls[ShareReport](h, "10.0.0.4:1"))
+	h.applied(1, 5)
+	h.applied(1, 5)
+	h.applied(1, 2)
+	acknowledged := calls[ShareReport](h, "10.0.0.4:1")[sent:]
+	require.Len(t, acknowledged, 2, "the rates, then the connections")
+	for _, r := range acknowledged {
+		require.Nil(t, r.Report.Accounts)
+	}
+}
+
 // Guards against an instance that starts during an outage and does not inherit
 // its predecessor's floor, and against an inherited slot that is spent twice
 // once the platform is back.
--- a/pkg/share/allocator.go
+++ b/pkg/share/allocator.go
@@ -109,10 +109,13 @@
 	a.noteEndedLeases(now)
 }
 
-// Report takes a holder's demand and acknowledgement.
+// Report takes a holder's acknowledgement, and its demand unless the report has
+// none: a figure that was reported before must not count twice.
 func (a *Allocator) Report(r Report, now time.Time) {
 	a.reports[r.Slot] = heardReport{Report: r, at: now}
-	a.demand.note(r)
+	if r.Accounts != nil || r.Databases != nil {
+		a.demand.note(r)
+	}
 }
 
 // DeathReported takes a peer's word that a connection to the instance's peer
--- a/pkg/share/table.go
+++ b/pkg/share/table.go
@@ -98,7 +98,8 @@
 	Released bool `json:"released,omitempty"`
 }
 
-// Report is what a holder sends to the allocator once a second.
+// Report is what a holder sends to the allocator once a second, and without the
+// demand as soon as it obeys a table.
 type Report struct {
 	Slot     int
 	Instance core.InstanceID
@@ -106,7 +107,8 @@
 	// limits the holder obeys.
 	RatesApplied       uint64
 	ConnectionsApplied uint64
-	// Accounts is the demand in statements per second, refused ones included.
+	// Accounts and Databases are nil in a report without the demand. Accounts is
+	// the demand in statements per second, refused ones included.
 	Accounts map[core.AccountName]float64
 	// Databases is the number of connections that the holder could use.
 	Databases map[core.DatabaseName]int
