Refuse session's reports when the control ring is full

Cause: the port dropped the oldest of 1024 kept reports and told session that they were delivered; a lost NeedConfirm or Drained was never offered again, and a kept report waited for the duty's next input. Change: the ring's refusal goes to session, which offers the newest report again at its next tick; the second kind of port is gone.

--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -19,10 +19,6 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
 
-// reportBacklog bounds the reports that wait for the control ring; session
-// does not wait for control.
-const reportBacklog = 1024
-
 func (i *Instance) buildEdges() error {
 	callerChart, err := charts.Load("caller_startup")
 	if err != nil {
@@ -82,7 +78,7 @@
 		callers:   &port[callerio.Input]{ring: i.callers.Ring()},
 		targets:   &port[targetio.Input]{ring: i.targets.Ring()},
 		classify:  &port[session.ClassifyRequest]{ring: i.classify.input},
-		control:   &port[control.Input]{ring: i.controls.input, keep: reportBacklog},
+		control:   i.controls.input,
 		telemetry: i.telemetry,
 	}
 	config := session.DefaultConfig()
@@ -103,7 +99,7 @@
 	}
 	i.engine = engine
 	i.sessions.engine = engine
-	i.sessions.outlets = []outlet{out.callers, out.targets, out.classify, out.control}
+	i.sessions.outlets = []outlet{out.callers, out.targets, out.classify}
 	return nil
 }
 
--- a/pkg/instance/decision.go
+++ b/pkg/instance/decision.go
@@ -63,7 +63,7 @@
 func (d *decisionDuty[In]) awaitRoom() {
 	wait := false
 	for _, o := range d.outlets {
-		wait = o.blocks() && o.notifyRoom(d.signal) || wait
+		wait = o.awaitRoom(d.signal) || wait
 	}
 	if wait && !d.stopping.Load() {
 		d.signal.Wait(-1)
@@ -90,19 +90,8 @@
 	return handled > 0
 }
 
-// awaitBacklogs asks for a wake-up where outputs wait that do not hold the duty
-// up. It reports false when there is room for one by now.
-func (d *decisionDuty[In]) awaitBacklogs() bool {
-	for _, o := range d.outlets {
-		if o.waiting() && !o.notifyRoom(d.signal) {
-			return false
-		}
-	}
-	return true
-}
-
 func (d *decisionDuty[In]) park() {
-	if !d.awaitBacklogs() || !d.input.Park() {
+	if !d.input.Park() {
 		return
 	}
 	if d.stopping.Load() {
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -22,7 +22,7 @@
 	callers   *port[callerio.Input]
 	targets   *port[targetio.Input]
 	classify  *port[session.ClassifyRequest]
-	control   *port[control.Input]
+	control   *ring.Ring[control.Input]
 	telemetry *telemetry.Duty
 }
 
@@ -41,9 +41,10 @@
 	return true
 }
 
+// Control hands over a report, unless the ring is full: session never waits for
+// control, and offers the newest report again.
 func (o *sessionOutputs) Control(r session.ControlReport) bool {
-	o.control.send(control.FromSession{Report: r})
-	return true
+	return o.control.TryPush(control.FromSession{Report: r})
 }
 
 func (o *sessionOutputs) Span(s session.Span) {
--- a/pkg/instance/port.go
+++ b/pkg/instance/port.go
@@ -8,19 +8,12 @@
 type port[T any] struct {
 	ring    *ring.Ring[T]
 	backlog []T
-	// keep bounds the backlog of a port that the duty does not wait for; the
-	// oldest outputs are dropped beyond it. Zero means that the duty waits.
-	keep int
 }
 
 func (p *port[T]) send(v T) {
-	if len(p.backlog) == 0 && p.ring.TryPush(v) {
-		return
+	if len(p.backlog) > 0 || !p.ring.TryPush(v) {
+		p.backlog = append(p.backlog, v)
 	}
-	if p.keep > 0 && len(p.backlog) >= p.keep {
-		p.backlog = append(p.backlog[:0], p.backlog[1:]...)
-	}
-	p.backlog = append(p.backlog, v)
 }
 
 // flush sends the backlog and reports whether the duty may go on.
@@ -30,31 +23,18 @@
 		sent++
 	}
 	p.backlog = append(p.backlog[:0], p.backlog[sent:]...)
-	return len(p.backlog) == 0 || p.keep > 0
-}
-
-// waiting reports whether outputs wait for room.
-func (p *port[T]) waiting() bool {
-	return len(p.backlog) > 0
-}
-
-// blocks reports whether the duty has to wait for room.
-func (p *port[T]) blocks() bool {
-	return p.waiting() && p.keep == 0
+	return len(p.backlog) == 0
 }
 
-// notifyRoom asks for a wake-up when there is room; it reports false when there
-// is some now.
-func (p *port[T]) notifyRoom(w ring.Waker) bool {
-	return p.ring.NotifyRoom(w)
+// awaitRoom asks for a wake-up and reports whether the duty has to wait.
+func (p *port[T]) awaitRoom(w ring.Waker) bool {
+	return len(p.backlog) > 0 && p.ring.NotifyRoom(w)
 }
 
 // outlet is a port of any type.
 type outlet interface {
 	flush() bool
-	waiting() bool
-	blocks() bool
-	notifyRoom(ring.Waker) bool
+	awaitRoom(ring.Waker) bool
 }
 
 // deliver pushes v, or asks for a wake-up when there is room and reports false.
