--- a/pkg/control/operator_test.go
+++ b/pkg/control/operator_test.go
@@ -85,6 +85,20 @@
 	require.Equal(t, other, h.e.settings.keeper.InForce())
 }
 
+// Guards against a repeated edit that is written after both operators were told
+// that it was not.
+func TestRepeatedIdentityFailsOnce(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	replies := []chan OperatorAnswer{h.edit("edit-1", "new"), h.edit("edit-1", "new")}
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Unavailable})
+	for _, reply := range replies {
+		require.Error(t, (<-reply).Err)
+	}
+	h.run(time.Second)
+	require.Zero(t, count[SwapCatalogue](h))
+}
+
 // Guards against a platform that went back to an older state and takes the
 // configuration, the slot or the share with it, and against a view that mixes
 // both states.
