Restore the catalogue when the platform goes back to an older state

Cause: the revision of the catalogue's record was kept, so every edit conflicted until the platform's revision had overtaken it, and an older catalogue at the platform refused edits for ever. Change: a restarted watch forgets the record, tells edits on their way as uncertain, and writes the catalogue in force over an older one.

--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -27,6 +27,7 @@
 // that are honoured.
 type configuration struct {
 	engine  *Engine
+	chart   *chart.Definition
 	keeper  *catalogue.Keeper
 	keys    *catalogue.KeyRing
 	replies map[string][]chan<- OperatorAnswer
@@ -36,10 +37,13 @@
 	retry       timer
 	previous    *catalogue.Catalogue
 	history     []HistoryItem
+	// wentBack is set from a restart of the watch, because the platform went back
+	// to an older state, until all records were read again.
+	wentBack bool
 }
 
 func newConfiguration(e *Engine, keeper, key *chart.Definition) (*configuration, error) {
-	k, err := catalogue.NewKeeper(keeper, catalogue.KeeperSettings{EditTimeout: editTimeout, ReadRetry: readRetry})
+	k, err := newKeeper(keeper)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +52,7 @@
 		return nil, err
 	}
 	c := &configuration{
-		engine: e, keeper: k, keys: ring,
+		engine: e, chart: keeper, keeper: k, keys: ring,
 		replies: map[string][]chan<- OperatorAnswer{}, previous: &catalogue.Catalogue{},
 	}
 	c.timer.Value = c.tick
@@ -188,6 +192,7 @@
 	case ReadCatalogue:
 		if a.Outcome == Done || a.Outcome == NotFound {
 			c.keeper.Record(keeperRecord(current), catalogue.SourceRead, now)
+			c.restore(current)
 		} else {
 			c.keeper.ReadFailed(now)
 		}
--- a/pkg/control/mirror.go
+++ b/pkg/control/mirror.go
@@ -70,6 +70,7 @@
 		engine := m.engine
 		*m = newMirror()
 		m.start(engine)
+		engine.settings.platformWentBack()
 		return
 	}
 	m.revision = a.Revision
@@ -78,6 +79,7 @@
 	m.apply(a.Records)
 	m.engine.settings.extendTrust()
 	m.engine.mirrorChanged(a)
+	m.engine.settings.recordsRead(a.Records)
 	m.watch()
 }
 
--- a/pkg/control/operator_test.go
+++ b/pkg/control/operator_test.go
@@ -122,6 +122,30 @@
 	require.Equal(t, 1, count[PutAllocator](h))
 }
 
+// Guards against a configuration that reverts with the platform, and against a
+// platform that went back and takes no edit any more.
+func TestCatalogueIsRestored(t *testing.T) {
+	for _, kept := range [][]Record{nil, {CatalogueRecord{Catalogue: testCatalogue(), Revision: 1}}} {
+		h := newHarness(t)
+		h.serve()
+		h.edit("edit-1", "new")
+		accepted := answer[SwapCatalogue](h, StoreAnswer{Revision: 40}).Catalogue
+		waiting := h.edit("edit-2", "newer")
+		answer[Watch](h, StoreAnswer{Revision: 3})
+		require.Error(t, (<-waiting).Err)
+		take[SwapCatalogue](h)
+		answer[Watch](h, StoreAnswer{Revision: 3, Records: kept})
+		restore := answer[SwapCatalogue](h, StoreAnswer{Revision: 4})
+		require.Equal(t, accepted, restore.Catalogue)
+		require.Equal(t, Revision(len(kept)), restore.Revision)
+		answer[Watch](h, StoreAnswer{Revision: 4, Records: []Record{CatalogueRecord{Catalogue: accepted, Revision: 4}}})
+		reply := h.edit("edit-3", "newest")
+		next := answer[SwapCatalogue](h, StoreAnswer{Revision: 5})
+		require.Equal(t, Revision(4), next.Revision)
+		require.Equal(t, OperatorAnswer{Version: 3}, <-reply)
+	}
+}
+
 // Guards against links that are dropped because the list could not be read.
 func TestFailedListKeepsThePeers(t *testing.T) {
 	h := newHarness(t)
