--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
 )
@@ -72,10 +75,18 @@
 	if t := e.holder.Table(); t != nil {
 		s.TableRevision = t.Revision
 	}
-	for name, g := range e.groups {
-		s.Groups = append(s.Groups, GroupStatus{
+	s.Groups = e.groupStatus()
+	return s
+}
+
+// groupStatus lists the groups in order of their names.
+func (e *Engine) groupStatus() []GroupStatus {
+	list := make([]GroupStatus, 0, len(e.groups))
+	for _, name := range slices.Sorted(maps.Keys(e.groups)) {
+		g := e.groups[name]
+		list = append(list, GroupStatus{
 			Database: name, State: g.core.State(), Term: g.last.Term, Primary: g.last.Primary,
 		})
 	}
-	return s
+	return list
 }
--- a/pkg/control/operator_test.go
+++ b/pkg/control/operator_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -161,3 +163,13 @@
 	answer[ListInstances](h, StoreAnswer{})
 	require.Empty(t, h.e.peers.status(), "instances that are gone are forgotten")
 }
+
+// Guards against a status whose lines change places from one call to the next.
+func TestStatusIsOrdered(t *testing.T) {
+	h := serveMany(t)
+	reply := make(chan OperatorAnswer, 1)
+	h.do(FromOperator{Request: GetStatus{}, Reply: reply})
+	groups := (<-reply).Status.Groups
+	require.Len(t, groups, manyGroups)
+	require.True(t, slices.IsSortedFunc(groups, func(a, b GroupStatus) int { return strings.Compare(string(a.Database), string(b.Database)) }))
+}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -330,12 +330,12 @@
 func (p *peers) status() []PeerStatus {
 	links := p.mesh.Links()
 	list := make([]PeerStatus, 0, len(p.addresses))
-	for id, address := range p.addresses {
+	for _, id := range slices.Sorted(maps.Keys(p.addresses)) {
 		if id == p.engine.config.Self.Instance {
 			continue
 		}
 		list = append(list, PeerStatus{
-			Instance: id, PeerAddress: address, Linked: slices.Contains(links, id), Catalogue: p.versions[id],
+			Instance: id, PeerAddress: p.addresses[id], Linked: slices.Contains(links, id), Catalogue: p.versions[id],
 		})
 	}
 	return list
