--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -57,6 +57,7 @@
 	out       Outputs
 	now       time.Time
 	timers    schedule
+	calls     callQueue
 	rules     *failover.Rules
 	groups    map[core.DatabaseName]*group
 	settings  *configuration
@@ -110,6 +111,7 @@
 	e.now = now
 	e.mirror.start(e)
 	e.lease.start()
+	e.lease.fire(chart.TimeoutEvent)
 	e.life.start()
 	e.shares.start(e)
 	e.settings.start()
--- a/pkg/control/shares.go
+++ b/pkg/control/shares.go
@@ -14,16 +14,20 @@
 	reportPeriod = time.Second
 	// roleStagger spreads the attempts of instances to become the allocator.
 	roleStagger = 200 * time.Millisecond
+	// nothingRevision is the revision of an empty share. No table has it, so its
+	// confirmation cannot be taken for that of a table.
+	nothingRevision = 0
 )
 
 // shares joins the holder and the allocator with the platform and the peers.
 type shares struct {
 	demand session.Demand
-	// reported is the newest revision that session applied; its report does not
-	// wait for the period, so that capacity moves quickly.
-	reported uint64
-	// swapping is set while a table write has no answer.
+	// swapping and claiming are set while a table write or a claim of the
+	// allocator role has no answer.
 	swapping bool
+	claiming bool
+	// withdrawing is set from the planned stop on.
+	withdrawing bool
 }
 
 func (s *shares) start(e *Engine) {
@@ -63,20 +67,41 @@
 	for name, rate := range spendable.Accounts {
 		in.Accounts[name] = session.RateShare{Rate: rate.Rate.Float(), Burst: rate.Burst.Float()}
 	}
+	if spendable.Slot < 0 {
+		in.Revision = nothingRevision
+	}
 	e.out.Session(in)
 	if _, ok := e.settings.inForce(); ok && spendable.Slot >= 0 {
 		e.life.fire("configured")
 	}
 }
 
+// withdraw makes session spend nothing, for the planned stop.
+func (s *shares) withdraw(e *Engine) {
+	s.withdrawing = true
+	e.holder.Release()
+	s.publish(e)
+}
+
 // applied notes that session admits by the table of the given revision.
 func (s *shares) applied(e *Engine, m session.ShareApplied) {
-	news := m.Revision != s.reported
+	if s.withdrawing && m.Revision == nothingRevision && openConnections(m) == 0 {
+		e.life.fire("withdrawn")
+	}
+	before, _ := e.holder.Report()
 	e.holder.Applied(m.Revision, m.Open)
-	if news {
-		s.reported = m.Revision
-		s.report(e)
+	after, ok := e.holder.Report()
+	if ok && (before.RatesApplied != after.RatesApplied || before.ConnectionsApplied != after.ConnectionsApplied) {
+		s.send(e, after)
+	}
+}
+
+func openConnections(m session.ShareApplied) int {
+	total := 0
+	for _, n := range m.Open {
+		total += n
 	}
+	return total
 }
 
 // report sends the demand and the acknowledgement to the allocator.
@@ -87,6 +112,12 @@
 	}
 	report.Accounts = s.demand.Accounts
 	report.Databases = s.demand.Connections
+	s.send(e, report)
+}
+
+// send hands a report to the allocator. An acknowledgement does not wait for
+// the period, so that capacity moves quickly.
+func (s *shares) send(e *Engine, report share.Report) {
 	role := e.mirror.allocator.Allocator
 	if e.isAllocator() {
 		e.allocator.Report(report, e.now)
@@ -105,21 +136,22 @@
 // needless conflicts: the compare-and-swap of the table keeps it right even
 // with two allocators.
 func (s *shares) takeRole(e *Engine) {
-	if !e.mirror.complete || !e.mirror.allocatorVacant() || e.lease.id == "" {
+	if s.claiming || s.withdrawing || !e.mirror.complete || !e.mirror.allocatorVacant() || e.lease.id == "" {
 		return
 	}
-	e.out.Store(PutAllocator{
+	s.claiming = true
+	e.store(PutAllocator{
 		Allocator: Allocator{Instance: e.config.Self.Instance, PeerAddress: e.config.Self.PeerAddress},
 		Lease:     e.lease.id,
 		Revision:  e.mirror.allocatorRevision(),
 	})
 }
 
-func (m *mirror) allocatorRevision() Revision {
-	if m.allocator.Deleted {
-		return 0
-	}
-	return m.allocator.Revision
+// roleAnswered takes the answer to a claim of the role. Whatever it is, the
+// record decides; while it is missing, the claim is repeated.
+func (s *shares) roleAnswered(e *Engine, a StoreAnswer) {
+	s.claiming = false
+	e.mirror.apply(a.Records)
 }
 
 // allocate writes the next table when there is something to change.
@@ -139,18 +171,22 @@
 		return
 	}
 	s.swapping = true
-	e.out.Store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
+	e.store(SwapTable{Table: next, Revision: e.mirror.tableRevision})
 }
 
-// tableSwapped adopts a table that was written; a lost answer is resolved by
-// the watch, which brings the record as it is.
+// tableSwapped adopts a table that was written. A lost answer and a conflict
+// are resolved by the watch, which brings the record as it is: the record of a
+// conflict may be newer than the claims in the mirror, and a slot that it
+// grants would look like one whose lease has ended.
 func (s *shares) tableSwapped(e *Engine, op SwapTable, a StoreAnswer) {
 	s.swapping = false
-	if a.Outcome == Done {
-		e.mirror.applyOne(TableRecord{Table: op.Table, Revision: a.Revision})
+	if a.Outcome != Done {
+		return
 	}
-	e.mirror.apply(a.Records)
-	s.mirrorChanged(e, a.Sent)
+	e.mirror.applyOne(TableRecord{Table: op.Table, Revision: a.Revision})
+	e.holder.TableRead(op.Table, a.Sent)
+	e.allocator.Adopt(op.Table, e.now)
+	s.publish(e)
 }
 
 // probeRefused tells the allocator that no process listens at the address of a
--- a/pkg/instance/decision.go
+++ b/pkg/instance/decision.go
@@ -65,7 +65,7 @@
 	for _, o := range d.outlets {
 		wait = o.awaitRoom(d.signal) || wait
 	}
-	if wait {
+	if wait && !d.stopping.Load() {
 		d.signal.Wait(-1)
 	}
 }
@@ -81,7 +81,7 @@
 		d.engine.Handle(now, in)
 		handled++
 		if !d.flush() {
-			break
+			return true
 		}
 	}
 	if at, armed := d.engine.NextDeadline(); armed && !at.After(now) {
@@ -94,6 +94,10 @@
 	if !d.input.Park() {
 		return
 	}
+	if d.stopping.Load() {
+		d.input.Unpark()
+		return
+	}
 	wait := time.Duration(-1)
 	if at, armed := d.engine.NextDeadline(); armed {
 		wait = max(time.Until(at), 0)
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -22,7 +22,7 @@
 	callers   *port[callerio.Input]
 	targets   *port[targetio.Input]
 	classify  *port[session.ClassifyRequest]
-	control   *port[control.Input]
+	control   *ring.Ring[control.Input]
 	telemetry *telemetry.Duty
 }
 
@@ -41,9 +41,10 @@
 	return true
 }
 
+// Control hands over a report, unless the ring is full: session never waits for
+// control, and offers the newest report again.
 func (o *sessionOutputs) Control(r session.ControlReport) bool {
-	o.control.send(control.FromSession{Report: r})
-	return true
+	return o.control.TryPush(control.FromSession{Report: r})
 }
 
 func (o *sessionOutputs) Span(s session.Span) {
@@ -88,6 +89,8 @@
 	call, err := o.bridge.encode(operation)
 	if err != nil {
 		o.instance.log(logrus.ErrorLevel, "record_not_encoded", err.Error(), nil)
+		answer := control.StoreAnswer{Operation: operation, Outcome: control.Unavailable}
+		o.instance.controls.input.TryPush(control.FromStore{Answer: answer})
 		return
 	}
 	if _, ok := operation.(control.Watch); ok {
@@ -105,6 +108,7 @@
 	call, err := encodePeerCall(c)
 	if err != nil {
 		o.instance.log(logrus.ErrorLevel, "peer_message_not_encoded", err.Error(), nil)
+		o.instance.controls.input.TryPush(control.FromPeerAnswer{Call: c})
 		return
 	}
 	o.rpc.send(call)
@@ -165,10 +169,7 @@
 // deliverRPC decodes the events of the rpc duty for control.
 func (i *Instance) deliverRPC(event rpc.Event) bool {
 	in := i.rpcInput(event)
-	if in == nil || i.controls.input.TryPush(in) {
-		return true
-	}
-	return !i.controls.input.NotifyRoom(i.rpc) && i.controls.input.TryPush(in)
+	return in == nil || deliver(i.controls.input, in, i.rpc)
 }
 
 func (i *Instance) rpcInput(event rpc.Event) control.Input {
@@ -194,12 +195,9 @@
 // deliverPlatform decodes the results of the platform duty for control.
 func (i *Instance) deliverPlatform(r platform.Result) bool {
 	in := (&storeBridge{}).decode(r)
-	if i.controls.input.TryPush(in) {
-		return true
-	}
 	room := i.callRoom
 	if _, ok := r.Op.(platform.WatchOp); ok {
 		room = i.watchRoom
 	}
-	return !i.controls.input.NotifyRoom(room) && i.controls.input.TryPush(in)
+	return deliver(i.controls.input, in, room)
 }
--- a/pkg/instance/port.go
+++ b/pkg/instance/port.go
@@ -8,19 +8,12 @@
 type port[T any] struct {
 	ring    *ring.Ring[T]
 	backlog []T
-	// keep bounds the backlog of a port that the duty does not wait for; the
-	// oldest outputs are dropped beyond it. Zero means that the duty waits.
-	keep int
 }
 
 func (p *port[T]) send(v T) {
-	if len(p.backlog) == 0 && p.ring.TryPush(v) {
-		return
+	if len(p.backlog) > 0 || !p.ring.TryPush(v) {
+		p.backlog = append(p.backlog, v)
 	}
-	if p.keep > 0 && len(p.backlog) >= p.keep {
-		p.backlog = append(p.backlog[:0], p.backlog[1:]...)
-	}
-	p.backlog = append(p.backlog, v)
 }
 
 // flush sends the backlog and reports whether the duty may go on.
@@ -30,15 +23,12 @@
 		sent++
 	}
 	p.backlog = append(p.backlog[:0], p.backlog[sent:]...)
-	return len(p.backlog) == 0 || p.keep > 0
+	return len(p.backlog) == 0
 }
 
 // awaitRoom asks for a wake-up and reports whether the duty has to wait.
 func (p *port[T]) awaitRoom(w ring.Waker) bool {
-	if len(p.backlog) == 0 || p.keep > 0 {
-		return false
-	}
-	return p.ring.NotifyRoom(w)
+	return len(p.backlog) > 0 && p.ring.NotifyRoom(w)
 }
 
 // outlet is a port of any type.
@@ -46,3 +36,13 @@
 	flush() bool
 	awaitRoom(ring.Waker) bool
 }
+
+// deliver pushes v, or asks for a wake-up when there is room and reports false.
+func deliver[T any](r *ring.Ring[T], v T, w ring.Waker) bool {
+	for !r.TryPush(v) {
+		if r.NotifyRoom(w) {
+			return false
+		}
+	}
+	return true
+}
