--- /dev/null
+++ b/standin/cmd/hold/main.go
@@ -0,0 +1,102 @@
+// Command hold opens client connections and keeps them idle:
+//
+//	hold -address IP:port -user ACCOUNT -key KEY -database ENTRY -connections N
+//
+// It prints "held N in T" when all are open, and holds them until it is
+// interrupted or the bound in -seconds has passed. Source addresses are spread
+// over 127.0.0.0/8, so that one source's ports do not bound the number.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// openers is the number of connections opened at a time.
+	openers = 32
+	// perSource is the number of connections of one source address; a source
+	// has about 28,000 ports.
+	perSource = 5000
+	// openBound bounds one connection attempt.
+	openBound = 20 * time.Second
+	// defaultSeconds bounds a run that nobody interrupts.
+	defaultSeconds = 120
+)
+
+type options struct {
+	address     string
+	user        string
+	key         string
+	database    string
+	connections int
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.address, "address", "", "`IP:port` of an instance")
+	flag.StringVar(&o.user, "user", "", "client account")
+	flag.StringVar(&o.key, "key", "", "key of the account")
+	flag.StringVar(&o.database, "database", "", "catalogue `entry`")
+	flag.IntVar(&o.connections, "connections", 1, "number of connections")
+	seconds := flag.Float64("seconds", defaultSeconds, "end after that many seconds")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, time.Duration(*seconds*float64(time.Second)))
+	defer stop()
+	start := time.Now()
+	held, err := open(ctx, o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hold:", err)
+		os.Exit(1)
+	}
+	fmt.Printf("held %d in %s\n", len(held), time.Since(start).Round(time.Millisecond))
+	<-ctx.Done()
+}
+
+// open returns the open connections, or the first error.
+func open(ctx context.Context, o options) ([]*pgconn.PgConn, error) {
+	held := make([]*pgconn.PgConn, o.connections)
+	errs := make(chan error, openers)
+	var running sync.WaitGroup
+	for first := range openers {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for i := first; i < o.connections; i += openers {
+				conn, err := connect(ctx, o, i)
+				if err != nil {
+					errs <- err
+					return
+				}
+				held[i] = conn
+			}
+		}()
+	}
+	running.Wait()
+	close(errs)
+	return held, <-errs
+}
+
+func connect(ctx context.Context, o options, index int) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("postgres://" + o.address + "/" + o.database + "?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.User = o.user
+	config.Password = o.key
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 1, 0, byte(1+index/perSource))}}
+	config.DialFunc = dialer.DialContext
+	ctx, cancel := context.WithTimeout(ctx, openBound)
+	defer cancel()
+	return pgconn.ConnectConfig(ctx, config)
+}
--- a/standin/cmd/measure/main.go
+++ b/standin/cmd/measure/main.go
@@ -4,6 +4,7 @@
 //	measure failovers LOG...                      the gap of each change of primary by part
 //	measure writes -member ADDRESS ...            writes acknowledged, lost and uncertain
 //	measure fairness -directory FOLDER ...        accounts in calm and surge
+//	measure process -pid ID -seconds N            memory, processor time and bytes of a process by thread
 package main
 
 import (
@@ -24,9 +25,9 @@
 const pageBound = 5 * time.Second
 
 func main() {
-	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites, "fairness": measureFairness}
+	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites, "fairness": measureFairness, "process": measureProcess}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes|fairness ...")
+		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes|fairness|process ...")
 		os.Exit(2)
 	}
 	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
