Measure slopes of one instance with real processes

Counting by ss and /proc was chosen over a proxy between the processes, which would cost processor time itself.

--- a/standin/cmd/measure/process.go
+++ b/standin/cmd/measure/process.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -14,25 +13,19 @@
 )
 
 const (
-	// ticksPerSecond is the unit of times in /proc/PID/stat.
-	ticksPerSecond = 100
 	// pageBytes is the unit of sizes in /proc/PID/statm.
 	pageBytes = 4096
-	// fieldUserTime and fieldSystemTime are places in /proc/PID/stat, counted
-	// after the command's closing parenthesis.
-	fieldUserTime   = 11
-	fieldSystemTime = 12
 	// defaultWindow is the length of a measurement in seconds.
 	defaultWindow = 5
 )
 
 // threadUse is what one thread used up to now.
 type threadUse struct {
-	ticks int64
-	// read and written are bytes of read and write calls: sockets, files and
-	// the 8 bytes of each wake-up of a reactor.
-	read    int64
-	written int64
+	// running is the time on a processor, in nanoseconds.
+	running int64
+	// read is in bytes of read calls: sockets, files and the 8 bytes of each
+	// wake-up of a reactor. Sends on sockets are not counted by the kernel.
+	read int64
 }
 
 // threadRate is what one thread used during the window.
@@ -40,7 +33,6 @@
 	Thread     int     `json:"thread"`
 	CPUPercent float64 `json:"cpu_percent"`
 	ReadRate   float64 `json:"read_bytes_s"`
-	WriteRate  float64 `json:"write_bytes_s"`
 }
 
 // processUse is the result of one measurement.
@@ -48,13 +40,12 @@
 	ResidentBytes int64        `json:"resident_bytes"`
 	CPUPercent    float64      `json:"cpu_percent"`
 	ReadRate      float64      `json:"read_bytes_s"`
-	WriteRate     float64      `json:"write_bytes_s"`
 	Sockets       int          `json:"sockets"`
 	Threads       []threadRate `json:"threads"`
 }
 
 // measureProcess prints as JSON what a process used during a window: resident
-// memory at its end, processor time and bytes of read and write calls by thread.
+// memory at its end, processor time and bytes of read calls by thread.
 func measureProcess(args []string) error {
 	flags := flag.NewFlagSet("process", flag.ExitOnError)
 	pid := flags.Int("pid", 0, "process id")
@@ -86,13 +77,11 @@
 		b := before[id]
 		r := threadRate{
 			Thread:     id,
-			CPUPercent: 100 * float64(a.ticks-b.ticks) / ticksPerSecond / seconds,
+			CPUPercent: 100 * float64(a.running-b.running) / float64(time.Second) / seconds,
 			ReadRate:   float64(a.read-b.read) / seconds,
-			WriteRate:  float64(a.written-b.written) / seconds,
 		}
 		use.CPUPercent += r.CPUPercent
 		use.ReadRate += r.ReadRate
-		use.WriteRate += r.WriteRate
 		use.Threads = append(use.Threads, r)
 	}
 	slices.SortFunc(use.Threads, func(a, b threadRate) int { return int(1000 * (b.CPUPercent - a.CPUPercent)) })
@@ -119,24 +108,10 @@
 // readThread returns zero figures for a thread that has just ended.
 func readThread(folder string) threadUse {
 	var use threadUse
-	stat, _ := os.ReadFile(filepath.Join(folder, "stat"))
-	if end := bytes.LastIndexByte(stat, ')'); end >= 0 {
-		fields := strings.Fields(string(stat[end+1:]))
-		user, _ := strconv.ParseInt(fields[fieldUserTime], 10, 64)
-		system, _ := strconv.ParseInt(fields[fieldSystemTime], 10, 64)
-		use.ticks = user + system
-	}
+	schedule, _ := os.ReadFile(filepath.Join(folder, "schedstat"))
+	_, _ = fmt.Sscan(string(schedule), &use.running)
 	text, _ := os.ReadFile(filepath.Join(folder, "io"))
-	for line := range strings.Lines(string(text)) {
-		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
-		n, _ := strconv.ParseInt(value, 10, 64)
-		switch name {
-		case "rchar":
-			use.read = n
-		case "wchar":
-			use.written = n
-		}
-	}
+	_, _ = fmt.Sscanf(string(text), "rchar: %d", &use.read)
 	return use
 }
 
--- /dev/null
+++ b/standin/cmd/standin-status/main.go
@@ -0,0 +1,202 @@
+// Command standin-status answers the status endpoint of many idle members in
+// one process, to measure what a number of databases costs an instance:
+//
+//	standin-status -databases N -port P
+//	standin-status -databases N -port P -edits FILE
+//
+// Member m of database d listens at its own loopback address. It always answers
+// as a healthy member in term 1; it serves no statements. With -edits it
+// writes the catalogue edit that declares the databases, and ends.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
+)
+
+const (
+	membersPerDatabase = 3
+	// hostsPerBlock keeps the last byte of an address between 1 and 250.
+	hostsPerBlock = 250
+	// headerEnd ends the header of a message.
+	headerEnd = "\r\n\r\n"
+	// pollBound is the longest wait for events.
+	pollBound = time.Second
+	// defaultSeconds bounds a run that nobody ends.
+	defaultSeconds = 300
+	connections    = 35
+	slots          = 2
+)
+
+// domains are the failure domains of the three members.
+var domains = [membersPerDatabase]string{"jylland", "fyn", "sjaelland"}
+
+// status is the answer of an idle member.
+type status struct {
+	Member     string      `json:"member"`
+	Role       string      `json:"role"`
+	Term       uint64      `json:"term"`
+	LogTerm    uint64      `json:"log_term"`
+	Received   uint64      `json:"received"`
+	Applied    uint64      `json:"applied"`
+	Silence    int64       `json:"primary_silence_ms"`
+	TermStarts [][2]uint64 `json:"term_starts"`
+	SlotsBusy  int         `json:"slots_busy"`
+}
+
+// member serves the connections of one address.
+type member struct {
+	result json.RawMessage
+}
+
+func main() {
+	databases := flag.Int("databases", 1, "number of databases")
+	port := flag.Int("port", 0, "status `port` at each member's address")
+	edits := flag.String("edits", "", "`file` for the catalogue edit")
+	seconds := flag.Float64("seconds", defaultSeconds, "end after that many seconds")
+	flag.Parse()
+	if err := run(*databases, *port, *edits, time.Duration(*seconds*float64(time.Second))); err != nil {
+		fmt.Fprintln(os.Stderr, "standin-status:", err)
+		os.Exit(1)
+	}
+}
+
+func run(databases, port int, edits string, bound time.Duration) error {
+	if edits != "" {
+		return writeEdits(edits, databases, port)
+	}
+	loop, err := netloop.New()
+	if err != nil {
+		return err
+	}
+	for d := range databases {
+		for m := range membersPerDatabase {
+			served, err := newMember(d, m)
+			if err != nil {
+				return err
+			}
+			_, err = loop.Listen(address(d, m, port), func(*netloop.Conn) netloop.Handler { return served })
+			if err != nil {
+				return err
+			}
+		}
+	}
+	for end := time.Now().Add(bound); time.Now().Before(end); {
+		if err := loop.Poll(pollBound); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newMember(d, m int) (*member, error) {
+	s := status{Member: name(d, m), Role: "replica", Term: 1, LogTerm: 1, Received: 1, Applied: 1, TermStarts: [][2]uint64{{1, 0}}}
+	if m == 0 {
+		s.Role = "primary"
+	}
+	result, err := json.Marshal(s)
+	return &member{result: result}, err
+}
+
+func name(d, m int) string {
+	return fmt.Sprintf("slope-%d-%d", d, m)
+}
+
+func address(d, m, port int) string {
+	n := d*membersPerDatabase + m
+	return fmt.Sprintf("127.2.%d.%d:%d", n/hostsPerBlock, n%hostsPerBlock+1, port)
+}
+
+// Opened implements netloop.Handler.
+func (s *member) Opened(*netloop.Conn) {}
+
+// Drained implements netloop.Handler.
+func (s *member) Drained(*netloop.Conn) {}
+
+// Closed implements netloop.Handler.
+func (s *member) Closed(*netloop.Conn, error) {}
+
+// Data answers every complete request.
+func (s *member) Data(c *netloop.Conn) {
+	for {
+		body, used := frame(c.Buffered())
+		if used == 0 {
+			return
+		}
+		answer := s.answer(body)
+		c.Discard(used)
+		c.Write(answer)
+	}
+}
+
+// frame returns the first message's body and its length with the header, 0
+// when it is not complete.
+func frame(b []byte) ([]byte, int) {
+	start := bytes.Index(b, []byte(headerEnd))
+	if start < 0 {
+		return nil, 0
+	}
+	_, value, _ := bytes.Cut(b[:start], []byte("Content-Length: "))
+	line, _, _ := bytes.Cut(value, []byte("\r\n"))
+	n, err := strconv.Atoi(string(line))
+	begin := start + len(headerEnd)
+	if err != nil || len(b) < begin+n {
+		return nil, 0
+	}
+	return b[begin : begin+n], begin + n
+}
+
+func (s *member) answer(body []byte) []byte {
+	var request struct {
+		ID json.RawMessage `json:"id"`
+	}
+	_ = json.Unmarshal(body, &request)
+	text := fmt.Sprintf(`{"jsonrpc":"2.0","id":%s,"result":%s}`, request.ID, s.result)
+	return fmt.Appendf(nil, "Content-Length: %d%s%s", len(text), headerEnd, text)
+}
+
+type edit struct {
+	Op   string `json:"op"`
+	Args any    `json:"args"`
+}
+
+type databaseArgs struct {
+	Name        string       `json:"name"`
+	Connections int          `json:"connections"`
+	Members     []memberArgs `json:"members"`
+}
+
+type memberArgs struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	StatusAddress string `json:"status_address"`
+	Domain        string `json:"domain"`
+	Slots         int    `json:"slots"`
+}
+
+// writeEdits declares the databases. Nothing listens at the address for
+// statements, one port above the status port.
+func writeEdits(file string, databases, port int) error {
+	list := make([]edit, 0, databases)
+	for d := range databases {
+		args := databaseArgs{Name: fmt.Sprintf("slope-%d", d), Connections: connections}
+		for m := range membersPerDatabase {
+			args.Members = append(args.Members, memberArgs{
+				ID: name(d, m), Address: address(d, m, port+1), StatusAddress: address(d, m, port), Domain: domains[m], Slots: slots,
+			})
+		}
+		list = append(list, edit{Op: "put_database", Args: args})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, 0o644)
+}
