--- /dev/null
+++ b/pkg/failover/target_test.go
@@ -0,0 +1,83 @@
+package failover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// idleOutputs keeps the calls to answer.
+type idleOutputs struct {
+	calls []MemberCall
+	views int
+}
+
+func (o *idleOutputs) Call(c MemberCall)                    { o.calls = append(o.calls, c) }
+func (o *idleOutputs) Swap(RecordSwap)                      {}
+func (o *idleOutputs) Read(RecordRead)                      {}
+func (o *idleOutputs) View(session.GroupView) bool          { o.views++; return true }
+func (o *idleOutputs) Floor(session.FloorAnswer) bool       { return true }
+func (o *idleOutputs) Confirmed(session.ConfirmedUpTo) bool { return true }
+func (o *idleOutputs) Finished(Report)                      {}
+func (o *idleOutputs) Log(LogEvent)                         {}
+
+// second answers every call of an idle group after a millisecond.
+func (o *idleOutputs) second(g *Group, now time.Time) (time.Time, int) {
+	calls := 0
+	for end := now.Add(time.Second); now.Before(end); now = g.Next() {
+		g.Tick(now)
+		for answered := now; len(o.calls) > 0; {
+			answered = answered.Add(time.Millisecond)
+			due := o.calls
+			o.calls = nil
+			calls += len(due)
+			for _, c := range due {
+				g.MemberAnswered(answered, idleAnswer(c, answered))
+			}
+		}
+	}
+	return now, calls
+}
+
+func idleAnswer(c MemberCall, answered time.Time) MemberAnswered {
+	status := core.MemberStatus{
+		Member: c.Member, Role: core.RoleReplica, Term: 1, LogTerm: 1, Received: 1, Applied: 1,
+		Terms: core.TermHistory{{Term: 1}},
+	}
+	if c.Member == "m0" {
+		status.Role = core.RolePrimary
+	}
+	return MemberAnswered{Call: c.Call, Status: status, Asked: answered.Add(-time.Millisecond), Answered: answered}
+}
+
+// BenchmarkIdleGroup reports the decisions of one idle group in one second:
+// heartbeats, their answers and the views for session.
+func BenchmarkIdleGroup(b *testing.B) {
+	d := Database{Name: "db"}
+	for m := range 3 {
+		d.Members = append(d.Members, Member{ID: core.MemberID(fmt.Sprintf("m%d", m)), StatusAddress: fmt.Sprintf("10.0.0.%d:1", m)})
+	}
+	out := &idleOutputs{}
+	g := New(simRules(DefaultConfig()), d, "i0", out)
+	now := time.Unix(1000, 0)
+	g.Start(now)
+	for range 3 {
+		now, _ = out.second(g, now)
+	}
+	require.Equal(b, "healthy", g.State())
+	calls, seconds := 0, 0
+	out.views = 0
+	for b.Loop() {
+		var n int
+		now, n = out.second(g, now)
+		calls += n
+		seconds++
+	}
+	b.ReportMetric(float64(calls)/float64(seconds), "calls/s")
+	b.ReportMetric(float64(out.views)/float64(seconds), "views/s")
+}
