--- a/pkg/share/target_test.go
+++ b/pkg/share/target_test.go
@@ -1,9 +1,12 @@
 package share
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // The size of the target fleet.
@@ -43,9 +46,25 @@
 			f.holders[0].holder.Spendable(f.now)
 		}
 	})
+	b.Run("report", func(b *testing.B) {
+		h := f.holders[0]
+		h.holder.TableRead(f.table, f.now)
+		report, ok := h.holder.Report()
+		require.True(b, ok)
+		report.Accounts = map[core.AccountName]float64{}
+		for a := range h.rates {
+			report.Accounts[f.limits.Accounts[a].Name] = h.rates[a]
+		}
+		f.wantConnections(&report)
+		text, err := json.Marshal(report)
+		require.NoError(b, err)
+		for b.Loop() {
+			_, _ = json.Marshal(report)
+		}
+		b.ReportMetric(float64(len(text)), "report-bytes")
+	})
 	b.Run("one-slot", func(b *testing.B) {
-		one := *f.table
-		one.Slots = f.table.Slots[:1]
+		one := Table{Revision: f.table.Revision, CatalogueVersion: f.table.CatalogueVersion, Slots: f.table.Slots[:1]}
 		text, err := one.Encode()
 		require.NoError(b, err)
 		for b.Loop() {
