--- a/pkg/membership/target_test.go
+++ b/pkg/membership/target_test.go
@@ -53,7 +53,12 @@
 			steady := self.Tick(f.now)
 			text, err := json.Marshal(steady[0].Versions)
 			require.NoError(b, err)
+			all := 0
+			for _, m := range f.meshes {
+				all += len(m.Links())
+			}
 			b.ReportMetric(float64(len(links)), "links")
+			b.ReportMetric(float64(all)/float64(len(f.meshes)), "mean-links")
 			b.ReportMetric(float64(len(text)), "message-bytes")
 		})
 	}
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -16,6 +16,12 @@
 import urllib.request
 from datetime import datetime
 
+# The numbers of epoll_wait and epoll_pwait on amd64.
+EPOLL_CALLS = ("232", "281")
+# LOOKS and LOOK_PAUSE, in seconds, are how often a thread's call is looked at.
+LOOKS = 20
+LOOK_PAUSE = 0.01
+
 
 def payload(pid):
     """Bytes sent and received on the established TCP sockets of a process, headers excluded."""
@@ -53,6 +59,16 @@
     return None
 
 
+def look(pid, names, threads):
+    for thread in os.listdir(f"/proc/{pid}/task"):
+        try:
+            call = open(f"/proc/{pid}/task/{thread}/syscall").read().split()
+        except OSError:
+            continue
+        if call and call[0] in EPOLL_CALLS and int(call[1], 16) in names:
+            threads[int(thread)] = names[int(call[1], 16)]
+
+
 def loops(pid, callers, peers):
     """Names the thread of each reactor by the listening socket in its epoll instance."""
     ports = {listening(callers): "callerio", listening(peers): "rpc"}
@@ -70,13 +86,10 @@
         inodes = [sockets.get(w, "").removeprefix("socket:[").removesuffix("]") for w in watched]
         names[int(fd)] = next((ports[i] for i in inodes if i in ports), "other reactor")
     threads = {}
-    for thread in os.listdir(f"/proc/{pid}/task"):
-        try:
-            call = open(f"/proc/{pid}/task/{thread}/syscall").read().split()
-        except OSError:
-            continue
-        if call and call[0] in ("232", "281") and int(call[1], 16) in names:
-            threads[int(thread)] = names[int(call[1], 16)]
+    # A busy thread is seen in its epoll call only now and then.
+    for _ in range(LOOKS):
+        look(pid, names, threads)
+        time.sleep(LOOK_PAUSE)
     return threads
 
 
