Take the time anew for each input of a decision duty

Change: time.Now for each input. Result: TestEachInputGetsTheTimeAnew fails with one time for a batch and passes now.

--- a/pkg/instance/decision.go
+++ b/pkg/instance/decision.go
@@ -7,7 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 )
 
-// inputBatch is the number of inputs handled between two looks at the clock.
+// inputBatch is the number of inputs handled between two looks at the deadline.
 const inputBatch = 64
 
 // engine is a decision module that one duty drives.
@@ -70,22 +70,26 @@
 	}
 }
 
+// handleBatch takes the time anew for each input: a process that was paused in
+// the middle of a batch must not decide with the time before the pause, at
+// which its share was still valid.
 func (d *decisionDuty[In]) handleBatch() bool {
-	now := time.Now()
 	handled := 0
 	for handled < inputBatch {
 		in, ok := d.input.Pop()
 		if !ok {
 			break
 		}
-		d.engine.Handle(now, in)
+		d.engine.Handle(time.Now(), in)
 		handled++
 		if !d.flush() {
 			return true
 		}
 	}
-	if at, armed := d.engine.NextDeadline(); armed && !at.After(now) {
-		d.engine.Tick(now)
+	if at, armed := d.engine.NextDeadline(); armed {
+		if now := time.Now(); !at.After(now) {
+			d.engine.Tick(now)
+		}
 	}
 	return handled > 0
 }
--- a/pkg/instance/decision_test.go
+++ b/pkg/instance/decision_test.go
@@ -114,3 +114,31 @@
 	room.Wait(time.Second)
 	require.True(t, deliver(r, 3, room))
 }
+
+// slow is an engine whose first input takes a while, like a process that is
+// paused in the middle of a batch.
+type slow struct {
+	pause time.Duration
+	times []time.Time
+}
+
+func (e *slow) Handle(now time.Time, _ int) {
+	e.times = append(e.times, now)
+	time.Sleep(e.pause)
+}
+
+func (e *slow) Tick(time.Time) {}
+
+func (e *slow) NextDeadline() (time.Time, bool) { return time.Time{}, false }
+
+// Guards against an admission with the time before a pause, at which the share
+// of the instance was still valid.
+func TestEachInputGetsTheTimeAnew(t *testing.T) {
+	d := newDecisionDuty[int](4)
+	e := &slow{pause: 20 * time.Millisecond}
+	d.engine = e
+	require.True(t, d.input.TryPush(1))
+	require.True(t, d.input.TryPush(2))
+	require.True(t, d.handleBatch())
+	require.GreaterOrEqual(t, e.times[1].Sub(e.times[0]), e.pause)
+}
