Bound parallel end-to-end tests by the testing package

Cause: a channel that bounded the scenarios deadlocked with the parallel subtests of testscript when the whole package ran; the run hung for 10 min. Change: TestMain sets the testing package's own bound to 3.

--- a/standin/e2e/main_test.go
+++ b/standin/e2e/main_test.go
@@ -4,6 +4,7 @@
 package e2e
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -43,15 +44,20 @@
 			return 1, fmt.Errorf("go build in %s: %w\n%s", folder, err, out)
 		}
 	}
+	flag.Parse()
+	if err := flag.Set("test.parallel", maxParallel); err != nil {
+		return 1, err
+	}
 	return m.Run(), nil
 }
 
-// parallel bounds the scenarios that run at a time, because each has up to ten
+// maxParallel bounds the scenarios that run at a time, because each has up to ten
 // processes.
-var parallel = make(chan struct{}, 3)
+const maxParallel = "3"
 
+// takeTurn lets a test run next to others. The testing package alone bounds
+// their number: a bound of our own deadlocks with the parallel subtests of
+// testscript.
 func takeTurn(t *testing.T) {
 	t.Parallel()
-	parallel <- struct{}{}
-	t.Cleanup(func() { <-parallel })
 }
