--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -27,6 +27,7 @@
 // that are honoured.
 type configuration struct {
 	engine  *Engine
+	chart   *chart.Definition
 	keeper  *catalogue.Keeper
 	keys    *catalogue.KeyRing
 	replies map[string][]chan<- OperatorAnswer
@@ -36,10 +37,13 @@
 	retry       timer
 	previous    *catalogue.Catalogue
 	history     []HistoryItem
+	// wentBack is set from a restart of the watch, because the platform went back
+	// to an older state, until all records were read again.
+	wentBack bool
 }
 
 func newConfiguration(e *Engine, keeper, key *chart.Definition) (*configuration, error) {
-	k, err := catalogue.NewKeeper(keeper, catalogue.KeeperSettings{EditTimeout: editTimeout, ReadRetry: readRetry})
+	k, err := newKeeper(keeper)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +52,7 @@
 		return nil, err
 	}
 	c := &configuration{
-		engine: e, keeper: k, keys: ring,
+		engine: e, chart: keeper, keeper: k, keys: ring,
 		replies: map[string][]chan<- OperatorAnswer{}, previous: &catalogue.Catalogue{},
 	}
 	c.timer.Value = c.tick
@@ -57,7 +61,6 @@
 }
 
 func (c *configuration) start() {
-	c.keys.Heard(c.engine.now, c.engine.now)
 	c.engine.every(trustPeriod, c.extendTrust)
 }
 
@@ -89,9 +92,9 @@
 func (c *configuration) carryOut(command catalogue.Command) {
 	switch v := command.(type) {
 	case catalogue.Write:
-		c.engine.out.Store(SwapCatalogue{EditID: v.EditID, Catalogue: v.Catalogue, Revision: Revision(v.Revision)})
+		c.engine.store(SwapCatalogue{EditID: v.EditID, Catalogue: v.Catalogue, Revision: Revision(v.Revision)})
 	case catalogue.Read:
-		c.engine.out.Store(ReadCatalogue{})
+		c.engine.store(ReadCatalogue{})
 	case catalogue.Adopted:
 		c.adopted(v)
 	case catalogue.Finished:
@@ -189,6 +192,7 @@
 	case ReadCatalogue:
 		if a.Outcome == Done || a.Outcome == NotFound {
 			c.keeper.Record(keeperRecord(current), catalogue.SourceRead, now)
+			c.restore(current)
 		} else {
 			c.keeper.ReadFailed(now)
 		}
@@ -221,14 +225,32 @@
 	return CatalogueRecord{}
 }
 
-// extendTrust moves the time until which keys are honoured.
+// extendTrust moves the time until which keys are honoured. What this instance
+// has heard itself is news for its peers, too: one that is linked to few domains
+// has it from those that hear a majority.
 func (c *configuration) extendTrust() {
 	e := c.engine
-	c.keys.Heard(e.peers.majorityHeard(), e.now)
-	c.keys.Heard(e.mirror.confirmed, e.now)
-	c.keys.Tick(e.now)
-	e.out.Session(session.KeysTrusted{Until: c.keys.StaleAt()})
-	c.endKeys()
+	c.heard(e.mirror.confirmed)
+	if at, known := e.peers.majorityHeard(); known {
+		c.heard(at)
+	}
+	c.publishTrust()
+}
+
+func (c *configuration) heard(at time.Time) {
+	c.engine.peers.mesh.Heard(at)
+	c.keys.Heard(at, c.engine.now)
+}
+
+// newsFromPeer takes the time of the newest news that a peer has.
+func (c *configuration) newsFromPeer(at time.Time) {
+	c.keys.Heard(at, c.engine.now)
+	c.publishTrust()
+}
+
+func (c *configuration) publishTrust() {
+	c.keys.Tick(c.engine.now)
+	c.engine.out.Session(session.KeysTrusted{Until: c.keys.StaleAt()})
 }
 
 // revokedByPeer takes revocations that a peer passed on ahead of the catalogue.
@@ -242,7 +264,7 @@
 // endKeys ends the sessions of revoked keys and passes the revocations on.
 func (c *configuration) endKeys() {
 	ended := c.keys.TakeEnded()
-	if len(ended) == 0 || c.keys.Stale() {
+	if len(ended) == 0 {
 		return
 	}
 	c.publish(session.KeysRevoked{Keys: ended})
--- /dev/null
+++ b/pkg/control/operator_test.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+func (h *harness) edit(identity string, account core.AccountName) chan OperatorAnswer {
+	reply := make(chan OperatorAnswer, 1)
+	put := catalogue.PutAccount{Name: account, Weight: 1, Rate: 10, Burst: 10}
+	h.do(FromOperator{Request: ApplyEdits{Identity: identity, Edits: []catalogue.Edit{put}}, Reply: reply})
+	return reply
+}
+
+// Guards against an edit whose answer was lost and that is told as failed
+// although it took effect, or written a second time.
+func TestLostAnswerToAnEdit(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		h := newHarness(t)
+		h.serve()
+		reply := h.edit("edit-1", "new")
+		op := answer[SwapCatalogue](h, StoreAnswer{Outcome: Unknown})
+		require.Empty(t, reply)
+		answer[ReadCatalogue](h, StoreAnswer{Outcome: Unavailable})
+		h.run(readRetry)
+		if written {
+			answer[ReadCatalogue](h, StoreAnswer{Records: []Record{CatalogueRecord{Catalogue: op.Catalogue, Revision: 40}}})
+		} else {
+			answer[ReadCatalogue](h, StoreAnswer{Records: []Record{CatalogueRecord{Catalogue: testCatalogue(), Revision: 1}}})
+			answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
+		}
+		require.Equal(t, OperatorAnswer{Version: 2}, <-reply)
+		require.Equal(t, uint64(2), h.e.settings.keeper.InForce().Version)
+	}
+}
+
+// Guards against an edit that is told as not run after its outcome became
+// unknown, and against one that never gets an answer.
+func TestUnresolvedEditIsUncertain(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	reply := h.edit("edit-1", "new")
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Unknown})
+	for end := h.now.Add(time.Minute); h.now.Before(end) && len(reply) == 0; {
+		if count[ReadCatalogue](h) > 0 {
+			answer[ReadCatalogue](h, StoreAnswer{Outcome: Unavailable})
+		}
+		h.run(readRetry)
+	}
+	var err *EditError
+	require.ErrorAs(t, (<-reply).Err, &err)
+	require.Equal(t, catalogue.OutcomeUncertain, err.Outcome)
+}
+
+// Guards against an identity that is applied twice, while the first is on its
+// way or later, and against an operator that waits for ever.
+func TestRepeatedIdentityAppliesOnce(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	first, second := h.edit("edit-1", "new"), h.edit("edit-1", "new")
+	require.Equal(t, 1, count[SwapCatalogue](h))
+	answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
+	require.Equal(t, OperatorAnswer{Version: 2}, <-first)
+	require.Equal(t, OperatorAnswer{Version: 2}, <-second)
+	require.Equal(t, OperatorAnswer{Version: 2}, <-h.edit("edit-1", "new"))
+	require.Zero(t, count[SwapCatalogue](h))
+}
+
+// Guards against an edit that overwrites another one's.
+func TestRacingEditConflicts(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	reply := h.edit("edit-1", "new")
+	other := testCatalogue()
+	other.Version, other.EditID = 2, "edit-2"
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Conflict, Records: []Record{CatalogueRecord{Catalogue: other, Revision: 40}}})
+	var err *EditError
+	require.ErrorAs(t, (<-reply).Err, &err)
+	require.Equal(t, catalogue.OutcomeConflict, err.Outcome)
+	require.Equal(t, other, h.e.settings.keeper.InForce())
+}
+
+// Guards against a repeated edit that is written after both operators were told
+// that it was not.
+func TestRepeatedIdentityFailsOnce(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	replies := []chan OperatorAnswer{h.edit("edit-1", "new"), h.edit("edit-1", "new")}
+	answer[SwapCatalogue](h, StoreAnswer{Outcome: Unavailable})
+	for _, reply := range replies {
+		require.Error(t, (<-reply).Err)
+	}
+	h.run(time.Second)
+	require.Zero(t, count[SwapCatalogue](h))
+}
+
+// Guards against a platform that went back to an older state and takes the
+// configuration, the slot or the share with it, and against a view that mixes
+// both states.
+func TestPlatformWentBack(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	h.watched(AllocatorRecord{Allocator: Allocator{Instance: "i4", PeerAddress: "10.0.0.4:1"}, Revision: 15})
+	h.revision = 2
+	old := testCatalogue()
+	old.Version = 0
+	answer[Watch](h, StoreAnswer{Revision: 3, Records: []Record{CatalogueRecord{Catalogue: old, Revision: 1}}})
+	restart, ok := take[Watch](h)
+	require.True(t, ok)
+	require.Zero(t, restart.After)
+	h.do(FromStore{Answer: StoreAnswer{Operation: restart, Revision: 3, Sent: h.now}})
+	require.Equal(t, uint64(1), h.e.settings.keeper.InForce().Version)
+	require.Empty(t, h.e.mirror.claimList())
+	require.True(t, h.e.mirror.allocatorVacant())
+	require.Equal(t, 4.0, h.lastShare().Accounts["hansen"].Rate, "the table in force stays")
+	h.run(2 * time.Second)
+	require.Equal(t, 1, count[PutAllocator](h))
+}
+
+// Guards against a configuration that reverts with the platform, and against a
+// platform that went back and takes no edit any more.
+func TestCatalogueIsRestored(t *testing.T) {
+	for _, kept := range [][]Record{nil, {CatalogueRecord{Catalogue: testCatalogue(), Revision: 1}}} {
+		h := newHarness(t)
+		h.serve()
+		h.edit("edit-1", "new")
+		accepted := answer[SwapCatalogue](h, StoreAnswer{Revision: 40}).Catalogue
+		waiting := h.edit("edit-2", "newer")
+		answer[Watch](h, StoreAnswer{Revision: 3})
+		require.Error(t, (<-waiting).Err)
+		take[SwapCatalogue](h)
+		answer[Watch](h, StoreAnswer{Revision: 3, Records: kept})
+		restore := answer[SwapCatalogue](h, StoreAnswer{Revision: 4})
+		require.Equal(t, accepted, restore.Catalogue)
+		require.Equal(t, Revision(len(kept)), restore.Revision)
+		answer[Watch](h, StoreAnswer{Revision: 4, Records: []Record{CatalogueRecord{Catalogue: accepted, Revision: 4}}})
+		reply := h.edit("edit-3", "newest")
+		next := answer[SwapCatalogue](h, StoreAnswer{Revision: 5})
+		require.Equal(t, Revision(4), next.Revision)
+		require.Equal(t, OperatorAnswer{Version: 3}, <-reply)
+	}
+}
+
+// Guards against links that are dropped because the list could not be read.
+func TestFailedListKeepsThePeers(t *testing.T) {
+	h := newHarness(t)
+	h.serve()
+	answer[ListInstances](h, StoreAnswer{Instances: []Peer{{ID: "i2", PeerAddress: "10.0.0.2:1", Domain: "fyn"}}})
+	require.Len(t, calls[Versions](h, "10.0.0.2:1"), 1)
+	for range 3 {
+		h.run(listPeriod)
+		answer[ListInstances](h, StoreAnswer{Outcome: Unavailable})
+	}
+	require.Greater(t, len(calls[Versions](h, "10.0.0.2:1")), 10)
+	h.run(listPeriod)
+	answer[ListInstances](h, StoreAnswer{})
+	require.Empty(t, h.e.peers.status(), "instances that are gone are forgotten")
+}
+
+// Guards against a status whose lines change places from one call to the next.
+func TestStatusIsOrdered(t *testing.T) {
+	h := serveMany(t)
+	reply := make(chan OperatorAnswer, 1)
+	h.do(FromOperator{Request: GetStatus{}, Reply: reply})
+	groups := (<-reply).Status.Groups
+	require.Len(t, groups, manyGroups)
+	require.True(t, slices.IsSortedFunc(groups, func(a, b GroupStatus) int { return strings.Compare(string(a.Database), string(b.Database)) }))
+}
--- a/pkg/instance/decision.go
+++ b/pkg/instance/decision.go
@@ -7,7 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 )
 
-// inputBatch is the number of inputs handled between two looks at the clock.
+// inputBatch is the number of inputs handled between two looks at the deadline.
 const inputBatch = 64
 
 // engine is a decision module that one duty drives.
@@ -65,27 +65,31 @@
 	for _, o := range d.outlets {
 		wait = o.awaitRoom(d.signal) || wait
 	}
-	if wait {
+	if wait && !d.stopping.Load() {
 		d.signal.Wait(-1)
 	}
 }
 
+// handleBatch takes the time anew for each input: a process that was paused in
+// the middle of a batch must not decide with the time before the pause, at
+// which its share was still valid.
 func (d *decisionDuty[In]) handleBatch() bool {
-	now := time.Now()
 	handled := 0
 	for handled < inputBatch {
 		in, ok := d.input.Pop()
 		if !ok {
 			break
 		}
-		d.engine.Handle(now, in)
+		d.engine.Handle(time.Now(), in)
 		handled++
 		if !d.flush() {
-			break
+			return true
 		}
 	}
-	if at, armed := d.engine.NextDeadline(); armed && !at.After(now) {
-		d.engine.Tick(now)
+	if at, armed := d.engine.NextDeadline(); armed {
+		if now := time.Now(); !at.After(now) {
+			d.engine.Tick(now)
+		}
 	}
 	return handled > 0
 }
@@ -94,6 +98,10 @@
 	if !d.input.Park() {
 		return
 	}
+	if d.stopping.Load() {
+		d.input.Unpark()
+		return
+	}
 	wait := time.Duration(-1)
 	if at, armed := d.engine.NextDeadline(); armed {
 		wait = max(time.Until(at), 0)
