--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -107,8 +107,8 @@
   echo "{\"op\":\"put_account\",\"args\":{\"name\":\"$1\",\"weight\":$2,\"rate\":$3,\"burst\":$4}}"
 }
 
-entry_json() { # entry_json NAME ACCOUNT DATABASE CLASS MAX_AGE_MS
-  echo "{\"op\":\"put_entry\",\"args\":{\"name\":\"$1\",\"owner\":\"roads\",\"account\":\"$2\",\"database\":\"$3\",\"class\":\"$4\",\"max_age_ms\":$5,\"deadline_ms\":8000}}"
+entry_json() { # entry_json NAME ACCOUNT DATABASE CLASS MAX_AGE_MS [DEADLINE_MS]
+  echo "{\"op\":\"put_entry\",\"args\":{\"name\":\"$1\",\"owner\":\"roads\",\"account\":\"$2\",\"database\":\"$3\",\"class\":\"$4\",\"max_age_ms\":$5,\"deadline_ms\":${6:-8000}}}"
 }
 
 write_catalogue() { # writes the first edit: databases, accounts and entries
--- /dev/null
+++ b/standin/cmd/measure/loads.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/sassafrasshunt/sassafrasshunt/standin/load"
+)
+
+// measureLoads prints median and range of throughput and latency over several
+// reports of the load tool. The first argument is the title.
+func measureLoads(args []string) error {
+	if len(args) < 2 {
+		return fmt.Errorf("usage: measure loads TITLE REPORT...")
+	}
+	var reports []*load.Report
+	for _, file := range args[1:] {
+		report, err := readReport(file)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, report)
+	}
+	fmt.Println(args[0])
+	printRange("answers without error, statements/s", each(reports, goodput))
+	printRange("p50, us", each(reports, func(r *load.Report) float64 { return float64(r.P50) }))
+	printRange("p99, us", each(reports, func(r *load.Report) float64 { return float64(r.P99) }))
+	return nil
+}
+
+func goodput(r *load.Report) float64 {
+	good := r.Statements
+	for _, n := range r.Errors {
+		good -= n
+	}
+	return float64(good) / r.Seconds
+}
+
+func each(reports []*load.Report, value func(*load.Report) float64) []float64 {
+	values := make([]float64, 0, len(reports))
+	for _, r := range reports {
+		values = append(values, value(r))
+	}
+	return values
+}
--- a/standin/cmd/measure/main.go
+++ b/standin/cmd/measure/main.go
@@ -3,6 +3,7 @@
 //	measure run -pages ADDRESSES -report FILE     the four measures
 //	measure failovers LOG...                      the gap of each change of primary by part
 //	measure writes -member ADDRESS ...            writes acknowledged, lost and uncertain
+//	measure loads TITLE REPORT...                 throughput and latency over several runs
 //	measure fairness -directory FOLDER ...        accounts in calm and surge
 //	measure process -pid ID -seconds N            memory, processor time and bytes of a process by thread
 package main
@@ -25,7 +26,7 @@
 const pageBound = 5 * time.Second
 
 func main() {
-	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites, "fairness": measureFairness, "process": measureProcess}
+	commands := map[string]func([]string) error{"run": measureRun, "failovers": measureFailovers, "writes": measureWrites, "fairness": measureFairness, "loads": measureLoads, "process": measureProcess}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: measure run|failovers|writes|fairness|process ...")
 		os.Exit(2)
