Open held connections on duties

Cause: the connection holder started goroutines of its own. Change: lib/duty starts its fixed number of openers.

--- a/standin/cmd/hold/main.go
+++ b/standin/cmd/hold/main.go
@@ -14,10 +14,11 @@
 	"net"
 	"os"
 	"os/signal"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 )
 
 const (
@@ -67,11 +68,9 @@
 func open(ctx context.Context, o options) ([]*pgconn.PgConn, error) {
 	held := make([]*pgconn.PgConn, o.connections)
 	errs := make(chan error, openers)
-	var running sync.WaitGroup
+	var running duty.Group
 	for first := range openers {
-		running.Add(1)
-		go func() {
-			defer running.Done()
+		running.Start("opener", func() {
 			for i := first; i < o.connections; i += openers {
 				conn, err := connect(ctx, o, i)
 				if err != nil {
@@ -80,7 +79,7 @@
 				}
 				held[i] = conn
 			}
-		}()
+		})
 	}
 	running.Wait()
 	close(errs)
--- a/standin/cmd/measure/process.go
+++ b/standin/cmd/measure/process.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	start := time.Now()
-	time.Sleep(time.Duration(*seconds * float64(time.Second)))
+	<-time.After(time.Duration(*seconds * float64(time.Second)))
 	after, err := threads(*pid)
 	if err != nil {
 		return err
