--- a/pkg/rpc/duty_test.go
+++ b/pkg/rpc/duty_test.go
@@ -326,3 +326,14 @@
 	require.NoError(t, second.Err)
 	require.NotEqual(t, string(first.Raw), string(second.Raw))
 }
+
+// Guards against a refusal that looks newer than its connection attempt, which
+// the allocator would take for a proof of death since then.
+func TestRefusedCallCountsFromTheAttempt(t *testing.T) {
+	began := time.Now()
+	l := &link{began: began}
+	queued := &pendingCall{asked: began.Add(time.Second)}
+	require.Equal(t, began, l.failedSince(queued))
+	l.opened = true
+	require.Equal(t, queued.asked, l.failedSince(queued))
+}
--- a/pkg/rpc/link.go
+++ b/pkg/rpc/link.go
@@ -26,8 +26,11 @@
 type link struct {
 	duty    *Duty
 	address string
-	conn    *netloop.Conn
-	opened  bool
+	// began is when the connection attempt began. A refused call counts from
+	// there: a proof of death must not look newer than the attempt.
+	began  time.Time
+	conn   *netloop.Conn
+	opened bool
 	// retired links take no further calls and close with their last one.
 	retired bool
 	calls   map[int64]*pendingCall
@@ -79,7 +82,7 @@
 	if l, ok := d.links[address]; ok {
 		return l, nil
 	}
-	l := &link{duty: d, address: address, calls: map[int64]*pendingCall{}}
+	l := &link{duty: d, address: address, began: time.Now(), calls: map[int64]*pendingCall{}}
 	conn, err := d.loop.Connect(address, l)
 	if err != nil {
 		return nil, err
@@ -216,10 +219,17 @@
 	reason := l.closeError(err)
 	for _, id := range slices.Sorted(maps.Keys(l.calls)) {
 		p := l.take(id)
-		l.duty.fail(p.call, p.asked, reason)
+		l.duty.fail(p.call, l.failedSince(p), reason)
 	}
 }
 
+func (l *link) failedSince(p *pendingCall) time.Time {
+	if l.opened {
+		return p.asked
+	}
+	return l.began
+}
+
 func (l *link) closeError(err error) error {
 	if l.opened {
 		return &ClosedError{Address: l.address, Reason: closeReason(err)}
--- a/standin/cmd/measure/loads.go
+++ b/standin/cmd/measure/loads.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/sassafrasshunt/sassafrasshunt/standin/load"
@@ -10,7 +11,7 @@
 // reports of the load tool. The first argument is the title.
 func measureLoads(args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("usage: measure loads TITLE REPORT...")
+		return errors.New("usage: measure loads TITLE REPORT [REPORT]")
 	}
 	var reports []*load.Report
 	for _, file := range args[1:] {
