Emit a span for each hop of a statement

Cause: a statement had one span, and only if its caller brought a traceparent; operators need to see where the time went. Change: the chart's states are the hops: each state that a statement leaves (classifying, floor, replica, queued, running, confirming) becomes a span; statements without a traceparent get a trace of their own when an exporter is set. Result: TestEachHopHasASpanInOneTrace.

--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"math/rand/v2"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
@@ -90,6 +92,7 @@
 	config.Bounds.ConnectionIdle = i.settings.TargetIdleClose
 	config.Bounds.Drain = i.settings.DrainBound
 	config.RetryFraction = i.settings.RetryBudget
+	config.TraceSeed = i.traceSeed()
 	config.AckAtCommit = i.settings.FailoverBaseline
 	config.Policy = session.Policy(i.settings.ReadPolicy)
 	config.Queue = fairqueue.Kind(i.settings.Queue)
@@ -103,6 +106,15 @@
 	return nil
 }
 
+// traceSeed is random for each run, so that traces of different runs differ;
+// zero without an exporter.
+func (i *Instance) traceSeed() uint64 {
+	if !i.telemetry.Tracing() {
+		return 0
+	}
+	return rand.Uint64() | 1
+}
+
 func (i *Instance) buildControl() error {
 	definitions, err := loadCharts()
 	if err != nil {
--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -105,6 +105,9 @@
 	HeldBytes int
 	// QueueLimit bounds the statements that wait for one member.
 	QueueLimit int
+	// TraceSeed is the beginning of the trace identities of statements whose
+	// caller brought none; zero traces only the callers that bring one.
+	TraceSeed uint64
 	// SettingsBytes bounds the session settings of one caller, as SQL text.
 	SettingsBytes int
 }
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -20,6 +20,7 @@
 	targets  []TargetCommand
 	control  []ControlReport
 	classify []ClassifyRequest
+	spans    []Span
 	// full makes the callerio ring refuse commands.
 	full bool
 }
@@ -46,7 +47,7 @@
 	return true
 }
 
-func (h *harness) Span(Span) {}
+func (h *harness) Span(s Span) { h.spans = append(h.spans, s) }
 
 // newHarness gives an engine whose members m0 (primary), m1 and m2 are at 1/100.
 func newHarness(t testing.TB, change func(*Config)) *harness {
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -58,6 +58,8 @@
 	readyAt    time.Time
 	readyTerm  core.Term
 	outcome    string
+	// hopSince is when the statement entered its state.
+	hopSince time.Time
 }
 
 // notWaiting is the index of a statement that is in no list.
@@ -78,6 +80,7 @@
 	s.request = r
 	s.verdict = Verdict{}
 	s.sequence = e.sequence
+	s.hopSince = e.now
 	s.deadline = r.Arrived.Add(s.c.entry.deadline)
 	s.active = true
 	s.member, s.fits, s.reason = nil, false, ""
@@ -94,11 +97,14 @@
 // the caller's life cycle when the statement is over.
 func (s *statement) fire(ev event) {
 	e := s.c.e
-	before := s.state
+	before, since := s.state, s.hopSince
+	s.hopSince = e.now
 	e.charts.statement.Fire(s, &s.state, ev)
 	if s.state == before {
+		s.hopSince = since
 		return
 	}
+	s.traceHop(before, since)
 	if e.charts.statement.Final(s.state) {
 		s.conclude()
 		return
@@ -153,17 +159,7 @@
 	e := s.c.e
 	now := e.now
 	s.c.account.metrics.answered(now.Sub(s.request.Arrived))
-	if s.c.trace == "" {
-		return
-	}
-	e.box.out.Span(Span{
-		Trace:      s.c.trace,
-		Name:       "statement",
-		Caller:     s.c.id,
-		Start:      s.request.Arrived,
-		End:        now,
-		Attributes: map[string]string{"explain": s.explanation().String()},
-	})
+	s.trace("statement", s.request.Arrived, map[string]string{"explain": s.explanation().String()})
 }
 
 // statementRegistry binds the chart "statement".
--- /dev/null
+++ b/pkg/session/trace.go
@@ -0,0 +1,47 @@
+package session
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+)
+
+// traceHop emits the span of a state that the statement has left: waiting for
+// the classifier, for a floor, for a replica, in the queue, at the target, for
+// the confirmation.
+func (s *statement) traceHop(left chart.State, since time.Time) {
+	if s.traceParent() == "" {
+		return
+	}
+	attributes := map[string]string{}
+	if s.member != nil {
+		attributes["member"] = string(s.member.id)
+	}
+	s.trace(s.c.e.charts.statement.StateName(left), since, attributes)
+}
+
+func (s *statement) trace(name string, start time.Time, attributes map[string]string) {
+	parent := s.traceParent()
+	if parent == "" {
+		return
+	}
+	e := s.c.e
+	attributes["account"] = string(s.c.account.name)
+	e.box.out.Span(Span{
+		Trace: parent, Name: name, Caller: s.c.id, Start: start, End: e.now, Attributes: attributes,
+	})
+}
+
+// traceParent returns the caller's W3C traceparent, or one made for this
+// statement, or "" when statements are not traced.
+func (s *statement) traceParent() string {
+	if s.c.trace != "" {
+		return s.c.trace
+	}
+	seed := s.c.e.cfg.TraceSeed
+	if seed == 0 {
+		return ""
+	}
+	return fmt.Sprintf("00-%016x%08x%08x-%016x-01", seed, uint32(s.c.id), uint32(s.sequence), s.sequence|1<<63)
+}
--- /dev/null
+++ b/pkg/session/trace_test.go
@@ -0,0 +1,28 @@
+package session
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// Guards against a hop of a statement without a span, and against hops of one
+// statement that fall into different traces.
+func TestEachHopHasASpanInOneTrace(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.TraceSeed = 7 })
+	h.open(1, at100)
+	s := h.run(1, "write", write)
+	h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 110})
+	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 110}})
+	var names []string
+	for _, span := range h.spans {
+		names = append(names, span.Name)
+		require.Equal(t, h.spans[0].Trace, span.Trace)
+		require.False(t, span.End.Before(span.Start))
+	}
+	for _, hop := range []string{"classifying", "queued", "running", "confirming", "statement"} {
+		require.Contains(t, names, hop)
+	}
+}
