Remove an unused way to adopt share tables; plainer words

Cause: reading as a newcomer: Holder.TableFromPeer had no caller, two names were not the field's. Change: the method is gone; Term's comment and a test constant are plain.

--- a/lib/chart/chart_test.go
+++ b/lib/chart/chart_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const doorText = `
+const connectionText = `
 name = "connection"
 initial = "opening"
 events = ["opened", "failed", "timed_out"]
@@ -58,7 +58,7 @@
 }
 
 func compile(t testing.TB) *Table[*subject] {
-	d, err := Parse("connection.toml", []byte(doorText))
+	d, err := Parse("connection.toml", []byte(connectionText))
 	require.NoError(t, err)
 	table, err := Compile(d, registry())
 	require.NoError(t, err)
@@ -105,7 +105,7 @@
 
 // Guards against names in a chart that no code implements, and the reverse.
 func TestCompileReportsUnboundNames(t *testing.T) {
-	d, err := Parse("connection.toml", []byte(doorText))
+	d, err := Parse("connection.toml", []byte(connectionText))
 	require.NoError(t, err)
 	r := registry()
 	delete(r.Guards, "allowed")
@@ -117,7 +117,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(doorText))
+	f.Add([]byte(connectionText))
 	f.Add([]byte("name = \"x\"\n[[state]]\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		d, err := Parse("fuzz.toml", text)
--- a/pkg/core/position.go
+++ b/pkg/core/position.go
@@ -8,8 +8,8 @@
 	"strings"
 )
 
-// Term numbers the reigns of a group's primaries; it grows by one for each
-// change of primary.
+// Term numbers the changes of a group's primary; it grows by one with each
+// change.
 type Term uint64
 
 // LSN is a log sequence number in bytes from the beginning of the log. It
--- a/pkg/share/holder.go
+++ b/pkg/share/holder.go
@@ -72,12 +72,6 @@
 	return changed
 }
 
-// TableFromPeer adopts a newer table passed on by a peer, which says nothing
-// about whether it is current.
-func (h *Holder) TableFromPeer(t *Table) bool {
-	return h.adopt(t)
-}
-
 func (h *Holder) adopt(t *Table) bool {
 	if h.table != nil && t.Revision <= h.table.Revision {
 		return false
