Give a write refused by a fenced member to the new primary

Change: a row of the statement chart; the write waits for the new primary, at most three times, since a caller may have made its own session read-only. Transactions still get the member's 25P02, which is true.

--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -162,6 +162,17 @@
 	return c.floor
 }
 
+// forgetAttempt makes the statement as new after a refusal that proves that it
+// did not run.
+func (s *statement) forgetAttempt() {
+	s.repeats++
+	s.sent = false
+	s.chunk, s.held = nil, nil
+	s.errorState = ""
+	s.c.e.metrics.Requeued++
+	s.c.e.box.out.Control(SuspectMember{Database: s.c.db.name, Member: s.member.id})
+}
+
 func (s *statement) countRepeat() {
 	e := s.c.e
 	s.repeats++
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -1,6 +1,10 @@
 package session
 
-import "time"
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
 
 // Names of the proxy's own parameters.
 const (
@@ -130,6 +134,20 @@
 	return s.awaitsMajority() && s.c.db.term > s.position.Term
 }
 
+// fencedRepeats bounds the repetitions after a refusal as read-only, because a
+// caller may have made its own session read-only.
+const fencedRepeats = 3
+
+// refusedByFencedMember reports a write that its member refused as read-only:
+// the member was the primary when the write was sent and is fenced now. The
+// write certainly did not run and waits for the new primary.
+func (s *statement) refusedByFencedMember() bool {
+	if s.errorState != core.StateReadOnlyRoute || s.verdict.Kind != KindWrite || s.repeats >= fencedRepeats {
+		return false
+	}
+	return s.position.IsZero() && !s.c.entry.definition.ReadOnly && !s.c.inTransaction()
+}
+
 // unconfirmed reports a commit that a majority is not known to have.
 func (s *statement) unconfirmed() bool {
 	if s.isStatusQuery() && s.position.IsZero() && s.errorState == "" {
