--- a/pkg/callerio/config.go
+++ b/pkg/callerio/config.go
@@ -4,6 +4,7 @@
 package callerio
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -60,27 +61,19 @@
 	defaultServerVersion    = "16.4"
 )
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.RingCapacity = orDefault(c.RingCapacity, defaultRingCapacity)
-	c.MaxCallers = orDefault(c.MaxCallers, defaultMaxCallers)
-	c.MaxInput = orDefault(c.MaxInput, defaultMaxInput)
-	c.InputMark = orDefault(c.InputMark, defaultInputMark)
-	c.OutputMark = orDefault(c.OutputMark, defaultOutputMark)
-	c.MaxStatements = orDefault(c.MaxStatements, defaultMaxStatements)
-	c.ExchangeTimeout = orDefault(c.ExchangeTimeout, defaultExchangeTimeout)
-	c.AdmissionTimeout = orDefault(c.AdmissionTimeout, defaultAdmissionTimeout)
-	c.LingerTimeout = orDefault(c.LingerTimeout, defaultLingerTimeout)
-	c.BaseDelay = orDefault(c.BaseDelay, defaultBaseDelay)
-	c.MaxDelay = orDefault(c.MaxDelay, defaultMaxDelay)
-	c.ServerVersion = orDefault(c.ServerVersion, defaultServerVersion)
+	c.RingCapacity = cmp.Or(c.RingCapacity, defaultRingCapacity)
+	c.MaxCallers = cmp.Or(c.MaxCallers, defaultMaxCallers)
+	c.MaxInput = cmp.Or(c.MaxInput, defaultMaxInput)
+	c.InputMark = cmp.Or(c.InputMark, defaultInputMark)
+	c.OutputMark = cmp.Or(c.OutputMark, defaultOutputMark)
+	c.MaxStatements = cmp.Or(c.MaxStatements, defaultMaxStatements)
+	c.ExchangeTimeout = cmp.Or(c.ExchangeTimeout, defaultExchangeTimeout)
+	c.AdmissionTimeout = cmp.Or(c.AdmissionTimeout, defaultAdmissionTimeout)
+	c.LingerTimeout = cmp.Or(c.LingerTimeout, defaultLingerTimeout)
+	c.BaseDelay = cmp.Or(c.BaseDelay, defaultBaseDelay)
+	c.MaxDelay = cmp.Or(c.MaxDelay, defaultMaxDelay)
+	c.ServerVersion = cmp.Or(c.ServerVersion, defaultServerVersion)
 	return c
 }
 
--- a/pkg/targetio/config.go
+++ b/pkg/targetio/config.go
@@ -5,6 +5,7 @@
 package targetio
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
@@ -43,22 +44,14 @@
 	defaultUser           = "sassafrasshunt"
 )
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.User = orDefault(c.User, defaultUser)
-	c.RingCapacity = orDefault(c.RingCapacity, defaultRingCapacity)
-	c.ConnectTimeout = orDefault(c.ConnectTimeout, defaultConnectTimeout)
-	c.StartupTimeout = orDefault(c.StartupTimeout, defaultStartupTimeout)
-	c.CancelTimeout = orDefault(c.CancelTimeout, defaultCancelTimeout)
-	c.MaxFrame = orDefault(c.MaxFrame, defaultMaxFrame)
-	c.MaxStatements = orDefault(c.MaxStatements, defaultMaxStatements)
+	c.User = cmp.Or(c.User, defaultUser)
+	c.RingCapacity = cmp.Or(c.RingCapacity, defaultRingCapacity)
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, defaultConnectTimeout)
+	c.StartupTimeout = cmp.Or(c.StartupTimeout, defaultStartupTimeout)
+	c.CancelTimeout = cmp.Or(c.CancelTimeout, defaultCancelTimeout)
+	c.MaxFrame = cmp.Or(c.MaxFrame, defaultMaxFrame)
+	c.MaxStatements = cmp.Or(c.MaxStatements, defaultMaxStatements)
 	return c
 }
 
