Let the lag test wait for the first entry before it sets the lag

Since a primary begins its term with an entry, a replica may have applied that entry before the test sets the lag; the expectation was a race. Change: the test waits until the replica has applied the first entry, sets the lag, and requires that exactly that position stays applied, which is as strict as before.

--- a/standin/member/replication_test.go
+++ b/standin/member/replication_test.go
@@ -126,12 +126,14 @@
 // that a replica does not report.
 func TestLagAndSilence(t *testing.T) {
 	g := startGroup(t)
+	first := g.statuses[0].status(t, "status", nil).Received
+	g.confirm(t, 1, core.Position{Term: 1, LSN: first})
 	g.statuses[1].status(t, "fault.lag", MillisecondsParams{MS: time.Hour.Milliseconds()})
 	position := g.write(t, 0, "a")
 	g.confirm(t, 2, position)
 	s := g.statuses[1].status(t, "wait", WaitParams{Term: 1, Received: position.LSN, TimeoutMS: testTimeout.Milliseconds()})
 	require.Equal(t, position.LSN, s.Received)
-	require.Zero(t, s.Applied)
+	require.Equal(t, first, s.Applied)
 	require.Empty(t, g.rows(t, 1))
 	g.statuses[0].status(t, "fault.cut", CutParams{Peers: []string{"m2"}})
 	require.Eventually(t, func() bool {
