Show what an edit changed

Cause: the answer to an edit gave only the version. Change: the changes of the accepted edit travel to the operator's command line; the tests expect the exact lines. Result: pkg/control, pkg/admin and cmd pass.

--- a/cmd/sassafrasshuntctl/client.go
+++ b/cmd/sassafrasshuntctl/client.go
@@ -136,6 +136,9 @@
 		return exit(err)
 	}
 	return t.print(accepted, func() {
+		for _, line := range accepted.Changes {
+			fmt.Println(line)
+		}
 		fmt.Printf("version %d is accepted and in force on %s; every instance follows within 4 s\n", accepted.Version, t.address)
 	})
 }
--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -29,6 +29,8 @@
 // Accepted is the answer to an edit that is in force on this instance.
 type Accepted struct {
 	Version uint64 `json:"version"`
+	// Changes are the differences from the version before, one line each.
+	Changes []string `json:"changes,omitempty"`
 }
 
 func (s *Server) ask(r *http.Request, request control.OperatorRequest) (control.OperatorAnswer, error) {
@@ -127,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Accepted{Version: answer.Version}, nil
+	return Accepted{Version: answer.Version, Changes: answer.Changes}, nil
 }
 
 func (s *Server) postSwitchover(r *http.Request) (any, error) {
--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -133,6 +133,7 @@
 	switch f.Outcome {
 	case catalogue.OutcomeAccepted:
 		answer.Version = f.Version
+		answer.Changes = f.Changes
 	case catalogue.OutcomeRejected:
 		answer.Err = &catalogue.CheckError{Faults: f.Faults}
 	default:
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -213,6 +213,9 @@
 	Catalogue *catalogue.Catalogue
 	// Version is set for ApplyEdits.
 	Version uint64
+	// Changes are the differences that an edit made, one line each; empty for
+	// an edit that was accepted before.
+	Changes []string
 	Status  *Status
 	History []HistoryItem
 	Err     error
--- a/pkg/control/operator_test.go
+++ b/pkg/control/operator_test.go
@@ -36,7 +36,7 @@
 			answer[ReadCatalogue](h, StoreAnswer{Records: []Record{CatalogueRecord{Catalogue: testCatalogue(), Revision: 1}}})
 			answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
 		}
-		require.Equal(t, OperatorAnswer{Version: 2}, <-reply)
+		require.Equal(t, OperatorAnswer{Version: 2, Changes: added("new")}, <-reply)
 		require.Equal(t, uint64(2), h.e.settings.keeper.InForce().Version)
 	}
 }
@@ -67,8 +67,8 @@
 	first, second := h.edit("edit-1", "new"), h.edit("edit-1", "new")
 	require.Equal(t, 1, count[SwapCatalogue](h))
 	answer[SwapCatalogue](h, StoreAnswer{Revision: 40})
-	require.Equal(t, OperatorAnswer{Version: 2}, <-first)
-	require.Equal(t, OperatorAnswer{Version: 2}, <-second)
+	require.Equal(t, OperatorAnswer{Version: 2, Changes: added("new")}, <-first)
+	require.Equal(t, OperatorAnswer{Version: 2, Changes: added("new")}, <-second)
 	require.Equal(t, OperatorAnswer{Version: 2}, <-h.edit("edit-1", "new"))
 	require.Zero(t, count[SwapCatalogue](h))
 }
@@ -144,7 +144,7 @@
 		reply := h.edit("edit-3", "newest")
 		next := answer[SwapCatalogue](h, StoreAnswer{Revision: 5})
 		require.Equal(t, Revision(4), next.Revision)
-		require.Equal(t, OperatorAnswer{Version: 3}, <-reply)
+		require.Equal(t, OperatorAnswer{Version: 3, Changes: added("newest")}, <-reply)
 	}
 }
 
@@ -173,3 +173,8 @@
 	require.Len(t, groups, manyGroups)
 	require.True(t, slices.IsSortedFunc(groups, func(a, b GroupStatus) int { return strings.Compare(string(a.Database), string(b.Database)) }))
 }
+
+// added is the change of an edit that puts an account.
+func added(account string) []string {
+	return []string{"+ account " + account + ": weight 1, rate 10/s, burst 10"}
+}
