Build a statement's explanation only when it is traced

Cause: found in the last read: since each hop has a span, the explanation and its map were built for every answered statement, traced or not, and the trace parent was formatted twice for each hop. Change: the trace parent is computed once and decides first. Result: pkg/session passes.

--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -159,7 +159,9 @@
 	e := s.c.e
 	now := e.now
 	s.c.account.metrics.answered(now.Sub(s.request.Arrived))
-	s.trace("statement", s.request.Arrived, map[string]string{"explain": s.explanation().String()})
+	if parent := s.traceParent(); parent != "" {
+		s.trace(parent, "statement", s.request.Arrived, map[string]string{"explain": s.explanation().String()})
+	}
 }
 
 // statementRegistry binds the chart "statement".
--- a/pkg/session/trace.go
+++ b/pkg/session/trace.go
@@ -11,21 +11,18 @@
 // the classifier, for a floor, for a replica, in the queue, at the target, for
 // the confirmation.
 func (s *statement) traceHop(left chart.State, since time.Time) {
-	if s.traceParent() == "" {
+	parent := s.traceParent()
+	if parent == "" {
 		return
 	}
 	attributes := map[string]string{}
 	if s.member != nil {
 		attributes["member"] = string(s.member.id)
 	}
-	s.trace(s.c.e.charts.statement.StateName(left), since, attributes)
+	s.trace(parent, s.c.e.charts.statement.StateName(left), since, attributes)
 }
 
-func (s *statement) trace(name string, start time.Time, attributes map[string]string) {
-	parent := s.traceParent()
-	if parent == "" {
-		return
-	}
+func (s *statement) trace(parent, name string, start time.Time, attributes map[string]string) {
 	e := s.c.e
 	attributes["account"] = string(s.c.account.name)
 	e.box.out.Span(Span{
