Collect the names of a share table in one place

Change: addNames serves the encoder and both divisions; order and content of the names are as before.

--- a/pkg/share/divide.go
+++ b/pkg/share/divide.go
@@ -169,22 +169,11 @@
 // accountNames lists the accounts of the catalogue, then those that the table
 // still has.
 func (d *draft) accountNames() []core.AccountName {
-	seen := map[core.AccountName]bool{}
 	var names []core.AccountName
 	for i := range d.a.limits.Accounts {
-		name := d.a.limits.Accounts[i].Name
-		seen[name] = true
-		names = append(names, name)
+		names = append(names, d.a.limits.Accounts[i].Name)
 	}
-	for i := range d.table.Slots {
-		for name := range d.table.Slots[i].Accounts {
-			if !seen[name] {
-				seen[name] = true
-				names = append(names, name)
-			}
-		}
-	}
-	return names
+	return addNames(names, d.table, func(s *Slot) map[core.AccountName]RateShare { return s.Accounts })
 }
 
 // connectionBound is zero for a database that the catalogue does not have.
@@ -196,20 +185,9 @@
 }
 
 func (d *draft) databaseNames() []core.DatabaseName {
-	seen := map[core.DatabaseName]bool{}
 	var names []core.DatabaseName
 	for i := range d.a.limits.Databases {
-		name := d.a.limits.Databases[i].Name
-		seen[name] = true
-		names = append(names, name)
-	}
-	for i := range d.table.Slots {
-		for name := range d.table.Slots[i].Databases {
-			if !seen[name] {
-				seen[name] = true
-				names = append(names, name)
-			}
-		}
+		names = append(names, d.a.limits.Databases[i].Name)
 	}
-	return names
+	return addNames(names, d.table, func(s *Slot) map[core.DatabaseName]ConnectionShare { return s.Databases })
 }
--- a/pkg/share/encode.go
+++ b/pkg/share/encode.go
@@ -101,8 +101,17 @@
 }
 
 func collectNames[K ~string, V any](t *Table, shares func(*Slot) map[K]V) []K {
-	seen := map[K]bool{}
-	names := []K{}
+	names := addNames([]K{}, t, shares)
+	slices.Sort(names)
+	return names
+}
+
+// addNames adds to names those of the table's shares that are not among them.
+func addNames[K ~string, V any](names []K, t *Table, shares func(*Slot) map[K]V) []K {
+	seen := make(map[K]bool, len(names))
+	for _, name := range names {
+		seen[name] = true
+	}
 	for i := range t.Slots {
 		for name := range shares(&t.Slots[i]) {
 			if !seen[name] {
@@ -111,7 +120,6 @@
 			}
 		}
 	}
-	slices.Sort(names)
 	return names
 }
 
