--- a/pkg/instance/bridge_test.go
+++ b/pkg/instance/bridge_test.go
@@ -14,9 +14,9 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/membership"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 func word[S ~string](t *rapid.T, label string) S {
@@ -140,8 +140,8 @@
 		} {
 			op, err := b.operation(operation)
 			require.NoError(t, err)
-			put := op.(platform.PutOp)
-			require.Equal(t, want, decodeRecord(platform.Record{Key: put.Key, Value: put.Value, Revision: 9}))
+			put := op.(store.PutOp)
+			require.Equal(t, want, decodeRecord(store.Record{Key: put.Key, Value: put.Value, Revision: 9}))
 		}
 	})
 }
@@ -149,7 +149,7 @@
 // Guards against a catalogue of a newer release that is taken for an empty one
 // and overwritten by the next edit, and against two records of one slot.
 func TestUnreadableRecordsAreLeftOut(t *testing.T) {
-	for _, r := range []platform.Record{
+	for _, r := range []store.Record{
 		{Key: keyCatalogue, Value: json.RawMessage(`{"version":"v2"}`), Revision: 4},
 		{Key: keyTable, Value: json.RawMessage(`{"slots":"v2"}`), Revision: 4},
 		{Key: "slot/007", Value: json.RawMessage(`{}`), Revision: 4},
@@ -186,7 +186,7 @@
 		f.Add(key, `null`, true)
 	}
 	f.Fuzz(func(_ *testing.T, key, value string, deleted bool) {
-		decodeRecord(platform.Record{Key: platform.Key(key), Value: json.RawMessage(value), Revision: 1, Deleted: deleted})
+		decodeRecord(store.Record{Key: store.Key(key), Value: json.RawMessage(value), Revision: 1, Deleted: deleted})
 	})
 }
 
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -13,10 +13,10 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
@@ -56,11 +56,11 @@
 	if i.peers, err = i.rpc.Listen(i.settings.PeerAddress); err != nil {
 		return err
 	}
-	store, err := platform.NewClient("http://" + i.settings.PlatformAddress)
+	client, err := store.NewClient("http://" + i.settings.PlatformAddress)
 	if err != nil {
 		return err
 	}
-	i.platform = platform.NewDuty(store, platform.Output{
+	i.platform = store.NewDuty(client, store.Output{
 		Deliver:   i.deliverPlatform,
 		CallRoom:  i.callRoom,
 		WatchRoom: i.watchRoom,
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -22,10 +22,10 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
@@ -55,7 +55,7 @@
 	control    *control.Engine
 	rpc        *rpc.Duty
 	peers      netip.AddrPort
-	platform   *platform.Duty
+	platform   *store.Duty
 	callRoom   *ring.Signal
 	watchRoom  *ring.Signal
 	ready      atomic.Bool
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -10,9 +10,9 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
@@ -65,8 +65,8 @@
 	instance *Instance
 	bridge   storeBridge
 	rpc      *port[rpc.Command]
-	calls    *port[platform.Call]
-	watches  *port[platform.Call]
+	calls    *port[store.Call]
+	watches  *port[store.Call]
 	callers  *port[callerio.Input]
 	session  *ring.Ring[session.Input]
 }
@@ -78,8 +78,8 @@
 			self: i.self, callTimeout: i.settings.PlatformCallTimeout, leaseTTL: i.settings.LeaseTTL,
 		},
 		rpc:     &port[rpc.Command]{ring: i.rpc.Commands()},
-		calls:   &port[platform.Call]{ring: i.platform.Calls()},
-		watches: &port[platform.Call]{ring: i.platform.Watches()},
+		calls:   &port[store.Call]{ring: i.platform.Calls()},
+		watches: &port[store.Call]{ring: i.platform.Watches()},
 		callers: &port[callerio.Input]{ring: i.callers.Ring()},
 		session: i.sessions.input,
 	}
@@ -193,10 +193,10 @@
 }
 
 // deliverPlatform decodes the results of the platform duty for control.
-func (i *Instance) deliverPlatform(r platform.Result) bool {
+func (i *Instance) deliverPlatform(r store.Result) bool {
 	in := (&storeBridge{}).decode(r)
 	room := i.callRoom
-	if _, ok := r.Op.(platform.WatchOp); ok {
+	if _, ok := r.Op.(store.WatchOp); ok {
 		room = i.watchRoom
 	}
 	return deliver(i.controls.input, in, room)
--- a/pkg/instance/storebridge.go
+++ b/pkg/instance/storebridge.go
@@ -11,17 +11,17 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // Keys of the platform's records.
 const (
-	keyCatalogue   platform.Key = "catalogue"
-	keyTable       platform.Key = "shares"
-	keyAllocator   platform.Key = "allocator"
-	keyGroupPrefix platform.Key = "group/"
-	keySlotPrefix  platform.Key = "slot/"
+	keyCatalogue   store.Key = "catalogue"
+	keyTable       store.Key = "shares"
+	keyAllocator   store.Key = "allocator"
+	keyGroupPrefix store.Key = "group/"
+	keySlotPrefix  store.Key = "slot/"
 )
 
 // storeBridge encodes the operations of control as platform calls and decodes
@@ -34,101 +34,101 @@
 
 // encode returns the platform call of an operation. It returns the error of
 // the encoder for a record that has no stored form.
-func (b *storeBridge) encode(operation control.StoreOperation) (platform.Call, error) {
+func (b *storeBridge) encode(operation control.StoreOperation) (store.Call, error) {
 	op, err := b.operation(operation)
-	return platform.Call{Tag: operation, Timeout: b.callTimeout, Op: op}, err
+	return store.Call{Tag: operation, Timeout: b.callTimeout, Op: op}, err
 }
 
-func (b *storeBridge) operation(operation control.StoreOperation) (platform.Operation, error) {
+func (b *storeBridge) operation(operation control.StoreOperation) (store.Operation, error) {
 	switch o := operation.(type) {
 	case control.Watch:
-		return platform.WatchOp{WatchRequest: platform.WatchRequest{
-			After: platform.Revision(o.After), Timeout: o.Hold,
+		return store.WatchOp{WatchRequest: store.WatchRequest{
+			After: store.Revision(o.After), Timeout: o.Hold,
 		}}, nil
 	case control.ReadCatalogue:
-		return platform.GetOp{Key: keyCatalogue}, nil
+		return store.GetOp{Key: keyCatalogue}, nil
 	case control.ReadGroup:
-		return platform.GetOp{Key: keyGroupPrefix + platform.Key(o.Database)}, nil
+		return store.GetOp{Key: keyGroupPrefix + store.Key(o.Database)}, nil
 	case control.CreateLease:
-		return platform.CreateLeaseOp{TTL: b.leaseTTL}, nil
+		return store.CreateLeaseOp{TTL: b.leaseTTL}, nil
 	case control.RenewLease:
-		return platform.RenewLeaseOp{Lease: platform.LeaseID(o.Lease)}, nil
+		return store.RenewLeaseOp{Lease: store.LeaseID(o.Lease)}, nil
 	case control.RevokeLease:
-		return platform.RevokeLeaseOp{Lease: platform.LeaseID(o.Lease)}, nil
+		return store.RevokeLeaseOp{Lease: store.LeaseID(o.Lease)}, nil
 	case control.ListInstances:
-		return platform.InstancesOp{}, nil
+		return store.InstancesOp{}, nil
 	case control.Announce:
-		return platform.AnnounceOp{Instance: b.announcement(o)}, nil
+		return store.AnnounceOp{Instance: b.announcement(o)}, nil
 	}
 	return b.put(operation)
 }
 
-func (b *storeBridge) announcement(a control.Announce) platform.Instance {
-	state := platform.InstanceLive
+func (b *storeBridge) announcement(a control.Announce) store.Instance {
+	state := store.InstanceLive
 	if a.Leaving {
-		state = platform.InstanceLeaving
+		state = store.InstanceLeaving
 	}
-	return platform.Instance{
+	return store.Instance{
 		ID: b.self.Instance, PeerAddress: b.self.PeerAddress, Domain: b.self.Domain, State: state,
 	}
 }
 
-func (b *storeBridge) put(operation control.StoreOperation) (platform.Operation, error) {
-	var request platform.PutRequest
+func (b *storeBridge) put(operation control.StoreOperation) (store.Operation, error) {
+	var request store.PutRequest
 	var err error
 	switch o := operation.(type) {
 	case control.SwapCatalogue:
-		request = platform.PutRequest{Key: keyCatalogue, Revision: platform.Revision(o.Revision)}
+		request = store.PutRequest{Key: keyCatalogue, Revision: store.Revision(o.Revision)}
 		request.Value, err = o.Catalogue.Encode()
 	case control.SwapGroup:
-		request = platform.PutRequest{Key: keyGroupPrefix + platform.Key(o.Database), Revision: platform.Revision(o.RecordSwap.Revision)}
+		request = store.PutRequest{Key: keyGroupPrefix + store.Key(o.Database), Revision: store.Revision(o.RecordSwap.Revision)}
 		request.Value, err = failover.EncodeRecord(o.Record)
 	case control.SwapTable:
-		request = platform.PutRequest{Key: keyTable, Revision: platform.Revision(o.Revision)}
+		request = store.PutRequest{Key: keyTable, Revision: store.Revision(o.Revision)}
 		request.Value, err = o.Table.Encode()
 	case control.PutClaim:
-		request = platform.PutRequest{Key: slotKey(o.Claim.Slot), Revision: platform.Revision(o.Revision)}
+		request = store.PutRequest{Key: slotKey(o.Claim.Slot), Revision: store.Revision(o.Revision)}
 		if !o.Claim.Released {
-			request.Lease = platform.LeaseID(o.Claim.Lease)
+			request.Lease = store.LeaseID(o.Claim.Lease)
 		}
 		request.Value, err = json.Marshal(o.Claim)
 	case control.PutAllocator:
-		request = platform.PutRequest{Key: keyAllocator, Revision: platform.Revision(o.Revision), Lease: platform.LeaseID(o.Lease)}
+		request = store.PutRequest{Key: keyAllocator, Revision: store.Revision(o.Revision), Lease: store.LeaseID(o.Lease)}
 		request.Value, err = json.Marshal(o.Allocator)
 	}
-	return platform.PutOp{PutRequest: request}, err
+	return store.PutOp{PutRequest: request}, err
 }
 
-func slotKey(slot int) platform.Key {
-	return keySlotPrefix + platform.Key(strconv.Itoa(slot))
+func slotKey(slot int) store.Key {
+	return keySlotPrefix + store.Key(strconv.Itoa(slot))
 }
 
 // decode turns a platform result into an input of control.
-func (b *storeBridge) decode(r platform.Result) control.Input {
+func (b *storeBridge) decode(r store.Result) control.Input {
 	operation := r.Tag.(control.StoreOperation)
 	answer := control.StoreAnswer{Operation: operation, Sent: r.Sent, Outcome: outcomeOf(r.Err)}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(r.Err, &conflict) {
-		answer.Records = decodeRecords([]platform.Record{conflict.Current})
+		answer.Records = decodeRecords([]store.Record{conflict.Current})
 	}
 	switch v := r.Value.(type) {
-	case platform.Record:
+	case store.Record:
 		answer.Revision = control.Revision(v.Revision)
-		answer.Records = decodeRecords([]platform.Record{v})
-	case platform.WatchResult:
+		answer.Records = decodeRecords([]store.Record{v})
+	case store.WatchResult:
 		answer.Revision = control.Revision(v.Revision)
 		answer.Records = decodeRecords(v.Records)
-	case platform.LeaseID:
+	case store.LeaseID:
 		answer.Lease = share.LeaseID(v)
-	case []platform.Instance:
+	case []store.Instance:
 		answer.Instances = decodeInstances(v)
 	}
 	return control.FromStore{Answer: answer}
 }
 
 func outcomeOf(err error) control.Outcome {
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
+	var conflict *store.ConflictError
+	var missing *store.NotFoundError
 	switch {
 	case err == nil:
 		return control.Done
@@ -136,17 +136,17 @@
 		return control.Conflict
 	case errors.As(err, &missing):
 		return control.NotFound
-	case platform.IsUnknown(err):
+	case store.IsUnknown(err):
 		return control.Unknown
 	}
 	return control.Unavailable
 }
 
-func decodeInstances(list []platform.Instance) []control.Peer {
+func decodeInstances(list []store.Instance) []control.Peer {
 	peers := make([]control.Peer, 0, len(list))
 	for _, i := range list {
 		peers = append(peers, control.Peer{
-			ID: i.ID, PeerAddress: i.PeerAddress, Domain: i.Domain, Leaving: i.State == platform.InstanceLeaving,
+			ID: i.ID, PeerAddress: i.PeerAddress, Domain: i.Domain, Leaving: i.State == store.InstanceLeaving,
 		})
 	}
 	return peers
@@ -154,7 +154,7 @@
 
 // decodeRecords leaves out records that cannot be decoded: a record written by
 // a newer release must not stop an instance.
-func decodeRecords(records []platform.Record) []control.Record {
+func decodeRecords(records []store.Record) []control.Record {
 	decoded := make([]control.Record, 0, len(records))
 	for _, r := range records {
 		if record := decodeRecord(r); record != nil {
@@ -164,9 +164,9 @@
 	return decoded
 }
 
-func decodeRecord(r platform.Record) control.Record {
+func decodeRecord(r store.Record) control.Record {
 	revision := control.Revision(r.Revision)
-	missing := r.Deleted || r.Revision == platform.NotExists
+	missing := r.Deleted || r.Revision == store.NotExists
 	key := string(r.Key)
 	switch {
 	case r.Key == keyCatalogue:
@@ -191,7 +191,7 @@
 
 // decodeCatalogueRecord leaves out a catalogue that cannot be decoded. Taken
 // for an empty one, it would be overwritten by the next edit.
-func decodeCatalogueRecord(r platform.Record, missing bool) control.Record {
+func decodeCatalogueRecord(r store.Record, missing bool) control.Record {
 	revision := control.Revision(r.Revision)
 	if missing {
 		return control.CatalogueRecord{Revision: revision}
@@ -203,7 +203,7 @@
 	return control.CatalogueRecord{Catalogue: c, Revision: revision}
 }
 
-func decodeGroupRecord(database core.DatabaseName, r platform.Record, missing bool) control.Record {
+func decodeGroupRecord(database core.DatabaseName, r store.Record, missing bool) control.Record {
 	if missing {
 		return control.GroupRecord{Database: database}
 	}
@@ -215,7 +215,7 @@
 	return control.GroupRecord{Database: database, Seen: seen}
 }
 
-func decodeClaimRecord(slot string, r platform.Record, missing bool) control.Record {
+func decodeClaimRecord(slot string, r store.Record, missing bool) control.Record {
 	var c share.Claim
 	n, err := strconv.Atoi(slot)
 	if err != nil || n < 0 || strconv.Itoa(n) != slot {
--- a/pkg/platform/conformance_test.go
+++ b/pkg/store/conformance_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -9,37 +9,37 @@
 	"testing"
 	"time"
 
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform/platformtest"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store/storetest"
 	"github.com/stretchr/testify/require"
 )
 
 // bench is one store under test, and the memory behind it.
 type bench struct {
-	store  platform.Store
-	memory *platformtest.Memory
+	store  store.Store
+	memory *storetest.Memory
 }
 
 // eachStore runs a test against the in-memory store and against the HTTP client
 // with a server in front of one.
 func eachStore(t *testing.T, test func(t *testing.T, b bench)) {
 	t.Run("memory", func(t *testing.T) {
-		memory := platformtest.NewMemory()
+		memory := storetest.NewMemory()
 		test(t, bench{store: memory, memory: memory})
 	})
 	t.Run("http", func(t *testing.T) {
-		memory := platformtest.NewMemory()
-		server := httptest.NewServer(platformtest.NewHandler(memory))
+		memory := storetest.NewMemory()
+		server := httptest.NewServer(storetest.NewHandler(memory))
 		t.Cleanup(server.Close)
-		client, err := platform.NewClient(server.URL)
+		client, err := store.NewClient(server.URL)
 		require.NoError(t, err)
 		t.Cleanup(client.CloseIdle)
 		test(t, bench{store: client, memory: memory})
 	})
 }
 
-func put(t *testing.T, s platform.Store, key platform.Key, value string, at platform.Revision, lease platform.LeaseID) platform.Record {
-	r, err := s.Put(t.Context(), platform.PutRequest{Key: key, Value: json.RawMessage(value), Revision: at, Lease: lease})
+func put(t *testing.T, s store.Store, key store.Key, value string, at store.Revision, lease store.LeaseID) store.Record {
+	r, err := s.Put(t.Context(), store.PutRequest{Key: key, Value: json.RawMessage(value), Revision: at, Lease: lease})
 	require.NoError(t, err)
 	return r
 }
@@ -48,9 +48,9 @@
 // conflict that does not tell the current record.
 func TestPutComparesAndSwaps(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		first := put(t, b.store, "group/jylland", `{"term":1}`, platform.NotExists, "")
-		_, err := b.store.Put(t.Context(), platform.PutRequest{Key: "group/jylland", Value: json.RawMessage(`1`)})
-		var conflict *platform.ConflictError
+		first := put(t, b.store, "group/jylland", `{"term":1}`, store.NotExists, "")
+		_, err := b.store.Put(t.Context(), store.PutRequest{Key: "group/jylland", Value: json.RawMessage(`1`)})
+		var conflict *store.ConflictError
 		require.ErrorAs(t, err, &conflict)
 		require.Equal(t, first, conflict.Current)
 		second := put(t, b.store, "group/jylland", `{"term":2}`, first.Revision, "")
@@ -60,26 +60,26 @@
 		require.Equal(t, second, read)
 		require.ErrorAs(t, b.store.Delete(t.Context(), "group/jylland", first.Revision), &conflict)
 		require.NoError(t, b.store.Delete(t.Context(), "group/jylland", second.Revision))
-		var missing *platform.NotFoundError
+		var missing *store.NotFoundError
 		_, err = b.store.Get(t.Context(), "group/jylland")
 		require.ErrorAs(t, err, &missing)
-		_, err = b.store.Put(t.Context(), platform.PutRequest{Key: "group/jylland", Value: json.RawMessage(`1`), Revision: 2})
+		_, err = b.store.Put(t.Context(), store.PutRequest{Key: "group/jylland", Value: json.RawMessage(`1`), Revision: 2})
 		require.ErrorAs(t, err, &conflict)
-		require.Equal(t, platform.Record{Key: "group/jylland"}, conflict.Current)
+		require.Equal(t, store.Record{Key: "group/jylland"}, conflict.Current)
 	})
 }
 
 // Guards against requests that the platform must refuse.
 func TestInvalidRequestsAreRefused(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		var invalid *platform.InvalidError
-		for _, key := range []platform.Key{"", "/a", "a//b", "a/../b", "a?b"} {
-			_, err := b.store.Put(t.Context(), platform.PutRequest{Key: key, Value: json.RawMessage(`1`)})
+		var invalid *store.InvalidError
+		for _, key := range []store.Key{"", "/a", "a//b", "a/../b", "a?b"} {
+			_, err := b.store.Put(t.Context(), store.PutRequest{Key: key, Value: json.RawMessage(`1`)})
 			require.ErrorAs(t, err, &invalid, string(key))
 		}
-		large, err := json.Marshal(make([]int, platform.MaxValueBytes))
+		large, err := json.Marshal(make([]int, store.MaxValueBytes))
 		require.NoError(t, err)
-		_, err = b.store.Put(t.Context(), platform.PutRequest{Key: "a", Value: large})
+		_, err = b.store.Put(t.Context(), store.PutRequest{Key: "a", Value: large})
 		require.ErrorAs(t, err, &invalid)
 		_, err = b.store.CreateLease(t.Context(), 0)
 		require.ErrorAs(t, err, &invalid)
@@ -90,7 +90,7 @@
 // seems to succeed after the end.
 func TestLeaseEndsItsRecords(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		var missing *platform.NotFoundError
+		var missing *store.NotFoundError
 		ended, err := b.store.CreateLease(t.Context(), time.Millisecond)
 		require.NoError(t, err)
 		isEnded := func() bool { return errors.As(b.store.RenewLease(t.Context(), ended), &missing) }
@@ -99,11 +99,11 @@
 		require.NoError(t, err)
 		long, err := b.store.CreateLease(t.Context(), time.Hour)
 		require.NoError(t, err)
-		held := put(t, b.store, "slot/1", `1`, platform.NotExists, short)
-		put(t, b.store, "slot/2", `2`, platform.NotExists, long)
+		held := put(t, b.store, "slot/1", `1`, store.NotExists, short)
+		put(t, b.store, "slot/2", `2`, store.NotExists, long)
 		require.NoError(t, b.store.RenewLease(t.Context(), short))
 		b.memory.EndLease(short)
-		result, err := b.store.Watch(t.Context(), platform.WatchRequest{Prefix: "slot/1", After: held.Revision, Timeout: time.Minute})
+		result, err := b.store.Watch(t.Context(), store.WatchRequest{Prefix: "slot/1", After: held.Revision, Timeout: time.Minute})
 		require.NoError(t, err)
 		require.Len(t, result.Records, 1)
 		require.True(t, result.Records[0].Deleted)
@@ -111,7 +111,7 @@
 		require.NoError(t, b.store.RevokeLease(t.Context(), long))
 		_, err = b.store.Get(t.Context(), "slot/2")
 		require.ErrorAs(t, err, &missing)
-		_, err = b.store.Put(t.Context(), platform.PutRequest{Key: "slot/2", Value: json.RawMessage(`1`), Lease: long})
+		_, err = b.store.Put(t.Context(), store.PutRequest{Key: "slot/2", Value: json.RawMessage(`1`), Lease: long})
 		require.ErrorAs(t, err, &missing)
 	})
 }
@@ -120,22 +120,22 @@
 // or reports keys outside its prefix.
 func TestWatchReportsEachChangedKey(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		first := put(t, b.store, "a/1", `1`, platform.NotExists, "")
-		put(t, b.store, "b/1", `1`, platform.NotExists, "")
+		first := put(t, b.store, "a/1", `1`, store.NotExists, "")
+		put(t, b.store, "b/1", `1`, store.NotExists, "")
 		last := put(t, b.store, "a/1", `2`, first.Revision, "")
-		watch := platform.WatchRequest{Prefix: "a/", Timeout: time.Minute}
+		watch := store.WatchRequest{Prefix: "a/", Timeout: time.Minute}
 		result, err := b.store.Watch(t.Context(), watch)
 		require.NoError(t, err)
-		require.Equal(t, []platform.Record{last}, result.Records)
+		require.Equal(t, []store.Record{last}, result.Records)
 		watch.After = result.Revision
-		written := make(chan platform.Record, 1)
+		written := make(chan store.Record, 1)
 		go func() {
-			r, _ := b.memory.Put(context.Background(), platform.PutRequest{Key: "a/2", Value: json.RawMessage(`3`)})
+			r, _ := b.memory.Put(context.Background(), store.PutRequest{Key: "a/2", Value: json.RawMessage(`3`)})
 			written <- r
 		}()
 		result, err = b.store.Watch(t.Context(), watch)
 		require.NoError(t, err)
-		require.Equal(t, []platform.Record{<-written}, result.Records)
+		require.Equal(t, []store.Record{<-written}, result.Records)
 		watch.After, watch.Timeout = result.Revision, 20*time.Millisecond
 		result, err = b.store.Watch(t.Context(), watch)
 		require.NoError(t, err)
@@ -147,9 +147,9 @@
 // taken effect.
 func TestLostAnswerIsAnUnknownOutcome(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		b.memory.SetFaults(platformtest.Faults{LoseAnswers: 1})
-		_, err := b.store.Put(t.Context(), platform.PutRequest{Key: "a", Value: json.RawMessage(`1`)})
-		require.True(t, platform.IsUnknown(err), "%v", err)
+		b.memory.SetFaults(storetest.Faults{LoseAnswers: 1})
+		_, err := b.store.Put(t.Context(), store.PutRequest{Key: "a", Value: json.RawMessage(`1`)})
+		require.True(t, store.IsUnknown(err), "%v", err)
 		r, err := b.store.Get(t.Context(), "a")
 		require.NoError(t, err)
 		require.JSONEq(t, `1`, string(r.Value))
@@ -160,21 +160,21 @@
 // rate limit have no effect, and a change that ran into its deadline may have.
 func TestFaultsAreTyped(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		var unavailable *platform.UnavailableError
-		request := platform.PutRequest{Key: "a", Value: json.RawMessage(`1`)}
-		b.memory.SetFaults(platformtest.Faults{Outage: true})
+		var unavailable *store.UnavailableError
+		request := store.PutRequest{Key: "a", Value: json.RawMessage(`1`)}
+		b.memory.SetFaults(storetest.Faults{Outage: true})
 		_, err := b.store.Put(t.Context(), request)
 		require.ErrorAs(t, err, &unavailable)
-		_, err = b.store.Watch(t.Context(), platform.WatchRequest{Timeout: time.Minute})
+		_, err = b.store.Watch(t.Context(), store.WatchRequest{Timeout: time.Minute})
 		require.ErrorAs(t, err, &unavailable)
-		b.memory.SetFaults(platformtest.Faults{ReadsPerSecond: 1})
-		var limited *platform.RateLimitedError
+		b.memory.SetFaults(storetest.Faults{ReadsPerSecond: 1})
+		var limited *store.RateLimitedError
 		isLimited := func() bool {
 			_, err := b.store.Instances(t.Context())
 			return errors.As(err, &limited)
 		}
 		require.Eventually(t, isLimited, time.Minute, time.Millisecond)
-		b.memory.SetFaults(platformtest.Faults{Delay: time.Minute})
+		b.memory.SetFaults(storetest.Faults{Delay: time.Minute})
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 		defer cancel()
 		_, err = b.store.Get(ctx, "a")
@@ -185,22 +185,22 @@
 // Guards against a change that is said not to have happened although it was
 // sent, and against a refused connection that is said to be uncertain.
 func TestOutcomeOfAChangeWithoutAnswer(t *testing.T) {
-	memory := platformtest.NewMemory()
-	memory.SetFaults(platformtest.Faults{Delay: time.Minute})
+	memory := storetest.NewMemory()
+	memory.SetFaults(storetest.Faults{Delay: time.Minute})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	handler := platformtest.NewHandler(memory)
+	handler := storetest.NewHandler(memory)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		cancel()
 		handler.ServeHTTP(w, r)
 	}))
-	client, err := platform.NewClient(server.URL)
+	client, err := store.NewClient(server.URL)
 	require.NoError(t, err)
 	_, err = client.CreateLease(ctx, time.Second)
-	require.True(t, platform.IsUnknown(err), "%v", err)
+	require.True(t, store.IsUnknown(err), "%v", err)
 	server.Close()
 	_, err = client.CreateLease(t.Context(), time.Second)
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	require.ErrorAs(t, err, &unavailable)
 }
 
@@ -208,12 +208,12 @@
 // not lag in tests that ask for it.
 func TestInstancesLag(t *testing.T) {
 	eachStore(t, func(t *testing.T, b bench) {
-		first := platform.Instance{ID: "i1", PeerAddress: "127.0.0.1:1", Domain: "fyn", State: platform.InstanceLive}
+		first := store.Instance{ID: "i1", PeerAddress: "127.0.0.1:1", Domain: "fyn", State: store.InstanceLive}
 		require.NoError(t, b.store.Announce(t.Context(), first))
 		list, err := b.store.Instances(t.Context())
 		require.NoError(t, err)
-		require.Equal(t, []platform.Instance{first}, list)
-		b.memory.SetFaults(platformtest.Faults{ListLag: time.Hour})
+		require.Equal(t, []store.Instance{first}, list)
+		b.memory.SetFaults(storetest.Faults{ListLag: time.Hour})
 		second := first
 		second.ID = "i2"
 		require.NoError(t, b.store.Announce(t.Context(), second))
--- a/pkg/platform/document.go
+++ b/pkg/store/document.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "encoding/json"
 
--- a/pkg/platform/operation.go
+++ b/pkg/store/operation.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 func (o GetOp) run(c callContext) (any, error) { return c.store.Get(c.ctx, o.Key) }
 
--- a/pkg/platform/store.go
+++ b/pkg/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's key-value service: records
+// Package store is the client of the platform's key-value service: records
 // with compare-and-swap, leases, watches and the list of instances. It makes
 // one attempt per call; retries are decided by the caller.
-package platform
+package store
 
 import (
 	"context"
--- a/pkg/platform/platformtest/faults.go
+++ b/pkg/store/storetest/faults.go
@@ -1,10 +1,10 @@
-package platformtest
+package storetest
 
 import (
 	"context"
 	"time"
 
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // Faults are the faults that are switched on.
@@ -59,14 +59,14 @@
 	}
 	if !m.window.admit(now, change, m.faults) {
 		m.mu.Unlock()
-		return &platform.RateLimitedError{}
+		return &store.RateLimitedError{}
 	}
 	m.expire(now)
 	return nil
 }
 
 func outage() error {
-	return &platform.UnavailableError{Reason: "outage"}
+	return &store.UnavailableError{Reason: "outage"}
 }
 
 func (m *Memory) delay(ctx context.Context) error {
@@ -80,7 +80,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return &platform.UnavailableError{Reason: ctx.Err().Error()}
+		return &store.UnavailableError{Reason: ctx.Err().Error()}
 	}
 }
 
@@ -91,7 +91,7 @@
 		return nil
 	}
 	m.faults.LoseAnswers--
-	return &platform.UnknownOutcomeError{Reason: "answer lost"}
+	return &store.UnknownOutcomeError{Reason: "answer lost"}
 }
 
 func (w *window) admit(now time.Time, change bool, f Faults) bool {
--- a/pkg/platform/platformtest/handler.go
+++ b/pkg/store/storetest/handler.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"encoding/json"
@@ -9,24 +9,24 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // longestWatch bounds the timeout of a watch.
 const longestWatch = time.Minute
 
 // largestRequest bounds a request body in bytes: a value in its document.
-const largestRequest = platform.MaxValueBytes + 4096
+const largestRequest = store.MaxValueBytes + 4096
 
 // handler serves a store over HTTP.
 type handler struct {
-	store platform.Store
+	store store.Store
 }
 
 // NewHandler returns the platform's HTTP interface (docs/design.md section 9)
 // in front of a store. An answer that the store loses closes the connection
 // without a response.
-func NewHandler(store platform.Store) http.Handler {
+func NewHandler(store store.Store) http.Handler {
 	h := &handler{store: store}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv/{key...}", h.get)
@@ -42,18 +42,18 @@
 }
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request) {
-	record, err := h.store.Get(r.Context(), platform.Key(r.PathValue("key")))
+	record, err := h.store.Get(r.Context(), store.Key(r.PathValue("key")))
 	respond(w, record, err)
 }
 
 func (h *handler) put(w http.ResponseWriter, r *http.Request) {
-	var d platform.PutDocument
+	var d store.PutDocument
 	if err := readBody(r, &d); err != nil {
 		respond(w, nil, err)
 		return
 	}
-	record, err := h.store.Put(r.Context(), platform.PutRequest{
-		Key:      platform.Key(r.PathValue("key")),
+	record, err := h.store.Put(r.Context(), store.PutRequest{
+		Key:      store.Key(r.PathValue("key")),
 		Value:    d.Value,
 		Revision: d.Revision,
 		Lease:    d.Lease,
@@ -64,28 +64,28 @@
 func (h *handler) delete(w http.ResponseWriter, r *http.Request) {
 	revision, err := numberOf(r, "revision")
 	if err == nil {
-		err = h.store.Delete(r.Context(), platform.Key(r.PathValue("key")), platform.Revision(revision))
+		err = h.store.Delete(r.Context(), store.Key(r.PathValue("key")), store.Revision(revision))
 	}
 	respond(w, struct{}{}, err)
 }
 
 func (h *handler) createLease(w http.ResponseWriter, r *http.Request) {
-	var d platform.LeaseRequestDocument
+	var d store.LeaseRequestDocument
 	if err := readBody(r, &d); err != nil {
 		respond(w, nil, err)
 		return
 	}
 	id, err := h.store.CreateLease(r.Context(), time.Duration(d.TTLMillis)*time.Millisecond)
-	respond(w, platform.LeaseDocument{ID: id}, err)
+	respond(w, store.LeaseDocument{ID: id}, err)
 }
 
 func (h *handler) renewLease(w http.ResponseWriter, r *http.Request) {
-	err := h.store.RenewLease(r.Context(), platform.LeaseID(r.PathValue("id")))
+	err := h.store.RenewLease(r.Context(), store.LeaseID(r.PathValue("id")))
 	respond(w, struct{}{}, err)
 }
 
 func (h *handler) revokeLease(w http.ResponseWriter, r *http.Request) {
-	err := h.store.RevokeLease(r.Context(), platform.LeaseID(r.PathValue("id")))
+	err := h.store.RevokeLease(r.Context(), store.LeaseID(r.PathValue("id")))
 	respond(w, struct{}{}, err)
 }
 
@@ -100,9 +100,9 @@
 		respond(w, nil, err)
 		return
 	}
-	result, err := h.store.Watch(r.Context(), platform.WatchRequest{
-		Prefix:  platform.Key(r.URL.Query().Get("prefix")),
-		After:   platform.Revision(after),
+	result, err := h.store.Watch(r.Context(), store.WatchRequest{
+		Prefix:  store.Key(r.URL.Query().Get("prefix")),
+		After:   store.Revision(after),
 		Timeout: min(time.Duration(millis)*time.Millisecond, longestWatch),
 	})
 	respond(w, result, err)
@@ -114,7 +114,7 @@
 }
 
 func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
-	var i platform.Instance
+	var i store.Instance
 	if err := readBody(r, &i); err != nil {
 		respond(w, nil, err)
 		return
@@ -126,13 +126,13 @@
 func readBody(r *http.Request, into any) error {
 	text, err := io.ReadAll(io.LimitReader(r.Body, largestRequest+1))
 	if err != nil {
-		return &platform.InvalidError{Reason: err.Error()}
+		return &store.InvalidError{Reason: err.Error()}
 	}
 	if len(text) > largestRequest {
-		return &platform.InvalidError{Reason: "the request is too large"}
+		return &store.InvalidError{Reason: "the request is too large"}
 	}
 	if err := json.Unmarshal(text, into); err != nil {
-		return &platform.InvalidError{Reason: err.Error()}
+		return &store.InvalidError{Reason: err.Error()}
 	}
 	return nil
 }
@@ -140,7 +140,7 @@
 func numberOf(r *http.Request, name string) (uint64, error) {
 	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 	if err != nil {
-		return 0, &platform.InvalidError{Reason: name + " must be a number"}
+		return 0, &store.InvalidError{Reason: name + " must be a number"}
 	}
 	return n, nil
 }
@@ -151,22 +151,22 @@
 		writeJSON(w, http.StatusOK, result)
 		return
 	}
-	if platform.IsUnknown(err) {
+	if store.IsUnknown(err) {
 		// The server closes the connection without a response.
 		panic(http.ErrAbortHandler)
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		writeJSON(w, http.StatusConflict, conflict.Current)
 		return
 	}
-	writeJSON(w, statusOf(err), platform.ErrorDocument{Error: err.Error()})
+	writeJSON(w, statusOf(err), store.ErrorDocument{Error: err.Error()})
 }
 
 func statusOf(err error) int {
-	var notFound *platform.NotFoundError
-	var limited *platform.RateLimitedError
-	var invalid *platform.InvalidError
+	var notFound *store.NotFoundError
+	var limited *store.RateLimitedError
+	var invalid *store.InvalidError
 	switch {
 	case errors.As(err, &notFound):
 		return http.StatusNotFound
--- a/pkg/platform/platformtest/memory.go
+++ b/pkg/store/storetest/memory.go
@@ -1,6 +1,6 @@
-// Package platformtest is an in-memory platform for tests and stand-ins, with
+// Package storetest is an in-memory platform for tests and stand-ins, with
 // faults that can be switched on.
-package platformtest
+package storetest
 
 import (
 	"bytes"
@@ -14,23 +14,23 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
-// Memory is a platform.Store in memory. It is safe for concurrent use.
+// Memory is a store.Store in memory. It is safe for concurrent use.
 type Memory struct {
 	mu       sync.Mutex
-	revision platform.Revision
+	revision store.Revision
 	// records keeps deleted ones too, for watches.
-	records map[platform.Key]platform.Record
-	leases  map[platform.LeaseID]*lease
+	records map[store.Key]store.Record
+	leases  map[store.LeaseID]*lease
 	serial  int
 	// changed is closed and replaced at each change.
 	changed   chan struct{}
 	faults    Faults
 	window    window
-	instances map[core.InstanceID]platform.Instance
-	listed    []platform.Instance
+	instances map[core.InstanceID]store.Instance
+	listed    []store.Instance
 	listedAt  time.Time
 }
 
@@ -39,15 +39,15 @@
 	expires time.Time
 }
 
-var _ platform.Store = (*Memory)(nil)
+var _ store.Store = (*Memory)(nil)
 
 // NewMemory returns an empty platform without faults.
 func NewMemory() *Memory {
 	return &Memory{
-		records:   map[platform.Key]platform.Record{},
-		leases:    map[platform.LeaseID]*lease{},
+		records:   map[store.Key]store.Record{},
+		leases:    map[store.LeaseID]*lease{},
 		changed:   make(chan struct{}),
-		instances: map[core.InstanceID]platform.Instance{},
+		instances: map[core.InstanceID]store.Instance{},
 	}
 }
 
@@ -67,13 +67,13 @@
 }
 
 // EndLease ends a lease as if its time had passed.
-func (m *Memory) EndLease(id platform.LeaseID) {
+func (m *Memory) EndLease(id store.LeaseID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.endLease(id)
 }
 
-func (m *Memory) endLease(id platform.LeaseID) {
+func (m *Memory) endLease(id store.LeaseID) {
 	delete(m.leases, id)
 	for key, r := range m.records {
 		if r.Lease == id && !r.Deleted {
@@ -82,64 +82,64 @@
 	}
 }
 
-func (m *Memory) remove(key platform.Key) {
+func (m *Memory) remove(key store.Key) {
 	m.revision++
-	m.records[key] = platform.Record{Key: key, Revision: m.revision, Deleted: true}
+	m.records[key] = store.Record{Key: key, Revision: m.revision, Deleted: true}
 	m.noteChange()
 }
 
-func (m *Memory) current(key platform.Key) platform.Record {
+func (m *Memory) current(key store.Key) store.Record {
 	r, ok := m.records[key]
 	if !ok || r.Deleted {
-		return platform.Record{Key: key}
+		return store.Record{Key: key}
 	}
 	return r
 }
 
-// Get implements platform.Store.
-func (m *Memory) Get(ctx context.Context, key platform.Key) (platform.Record, error) {
+// Get implements store.Store.
+func (m *Memory) Get(ctx context.Context, key store.Key) (store.Record, error) {
 	if err := key.Check(); err != nil {
-		return platform.Record{}, err
+		return store.Record{}, err
 	}
 	if err := m.begin(ctx, false); err != nil {
-		return platform.Record{}, err
+		return store.Record{}, err
 	}
 	defer m.mu.Unlock()
 	r := m.current(key)
-	if r.Revision == platform.NotExists {
-		return platform.Record{}, &platform.NotFoundError{What: "record " + string(key)}
+	if r.Revision == store.NotExists {
+		return store.Record{}, &store.NotFoundError{What: "record " + string(key)}
 	}
 	return r, nil
 }
 
-// Put implements platform.Store.
-func (m *Memory) Put(ctx context.Context, r platform.PutRequest) (platform.Record, error) {
+// Put implements store.Store.
+func (m *Memory) Put(ctx context.Context, r store.PutRequest) (store.Record, error) {
 	if err := r.Key.Check(); err != nil {
-		return platform.Record{}, err
+		return store.Record{}, err
 	}
 	var value bytes.Buffer
-	if err := json.Compact(&value, r.Value); err != nil || value.Len() > platform.MaxValueBytes {
-		return platform.Record{}, &platform.InvalidError{Reason: "the value must be JSON of at most 1 MB"}
+	if err := json.Compact(&value, r.Value); err != nil || value.Len() > store.MaxValueBytes {
+		return store.Record{}, &store.InvalidError{Reason: "the value must be JSON of at most 1 MB"}
 	}
 	if err := m.begin(ctx, true); err != nil {
-		return platform.Record{}, err
+		return store.Record{}, err
 	}
 	defer m.mu.Unlock()
 	if _, ok := m.leases[r.Lease]; r.Lease != "" && !ok {
-		return platform.Record{}, &platform.NotFoundError{What: "lease " + string(r.Lease)}
+		return store.Record{}, &store.NotFoundError{What: "lease " + string(r.Lease)}
 	}
 	if current := m.current(r.Key); current.Revision != r.Revision {
-		return platform.Record{}, &platform.ConflictError{Current: current}
+		return store.Record{}, &store.ConflictError{Current: current}
 	}
 	m.revision++
-	record := platform.Record{Key: r.Key, Value: value.Bytes(), Revision: m.revision, Lease: r.Lease}
+	record := store.Record{Key: r.Key, Value: value.Bytes(), Revision: m.revision, Lease: r.Lease}
 	m.records[r.Key] = record
 	m.noteChange()
 	return record, m.answer()
 }
 
-// Delete implements platform.Store.
-func (m *Memory) Delete(ctx context.Context, key platform.Key, revision platform.Revision) error {
+// Delete implements store.Store.
+func (m *Memory) Delete(ctx context.Context, key store.Key, revision store.Revision) error {
 	if err := key.Check(); err != nil {
 		return err
 	}
@@ -148,60 +148,60 @@
 	}
 	defer m.mu.Unlock()
 	current := m.current(key)
-	if current.Revision == platform.NotExists {
-		return &platform.NotFoundError{What: "record " + string(key)}
+	if current.Revision == store.NotExists {
+		return &store.NotFoundError{What: "record " + string(key)}
 	}
 	if current.Revision != revision {
-		return &platform.ConflictError{Current: current}
+		return &store.ConflictError{Current: current}
 	}
 	m.remove(key)
 	return m.answer()
 }
 
-// CreateLease implements platform.Store.
-func (m *Memory) CreateLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// CreateLease implements store.Store.
+func (m *Memory) CreateLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if ttl <= 0 {
-		return "", &platform.InvalidError{Reason: "ttl_ms must be above 0"}
+		return "", &store.InvalidError{Reason: "ttl_ms must be above 0"}
 	}
 	if err := m.begin(ctx, true); err != nil {
 		return "", err
 	}
 	defer m.mu.Unlock()
 	m.serial++
-	id := platform.LeaseID(fmt.Sprintf("lease-%d", m.serial))
+	id := store.LeaseID(fmt.Sprintf("lease-%d", m.serial))
 	m.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	return id, m.answer()
 }
 
-// RenewLease implements platform.Store.
-func (m *Memory) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements store.Store.
+func (m *Memory) RenewLease(ctx context.Context, id store.LeaseID) error {
 	if err := m.begin(ctx, true); err != nil {
 		return err
 	}
 	defer m.mu.Unlock()
 	l, ok := m.leases[id]
 	if !ok {
-		return &platform.NotFoundError{What: "lease " + string(id)}
+		return &store.NotFoundError{What: "lease " + string(id)}
 	}
 	l.expires = time.Now().Add(l.ttl)
 	return m.answer()
 }
 
-// RevokeLease implements platform.Store.
-func (m *Memory) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements store.Store.
+func (m *Memory) RevokeLease(ctx context.Context, id store.LeaseID) error {
 	if err := m.begin(ctx, true); err != nil {
 		return err
 	}
 	defer m.mu.Unlock()
 	if _, ok := m.leases[id]; !ok {
-		return &platform.NotFoundError{What: "lease " + string(id)}
+		return &store.NotFoundError{What: "lease " + string(id)}
 	}
 	m.endLease(id)
 	return m.answer()
 }
 
-// Instances implements platform.Store. The list lags as Faults say.
-func (m *Memory) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements store.Store. The list lags as Faults say.
+func (m *Memory) Instances(ctx context.Context) ([]store.Instance, error) {
 	if err := m.begin(ctx, false); err != nil {
 		return nil, err
 	}
@@ -214,19 +214,19 @@
 	return slices.Clone(m.listed), nil
 }
 
-func (m *Memory) sortedInstances() []platform.Instance {
-	list := make([]platform.Instance, 0, len(m.instances))
+func (m *Memory) sortedInstances() []store.Instance {
+	list := make([]store.Instance, 0, len(m.instances))
 	for _, i := range m.instances {
 		list = append(list, i)
 	}
-	slices.SortFunc(list, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b store.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// Announce implements platform.Store.
-func (m *Memory) Announce(ctx context.Context, i platform.Instance) error {
+// Announce implements store.Store.
+func (m *Memory) Announce(ctx context.Context, i store.Instance) error {
 	if i.ID == "" || i.PeerAddress == "" {
-		return &platform.InvalidError{Reason: "an instance needs an id and a peer address"}
+		return &store.InvalidError{Reason: "an instance needs an id and a peer address"}
 	}
 	if err := m.begin(ctx, true); err != nil {
 		return err
@@ -244,11 +244,11 @@
 	delete(m.instances, id)
 }
 
-// Watch implements platform.Store.
-func (m *Memory) Watch(ctx context.Context, r platform.WatchRequest) (platform.WatchResult, error) {
+// Watch implements store.Store.
+func (m *Memory) Watch(ctx context.Context, r store.WatchRequest) (store.WatchResult, error) {
 	deadline := time.Now().Add(r.Timeout)
 	if err := m.begin(ctx, false); err != nil {
-		return platform.WatchResult{}, err
+		return store.WatchResult{}, err
 	}
 	for {
 		result := m.changesAfter(r)
@@ -259,25 +259,25 @@
 		changed, until := m.changed, m.wakeAt(deadline)
 		m.mu.Unlock()
 		if err := wait(ctx, changed, until); err != nil {
-			return platform.WatchResult{}, err
+			return store.WatchResult{}, err
 		}
 		m.mu.Lock()
 		if m.faults.Outage {
 			m.mu.Unlock()
-			return platform.WatchResult{}, outage()
+			return store.WatchResult{}, outage()
 		}
 		m.expire(time.Now())
 	}
 }
 
-func (m *Memory) changesAfter(r platform.WatchRequest) platform.WatchResult {
-	result := platform.WatchResult{Revision: m.revision}
+func (m *Memory) changesAfter(r store.WatchRequest) store.WatchResult {
+	result := store.WatchResult{Revision: m.revision}
 	for key, record := range m.records {
 		if record.Revision > r.After && strings.HasPrefix(string(key), string(r.Prefix)) {
 			result.Records = append(result.Records, record)
 		}
 	}
-	slices.SortFunc(result.Records, func(a, b platform.Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(result.Records, func(a, b store.Record) int { return cmp.Compare(a.Revision, b.Revision) })
 	return result
 }
 
@@ -299,7 +299,7 @@
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		return &platform.UnavailableError{Reason: ctx.Err().Error()}
+		return &store.UnavailableError{Reason: ctx.Err().Error()}
 	}
 	return nil
 }
--- a/standin/kvservice/handler.go
+++ b/standin/kvservice/handler.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // maxBody bounds a request body in bytes: a value and its envelope.
-const maxBody = platform.MaxValueBytes + 4096
+const maxBody = store.MaxValueBytes + 4096
 
 // Handler returns the HTTP interface. Its handlers wait for the service duty.
 func (s *Service) Handler() http.Handler {
@@ -39,7 +39,7 @@
 		r.watch.reply = r.reply
 	}
 	if !s.requests.TryPush(r) {
-		write(w, answer{status: http.StatusServiceUnavailable, body: platform.ErrorDocument{Error: "overloaded"}})
+		write(w, answer{status: http.StatusServiceUnavailable, body: store.ErrorDocument{Error: "overloaded"}})
 		return
 	}
 	select {
@@ -65,7 +65,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int, reason string) {
-	write(w, answer{status: status, body: platform.ErrorDocument{Error: reason}})
+	write(w, answer{status: status, body: store.ErrorDocument{Error: reason}})
 }
 
 // read decodes a request body and answers one that is invalid.
@@ -95,8 +95,8 @@
 	return n, err == nil
 }
 
-func key(q *http.Request) platform.Key {
-	return platform.Key(q.PathValue("key"))
+func key(q *http.Request) store.Key {
+	return store.Key(q.PathValue("key"))
 }
 
 func (s *Service) handleGet(w http.ResponseWriter, q *http.Request) {
@@ -104,11 +104,11 @@
 }
 
 func (s *Service) handlePut(w http.ResponseWriter, q *http.Request) {
-	body, ok := read[platform.PutDocument](w, q)
+	body, ok := read[store.PutDocument](w, q)
 	if !ok {
 		return
 	}
-	if len(body.Value) > platform.MaxValueBytes {
+	if len(body.Value) > store.MaxValueBytes {
 		refuse(w, http.StatusRequestEntityTooLarge, "value is larger than 1 MB")
 		return
 	}
@@ -116,7 +116,7 @@
 		refuse(w, http.StatusBadRequest, "invalid key or no value")
 		return
 	}
-	put := platform.PutRequest{Key: key(q), Value: body.Value, Revision: body.Revision, Lease: body.Lease}
+	put := store.PutRequest{Key: key(q), Value: body.Value, Revision: body.Revision, Lease: body.Lease}
 	s.serve(w, q, request{operation: putOp{put}})
 }
 
@@ -125,11 +125,11 @@
 	if !ok {
 		return
 	}
-	s.serve(w, q, request{operation: deleteOp{key(q), platform.Revision(revision)}})
+	s.serve(w, q, request{operation: deleteOp{key(q), store.Revision(revision)}})
 }
 
 func (s *Service) handleCreateLease(w http.ResponseWriter, q *http.Request) {
-	body, ok := read[platform.LeaseRequestDocument](w, q)
+	body, ok := read[store.LeaseRequestDocument](w, q)
 	if !ok {
 		return
 	}
@@ -141,11 +141,11 @@
 }
 
 func (s *Service) handleRenewLease(w http.ResponseWriter, q *http.Request) {
-	s.serve(w, q, request{operation: renewLeaseOp{platform.LeaseID(q.PathValue("id"))}})
+	s.serve(w, q, request{operation: renewLeaseOp{store.LeaseID(q.PathValue("id"))}})
 }
 
 func (s *Service) handleRevokeLease(w http.ResponseWriter, q *http.Request) {
-	s.serve(w, q, request{operation: revokeLeaseOp{platform.LeaseID(q.PathValue("id"))}})
+	s.serve(w, q, request{operation: revokeLeaseOp{store.LeaseID(q.PathValue("id"))}})
 }
 
 func (s *Service) handleWatch(w http.ResponseWriter, q *http.Request) {
@@ -158,8 +158,8 @@
 		return
 	}
 	s.serve(w, q, request{watch: &watchCall{
-		prefix:  platform.Key(q.URL.Query().Get("prefix")),
-		after:   platform.Revision(after),
+		prefix:  store.Key(q.URL.Query().Get("prefix")),
+		after:   store.Revision(after),
 		timeout: time.Duration(min(timeout, uint64(maxWatch.Milliseconds()))) * time.Millisecond,
 	}})
 }
@@ -169,7 +169,7 @@
 }
 
 func (s *Service) handleAnnounce(w http.ResponseWriter, q *http.Request) {
-	instance, ok := read[platform.Instance](w, q)
+	instance, ok := read[store.Instance](w, q)
 	if !ok {
 		return
 	}
--- a/standin/kvservice/instances.go
+++ b/standin/kvservice/instances.go
@@ -6,25 +6,25 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // instanceList shows its content as it was some time ago.
 type instanceList struct {
 	lag     time.Duration
-	visible map[core.InstanceID]platform.Instance
+	visible map[core.InstanceID]store.Instance
 	pending []instanceChange
 }
 
 type instanceChange struct {
 	at       time.Time
 	id       core.InstanceID
-	instance platform.Instance
+	instance store.Instance
 	removed  bool
 }
 
 // Announce puts an instance into the list.
-func (s *State) Announce(i platform.Instance, now time.Time) {
+func (s *State) Announce(i store.Instance, now time.Time) {
 	s.instances.add(instanceChange{at: now, id: i.ID, instance: i})
 }
 
@@ -34,7 +34,7 @@
 }
 
 // Instances returns the list as it was the lag ago, in order of identity.
-func (s *State) Instances(now time.Time) []platform.Instance {
+func (s *State) Instances(now time.Time) []store.Instance {
 	return s.instances.list(now)
 }
 
@@ -47,9 +47,9 @@
 	l.pending = append(l.pending, c)
 }
 
-func (l *instanceList) list(now time.Time) []platform.Instance {
+func (l *instanceList) list(now time.Time) []store.Instance {
 	if l.visible == nil {
-		l.visible = map[core.InstanceID]platform.Instance{}
+		l.visible = map[core.InstanceID]store.Instance{}
 	}
 	for len(l.pending) > 0 && !l.pending[0].at.Add(l.lag).After(now) {
 		c := l.pending[0]
@@ -60,7 +60,7 @@
 		}
 		l.visible[c.id] = c.instance
 	}
-	list := []platform.Instance{}
+	list := []store.Instance{}
 	for _, id := range slices.Sorted(maps.Keys(l.visible)) {
 		list = append(list, l.visible[id])
 	}
--- a/standin/kvservice/lease.go
+++ b/standin/kvservice/lease.go
@@ -7,7 +7,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 //go:embed charts/*.toml
@@ -22,7 +22,7 @@
 // lease removes its records when it ends.
 type lease struct {
 	owner *State
-	id    platform.LeaseID
+	id    store.LeaseID
 	ttl   time.Duration
 	state chart.State
 	timer timerq.Item[*lease]
@@ -66,16 +66,16 @@
 	delete(s.leases, l.id)
 	for key, r := range s.records {
 		if r.Lease == l.id && !r.Deleted {
-			s.store(platform.Record{Key: key, Deleted: true})
+			s.store(store.Record{Key: key, Deleted: true})
 		}
 	}
 }
 
 // CreateLease starts a lease at time now.
-func (s *State) CreateLease(ttl time.Duration, now time.Time) platform.LeaseID {
+func (s *State) CreateLease(ttl time.Duration, now time.Time) store.LeaseID {
 	s.now = now
 	s.nextLease++
-	l := &lease{owner: s, id: platform.LeaseID(strconv.FormatUint(s.nextLease, 10)), ttl: ttl}
+	l := &lease{owner: s, id: store.LeaseID(strconv.FormatUint(s.nextLease, 10)), ttl: ttl}
 	l.state = s.table.Initial()
 	l.timer.Value = l
 	s.leases[l.id] = l
@@ -83,23 +83,23 @@
 	return l.id
 }
 
-// RenewLease extends a lease. It returns a *platform.NotFoundError for one
+// RenewLease extends a lease. It returns a *store.NotFoundError for one
 // that has ended.
-func (s *State) RenewLease(id platform.LeaseID, now time.Time) error {
+func (s *State) RenewLease(id store.LeaseID, now time.Time) error {
 	return s.fireLease(id, s.events.renewed, now)
 }
 
-// RevokeLease ends a lease. It returns a *platform.NotFoundError for one that
+// RevokeLease ends a lease. It returns a *store.NotFoundError for one that
 // has ended.
-func (s *State) RevokeLease(id platform.LeaseID, now time.Time) error {
+func (s *State) RevokeLease(id store.LeaseID, now time.Time) error {
 	return s.fireLease(id, s.events.revoked, now)
 }
 
-func (s *State) fireLease(id platform.LeaseID, event chart.Event, now time.Time) error {
+func (s *State) fireLease(id store.LeaseID, event chart.Event, now time.Time) error {
 	s.now = now
 	l, ok := s.leases[id]
 	if !ok {
-		return &platform.NotFoundError{What: "lease " + string(id)}
+		return &store.NotFoundError{What: "lease " + string(id)}
 	}
 	s.table.Fire(l, &l.state, event)
 	return nil
--- a/standin/kvservice/operation.go
+++ b/standin/kvservice/operation.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // answer is what the HTTP handler sends.
@@ -26,17 +26,17 @@
 }
 
 type (
-	getOp    struct{ key platform.Key }
-	putOp    struct{ request platform.PutRequest }
+	getOp    struct{ key store.Key }
+	putOp    struct{ request store.PutRequest }
 	deleteOp struct {
-		key      platform.Key
-		revision platform.Revision
+		key      store.Key
+		revision store.Revision
 	}
 	createLeaseOp struct{ ttl time.Duration }
-	renewLeaseOp  struct{ id platform.LeaseID }
-	revokeLeaseOp struct{ id platform.LeaseID }
+	renewLeaseOp  struct{ id store.LeaseID }
+	revokeLeaseOp struct{ id store.LeaseID }
 	instancesOp   struct{}
-	announceOp    struct{ instance platform.Instance }
+	announceOp    struct{ instance store.Instance }
 	withdrawOp    struct{ id core.InstanceID }
 )
 
@@ -71,15 +71,15 @@
 func (withdrawOp) changes() bool    { return true }
 
 func failure(err error) answer {
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
+	var conflict *store.ConflictError
+	var missing *store.NotFoundError
 	switch {
 	case errors.As(err, &conflict):
 		return answer{status: http.StatusConflict, body: conflict.Current}
 	case errors.As(err, &missing):
-		return answer{status: http.StatusNotFound, body: platform.ErrorDocument{Error: err.Error()}}
+		return answer{status: http.StatusNotFound, body: store.ErrorDocument{Error: err.Error()}}
 	}
-	return answer{status: http.StatusInternalServerError, body: platform.ErrorDocument{Error: err.Error()}}
+	return answer{status: http.StatusInternalServerError, body: store.ErrorDocument{Error: err.Error()}}
 }
 
 func result(body any, err error) answer {
@@ -92,7 +92,7 @@
 func (o getOp) apply(s *State, _ time.Time) answer {
 	record, exists := s.Get(o.key)
 	if !exists {
-		return failure(&platform.NotFoundError{What: "record " + string(o.key)})
+		return failure(&store.NotFoundError{What: "record " + string(o.key)})
 	}
 	return result(record, nil)
 }
@@ -107,7 +107,7 @@
 }
 
 func (o createLeaseOp) apply(s *State, now time.Time) answer {
-	return result(platform.LeaseDocument{ID: s.CreateLease(o.ttl, now)}, nil)
+	return result(store.LeaseDocument{ID: s.CreateLease(o.ttl, now)}, nil)
 }
 
 func (o renewLeaseOp) apply(s *State, now time.Time) answer {
--- a/standin/kvservice/service.go
+++ b/standin/kvservice/service.go
@@ -8,7 +8,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 const (
@@ -48,8 +48,8 @@
 
 // watchCall waits for a change.
 type watchCall struct {
-	prefix  platform.Key
-	after   platform.Revision
+	prefix  store.Key
+	after   store.Revision
 	timeout time.Duration
 	reply   chan answer
 	timer   timerq.Item[event]
@@ -72,7 +72,7 @@
 	reads    *bucket
 	timers   timerq.Queue[event]
 	watches  []*watchCall
-	seen     platform.Revision
+	seen     store.Revision
 	faults   Faults
 	outage   time.Time
 	stats    Stats
@@ -206,7 +206,7 @@
 func (s *Service) dropped() answer {
 	s.stats.Dropped++
 	if s.faults.Refuse {
-		return answer{status: http.StatusServiceUnavailable, body: platform.ErrorDocument{Error: "outage"}}
+		return answer{status: http.StatusServiceUnavailable, body: store.ErrorDocument{Error: "outage"}}
 	}
 	return answer{drop: true}
 }
@@ -223,7 +223,7 @@
 	}
 	if !limit.take(now) {
 		s.stats.Limited++
-		return answer{status: http.StatusTooManyRequests, body: platform.ErrorDocument{Error: "rate exceeded"}}, false
+		return answer{status: http.StatusTooManyRequests, body: store.ErrorDocument{Error: "rate exceeded"}}, false
 	}
 	return answer{}, true
 }
--- a/standin/kvservice/service_test.go
+++ b/standin/kvservice/service_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 type client struct {
@@ -71,14 +71,14 @@
 func TestLostAnswerAndOutage(t *testing.T) {
 	c := startService(t, nil)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{LoseAnswers: 1}, nil)
-	_, err := c.do(t, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("1")}, nil)
+	_, err := c.do(t, "PUT", "/kv/group/a", store.PutDocument{Value: json.RawMessage("1")}, nil)
 	require.Error(t, err)
-	var record platform.Record
+	var record store.Record
 	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
 	require.Equal(t, "1", string(record.Value))
-	c.expect(t, http.StatusConflict, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("2")}, &record)
+	c.expect(t, http.StatusConflict, "PUT", "/kv/group/a", store.PutDocument{Value: json.RawMessage("2")}, &record)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{OutageMS: time.Hour.Milliseconds()}, nil)
-	_, err = c.do(t, "PUT", "/kv/group/a", platform.PutDocument{Value: json.RawMessage("2"), Revision: record.Revision}, nil)
+	_, err = c.do(t, "PUT", "/kv/group/a", store.PutDocument{Value: json.RawMessage("2"), Revision: record.Revision}, nil)
 	require.Error(t, err)
 	c.expect(t, http.StatusOK, "POST", "/fault", Faults{}, nil)
 	c.expect(t, http.StatusOK, "GET", "/kv/group/a", nil, &record)
@@ -93,20 +93,20 @@
 // Guards against a watch that misses a change or the end of a lease.
 func TestWatch(t *testing.T) {
 	c := startService(t, nil)
-	var lease platform.LeaseDocument
-	c.expect(t, http.StatusOK, "POST", "/lease", platform.LeaseRequestDocument{TTLMillis: time.Hour.Milliseconds()}, &lease)
-	changed := make(chan platform.WatchResult, 1)
+	var lease store.LeaseDocument
+	c.expect(t, http.StatusOK, "POST", "/lease", store.LeaseRequestDocument{TTLMillis: time.Hour.Milliseconds()}, &lease)
+	changed := make(chan store.WatchResult, 1)
 	go func() {
-		var changes platform.WatchResult
+		var changes store.WatchResult
 		_, _ = c.do(t, "GET", "/watch?prefix=slot/&after=0&timeout_ms=20000", nil, &changes)
 		changed <- changes
 	}()
-	c.expect(t, http.StatusOK, "PUT", "/kv/other", platform.PutDocument{Value: json.RawMessage("0")}, nil)
-	var record platform.Record
-	c.expect(t, http.StatusOK, "PUT", "/kv/slot/1", platform.PutDocument{Value: json.RawMessage(`"x"`), Lease: lease.ID}, &record)
-	require.Equal(t, []platform.Record{record}, (<-changed).Records)
+	c.expect(t, http.StatusOK, "PUT", "/kv/other", store.PutDocument{Value: json.RawMessage("0")}, nil)
+	var record store.Record
+	c.expect(t, http.StatusOK, "PUT", "/kv/slot/1", store.PutDocument{Value: json.RawMessage(`"x"`), Lease: lease.ID}, &record)
+	require.Equal(t, []store.Record{record}, (<-changed).Records)
 	c.expect(t, http.StatusOK, "DELETE", "/lease/"+string(lease.ID), nil, nil)
-	var changes platform.WatchResult
+	var changes store.WatchResult
 	c.expect(t, http.StatusOK, "GET", "/watch?prefix=slot/&after=2&timeout_ms=20000", nil, &changes)
 	require.True(t, changes.Records[0].Deleted)
 	c.expect(t, http.StatusOK, "GET", "/watch?prefix=slot/&after=3&timeout_ms=1", nil, &changes)
@@ -122,9 +122,9 @@
 // Guards against values and rates beyond the platform's bounds.
 func TestBounds(t *testing.T) {
 	c := startService(t, func(o *Options) { o.WriteRate = 1e-6 })
-	c.expect(t, http.StatusRequestEntityTooLarge, "PUT", "/kv/k", platform.PutDocument{Value: jsonText(platform.MaxValueBytes + 1)}, nil)
-	c.expect(t, http.StatusOK, "PUT", "/kv/k", platform.PutDocument{Value: jsonText(platform.MaxValueBytes)}, nil)
-	c.expect(t, http.StatusTooManyRequests, "PUT", "/kv/l", platform.PutDocument{Value: json.RawMessage("0")}, nil)
+	c.expect(t, http.StatusRequestEntityTooLarge, "PUT", "/kv/k", store.PutDocument{Value: jsonText(store.MaxValueBytes + 1)}, nil)
+	c.expect(t, http.StatusOK, "PUT", "/kv/k", store.PutDocument{Value: jsonText(store.MaxValueBytes)}, nil)
+	c.expect(t, http.StatusTooManyRequests, "PUT", "/kv/l", store.PutDocument{Value: json.RawMessage("0")}, nil)
 	c.expect(t, http.StatusNotFound, "GET", "/kv/l", nil, nil)
 }
 
@@ -132,41 +132,41 @@
 // instances use.
 func TestPlatformClient(t *testing.T) {
 	service := startService(t, func(o *Options) { o.InstanceLag = 0 })
-	c, err := platform.NewClient(service.url)
+	c, err := store.NewClient(service.url)
 	require.NoError(t, err)
 	t.Cleanup(c.CloseIdle)
 	ctx := t.Context()
 	id, err := c.CreateLease(ctx, time.Hour)
 	require.NoError(t, err)
 	require.NoError(t, c.RenewLease(ctx, id))
-	put := platform.PutRequest{Key: "slot/1", Value: json.RawMessage(`{"a":1}`), Lease: id}
+	put := store.PutRequest{Key: "slot/1", Value: json.RawMessage(`{"a":1}`), Lease: id}
 	record, err := c.Put(ctx, put)
 	require.NoError(t, err)
 	read, err := c.Get(ctx, "slot/1")
 	require.NoError(t, err)
 	require.Equal(t, record, read)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	_, err = c.Put(ctx, put)
 	require.ErrorAs(t, err, &conflict)
 	require.Equal(t, record, conflict.Current)
-	changes, err := c.Watch(ctx, platform.WatchRequest{Prefix: "slot/", Timeout: time.Hour})
+	changes, err := c.Watch(ctx, store.WatchRequest{Prefix: "slot/", Timeout: time.Hour})
 	require.NoError(t, err)
-	require.Equal(t, platform.WatchResult{Revision: record.Revision, Records: []platform.Record{record}}, changes)
+	require.Equal(t, store.WatchResult{Revision: record.Revision, Records: []store.Record{record}}, changes)
 	require.NoError(t, c.RevokeLease(ctx, id))
-	var missing *platform.NotFoundError
+	var missing *store.NotFoundError
 	require.ErrorAs(t, c.RenewLease(ctx, id), &missing)
 	_, err = c.Get(ctx, "slot/1")
 	require.ErrorAs(t, err, &missing)
-	instance := platform.Instance{ID: "i1", PeerAddress: "127.0.0.1:1", Domain: "fyn", State: platform.InstanceLive}
+	instance := store.Instance{ID: "i1", PeerAddress: "127.0.0.1:1", Domain: "fyn", State: store.InstanceLive}
 	require.NoError(t, c.Announce(ctx, instance))
 	list, err := c.Instances(ctx)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Instance{instance}, list)
+	require.Equal(t, []store.Instance{instance}, list)
 	service.expect(t, http.StatusOK, "POST", "/fault", Faults{LoseAnswers: 1}, nil)
-	_, err = c.Put(ctx, platform.PutRequest{Key: "a", Value: json.RawMessage("1")})
-	require.True(t, platform.IsUnknown(err), "%v", err)
+	_, err = c.Put(ctx, store.PutRequest{Key: "a", Value: json.RawMessage("1")})
+	require.True(t, store.IsUnknown(err), "%v", err)
 	service.expect(t, http.StatusOK, "POST", "/fault", Faults{OutageMS: time.Hour.Milliseconds(), Refuse: true}, nil)
-	var unavailable *platform.UnavailableError
-	_, err = c.Put(ctx, platform.PutRequest{Key: "b", Value: json.RawMessage("1")})
+	var unavailable *store.UnavailableError
+	_, err = c.Put(ctx, store.PutRequest{Key: "b", Value: json.RawMessage("1")})
 	require.ErrorAs(t, err, &unavailable)
 }
--- a/standin/kvservice/state.go
+++ b/standin/kvservice/state.go
@@ -12,15 +12,15 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 // State is the content of the service. It belongs to one thread.
 type State struct {
-	revision platform.Revision
+	revision store.Revision
 	// records also holds deleted records, so that watches report them.
-	records   map[platform.Key]platform.Record
-	leases    map[platform.LeaseID]*lease
+	records   map[store.Key]store.Record
+	leases    map[store.LeaseID]*lease
 	nextLease uint64
 	expiry    timerq.Queue[*lease]
 	table     *chart.Table[*lease]
@@ -33,8 +33,8 @@
 // returns the error of the lease chart when that is not valid.
 func NewState(lag time.Duration) (*State, error) {
 	s := &State{
-		records:   map[platform.Key]platform.Record{},
-		leases:    map[platform.LeaseID]*lease{},
+		records:   map[store.Key]store.Record{},
+		leases:    map[store.LeaseID]*lease{},
 		instances: instanceList{lag: lag},
 	}
 	table, events, err := compileLease()
@@ -43,42 +43,42 @@
 }
 
 // Get returns an existing record.
-func (s *State) Get(key platform.Key) (platform.Record, bool) {
+func (s *State) Get(key store.Key) (store.Record, bool) {
 	r, ok := s.records[key]
 	if !ok || r.Deleted {
-		return platform.Record{Key: key}, false
+		return store.Record{Key: key}, false
 	}
 	return r, true
 }
 
 // Put writes a record when its revision is the expected one. It returns a
-// *platform.ConflictError or, for an ended lease, a *platform.NotFoundError.
-func (s *State) Put(p platform.PutRequest) (platform.Record, error) {
+// *store.ConflictError or, for an ended lease, a *store.NotFoundError.
+func (s *State) Put(p store.PutRequest) (store.Record, error) {
 	current, _ := s.Get(p.Key)
 	if p.Lease != "" && s.leases[p.Lease] == nil {
-		return current, &platform.NotFoundError{What: "lease " + string(p.Lease)}
+		return current, &store.NotFoundError{What: "lease " + string(p.Lease)}
 	}
 	if current.Revision != p.Revision {
-		return current, &platform.ConflictError{Current: current}
+		return current, &store.ConflictError{Current: current}
 	}
-	return s.store(platform.Record{Key: p.Key, Value: p.Value, Lease: p.Lease}), nil
+	return s.store(store.Record{Key: p.Key, Value: p.Value, Lease: p.Lease}), nil
 }
 
 // Delete removes a record when its revision is the expected one. It returns a
-// *platform.NotFoundError or a *platform.ConflictError.
-func (s *State) Delete(key platform.Key, revision platform.Revision) error {
+// *store.NotFoundError or a *store.ConflictError.
+func (s *State) Delete(key store.Key, revision store.Revision) error {
 	current, exists := s.Get(key)
 	if !exists {
-		return &platform.NotFoundError{What: "record " + string(key)}
+		return &store.NotFoundError{What: "record " + string(key)}
 	}
 	if current.Revision != revision {
-		return &platform.ConflictError{Current: current}
+		return &store.ConflictError{Current: current}
 	}
-	s.store(platform.Record{Key: key, Deleted: true})
+	s.store(store.Record{Key: key, Deleted: true})
 	return nil
 }
 
-func (s *State) store(r platform.Record) platform.Record {
+func (s *State) store(r store.Record) store.Record {
 	s.revision++
 	r.Revision = s.revision
 	s.records[r.Key] = r
@@ -87,20 +87,20 @@
 
 // Changes returns the records with prefix that changed after a revision, in
 // the order of their revisions.
-func (s *State) Changes(prefix platform.Key, after platform.Revision) platform.WatchResult {
-	result := platform.WatchResult{Revision: s.revision, Records: []platform.Record{}}
+func (s *State) Changes(prefix store.Key, after store.Revision) store.WatchResult {
+	result := store.WatchResult{Revision: s.revision, Records: []store.Record{}}
 	for _, r := range s.records {
 		if r.Revision > after && strings.HasPrefix(string(r.Key), string(prefix)) {
 			result.Records = append(result.Records, r)
 		}
 	}
-	slices.SortFunc(result.Records, func(a, b platform.Record) int {
+	slices.SortFunc(result.Records, func(a, b store.Record) int {
 		return cmp.Compare(a.Revision, b.Revision)
 	})
 	return result
 }
 
 // Revision returns the revision of the last change.
-func (s *State) Revision() platform.Revision {
+func (s *State) Revision() store.Revision {
 	return s.revision
 }
--- a/standin/kvservice/state_test.go
+++ b/standin/kvservice/state_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/platform"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 )
 
 var testStart = time.Unix(1_000_000, 0)
@@ -20,25 +20,25 @@
 // Guards against a write that replaces a record it has not seen.
 func TestCompareAndSwap(t *testing.T) {
 	s := newState(t)
-	first, err := s.Put(platform.PutRequest{Key: "k", Value: []byte("1")})
+	first, err := s.Put(store.PutRequest{Key: "k", Value: []byte("1")})
 	require.NoError(t, err)
 	tests := []struct {
 		name     string
-		revision platform.Revision
+		revision store.Revision
 		accepted bool
 	}{
-		{"must not exist", platform.NotExists, false},
+		{"must not exist", store.NotExists, false},
 		{"unknown revision", first.Revision + 5, false},
 		{"current revision", first.Revision, true},
 		{"replaced revision", first.Revision, false},
 	}
 	for _, test := range tests {
-		_, err := s.Put(platform.PutRequest{Key: "k", Value: []byte(test.name), Revision: test.revision})
+		_, err := s.Put(store.PutRequest{Key: "k", Value: []byte(test.name), Revision: test.revision})
 		if test.accepted {
 			require.NoError(t, err, test.name)
 			continue
 		}
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		require.ErrorAs(t, err, &conflict, test.name)
 		current, _ := s.Get("k")
 		require.Equal(t, current, conflict.Current)
@@ -46,7 +46,7 @@
 	require.Error(t, s.Delete("k", first.Revision))
 	current, _ := s.Get("k")
 	require.NoError(t, s.Delete("k", current.Revision))
-	_, err = s.Put(platform.PutRequest{Key: "k"})
+	_, err = s.Put(store.PutRequest{Key: "k"})
 	require.NoError(t, err)
 }
 
@@ -55,7 +55,7 @@
 func TestLeaseEnd(t *testing.T) {
 	s := newState(t)
 	id := s.CreateLease(time.Second, testStart)
-	record, err := s.Put(platform.PutRequest{Key: "slot/1", Lease: id})
+	record, err := s.Put(store.PutRequest{Key: "slot/1", Lease: id})
 	require.NoError(t, err)
 	require.NoError(t, s.RenewLease(id, testStart.Add(900*time.Millisecond)))
 	s.Expire(testStart.Add(1800 * time.Millisecond))
@@ -65,8 +65,8 @@
 	_, exists = s.Get("slot/1")
 	require.False(t, exists)
 	require.Error(t, s.RenewLease(id, testStart.Add(1900*time.Millisecond)))
-	_, err = s.Put(platform.PutRequest{Key: "slot/1", Lease: id})
-	var missing *platform.NotFoundError
+	_, err = s.Put(store.PutRequest{Key: "slot/1", Lease: id})
+	var missing *store.NotFoundError
 	require.ErrorAs(t, err, &missing)
 	changes := s.Changes("slot/", record.Revision)
 	require.Len(t, changes.Records, 1)
@@ -76,7 +76,7 @@
 // Guards against a list of instances that does not lag.
 func TestInstanceLag(t *testing.T) {
 	s := newState(t)
-	s.Announce(platform.Instance{ID: "i1", State: platform.InstanceLive}, testStart)
+	s.Announce(store.Instance{ID: "i1", State: store.InstanceLive}, testStart)
 	require.Empty(t, s.Instances(testStart.Add(999*time.Millisecond)))
 	require.Len(t, s.Instances(testStart.Add(time.Second)), 1)
 	s.Withdraw("i1", testStart.Add(2*time.Second))
