--- /dev/null
+++ b/cmd/sassafrasshunt/hosted.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/instance"
+)
+
+type hostedCommand struct{}
+
+func (*hostedCommand) Name() string { return "hosted" }
+func (*hostedCommand) Synopsis() string {
+	return "run an instance with the settings that the users' platform provides"
+}
+func (*hostedCommand) Usage() string {
+	return "hosted\n  Runs an instance on the users' platform. " + instance.HostedVariable +
+		" names the platform's settings file.\n  SIGTERM starts a graceful stop.\n  Exit codes: 0 stopped, 1 cannot start, 2 bad usage.\n"
+}
+
+func (*hostedCommand) SetFlags(*flag.FlagSet) {}
+
+func (*hostedCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	path := os.Getenv(instance.HostedVariable)
+	if path == "" {
+		return fail(fmt.Errorf("%s is not set; it names the platform's settings file", instance.HostedVariable))
+	}
+	h, err := instance.LoadHosted(path, os.Stdout)
+	if err != nil {
+		return fail(err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// The settings are read at start; a reload changes nothing that is in use.
+	signal.Ignore(syscall.SIGHUP)
+	h.Run(signals)
+	return subcommands.ExitSuccess
+}
--- a/cmd/sassafrasshunt/main.go
+++ b/cmd/sassafrasshunt/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(cli.Strict(&runCommand{}), "")
+	subcommands.Register(cli.Strict(&hostedCommand{}), "")
 	subcommands.Register(cli.Strict(&checkCommand{}), "")
 	subcommands.Register(cli.Strict(&versionCommand{}), "")
 	flag.Parse()
--- a/pkg/core/refusal.go
+++ b/pkg/core/refusal.go
@@ -37,6 +37,7 @@
 	StateStopping           = "SH007"
 	StateKeyRevoked         = "SH008"
 	StateWrongKey           = "28P01"
+	StateNoEntry            = "3D000"
 	StateProtocolViolation  = "08P01"
 	StateNotSupported       = "0A000"
 	StateReadOnlyRoute      = "25006"
--- /dev/null
+++ b/pkg/fleet/engine.go
@@ -0,0 +1,456 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// Config configures an Engine.
+type Config struct {
+	Self   Instance
+	Bounds Bounds
+}
+
+// Bounds are the durations that the engine keeps to.
+type Bounds struct {
+	// BalancerNotice is how long the balancer may still send callers to an
+	// instance that is not ready.
+	BalancerNotice time.Duration
+	// Drain bounds the end of the sessions at a planned stop.
+	Drain time.Duration
+	// TargetDrain is how long a draining target may still get work.
+	TargetDrain time.Duration
+	// ReturnWait is how long members that a returning store lacks may take to
+	// announce themselves again.
+	ReturnWait time.Duration
+	// ShareEvery is how often the shares are worked out.
+	ShareEvery time.Duration
+}
+
+// Input is an item of the fleet duty's ring.
+type Input interface {
+	fleetInput()
+}
+
+// StoreSeen reports everything that the store holds, after a start or a gap.
+type StoreSeen struct {
+	Snapshot *Snapshot
+}
+
+// StoreChanged reports changes in their order.
+type StoreChanged struct {
+	Changes []Change
+}
+
+// StoreLost reports that the store cannot be read; StoreSeen ends that.
+type StoreLost struct {
+	Reason string
+}
+
+// FromSession is a report of the session duty.
+type FromSession struct {
+	Report session.ControlReport
+}
+
+// StopRequested begins the planned stop.
+type StopRequested struct{}
+
+func (StoreSeen) fleetInput()     {}
+func (StoreChanged) fleetInput()  {}
+func (StoreLost) fleetInput()     {}
+func (FromSession) fleetInput()   {}
+func (StopRequested) fleetInput() {}
+
+// Outputs receives what the engine decides.
+type Outputs interface {
+	Session(session.Input)
+	// Ready tells the balancer's probe whether callers may come.
+	Ready(bool)
+	// Finish ends the process after a planned stop.
+	Finish()
+	Log(LogEvent)
+}
+
+// LogEvent is a line about a decision or a change of belief.
+type LogEvent struct {
+	Warning bool
+	Event   string
+	Message string
+	Fields  map[string]any
+}
+
+// Engine holds the state of the fleet duty. It has no I/O and no clock, and is
+// not safe for concurrent use.
+type Engine struct {
+	config Config
+	out    Outputs
+	now    time.Time
+	timers timerq.Queue[func()]
+
+	life      *chart.Table[*Engine]
+	on        lifeEvents
+	state     chart.State
+	lifeTimer timerq.Item[func()]
+
+	configuration *Configuration
+	members       map[core.MemberID]*member
+	instances     map[core.InstanceID]Instance
+	// storeLost is set while the store cannot be read, storeBack when it could
+	// be read again.
+	storeLost bool
+	storeBack time.Time
+	sweep     timerq.Item[func()]
+	published uint64
+	shares    shares
+}
+
+type lifeEvents struct {
+	configured, stop, drained, timedOut chart.Event
+}
+
+// member is what is known of a member of any group.
+type member struct {
+	Announcement
+	// drainingSince is when the member was first seen draining.
+	drainingSince time.Time
+	// missing is set when the store lacks the entry after an outage.
+	missing bool
+}
+
+// New returns an engine. It returns the errors of the chart loader for a chart
+// that does not fit the code.
+func New(config Config, life *chart.Definition, out Outputs) (*Engine, error) {
+	e := &Engine{
+		config:    config,
+		out:       out,
+		members:   map[core.MemberID]*member{},
+		instances: map[core.InstanceID]Instance{},
+	}
+	table, err := chart.Compile(life, e.registry())
+	if err != nil {
+		return nil, err
+	}
+	e.life = table
+	e.state = table.Initial()
+	e.on = lifeEvents{
+		configured: table.Event("configured"), stop: table.Event("stop"),
+		drained: table.Event("drained"), timedOut: table.Event(chart.TimeoutEvent),
+	}
+	e.lifeTimer.Value = func() { e.fire(e.on.timedOut) }
+	e.sweep.Value = e.sweepMembers
+	e.shares.init(e)
+	return e, nil
+}
+
+// idleLife is how often the life cycle's timer is set anew in a steady state.
+const idleLife = time.Minute
+
+func (e *Engine) registry() chart.Registry[*Engine] {
+	return chart.Registry[*Engine]{
+		Actions: map[string]func(*Engine){
+			"become_ready":   func(e *Engine) { e.setReady(true) },
+			"become_unready": func(e *Engine) { e.setReady(false) },
+			"drain_sessions": func(e *Engine) { e.out.Session(session.Drain{}) },
+			"finish":         func(e *Engine) { e.out.Finish() },
+		},
+		Timeouts: map[string]time.Duration{
+			"starting":        idleLife,
+			"balancer_notice": e.config.Bounds.BalancerNotice,
+			"drain":           e.config.Bounds.Drain,
+		},
+	}
+}
+
+func (e *Engine) fire(event chart.Event) {
+	before := e.state
+	e.life.Fire(e, &e.state, event)
+	if e.state == before && event != e.on.timedOut {
+		return
+	}
+	if e.life.Final(e.state) {
+		e.timers.Disarm(&e.lifeTimer)
+		return
+	}
+	e.timers.Arm(&e.lifeTimer, e.now.Add(e.life.Timeout(e.state)))
+}
+
+func (e *Engine) setReady(ready bool) {
+	e.out.Ready(ready)
+	e.out.Log(LogEvent{Event: "readiness", Message: "readiness changed", Fields: map[string]any{"ready": ready}})
+}
+
+// Handle applies one input.
+func (e *Engine) Handle(now time.Time, in Input) {
+	e.now = now
+	switch in := in.(type) {
+	case StoreSeen:
+		e.storeSeen(in.Snapshot)
+	case StoreChanged:
+		e.storeChanged(in.Changes)
+	case StoreLost:
+		e.loseStore(in.Reason)
+	case FromSession:
+		e.fromSession(in.Report)
+	case StopRequested:
+		e.out.Log(LogEvent{Event: "stop_requested", Message: "planned stop requested"})
+		e.fire(e.on.stop)
+	}
+}
+
+// Tick applies every deadline that is due.
+func (e *Engine) Tick(now time.Time) {
+	e.now = now
+	for {
+		item, due := e.timers.PopDue(now)
+		if !due {
+			return
+		}
+		item.Value()
+	}
+}
+
+// NextDeadline returns when Tick is needed next, if at all.
+func (e *Engine) NextDeadline() (time.Time, bool) {
+	return e.timers.Next()
+}
+
+func (e *Engine) fromSession(report session.ControlReport) {
+	switch r := report.(type) {
+	case session.Drained:
+		e.fire(e.on.drained)
+	case session.Demand:
+		e.shares.demand = r
+	}
+}
+
+func (e *Engine) loseStore(reason string) {
+	if e.storeLost {
+		return
+	}
+	e.storeLost = true
+	e.out.Log(LogEvent{Warning: true, Event: "store_lost", Message: "the store cannot be read",
+		Fields: map[string]any{"reason": reason}})
+}
+
+func (e *Engine) storeSeen(s *Snapshot) {
+	if e.storeLost {
+		e.out.Log(LogEvent{Event: "store_back", Message: "the store can be read again"})
+	}
+	e.storeLost = false
+	e.storeBack = e.now
+	seen := map[core.MemberID]bool{}
+	for i := range s.Members {
+		seen[s.Members[i].Member] = true
+		e.memberSeen(&s.Members[i])
+	}
+	for id, m := range e.members {
+		m.missing = m.missing || !seen[id]
+	}
+	clear(e.instances)
+	for _, i := range s.Instances {
+		e.instances[i.ID] = i
+	}
+	e.adopt(s.Configuration)
+	e.armSweep()
+	e.publish()
+}
+
+func (e *Engine) storeChanged(changes []Change) {
+	for i := range changes {
+		e.apply(&changes[i])
+	}
+	if len(changes) > 0 {
+		e.publish()
+	}
+}
+
+func (e *Engine) apply(c *Change) {
+	switch {
+	case c.Configuration != nil:
+		e.adopt(c.Configuration)
+	case c.Member != nil:
+		e.memberSeen(c.Member)
+	case c.GoneMember != "":
+		e.memberGone(c.GoneMember)
+	case c.Instance != nil:
+		e.instances[c.Instance.ID] = *c.Instance
+	case c.GoneInstance != "":
+		delete(e.instances, c.GoneInstance)
+	}
+}
+
+// adopt puts a configuration in force unless a newer one is.
+func (e *Engine) adopt(c *Configuration) {
+	if c == nil || e.configuration != nil && c.Version <= e.configuration.Version {
+		return
+	}
+	e.configuration = c
+	e.out.Log(LogEvent{Event: "configuration", Message: "configuration in force", Fields: map[string]any{
+		"version": c.Version, "entries": len(c.Entries), "groups": len(c.Groups), "accounts": len(c.Accounts),
+	}})
+}
+
+func (e *Engine) memberSeen(a *Announcement) {
+	m := e.members[a.Member]
+	if m == nil {
+		m = &member{}
+		e.members[a.Member] = m
+	}
+	if a.Revision < m.Revision {
+		return
+	}
+	if m.Role != a.Role || m.Draining != a.Draining || m.missing {
+		e.out.Log(LogEvent{Event: "member", Message: "member announced itself", Fields: map[string]any{
+			"member": a.Member, "group": a.Group, "role": a.Role, "draining": a.Draining, "revision": a.Revision,
+		}})
+	}
+	m.Announcement = *a
+	m.missing = false
+	if !a.Draining {
+		m.drainingSince = time.Time{}
+		return
+	}
+	if m.drainingSince.IsZero() {
+		m.drainingSince = e.now
+		e.armSweep()
+	}
+}
+
+// memberGone removes a member. While the store has just come back, its entry
+// may have ended without the member, which then announces itself again.
+func (e *Engine) memberGone(id core.MemberID) {
+	m := e.members[id]
+	if m == nil {
+		return
+	}
+	if e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
+		m.missing = true
+		e.armSweep()
+		return
+	}
+	e.forget(m)
+}
+
+func (e *Engine) forget(m *member) {
+	delete(e.members, m.Member)
+	e.out.Log(LogEvent{Event: "member_gone", Message: "member is gone", Fields: map[string]any{
+		"member": m.Member, "group": m.Group,
+	}})
+}
+
+// armSweep sets the time at which the next member stops being used.
+func (e *Engine) armSweep() {
+	var next time.Time
+	for _, m := range e.members {
+		at := e.unusableAt(m)
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if !next.IsZero() {
+		e.timers.Arm(&e.sweep, next)
+	}
+}
+
+// unusableAt returns when a draining or missing member stops being used, zero
+// for others.
+func (e *Engine) unusableAt(m *member) time.Time {
+	if m.missing {
+		return e.storeBack.Add(e.config.Bounds.ReturnWait)
+	}
+	if m.Draining {
+		return m.drainingSince.Add(e.config.Bounds.TargetDrain)
+	}
+	return time.Time{}
+}
+
+func (e *Engine) sweepMembers() {
+	for _, m := range e.members {
+		if m.missing && !e.storeLost && !e.now.Before(e.unusableAt(m)) {
+			e.forget(m)
+		}
+	}
+	e.publish()
+	for _, m := range e.members {
+		if at := e.unusableAt(m); at.After(e.now) {
+			e.armSweep()
+			return
+		}
+	}
+}
+
+// usable reports whether new work may go to the member. A draining primary is
+// used until its bound, because nobody else takes writes; a draining replica is
+// left at once.
+func (e *Engine) usable(m *member) bool {
+	if !m.Draining {
+		return true
+	}
+	return m.Role == core.RolePrimary && e.now.Before(e.unusableAt(m))
+}
+
+// publish tells session what is in force.
+func (e *Engine) publish() {
+	if e.configuration == nil {
+		return
+	}
+	e.published++
+	c := e.catalogue()
+	e.out.Session(session.CatalogueInForce{Catalogue: c})
+	for i := range c.Databases {
+		e.out.Session(e.view(&c.Databases[i]))
+	}
+	e.shares.publish()
+	if len(e.members) > 0 {
+		e.fire(e.on.configured)
+	}
+}
+
+// catalogue joins the configuration and the members. Its version counts what
+// was published here; EditID tells the operator's version.
+func (e *Engine) catalogue() *catalogue.Catalogue {
+	c := &catalogue.Catalogue{
+		Version:  e.published,
+		Accounts: e.configuration.Accounts,
+		Entries:  e.configuration.Entries,
+	}
+	for _, g := range e.configuration.Groups {
+		c.Databases = append(c.Databases, catalogue.Database{
+			Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive, Members: e.membersOf(g.Name),
+		})
+	}
+	return c
+}
+
+func (e *Engine) membersOf(group core.DatabaseName) []catalogue.Member {
+	var list []catalogue.Member
+	for _, m := range e.members {
+		if m.Group != group {
+			continue
+		}
+		list = append(list, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
+	}
+	slices.SortFunc(list, func(a, b catalogue.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (e *Engine) view(db *catalogue.Database) session.GroupView {
+	view := session.GroupView{Database: db.Name}
+	for i := range db.Members {
+		m := e.members[db.Members[i].ID]
+		view.Members = append(view.Members, session.MemberView{
+			Status:    core.MemberStatus{Member: m.Member, Role: m.Role},
+			Reachable: e.usable(m),
+			Announced: uint64(m.Revision),
+			SeenAt:    e.now,
+		})
+	}
+	return view
+}
--- /dev/null
+++ b/pkg/fleet/watcher.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+)
+
+// Watcher follows the store on a thread of its own: it reads everything, waits
+// for changes, and starts over after a gap.
+type Watcher struct {
+	source  Source
+	bounds  WatchBounds
+	deliver func(Input) bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// WatchBounds bound the calls of a Watcher.
+type WatchBounds struct {
+	// Wait is how long a watch waits for changes.
+	Wait time.Duration
+	// Answer bounds the time of a call beyond its wait.
+	Answer time.Duration
+	// Pause is the time between two attempts while the store fails.
+	Pause time.Duration
+}
+
+// NewWatcher returns a watcher. deliver hands an input to the fleet duty and
+// reports false once the instance stops.
+func NewWatcher(source Source, bounds WatchBounds, deliver func(Input) bool) *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Watcher{source: source, bounds: bounds, deliver: deliver, ctx: ctx, cancel: cancel}
+}
+
+// Start starts the thread in g.
+func (w *Watcher) Start(g *duty.Group) {
+	g.Start("store-watch", w.run)
+}
+
+// Stop ends the thread.
+func (w *Watcher) Stop() {
+	w.cancel()
+}
+
+func (w *Watcher) run() {
+	for w.ctx.Err() == nil {
+		after, err := w.read()
+		if err == nil {
+			err = w.follow(after)
+		}
+		if w.ctx.Err() != nil {
+			return
+		}
+		if !eris.Is(err, ErrCompacted) {
+			w.deliver(StoreLost{Reason: err.Error()})
+			w.pause()
+		}
+	}
+}
+
+func (w *Watcher) read() (Revision, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Answer)
+	defer cancel()
+	snapshot, err := w.source.Snapshot(ctx)
+	if err != nil {
+		return 0, err
+	}
+	w.deliver(StoreSeen{Snapshot: snapshot})
+	return snapshot.Revision, nil
+}
+
+// follow returns the error that ends the watch.
+func (w *Watcher) follow(after Revision) error {
+	for {
+		ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Wait+w.bounds.Answer)
+		changes, next, err := w.source.Watch(ctx, after, w.bounds.Wait)
+		cancel()
+		if err != nil {
+			return err
+		}
+		after = next
+		if len(changes) > 0 && !w.deliver(StoreChanged{Changes: changes}) {
+			return w.ctx.Err()
+		}
+	}
+}
+
+func (w *Watcher) pause() {
+	timer := time.NewTimer(w.bounds.Pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.ctx.Done():
+	}
+}
--- a/pkg/instance/decision.go
+++ b/pkg/instance/decision.go
@@ -23,12 +23,13 @@
 	signal   *ring.Signal
 	engine   engine[In]
 	outlets  []outlet
+	now      func() time.Time
 	stopping atomic.Bool
 }
 
 func newDecisionDuty[In any](capacity int) *decisionDuty[In] {
 	signal := ring.NewSignal()
-	return &decisionDuty[In]{input: ring.New[In](capacity, signal), signal: signal}
+	return &decisionDuty[In]{input: ring.New[In](capacity, signal), signal: signal, now: time.Now}
 }
 
 // run returns after stop.
@@ -80,14 +81,14 @@
 		if !ok {
 			break
 		}
-		d.engine.Handle(time.Now(), in)
+		d.engine.Handle(d.now(), in)
 		handled++
 		if !d.flush() {
 			return true
 		}
 	}
 	if at, armed := d.engine.NextDeadline(); armed {
-		if now := time.Now(); !at.After(now) {
+		if now := d.now(); !at.After(now) {
 			d.engine.Tick(now)
 		}
 	}
@@ -104,7 +105,7 @@
 	}
 	wait := time.Duration(-1)
 	if at, armed := d.engine.NextDeadline(); armed {
-		wait = max(time.Until(at), 0)
+		wait = max(at.Sub(d.now()), 0)
 	}
 	d.signal.Wait(wait)
 	d.input.Unpark()
--- /dev/null
+++ b/pkg/instance/hosted.go
@@ -0,0 +1,326 @@
+package instance
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
+	"github.com/sassafrasshunt/sassafrasshunt/platform"
+)
+
+const (
+	// hostedRing is the capacity of the rings of a hosted instance, in items. It
+	// holds one input of every caller that the descriptors allow.
+	hostedRing = 4096
+	// reservedDescriptors are kept for files, the store and the targets.
+	reservedDescriptors = 600
+	// memoryFraction is the part of the memory limit that the heap may use.
+	memoryFraction = 0.7
+	// maxCallerInput bounds the unread input of a caller, in bytes.
+	maxCallerInput = 256 << 10
+)
+
+// Hosted is an instance whose addresses and bounds are given by the users'
+// platform. It has the same decisions as Instance and other edges.
+type Hosted struct {
+	settings  *settings.Hosted
+	duties    duty.Group
+	telemetry *telemetry.Duty
+	callers   *linkio.Callers
+	targets   *linkio.Targets
+	sessions  *decisionDuty[session.Input]
+	engine    *session.Engine
+	fleets    *decisionDuty[fleet.Input]
+	watcher   *fleet.Watcher
+	registrar *fleet.Registrar
+	probe     net.Listener
+	probes    *http.Server
+	ready     atomic.Bool
+	stopped   chan struct{}
+	finish    sync.Once
+	stopping  atomic.Bool
+}
+
+// NewHosted builds an instance and binds its addresses. It returns ErrStart,
+// wrapped, when an address or chart cannot be used.
+func NewHosted(s *settings.Hosted, output io.Writer) (*Hosted, error) {
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryFraction))
+	h := &Hosted{settings: s, stopped: make(chan struct{})}
+	h.sessions = newDecisionDuty[session.Input](hostedRing)
+	h.sessions.now = clock.Now
+	h.fleets = newDecisionDuty[fleet.Input](hostedRing)
+	h.fleets.now = clock.Now
+	h.telemetry = telemetry.New(telemetry.Config{
+		Output: output, Level: logrus.InfoLevel, Capacity: hostedRing,
+		Base: telemetry.Fields{"instance": s.Name},
+	})
+	for _, step := range []func() error{h.buildCallers, h.buildTargets, h.buildSession, h.buildFleet, h.buildProbe} {
+		if err := step(); err != nil {
+			return nil, eris.Wrap(ErrStart, err.Error())
+		}
+	}
+	return h, nil
+}
+
+func (h *Hosted) buildCallers() error {
+	definition, err := charts.Load("link_caller")
+	if err != nil {
+		return err
+	}
+	h.callers, err = linkio.NewCallers(linkio.CallerConfig{
+		Address: h.settings.CallerAddress, RingCapacity: hostedRing,
+		MaxCallers: max(h.settings.Descriptors-reservedDescriptors, 1), MaxInput: maxCallerInput,
+		Startup: 10 * time.Second, Admission: 5 * time.Second, Linger: 500 * time.Millisecond,
+		NewCodec: platform.NewCallerCodec,
+	}, definition, h.sessions.input)
+	return err
+}
+
+func (h *Hosted) buildTargets() error {
+	definition, err := charts.Load("link_target")
+	if err != nil {
+		return err
+	}
+	h.targets, err = linkio.NewTargets(linkio.TargetConfig{
+		RingCapacity: hostedRing, Connect: 500 * time.Millisecond, Startup: time.Second,
+		NewCodec: platform.NewTargetCodec,
+	}, definition, h.sessions.input)
+	return err
+}
+
+func (h *Hosted) buildSession() error {
+	out := &hostedSession{
+		callers: &port[linkio.CallerInput]{ring: h.callers.Ring()},
+		targets: &port[session.TargetCommand]{ring: h.targets.Ring()},
+		fleet:   h.fleets.input,
+	}
+	config := session.DefaultConfig()
+	config.Domain = h.settings.Domain
+	config.AckAtCommit = true
+	config.AsyncReplication = true
+	config.RatePerOperation = true
+	config.FinishOnRevocation = true
+	config.MemberConnections = 2
+	config.Bounds.TransactionIdle = 10 * time.Second
+	config.Bounds.ConnectionOpen = 2 * time.Second
+	config.Bounds.Drain = h.settings.StopGrace / 2
+	engine, err := session.New(config, out)
+	if err != nil {
+		return err
+	}
+	h.engine = engine
+	h.sessions.engine = engine
+	h.sessions.outlets = []outlet{out.callers, out.targets}
+	return nil
+}
+
+// balancerNotice is two missed probes of the balancer, one a second, and the
+// time of an answer.
+const balancerNotice = 2200 * time.Millisecond
+
+func (h *Hosted) buildFleet() error {
+	definition, err := charts.Load("hosted_instance")
+	if err != nil {
+		return err
+	}
+	self := fleet.Instance{
+		ID:     newRunID(h.settings.Name),
+		Domain: h.settings.Domain,
+		Peer:   net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPort)),
+	}
+	out := &hostedFleet{hosted: h, session: &port[session.Input]{ring: h.sessions.input}}
+	engine, err := fleet.New(fleet.Config{Self: self, Bounds: fleet.Bounds{
+		BalancerNotice: balancerNotice,
+		Drain:          h.settings.StopGrace - balancerNotice - time.Second,
+		TargetDrain:    h.settings.TargetDrain * 3 / 4,
+		ReturnWait:     2500 * time.Millisecond,
+		ShareEvery:     time.Second,
+	}}, definition, out)
+	if err != nil {
+		return err
+	}
+	h.fleets.engine = engine
+	h.fleets.outlets = []outlet{out.session}
+	store := platform.NewStore(h.settings.StoreAddress, h.skipped)
+	h.watcher = fleet.NewWatcher(store, fleet.WatchBounds{
+		Wait: time.Second, Answer: 600 * time.Millisecond, Pause: 100 * time.Millisecond,
+	}, h.deliverFleet)
+	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), self, fleet.RegistrarBounds{
+		TTL: 5 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second,
+	}, h.fleetLog)
+	return nil
+}
+
+// newRunID returns an ID that no earlier run had.
+func newRunID(name string) core.InstanceID {
+	var random [instanceIDBytes]byte
+	_, _ = rand.Read(random[:])
+	return core.InstanceID(name + "-" + hex.EncodeToString(random[:]))
+}
+
+func (h *Hosted) skipped(key string, err error) {
+	h.log(logrus.WarnLevel, "store_value_skipped", err.Error(), telemetry.Fields{"key": key})
+}
+
+func (h *Hosted) deliverFleet(in fleet.Input) bool {
+	room := ring.NewSignal()
+	for !h.stopping.Load() {
+		if deliver(h.fleets.input, in, room) {
+			return true
+		}
+		room.Wait(time.Second)
+	}
+	return false
+}
+
+func (h *Hosted) buildProbe() error {
+	listener, err := net.Listen("tcp4", h.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	h.probe = listener
+	h.probes = &http.Server{Handler: platform.ReadyHandler(h.ready.Load), ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+// Run starts every duty. A value from stop begins the planned stop; Run returns
+// when it is complete.
+func (h *Hosted) Run(stop <-chan os.Signal) {
+	h.duties.Start("telemetry", h.telemetry.Run)
+	h.serve("target-io", h.targets.Run)
+	h.duties.Start("session", h.sessions.run)
+	h.duties.Start("fleet", h.fleets.run)
+	h.watcher.Start(&h.duties)
+	h.registrar.Start(&h.duties)
+	h.serve("caller-io", h.callers.Run)
+	h.duties.Start("ready", func() { _ = h.probes.Serve(h.probe) })
+	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
+		"callers": h.settings.CallerAddress, "store": h.settings.StoreAddress, "domain": string(h.settings.Domain),
+	})
+	h.awaitStop(stop)
+	h.stopDuties()
+}
+
+func (h *Hosted) awaitStop(stop <-chan os.Signal) {
+	for {
+		select {
+		case <-stop:
+			h.deliverFleet(fleet.StopRequested{})
+		case <-h.stopped:
+			return
+		}
+	}
+}
+
+func (h *Hosted) serve(name string, run func() error) {
+	h.duties.Start(name, func() {
+		if err := run(); err != nil {
+			h.log(logrus.ErrorLevel, "duty_failed", err.Error(), telemetry.Fields{"duty": name})
+			h.finished()
+		}
+	})
+}
+
+func (h *Hosted) finished() {
+	h.finish.Do(func() { close(h.stopped) })
+}
+
+func (h *Hosted) stopDuties() {
+	h.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
+	h.stopping.Store(true)
+	h.registrar.Stop()
+	h.watcher.Stop()
+	h.callers.Stop()
+	h.sessions.stop()
+	h.targets.Stop()
+	h.fleets.stop()
+	_ = h.probes.Close()
+	h.telemetry.Stop()
+	h.duties.Wait()
+}
+
+func (h *Hosted) log(level logrus.Level, event, message string, fields telemetry.Fields) {
+	h.telemetry.Log(level, event, message, fields)
+}
+
+func (h *Hosted) fleetLog(l fleet.LogEvent) {
+	level := logrus.InfoLevel
+	if l.Warning {
+		level = logrus.WarnLevel
+	}
+	h.log(level, l.Event, l.Message, telemetry.Fields(l.Fields))
+}
+
+// hostedSession puts the outputs of the session engine into rings.
+type hostedSession struct {
+	callers *port[linkio.CallerInput]
+	targets *port[session.TargetCommand]
+	fleet   *ring.Ring[fleet.Input]
+}
+
+func (o *hostedSession) Caller(c session.CallerCommand) bool {
+	o.callers.send(linkio.CallerInput{Command: c})
+	return true
+}
+
+func (o *hostedSession) Target(c session.TargetCommand) bool {
+	o.targets.send(c)
+	return true
+}
+
+// Classify is not used: the callers' protocol says what a request does.
+func (o *hostedSession) Classify(session.ClassifyRequest) bool {
+	return false
+}
+
+func (o *hostedSession) Control(r session.ControlReport) bool {
+	return o.fleet.TryPush(fleet.FromSession{Report: r})
+}
+
+func (o *hostedSession) Span(session.Span) {}
+
+// hostedFleet carries out the outputs of the fleet engine.
+type hostedFleet struct {
+	hosted  *Hosted
+	session *port[session.Input]
+}
+
+func (o *hostedFleet) Session(in session.Input) { o.session.send(in) }
+func (o *hostedFleet) Ready(ready bool)         { o.hosted.ready.Store(ready) }
+func (o *hostedFleet) Finish()                  { o.hosted.finished() }
+func (o *hostedFleet) Log(l fleet.LogEvent)     { o.hosted.fleetLog(l) }
+
+// HostedVariable names the environment variable with the path of the
+// platform's settings file.
+const HostedVariable = platform.BootVariable
+
+// LoadHosted reads the platform's settings file and builds an instance. It
+// returns the errors of platform.LoadBoot and NewHosted.
+func LoadHosted(path string, output io.Writer) (*Hosted, error) {
+	s, err := platform.LoadBoot(path)
+	if err != nil {
+		return nil, err
+	}
+	return NewHosted(s, output)
+}
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -9,10 +9,13 @@
 
 // account is a client account as this instance sees it.
 type account struct {
-	e      *Engine
-	name   core.AccountName
-	weight int
-	keys   map[core.KeyID]bool
+	e *Engine
+	// unlimited is set for callers without a key on open entries that belong to
+	// no account.
+	unlimited bool
+	name      core.AccountName
+	weight    int
+	keys      map[core.KeyID]bool
 	// bucket holds the tokens of requests that execute statements.
 	bucket bucket
 	// preparations is a bucket of the same share for requests that execute
@@ -94,6 +97,9 @@
 }
 
 func (e *Engine) takeToken(s *statement) bool {
+	if s.c.account.unlimited {
+		return true
+	}
 	if e.now.After(e.shareUntil) {
 		return false
 	}
@@ -114,6 +120,15 @@
 	return &s.c.account.bucket
 }
 
+// countsNothing reports a request that is part of an operation which was
+// counted when it began, or ends one that is over.
+func (c *caller) countsNothing(r *Request) bool {
+	if !c.e.cfg.RatePerOperation {
+		return false
+	}
+	return c.inTransaction() || r.Verdict != nil && r.Verdict.Kind == KindEnd
+}
+
 // countDemand counts a new request for the demand report.
 func (a *account) countDemand(r *Request) {
 	if !r.PreparesOnly {
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -8,9 +8,12 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
-// Transaction statuses as ReadyForQuery reports them.
+// TxIdle is the transaction status outside a transaction.
+const TxIdle = 'I'
+
+// Transaction statuses as callers and targets report them.
 const (
-	txIdle = 'I'
+	txIdle = TxIdle
 	txOpen = 'T'
 )
 
@@ -43,6 +46,8 @@
 	target   *target
 	txStatus byte
 	blocked  bool
+	// keyLost is set when the session ends with its running statement.
+	keyLost bool
 	// ending is why the caller is told to go at the next clean boundary.
 	ending *core.Refusal
 	// incoming is the request that the event "request" carries.
@@ -59,6 +64,7 @@
 			"in_transaction":      (*caller).inTransaction,
 			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil },
 			"transaction_expired": (*caller).transactionExpired,
+			"key_lost":            func(c *caller) bool { return c.keyLost },
 			"must_end":            func(c *caller) bool { return c.ending != nil },
 		},
 		Actions: map[string]func(*caller){
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -28,17 +28,40 @@
 		return core.NotRun(core.StateStopping, "this instance is stopping, please reconnect")
 	}
 	c.entry = e.entries[in.Entry]
+	if c.entry == nil && in.Account == "" {
+		return core.NotRun(core.StateNoEntry, "no entry has this name")
+	}
 	if c.entry == nil {
 		return core.NotRun(core.StateWrongKey, "no such entry for this account")
 	}
 	c.account = c.entry.account
 	c.db = c.entry.db
+	if c.account == nil {
+		return e.resolveAccount(c)
+	}
 	if !c.entry.definition.Open {
 		return e.refuseKey(c, in.Account)
 	}
 	return nil
 }
 
+// resolveAccount finds the account of a caller on an entry that belongs to no
+// account by its key.
+func (e *Engine) resolveAccount(c *caller) *core.Refusal {
+	for _, a := range e.accounts {
+		if c.key != "" && a.holds(c.key) {
+			c.account = a
+			return nil
+		}
+	}
+	if !c.entry.definition.Open {
+		return core.NotRun(core.StateWrongKey, "the key is not known")
+	}
+	c.key = ""
+	c.account = e.anonymous
+	return nil
+}
+
 func (e *Engine) refuseKey(c *caller, claimed core.AccountName) *core.Refusal {
 	if claimed != c.account.name || c.key == "" {
 		return core.NotRun(core.StateWrongKey, "no such entry for this account")
@@ -94,6 +117,10 @@
 // fail answers the caller's request with an error.
 func (e *Engine) fail(c *caller, refusal *core.Refusal) {
 	e.metrics.Refusals[refusal.SQLState]++
+	if e.cfg.AsyncReplication && c.inTransaction() {
+		// A refusal says that nothing is kept, so the transaction ends with it.
+		c.abandonTarget()
+	}
 	e.box.caller(CallerFail{Caller: c.id, Refusal: refusal, TxStatus: c.txStatus})
 }
 
--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -53,6 +53,14 @@
 	OpenBackoff time.Duration
 	// DemandEvery is the interval of demand reports.
 	DemandEvery time.Duration
+	// ConnectionProbe bounds the probe of an idle connection.
+	ConnectionProbe time.Duration
+	// ProbeEvery is the age of the newest proof of the primary's position at
+	// which the primary is asked for another.
+	ProbeEvery time.Duration
+	// FullBackoff is the pause before a member at its bound of connections is
+	// asked for one again.
+	FullBackoff time.Duration
 	// OutputRetry is when reports that found a full ring are offered again.
 	OutputRetry time.Duration
 }
@@ -76,6 +84,9 @@
 		Drain:           30 * time.Second,
 		OpenBackoff:     100 * time.Millisecond,
 		DemandEvery:     time.Second,
+		ConnectionProbe: time.Second,
+		ProbeEvery:      300 * time.Millisecond,
+		FullBackoff:     30 * time.Millisecond,
 		OutputRetry:     5 * time.Millisecond,
 	}
 }
@@ -108,6 +119,18 @@
 	// TraceSeed is the beginning of the trace identities of statements whose
 	// caller brought none; zero traces only the callers that bring one.
 	TraceSeed uint64
+	// AsyncReplication is set for groups whose primary acknowledges commits by
+	// itself, whose members check positions and leadership themselves, and whose
+	// connections belong to one account each. AckAtCommit must be set too.
+	AsyncReplication bool
+	// MemberConnections bounds the connections of this instance to one member
+	// with AsyncReplication, until a share is in force.
+	MemberConnections int
+	// RatePerOperation counts a transaction as one request.
+	RatePerOperation bool
+	// FinishOnRevocation lets a running statement of a revoked key be answered
+	// before its session ends.
+	FinishOnRevocation bool
 	// SettingsBytes bounds the session settings of one caller, as SQL text.
 	SettingsBytes int
 }
@@ -187,6 +210,7 @@
 		"connection_idle":  b.ConnectionIdle,
 		"connection_busy":  b.ConnectionBusy,
 		"connection_close": b.ConnectionClose,
+		"connection_probe": b.ConnectionProbe,
 	}
 }
 
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -59,7 +59,7 @@
 	h.ready(s.Target, 'T', core.Position{})
 	s = h.run(2, "commit", commit)
 	h.ready(s.Target, 'I', core.Position{})
-	require.Contains(t, h.callers, CallerWrite{Caller: 2, Frames: []byte("ready"), Done: true})
+	require.Contains(t, h.callers, CallerWrite{Caller: 2, Frames: []byte("ready"), Done: true, TxStatus: txIdle})
 	h.closedWith(core.StateStopping, core.OutcomeNotRun)
 	require.Contains(t, h.control, Drained{})
 
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/freshness"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/route"
 )
 
@@ -36,8 +37,14 @@
 	confirming []*statement
 	scratch    []*statement
 
-	targets     map[TargetID]*target
-	bound       int
+	targets map[TargetID]*target
+	bound   int
+	// memberBound bounds the connections to one member with AsyncReplication.
+	memberBound int
+	// log is what is known of the primary's log over time.
+	log freshness.Log
+	// probe is the timer of probePrimary.
+	probe       timer
 	connections int
 	// openTime is the smoothed time to open a connection.
 	openTime time.Duration
@@ -58,6 +65,12 @@
 	}
 	db.check.run = db.checkMembers
 	db.check.item.Value = &db.check
+	db.memberBound = e.cfg.MemberConnections
+	db.probe.run = db.probePrimary
+	db.probe.item.Value = &db.probe
+	if e.cfg.AsyncReplication {
+		e.timers.Arm(&db.probe.item, e.now.Add(e.cfg.Bounds.ProbeEvery))
+	}
 	db.floorTimer.run = db.repeatRound
 	db.floorTimer.item.Value = &db.floorTimer
 	return db
@@ -153,6 +166,9 @@
 
 func (db *database) checkMembers() {
 	db.checkAt = time.Time{}
+	if db.e.cfg.AsyncReplication {
+		db.followAnnouncements()
+	}
 	db.wantDispatch()
 	db.wake()
 	for _, m := range db.members {
@@ -203,6 +219,10 @@
 func (s *statement) chooseReplica() {
 	e := s.c.e
 	db := s.c.db
+	if e.cfg.AsyncReplication {
+		s.chooseAsyncReplica()
+		return
+	}
 	r := route.Request{Floor: s.c.floor, MaxAge: s.maxAge(), Home: e.cfg.Domain}
 	if s.readsNoData() {
 		r.Floor = core.Position{}
@@ -220,6 +240,35 @@
 	s.fits = s.member.finishesBy(s)
 }
 
+// chooseAsyncReplica asks the policy for a member that can verify the needed
+// position; without a known position there is none.
+func (s *statement) chooseAsyncReplica() {
+	e := s.c.e
+	need, known := s.neededPosition()
+	if !known && !s.readsNoData() {
+		s.reason = "the primary's position is not known for the accepted age"
+		return
+	}
+	e.candidates = e.candidates[:0]
+	for _, m := range s.c.db.members {
+		c := m.candidate()
+		c.Age = 0
+		c.Reachable = c.Reachable && !m.hasFallenBehind(need) && !e.now.Before(m.busyUntil)
+		c.Connections = 0
+		if m.idleFor(s.c.account.name) != nil {
+			c.Connections = 1
+		}
+		e.candidates = append(e.candidates, c)
+	}
+	choice := e.policy.Choose(&route.Request{MaxAge: anyAge, Home: e.cfg.Domain}, e.candidates)
+	s.reason = choice.Reason
+	if choice.Index < 0 {
+		return
+	}
+	s.member = s.c.db.members[choice.Index]
+	s.fits = s.member.finishesBy(s)
+}
+
 func (m *member) candidate() route.Candidate {
 	db := m.db
 	c := route.Candidate{
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -26,6 +26,9 @@
 	callers   map[CallerID]*caller
 	targets   map[TargetID]*target
 
+	// anonymous is the account of callers without a key on open entries that
+	// belong to no account.
+	anonymous   *account
 	shares      map[core.AccountName]RateShare
 	connections map[core.DatabaseName]int
 	shareUntil  time.Time
@@ -91,6 +94,8 @@
 		policy:    newPolicy(&cfg),
 		metrics:   newMetrics(),
 	}
+	e.anonymous = e.newAccount("")
+	e.anonymous.unlimited = true
 	e.drainTimer.run = e.cutOff
 	e.drainTimer.item.Value = &e.drainTimer
 	e.reporter.run = e.report
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -11,7 +11,7 @@
 // the known one is out of date and dropped.
 func (e *Engine) groupView(in GroupView) {
 	db, ok := e.databases[in.Database]
-	if !ok || in.Term < db.term {
+	if !ok || in.Term < db.term && !e.cfg.AsyncReplication {
 		return
 	}
 	db.apply(in)
@@ -29,6 +29,10 @@
 			m.hasView = true
 		}
 	}
+	if db.e.cfg.AsyncReplication {
+		db.followAnnouncements()
+		return
+	}
 	db.advance(in.Term, db.member(in.Primary))
 }
 
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -45,6 +45,9 @@
 	// PreparesOnly marks a request that executes nothing: it creates or describes
 	// prepared statements.
 	PreparesOnly bool
+	// Verdict is set when the caller's protocol says what the request does; it is
+	// then not classified.
+	Verdict *Verdict
 	// Payload is the encoded request, opaque to decisions.
 	Payload *Payload
 	// Arrived is when the request was complete.
@@ -55,10 +58,21 @@
 type Payload struct {
 	// Frames are complete frontend messages.
 	Frames []byte
+	// ID is the caller's identity of the request, where its protocol has one.
+	ID string
+	// Settings are the session's values, where the caller's protocol keeps them
+	// apart from its statements. The list is not changed any more.
+	Settings []Setting
 	// Prepared lists the named statements that the frames refer to.
 	Prepared []PreparedStatement
 }
 
+// Setting is one value of a session.
+type Setting struct {
+	Name  string
+	Value string
+}
+
 // PreparedStatement is a statement that must exist on the target connection.
 type PreparedStatement struct {
 	// Name is unique for the text and parameter types over all callers.
@@ -119,8 +133,31 @@
 	Position core.Position
 	// ErrorState is the SQLSTATE of an error in the answer, empty if none.
 	ErrorState string
+	// Denial is set when the member said that the request did not run.
+	Denial Denial
+	// LogEnd is the end of the member's log, zero if not reported.
+	LogEnd core.Position
+	// Leader is set when the answer proves that the member was the primary when
+	// it reported LogEnd.
+	Leader bool
 }
 
+// Denial is why a member did not run a request.
+type Denial uint8
+
+// Denials of a member.
+const (
+	DenialNone Denial = iota
+	// DenialBusy means that all slots and the member's own queue are taken.
+	DenialBusy
+	// DenialLagging means that the member's log lacks the asked position.
+	DenialLagging
+	// DenialNotPrimary means that the request needs the primary.
+	DenialNotPrimary
+	// DenialUnknownStatement means that a prepared statement is missing.
+	DenialUnknownStatement
+)
+
 // TargetClosed reports a target connection that failed or was closed.
 type TargetClosed struct {
 	Target TargetID
@@ -130,6 +167,8 @@
 	Reason string
 	// Refused is set when the member refused a new connection or its startup.
 	Refused bool
+	// Full is set when it refused because of its bound of connections.
+	Full bool
 }
 
 // ClassifyResult answers a ClassifyRequest.
@@ -153,6 +192,9 @@
 	Latency time.Duration
 	// AgeBound is an upper bound of how far reads lag behind the primary.
 	AgeBound time.Duration
+	// Announced orders the announcements of the group's members; a greater one is
+	// newer. Zero where members are asked for their status.
+	Announced uint64
 	// SeenAt is when the status was received.
 	SeenAt time.Time
 }
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
@@ -37,6 +38,16 @@
 	// lastStart is when a queued statement was last sent.
 	lastStart  time.Time
 	wantsCheck bool
+	// parked are statements whose account has no free connection.
+	parked []*statement
+	// logEnd is the newest log position that the member reported with an answer.
+	logEnd core.Position
+	// disownedUntil, laggingUntil and busyUntil bound what the member's denials
+	// say about it; fullUntil is when its bound of connections is tried again.
+	disownedUntil time.Time
+	laggingUntil  time.Time
+	busyUntil     time.Time
+	fullUntil     time.Time
 	// servesAsPrimary is set while the newest view names the member primary.
 	servesAsPrimary bool
 }
@@ -102,7 +113,7 @@
 }
 
 func (m *member) waiting() int {
-	return m.queue.Len() + len(m.pinned)
+	return m.queue.Len() + len(m.pinned) + len(m.parked)
 }
 
 func (m *member) reachable() bool {
@@ -131,7 +142,10 @@
 
 // refire empties the queue and sends the event to each statement in it.
 func (m *member) refire(ev event) {
-	var moved []*statement
+	moved := slices.Clone(m.parked)
+	for _, s := range moved {
+		s.unpark()
+	}
 	for {
 		item, ok := m.queue.Pop()
 		if !ok {
@@ -156,7 +170,7 @@
 		return false
 	}
 	c := s.c
-	ahead := m.queue.Ahead(c.account.name, c.account.weight, c.entry.definition.Class)
+	ahead := len(m.parked) + m.queue.Ahead(c.account.name, c.account.weight, c.entry.definition.Class)
 	if ahead == 0 {
 		return true
 	}
@@ -170,6 +184,9 @@
 
 // parallel is how many statements can run at a time for this instance.
 func (m *member) parallel() int {
+	if m.db.e.cfg.AsyncReplication {
+		return m.slots
+	}
 	room := max(m.db.bound-m.db.connections, 0)
 	return max(min(m.slots, m.serving()+room), 1)
 }
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -36,6 +36,8 @@
 	// Position is reported as ParameterStatus before the last ReadyForQuery,
 	// unless zero.
 	Position core.Position
+	// TxStatus is the transaction status after the answer: 'I', 'T' or 'E'.
+	TxStatus byte
 }
 
 // CallerFail answers a request with an error and ReadyForQuery.
@@ -82,6 +84,9 @@
 	Member   core.MemberID
 	// Address is IP:port.
 	Address string
+	// Account is whom the connection is for; empty where connections serve all
+	// accounts.
+	Account core.AccountName
 }
 
 // TargetSend sends one request on an idle connection.
@@ -93,6 +98,17 @@
 	// NotAfter is the time after which the request must not be written any
 	// more; targetio then reports TargetClosed with Unsent.
 	NotAfter time.Time
+	// MinPosition is what the member must have applied to run the request; zero
+	// if anything will do.
+	MinPosition core.Position
+	// LeaderOnly makes the member refuse the request unless it is the primary.
+	LeaderOnly bool
+}
+
+// TargetProbe asks an idle connection for proof that its member is the primary.
+// The answer is a TargetReady.
+type TargetProbe struct {
+	Target TargetID
 }
 
 // TargetClose closes a connection.
@@ -117,6 +133,7 @@
 
 func (TargetOpen) targetCommand()   {}
 func (TargetSend) targetCommand()   {}
+func (TargetProbe) targetCommand()  {}
 func (TargetClose) targetCommand()  {}
 func (TargetCancel) targetCommand() {}
 func (TargetPause) targetCommand()  {}
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -1,6 +1,10 @@
 package session
 
-import "time"
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
 
 // keepFactor is how long a connection is used at least before it gives way to
 // another member's queue, as a multiple of the time to open one. It bounds the
@@ -37,6 +41,10 @@
 // dispatch sends waiting statements while the member has slots for them and
 // connections.
 func (m *member) dispatch() {
+	if m.db.e.cfg.AsyncReplication {
+		m.dispatchByAccount()
+		return
+	}
 	m.dispatchPinned()
 	if m.queue.Len() > 0 && m.giveWay() {
 		return
@@ -57,6 +65,10 @@
 // serve starts the statement that is next, unless the wait has made it late or
 // the member unfit for it.
 func (m *member) serve(s *statement) {
+	m.serveOn(s, m.idleWith(s.c.settings.replay))
+}
+
+func (m *member) serveOn(s *statement, t *target) {
 	events := &m.db.e.charts.stmt
 	switch {
 	case m.endsLate(s):
@@ -64,7 +76,7 @@
 	case !m.stillServes(s):
 		s.fire(events.rerouted)
 	default:
-		m.start(s)
+		m.start(s, t)
 	}
 }
 
@@ -85,19 +97,25 @@
 	if m == m.db.primary || s.readsNoData() {
 		return true
 	}
+	if m.db.e.cfg.AsyncReplication {
+		_, known := s.neededPosition()
+		return known && s.mayUseReplica()
+	}
 	return m.view.Status.Covers(s.c.floor) && m.age() <= s.maxAge()
 }
 
-// start sends the statement on an idle connection, preferably one that has the
-// session's settings.
-func (m *member) start(s *statement) {
-	t := m.idle[len(m.idle)-1]
+// idleWith returns an idle connection, preferably one that has the settings.
+func (m *member) idleWith(replay string) *target {
 	for i := len(m.idle) - 1; i >= 0; i-- {
-		if m.idle[i].applied == s.c.settings.replay {
-			t = m.idle[i]
-			break
+		if m.idle[i].applied == replay {
+			return m.idle[i]
 		}
 	}
+	return m.idle[len(m.idle)-1]
+}
+
+// start sends the statement on an idle connection.
+func (m *member) start(s *statement, t *target) {
 	m.lastStart = m.db.e.now
 	s.c.pinTo(t)
 	s.fire(m.db.e.charts.stmt.dispatched)
@@ -127,7 +145,7 @@
 		return
 	}
 	if db.connections < db.bound {
-		m.open()
+		m.open(anyAccount)
 		return
 	}
 	db.replaceIdle(m)
@@ -148,15 +166,19 @@
 	return m.db.e.now.Sub(m.lastStart) >= m.db.openTime
 }
 
-func (m *member) open() {
+// anyAccount is the account of connections that serve all accounts.
+const anyAccount core.AccountName = ""
+
+func (m *member) open(account core.AccountName) {
 	db := m.db
 	e := db.e
 	e.lastTarget++
 	t := &target{
-		id:     e.lastTarget,
-		member: m,
-		state:  e.charts.target.Initial(),
-		asked:  e.now,
+		id:      e.lastTarget,
+		member:  m,
+		account: account,
+		state:   e.charts.target.Initial(),
+		asked:   e.now,
 	}
 	t.item.Value = t
 	e.targets[t.id] = t
@@ -165,7 +187,7 @@
 	db.connections++
 	m.counts[t.state]++
 	t.arm()
-	e.box.target(TargetOpen{Target: t.id, Database: db.name, Member: m.id, Address: m.address})
+	e.box.target(TargetOpen{Target: t.id, Database: db.name, Member: m.id, Address: m.address, Account: account})
 }
 
 // replaceIdle closes an idle connection to another member. The new one is
@@ -245,6 +267,10 @@
 // connections at once and busy ones at their next boundary.
 func (db *database) setBound(bound int) {
 	db.bound = bound
+	if db.e.cfg.AsyncReplication {
+		db.setMemberBound(bound)
+		return
+	}
 	surplus := db.connections - db.closing() - db.retiring() - bound
 	for _, idle := range []bool{true, false} {
 		for _, t := range db.targets {
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -111,21 +111,33 @@
 		if resolved.deadline <= 0 {
 			resolved.deadline = e.cfg.Bounds.Deadline
 		}
-		if resolved.account != nil && resolved.db != nil {
+		shared := def.Account == ""
+		if (shared || resolved.account != nil) && resolved.db != nil {
 			entries[def.Name] = resolved
 		}
 	}
 	e.entries = entries
 }
 
+// loseKey ends the session of a revoked key, where so configured after the
+// answer to the running statement.
+func (c *caller) loseKey(reason *core.Refusal) {
+	if c.e.cfg.FinishOnRevocation && c.stmt.active {
+		c.keyLost = true
+		c.ending = reason
+		return
+	}
+	c.end(reason)
+}
+
 // reconsider applies a new catalogue to a connected caller.
 func (c *caller) reconsider() {
 	if c.key != "" && !c.account.holds(c.key) {
-		c.end(core.NotRun(core.StateKeyRevoked, "the key is revoked"))
+		c.loseKey(core.NotRun(core.StateKeyRevoked, "the key is revoked"))
 		return
 	}
 	now := c.e.entries[c.entry.definition.Name]
-	if now == nil || now.db != c.db || now.account != c.account {
+	if now == nil || now.db != c.db || now.account != nil && now.account != c.account {
 		c.endAtBoundary(core.NotRun(core.StateDatabaseLeaving, "the entry was changed, please reconnect"))
 		return
 	}
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -100,7 +100,7 @@
 	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 109}})
 	require.Len(t, h.callers, answers)
 	h.do(ConfirmedUpTo{Database: "db", Position: core.Position{Term: 1, LSN: 110}})
-	want := CallerWrite{Caller: 1, Frames: []byte("row ready"), Done: true, Position: core.Position{Term: 1, LSN: 110}}
+	want := CallerWrite{Caller: 1, Frames: []byte("row ready"), Done: true, Position: core.Position{Term: 1, LSN: 110}, TxStatus: txIdle}
 	require.Equal(t, want, h.last())
 	h.ask(1, "read", read)
 	require.Equal(t, 1, h.countSent(), "no replica has the write yet")
@@ -238,7 +238,7 @@
 	s := h.run(1, "write", write)
 	p := core.Position{Term: 1, LSN: 110}
 	h.ready(s.Target, 'I', p)
-	require.Equal(t, CallerWrite{Caller: 1, Frames: []byte("ready"), Done: true, Position: p}, h.last())
+	require.Equal(t, CallerWrite{Caller: 1, Frames: []byte("ready"), Done: true, Position: p, TxStatus: txIdle}, h.last())
 	require.Equal(t, p, h.e.callers[1].floor)
 }
 
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -33,6 +33,10 @@
 	askedApplied bool
 	// waitIndex is the place among the statements that wait for a view.
 	waitIndex int
+	// denial is why the member did not run the last attempt.
+	denial Denial
+	// parked is set while the statement waits for a connection of its account.
+	parked bool
 	// pinnedWait is set while a statement of a transaction waits for a slot,
 	// tokenWait while it waits for its account's rate.
 	pinnedWait bool
@@ -87,6 +91,7 @@
 	s.primaryNow, s.askedApplied = false, false
 	s.sent, s.unsent, s.repeats, s.mayHaveRun = false, false, 0, false
 	s.chunk, s.held = nil, nil
+	s.denial = DenialNone
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
 	s.state = e.charts.statement.Initial()
@@ -190,6 +195,8 @@
 			"repeat_placeable":         func(s *statement) bool { return s.repeatable() && s.placeable() },
 			"repeat_read":              func(s *statement) bool { return s.repeatable() && s.mayUseReplica() },
 			"repeat_any":               (*statement).repeatable,
+			"denied_placeable":         func(s *statement) bool { return s.denied() && s.placeable() },
+			"denied_repeatable":        (*statement).denied,
 			"unsent":                   func(s *statement) bool { return s.unsent },
 		},
 		Actions:  statementActions(),
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -12,6 +12,10 @@
 	s := &c.stmt
 	s.start(c.incoming)
 	c.incoming = nil
+	if c.countsNothing(s.request) {
+		s.fire(c.e.charts.stmt.admitted)
+		return
+	}
 	c.account.countDemand(s.request)
 	if c.e.admits(c) {
 		s.fire(c.e.charts.stmt.admitted)
@@ -32,6 +36,11 @@
 	s.tokenWait = false
 	s.c.account.metrics.Admitted++
 	e.budget.earn()
+	if s.request.Verdict != nil {
+		s.verdict = *s.request.Verdict
+		s.fire(e.charts.stmt.classified)
+		return
+	}
 	request := ClassifyRequest{Caller: s.c.id, Sequence: s.sequence, Texts: s.request.Texts}
 	if !e.box.out.Classify(request) {
 		s.fire(e.charts.stmt.timedOut)
@@ -74,6 +83,7 @@
 		i := slices.Index(s.member.pinned, s)
 		s.member.pinned = slices.Delete(s.member.pinned, i, i+1)
 	}
+	s.unpark()
 	if s.queue.Queued() {
 		s.member.queue.Remove(&s.queue)
 	}
@@ -92,11 +102,14 @@
 	s.sentAt = c.e.now
 	s.unsent = false
 	t.fire(c.e.charts.conn.sent)
+	least, leaderOnly := s.checks()
 	c.e.box.target(TargetSend{
-		Target:   t.id,
-		Payload:  s.request.Payload,
-		Prelude:  prelude,
-		NotAfter: s.deadline,
+		Target:      t.id,
+		Payload:     s.request.Payload,
+		Prelude:     prelude,
+		NotAfter:    s.deadline,
+		MinPosition: least,
+		LeaderOnly:  leaderOnly,
 	})
 	if c.blocked {
 		t.follow(true)
@@ -143,7 +156,7 @@
 	if len(s.held) > 0 {
 		frames = append(s.held, s.chunk...)
 	}
-	answer := CallerWrite{Caller: c.id, Frames: frames, Done: true}
+	answer := CallerWrite{Caller: c.id, Frames: frames, Done: true, TxStatus: c.txStatus}
 	if s.committed() && !s.isStatusQuery() {
 		answer.Position = c.raiseFloor(s)
 		c.e.metrics.WritesAcknowledged++
@@ -170,6 +183,11 @@
 	s.chunk, s.held = nil, nil
 	s.errorState = ""
 	s.c.e.metrics.Requeued++
+	if s.denial != DenialNone {
+		s.member.noteDenial(s.denial)
+		s.denial = DenialNone
+		return
+	}
 	s.c.e.box.out.Control(SuspectMember{Database: s.c.db.name, Member: s.member.id})
 }
 
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -47,7 +47,7 @@
 // Writes need it too: a transaction reads before it writes, and a group whose
 // majority is silent could not confirm them.
 func (s *statement) needsFloor() bool {
-	return !s.readsNoData() && !s.c.learnFloor()
+	return !s.readsNoData() && !s.c.e.cfg.AsyncReplication && !s.c.learnFloor()
 }
 
 // learnFloor takes the floor from a finished round that began after the
@@ -108,7 +108,7 @@
 // waitIsHopeless reports that no replica can come to qualify: the policy takes
 // none, none is reachable, or no staleness at all is accepted.
 func (s *statement) waitIsHopeless() bool {
-	return s.c.e.cfg.Policy == PolicyPrimary || s.maxAge() <= 0 || !s.c.db.hasReplica()
+	return s.c.e.cfg.AsyncReplication || s.c.e.cfg.Policy == PolicyPrimary || s.maxAge() <= 0 || !s.c.db.hasReplica()
 }
 
 // maxAge returns the accepted staleness: of the statement, else of the
--- a/pkg/session/tables.go
+++ b/pkg/session/tables.go
@@ -26,18 +26,18 @@
 }
 
 type targetEvents struct {
-	opened, sent, readyIdle, readyOpen, retire, abandon, lost, timedOut event
+	opened, sent, probed, readyIdle, readyOpen, retire, abandon, lost, timedOut event
 }
 
 // targetStates are the states by which connections are counted.
 type targetStates struct {
-	idle, busy, pinned, closing, closed chart.State
+	opening, idle, probing, busy, pinned, closing, closed chart.State
 }
 
 func (t *tables) targetStates() targetStates {
 	id := t.target.StateID
 	return targetStates{
-		idle: id("idle"), busy: id("busy"), pinned: id("pinned"),
+		opening: id("opening"), idle: id("idle"), probing: id("probing"), busy: id("busy"), pinned: id("pinned"),
 		closing: id("closing"), closed: id("closed"),
 	}
 }
@@ -82,7 +82,7 @@
 		leaving: s("leaving"), aborted: s("aborted"), timedOut: s(chart.TimeoutEvent),
 	}
 	t.conn = targetEvents{
-		opened: n("opened"), sent: n("sent"), readyIdle: n("ready_idle"), readyOpen: n("ready_open"),
+		opened: n("opened"), sent: n("sent"), probed: n("probed"), readyIdle: n("ready_idle"), readyOpen: n("ready_open"),
 		retire: n("retire"), abandon: n("abandon"), lost: n("lost"), timedOut: n(chart.TimeoutEvent),
 	}
 }
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // target is one target connection. It is used by one caller at a time: for one
@@ -15,6 +16,10 @@
 	state  chart.State
 	item   timerq.Item[timed]
 	caller *caller
+	// account is whom the connection belongs to; empty if it serves all.
+	account core.AccountName
+	// full is set when the member refused it because of its bound.
+	full bool
 	// applied is the replay text of the settings on the connection.
 	applied  string
 	retiring bool
@@ -33,6 +38,7 @@
 		},
 		Actions: map[string]func(*target){
 			"send_close":       (*target).sendClose,
+			"send_probe":       (*target).sendProbe,
 			"mark_retiring":    func(t *target) { t.retiring = true },
 			"note_opened":      (*target).noteOpened,
 			"note_open_failed": (*target).noteOpenFailed,
@@ -91,6 +97,11 @@
 }
 
 func (t *target) noteOpenFailed() {
+	if t.full {
+		m := t.member
+		m.fullUntil = t.engine().now.Add(t.engine().cfg.Bounds.FullBackoff)
+		return
+	}
 	t.member.suspect()
 }
 
@@ -159,6 +170,10 @@
 	if !ok {
 		return
 	}
+	if t.state == e.states.probing {
+		t.probeAnswered(&in)
+		return
+	}
 	c := t.caller
 	if c == nil || !c.stmt.sent {
 		t.noteLost()
@@ -169,6 +184,8 @@
 	s.chunk = in.Frames
 	s.position = in.Position
 	s.errorState = in.ErrorState
+	s.denial = in.Denial
+	t.member.observe(s.sentAt, &in)
 	t.member.served(e.now.Sub(s.sentAt))
 	c.settle(s, in.TxStatus)
 	t.settle(c)
@@ -218,6 +235,7 @@
 	if !ok {
 		return
 	}
+	t.full = in.Full
 	if t.caller != nil {
 		t.caller.stmt.unsent = in.Unsent
 	}
