--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -86,7 +86,7 @@
 		DemandEvery:     time.Second,
 		ConnectionProbe: time.Second,
 		ProbeEvery:      300 * time.Millisecond,
-		FullBackoff:     30 * time.Millisecond,
+		FullBackoff:     100 * time.Millisecond,
 		OutputRetry:     5 * time.Millisecond,
 	}
 }
