Replace primaries by claim, survey and fenced order

Ruled out: serving a draining primary longer; the bound counts from the member's own announcement. Change: chart succession, worker thread for the blocking calls, drain time counted from the last news before the announcement, instances and members that a returning store lacks are kept for 3 s.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -30,6 +30,11 @@
 	// ReturnWait is how long members that a returning store lacks may take to
 	// announce themselves again.
 	ReturnWait time.Duration
+	// PromotionCall bounds one step of a promotion, PromotionRetry is the pause
+	// before another attempt, and Takeover the wait for the new primary.
+	PromotionCall  time.Duration
+	PromotionRetry time.Duration
+	Takeover       time.Duration
 	// ShareEvery is how often the shares are worked out.
 	ShareEvery time.Duration
 }
@@ -42,11 +47,16 @@
 // StoreSeen reports everything that the store holds, after a start or a gap.
 type StoreSeen struct {
 	Snapshot *Snapshot
+	// Since is a time at which the store had no newer news than those that were
+	// delivered before; zero at the start.
+	Since time.Time
 }
 
 // StoreChanged reports changes in their order.
 type StoreChanged struct {
 	Changes []Change
+	// Since is as in StoreSeen.
+	Since time.Time
 }
 
 // StoreLost reports that the store cannot be read; StoreSeen ends that.
@@ -71,6 +81,8 @@
 // Outputs receives what the engine decides.
 type Outputs interface {
 	Session(session.Input)
+	// Work hands a job to the worker and reports whether there was room.
+	Work(Job) bool
 	// Ready tells the balancer's probe whether callers may come.
 	Ready(bool)
 	// Finish ends the process after a planned stop.
@@ -101,14 +113,20 @@
 
 	configuration *Configuration
 	members       map[core.MemberID]*member
-	instances     map[core.InstanceID]Instance
+	instances     map[core.InstanceID]*instance
 	// storeLost is set while the store cannot be read, storeBack when it could
 	// be read again.
 	storeLost bool
 	storeBack time.Time
+	// since is the age of the news under way, as in StoreSeen.
+	since     time.Time
 	sweep     timerq.Item[func()]
 	published uint64
 	shares    shares
+
+	succession  *chart.Table[*succession]
+	change      successionEvents
+	successions map[core.DatabaseName]*succession
 }
 
 type lifeEvents struct {
@@ -122,18 +140,34 @@
 	drainingSince time.Time
 	// missing is set when the store lacks the entry after an outage.
 	missing bool
+	// dead is set when the member's host refused a connection, until the member
+	// announces itself again.
+	dead bool
+	// examining is set while the worker asks the member.
+	examining bool
+}
+
+// Charts are the life cycles of the fleet duty.
+type Charts struct {
+	Instance   *chart.Definition
+	Succession *chart.Definition
 }
 
 // New returns an engine. It returns the errors of the chart loader for a chart
 // that does not fit the code.
-func New(config Config, life *chart.Definition, out Outputs) (*Engine, error) {
+func New(config Config, charts Charts, out Outputs) (*Engine, error) {
 	e := &Engine{
 		config:    config,
 		out:       out,
 		members:   map[core.MemberID]*member{},
-		instances: map[core.InstanceID]Instance{},
+		instances: map[core.InstanceID]*instance{},
+
+		successions: map[core.DatabaseName]*succession{},
+	}
+	if err := e.loadSuccession(charts.Succession); err != nil {
+		return nil, err
 	}
-	table, err := chart.Compile(life, e.registry())
+	table, err := chart.Compile(charts.Instance, e.registry())
 	if err != nil {
 		return nil, err
 	}
@@ -191,13 +225,17 @@
 	e.now = now
 	switch in := in.(type) {
 	case StoreSeen:
+		e.since = in.Since
 		e.storeSeen(in.Snapshot)
 	case StoreChanged:
+		e.since = in.Since
 		e.storeChanged(in.Changes)
 	case StoreLost:
 		e.loseStore(in.Reason)
 	case FromSession:
 		e.fromSession(in.Report)
+	case JobDone:
+		e.jobDone(&in)
 	case StopRequested:
 		e.out.Log(LogEvent{Event: "stop_requested", Message: "planned stop requested"})
 		e.fire(e.on.stop)
@@ -227,6 +265,8 @@
 		e.fire(e.on.drained)
 	case session.Demand:
 		e.shares.demand = r
+	case session.SuspectMember:
+		e.suspect(r.Member)
 	}
 }
 
@@ -253,10 +293,7 @@
 	for id, m := range e.members {
 		m.missing = m.missing || !seen[id]
 	}
-	clear(e.instances)
-	for _, i := range s.Instances {
-		e.instances[i.ID] = i
-	}
+	e.instancesSeen(s.Instances)
 	e.adopt(s.Configuration)
 	e.armSweep()
 	e.publish()
@@ -280,9 +317,9 @@
 	case c.GoneMember != "":
 		e.memberGone(c.GoneMember)
 	case c.Instance != nil:
-		e.instances[c.Instance.ID] = *c.Instance
+		e.instances[c.Instance.ID] = &instance{Instance: *c.Instance}
 	case c.GoneInstance != "":
-		delete(e.instances, c.GoneInstance)
+		e.instanceGone(c.GoneInstance)
 	}
 }
 
@@ -311,6 +348,7 @@
 			"member": a.Member, "group": a.Group, "role": a.Role, "draining": a.Draining, "revision": a.Revision,
 		}})
 	}
+	m.dead = m.dead && a.Revision == m.Revision
 	m.Announcement = *a
 	m.missing = false
 	if !a.Draining {
@@ -319,6 +357,10 @@
 	}
 	if m.drainingSince.IsZero() {
 		m.drainingSince = e.now
+		if !e.since.IsZero() {
+			// The announcement may be as old as the last news before it.
+			m.drainingSince = e.since
+		}
 		e.armSweep()
 	}
 }
@@ -349,9 +391,11 @@
 func (e *Engine) armSweep() {
 	var next time.Time
 	for _, m := range e.members {
-		at := e.unusableAt(m)
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
+		next = sooner(next, e.unusableAt(m), e.now)
+	}
+	for _, i := range e.instances {
+		if i.missing {
+			next = sooner(next, e.storeBack.Add(e.config.Bounds.ReturnWait), e.now)
 		}
 	}
 	if !next.IsZero() {
@@ -359,6 +403,15 @@
 	}
 }
 
+// sooner returns the earlier of two times, where times that have passed and the
+// zero time do not count.
+func sooner(next, at, now time.Time) time.Time {
+	if !at.After(now) || !next.IsZero() && next.Before(at) {
+		return next
+	}
+	return at
+}
+
 // unusableAt returns when a draining or missing member stops being used, zero
 // for others.
 func (e *Engine) unusableAt(m *member) time.Time {
@@ -377,19 +430,18 @@
 			e.forget(m)
 		}
 	}
+	e.forgetInstances()
 	e.publish()
-	for _, m := range e.members {
-		if at := e.unusableAt(m); at.After(e.now) {
-			e.armSweep()
-			return
-		}
-	}
+	e.armSweep()
 }
 
 // usable reports whether new work may go to the member. A draining primary is
 // used until its bound, because nobody else takes writes; a draining replica is
 // left at once.
 func (e *Engine) usable(m *member) bool {
+	if m.dead {
+		return false
+	}
 	if !m.Draining {
 		return true
 	}
@@ -408,6 +460,7 @@
 		e.out.Session(e.view(&c.Databases[i]))
 	}
 	e.shares.publish()
+	e.reviewSuccession()
 	if len(e.members) > 0 {
 		e.fire(e.on.configured)
 	}
@@ -446,7 +499,7 @@
 	for i := range db.Members {
 		m := e.members[db.Members[i].ID]
 		view.Members = append(view.Members, session.MemberView{
-			Status:    core.MemberStatus{Member: m.Member, Role: m.Role},
+			Status:    core.MemberStatus{Member: m.Member, Role: m.leadRole()},
 			Reachable: e.usable(m),
 			Announced: uint64(m.Revision),
 			SeenAt:    e.now,
@@ -454,3 +507,11 @@
 	}
 	return view
 }
+
+// leadRole is the announced role, but for a dead primary, which leads nobody.
+func (m *member) leadRole() core.Role {
+	if m.dead {
+		return core.RoleReplica
+	}
+	return m.Role
+}
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 )
 
@@ -17,6 +18,8 @@
 	deliver func(Input) bool
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// current is when the store was last known to have nothing newer.
+	current time.Time
 }
 
 // WatchBounds bound the calls of a Watcher.
@@ -65,17 +68,20 @@
 func (w *Watcher) read() (Revision, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Answer)
 	defer cancel()
+	asked := clock.Now()
 	snapshot, err := w.source.Snapshot(ctx)
 	if err != nil {
 		return 0, err
 	}
-	w.deliver(StoreSeen{Snapshot: snapshot})
+	w.deliver(StoreSeen{Snapshot: snapshot, Since: w.current})
+	w.current = asked
 	return snapshot.Revision, nil
 }
 
 // follow returns the error that ends the watch.
 func (w *Watcher) follow(after Revision) error {
 	for {
+		asked := clock.Now()
 		ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Wait+w.bounds.Answer)
 		changes, next, err := w.source.Watch(ctx, after, w.bounds.Wait)
 		cancel()
@@ -83,9 +89,10 @@
 			return err
 		}
 		after = next
-		if len(changes) > 0 && !w.deliver(StoreChanged{Changes: changes}) {
+		if len(changes) > 0 && !w.deliver(StoreChanged{Changes: changes, Since: w.current}) {
 			return w.ctx.Err()
 		}
+		w.current = asked
 	}
 }
 
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -54,6 +54,7 @@
 	fleets    *decisionDuty[fleet.Input]
 	watcher   *fleet.Watcher
 	registrar *fleet.Registrar
+	worker    *fleet.Worker
 	probe     net.Listener
 	probes    *http.Server
 	ready     atomic.Bool
@@ -140,7 +141,11 @@
 const balancerNotice = 2200 * time.Millisecond
 
 func (h *Hosted) buildFleet() error {
-	definition, err := charts.Load("hosted_instance")
+	life, err := charts.Load("hosted_instance")
+	if err != nil {
+		return err
+	}
+	succession, err := charts.Load("succession")
 	if err != nil {
 		return err
 	}
@@ -154,9 +159,12 @@
 		BalancerNotice: balancerNotice,
 		Drain:          h.settings.StopGrace - balancerNotice - time.Second,
 		TargetDrain:    h.settings.TargetDrain * 3 / 4,
-		ReturnWait:     2500 * time.Millisecond,
+		ReturnWait:     3 * time.Second,
+		PromotionCall:  2 * time.Second,
+		PromotionRetry: 500 * time.Millisecond,
+		Takeover:       3 * time.Second,
 		ShareEvery:     time.Second,
-	}}, definition, out)
+	}}, fleet.Charts{Instance: life, Succession: succession}, out)
 	if err != nil {
 		return err
 	}
@@ -167,8 +175,12 @@
 		Wait: time.Second, Answer: 600 * time.Millisecond, Pause: 100 * time.Millisecond,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), self, fleet.RegistrarBounds{
-		TTL: 5 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second,
+		TTL: 10 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second,
 	}, h.fleetLog)
+	h.worker = fleet.NewWorker(platform.NewStore(h.settings.StoreAddress, h.skipped),
+		platform.NewOrders(h.settings.Name, h.settings.PromotionAddress), self.ID, fleet.WorkerBounds{
+			Call: time.Second, Member: 300 * time.Millisecond, ClaimTTL: 5 * time.Second,
+		}, h.deliverFleet)
 	return nil
 }
 
@@ -213,6 +225,7 @@
 	h.duties.Start("fleet", h.fleets.run)
 	h.watcher.Start(&h.duties)
 	h.registrar.Start(&h.duties)
+	h.worker.Start(&h.duties)
 	h.serve("caller-io", h.callers.Run)
 	h.duties.Start("ready", func() { _ = h.probes.Serve(h.probe) })
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
@@ -251,6 +264,7 @@
 	h.stopping.Store(true)
 	h.registrar.Stop()
 	h.watcher.Stop()
+	h.worker.Stop()
 	h.callers.Stop()
 	h.sessions.stop()
 	h.targets.Stop()
@@ -307,6 +321,7 @@
 }
 
 func (o *hostedFleet) Session(in session.Input) { o.session.send(in) }
+func (o *hostedFleet) Work(j fleet.Job) bool    { return o.hosted.worker.Push(j) }
 func (o *hostedFleet) Ready(ready bool)         { o.hosted.ready.Store(ready) }
 func (o *hostedFleet) Finish()                  { o.hosted.finished() }
 func (o *hostedFleet) Log(l fleet.LogEvent)     { o.hosted.fleetLog(l) }
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -184,7 +184,6 @@
 	s.errorState = ""
 	s.c.e.metrics.Requeued++
 	if s.denial != DenialNone {
-		s.member.noteDenial(s.denial)
 		s.denial = DenialNone
 		return
 	}
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -186,6 +186,7 @@
 	s.errorState = in.ErrorState
 	s.denial = in.Denial
 	t.member.observe(s.sentAt, &in)
+	t.member.noteDenial(in.Denial)
 	t.member.served(e.now.Sub(s.sentAt))
 	c.settle(s, in.TxStatus)
 	t.settle(c)
