Deal with an answer before the newer term that it shows

Ruled out: a lost pinned connection and a denied BEGIN, whose answers end the transaction. Change: the position is learned after the answer; a denied lead before the statement is placed again. Each decision about a request can be logged. The test panics with the old order.

--- /dev/null
+++ b/pkg/instance/decisions.go
@@ -0,0 +1,52 @@
+package instance
+
+import (
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
+)
+
+// eventRequest is the event of a line about one request.
+const eventRequest = "request"
+
+func decisionMessage(d *session.Decision) string {
+	switch {
+	case d.Refusal != nil:
+		return d.Refusal.Message
+	case d.MemberError != "":
+		return "the member answered an error"
+	}
+	return "answered"
+}
+
+// decisionFields turns a decision into the fields of a line. Durations are in
+// milliseconds.
+func decisionFields(d *session.Decision) telemetry.Fields {
+	fields := telemetry.Fields{
+		"request": d.Request, "caller": uint64(d.Caller), "account": string(d.Account), "entry": string(d.Entry),
+		"waited_ms": d.Waited.Milliseconds(),
+	}
+	if d.Refusal != nil {
+		fields["state"] = d.Refusal.SQLState
+		fields["outcome"] = string(d.Refusal.Outcome)
+	}
+	if d.MemberError != "" {
+		fields["member_error"] = d.MemberError
+	}
+	if d.Member != "" {
+		fields["member"] = string(d.Member)
+		fields["ran_ms"] = d.Ran.Milliseconds()
+	}
+	if d.Choice != "" {
+		fields["choice"] = d.Choice
+	}
+	if d.Repeats > 0 {
+		fields["repeats"] = d.Repeats
+	}
+	if !d.Needed.IsZero() {
+		fields["needed"] = d.Needed.String()
+	}
+	if d.PositionAge >= 0 {
+		fields["position_age_ms"] = d.PositionAge.Milliseconds()
+	}
+	return fields
+}
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -115,6 +115,7 @@
 		callers: &port[linkio.CallerInput]{ring: h.callers.Ring()},
 		targets: &port[session.TargetCommand]{ring: h.targets.Ring()},
 		fleet:   h.fleets.input,
+		hosted:  h,
 	}
 	config := session.DefaultConfig()
 	config.Domain = h.settings.Domain
@@ -291,6 +292,7 @@
 	callers *port[linkio.CallerInput]
 	targets *port[session.TargetCommand]
 	fleet   *ring.Ring[fleet.Input]
+	hosted  *Hosted
 }
 
 func (o *hostedSession) Caller(c session.CallerCommand) bool {
@@ -314,6 +316,10 @@
 
 func (o *hostedSession) Span(session.Span) {}
 
+func (o *hostedSession) Note(d session.Decision) {
+	o.hosted.log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
+}
+
 // hostedFleet carries out the outputs of the fleet engine.
 type hostedFleet struct {
 	hosted  *Hosted
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -60,6 +60,11 @@
 	})
 }
 
+// Note writes the refusals; they are counted as well.
+func (o *sessionOutputs) Note(d session.Decision) {
+	o.telemetry.Log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
+}
+
 // controlOutputs puts the outputs of the control engine into rings.
 type controlOutputs struct {
 	instance *Instance
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -20,6 +20,7 @@
 // refuse answers the statement with an error of the proxy.
 func (s *statement) refuse(refusal *core.Refusal) {
 	s.outcome = refusal.SQLState
+	s.refusal = refusal
 	s.c.account.metrics.Refused++
 	s.c.e.fail(s.c, refusal)
 }
--- /dev/null
+++ b/pkg/session/async_test.go
@@ -0,0 +1,208 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// newAsyncHarness gives an engine for a group that replicates asynchronously;
+// m0 announces itself as the primary.
+func newAsyncHarness(t testing.TB) *harness {
+	h := newHarness(t, func(c *Config) {
+		c.AckAtCommit = true
+		c.AsyncReplication = true
+		c.RatePerOperation = true
+		c.FinishOnRevocation = true
+		c.MemberConnections = 2
+	})
+	h.share(2)
+	h.announce(1, "m0")
+	return h
+}
+
+// announce publishes that the member leads; later revisions are newer.
+func (h *harness) announce(revision uint64, primary core.MemberID) {
+	v := GroupView{Database: "db"}
+	for i := range h.cat.Databases[0].Members {
+		id := h.cat.Databases[0].Members[i].ID
+		status := core.MemberStatus{Member: id, Role: core.RoleReplica}
+		if id == primary {
+			status.Role = core.RolePrimary
+		}
+		v.Members = append(v.Members, MemberView{Status: status, Reachable: true, Announced: revision, SeenAt: h.now})
+	}
+	h.do(v)
+}
+
+// order sends a request whose verdict the caller's protocol gives.
+func (h *harness) order(id CallerID, text string, v Verdict) {
+	v.Hints.MaxAge = -1
+	h.do(CallerRequest{Caller: id, Request: &Request{
+		Verdict: &v, Payload: &Payload{ID: text, Frames: []byte(text)}, Arrived: h.now,
+	}})
+	h.connect()
+}
+
+// answer completes a request as the primary of the position's term.
+func (h *harness) answer(target TargetID, status byte, end core.Position) {
+	h.do(TargetReady{Target: target, Frames: []byte("ready"), TxStatus: status, LogEnd: end, Leader: true})
+}
+
+func (h *harness) deny(target TargetID, d Denial) {
+	h.do(TargetReady{Target: target, Frames: []byte("denied"), TxStatus: TxIdle, ErrorState: "DENIED", Denial: d})
+}
+
+func term(t, lsn uint64) core.Position {
+	return core.Position{Term: core.Term(t), LSN: core.LSN(lsn)}
+}
+
+// Guards against an answer that shows a newer term and so ends its own
+// statement while it is being dealt with; the statement was then sent again,
+// and later ones of its transaction ran outside of it (hunt-7171-11).
+func TestAnswerOfNewerTermEndsItsOwnStatementOnce(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	first := h.sent()
+	h.answer(first.Target, 'T', term(1, 100))
+	h.open(2, core.Position{})
+	h.order(2, "begin", begin)
+	second := h.sent()
+	h.do(TargetReady{Target: second.Target, Frames: []byte("ready"), TxStatus: 'T', LogEnd: term(2, 100)})
+	answers := 0
+	for _, c := range h.callers {
+		switch c := c.(type) {
+		case CallerWrite:
+			answers++
+		case CallerFail:
+			require.Equal(t, core.OutcomeNotRun, c.Refusal.Outcome)
+			answers++
+		}
+	}
+	require.Equal(t, 2, answers, "each request has one answer")
+	sent := h.countSent()
+	h.order(2, "write", write)
+	if h.countSent() > sent {
+		require.Equal(t, second.Target, h.sent().Target, "a statement stays on its transaction's connection")
+		return
+	}
+	h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun)
+}
+
+// Guards against a read by a member that may lack a commit acknowledged before
+// the accepted age: without a proven position only the primary serves, and it
+// has to prove its lead.
+func TestReadsCarryAProvenPosition(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "read", read)
+	s := h.sent()
+	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target))
+	require.True(t, s.LeaderOnly)
+	h.answer(s.Target, TxIdle, term(1, 120))
+	h.order(1, "read", read)
+	s = h.sent()
+	require.NotEqual(t, core.MemberID("m0"), h.memberOf(s.Target), "a replica serves once a position is proven")
+	require.Equal(t, term(1, 120), s.MinPosition)
+	require.False(t, s.LeaderOnly)
+	h.do(TargetReady{Target: s.Target, Frames: []byte("ready"), TxStatus: TxIdle, LogEnd: term(1, 119)})
+	h.e.entries["entry"].definition.MaxAgeMillis = 500
+	h.wait(time.Second)
+	h.order(1, "read", read)
+	require.True(t, h.sent().LeaderOnly, "the proof is older than the accepted age")
+}
+
+// Guards against a session that does not see its own write on a replica.
+func TestOwnCommitRaisesTheNeededPosition(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "write", write)
+	s := h.sent()
+	h.do(TargetReady{Target: s.Target, Frames: []byte("ready"), TxStatus: TxIdle,
+		Position: term(1, 130), LogEnd: term(1, 130), Leader: true})
+	h.order(1, "read", read)
+	require.Equal(t, term(1, 130), h.sent().MinPosition)
+}
+
+// Guards against a denied statement that is lost, runs twice or is refused
+// although another member can serve it.
+func TestDeniedReadGoesElsewhere(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "read", read)
+	h.answer(h.sent().Target, TxIdle, term(1, 120))
+	h.order(1, "read", read)
+	tried := map[core.MemberID]bool{}
+	for range 2 {
+		s := h.sent()
+		tried[h.memberOf(s.Target)] = true
+		h.deny(s.Target, DenialLagging)
+		h.connect()
+	}
+	require.Len(t, tried, 2)
+	s := h.sent()
+	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target), "both replicas lag, so the primary serves")
+	h.answer(s.Target, TxIdle, term(1, 121))
+	_, ok := h.last().(CallerWrite)
+	require.True(t, ok)
+}
+
+// Guards against writes that go to a member which has said that it lost the
+// lead, and against writes that are lost while there is no primary.
+func TestWriteFollowsTheLead(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "write", write)
+	h.deny(h.sent().Target, DenialNotPrimary)
+	sent := h.countSent()
+	h.wait(10 * time.Millisecond)
+	require.Equal(t, sent, h.countSent(), "the member denied the lead a moment ago")
+	h.announce(2, "m1")
+	h.connect()
+	require.Equal(t, core.MemberID("m1"), h.memberOf(h.sent().Target))
+}
+
+// Guards against connections that serve another account than their own.
+func TestConnectionsBelongToOneAccount(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "write", write)
+	for _, c := range h.targets {
+		if open, ok := c.(TargetOpen); ok {
+			require.Equal(t, core.AccountName("acct"), open.Account)
+		}
+	}
+	m := h.e.databases["db"].members[0]
+	h.answer(h.sent().Target, TxIdle, term(1, 100))
+	require.NotNil(t, m.idleFor("acct"))
+	require.Nil(t, m.idleFor("other"))
+}
+
+// Guards against a refusal that says "not run" while the transaction lives on.
+func TestRefusalEndsTheTransaction(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	target := h.sent().Target
+	h.answer(target, 'T', term(1, 100))
+	h.do(TargetClosed{Target: target, Unsent: true})
+	h.order(1, "write", write)
+	require.EqualValues(t, TxIdle, h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+}
+
+// Guards against an answer that is cut off because its key was revoked.
+func TestRevokedKeyEndsAfterTheAnswer(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "write", write)
+	s := h.sent()
+	h.do(KeysRevoked{Keys: []core.KeyID{"k1"}})
+	h.answer(s.Target, TxIdle, term(1, 101))
+	require.Len(t, h.callers, 3)
+	require.IsType(t, CallerWrite{}, h.callers[1])
+	h.closedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+}
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -347,3 +347,5 @@
 func (*sink) Classify(ClassifyRequest) bool { return true }
 func (*sink) Control(ControlReport) bool    { return true }
 func (*sink) Span(Span)                     {}
+
+func (*sink) Note(Decision) {}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -48,6 +48,8 @@
 	demandFrom time.Time
 	budget     retryBudget
 	sequence   uint64
+	// sampled counts answers, for the sample that is noted.
+	sampled    uint64
 	lastTarget TargetID
 	policy     route.Policy
 	candidates []route.Candidate
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -190,3 +190,5 @@
 	begin  = Verdict{Kind: KindBegin}
 	commit = Verdict{Kind: KindEnd, Commit: true, Name: "commit"}
 )
+
+func (h *harness) Note(Decision) {}
--- a/pkg/session/leader.go
+++ b/pkg/session/leader.go
@@ -15,9 +15,6 @@
 // a request of the given time.
 func (m *member) observe(asked time.Time, in *TargetReady) {
 	db := m.db
-	if in.Denial == DenialNotPrimary {
-		db.disown(m)
-	}
 	if in.LogEnd.IsZero() || !db.e.cfg.AsyncReplication {
 		return
 	}
@@ -152,6 +149,8 @@
 	switch d {
 	case DenialLagging:
 		m.laggingUntil = e.now.Add(e.cfg.Bounds.OpenBackoff)
+	case DenialNotPrimary:
+		m.db.disown(m)
 	case DenialBusy:
 		m.busyUntil = e.now.Add(busyPause)
 	}
@@ -183,6 +182,7 @@
 
 // probeAnswered ends a probe.
 func (t *target) probeAnswered(in *TargetReady) {
+	t.member.noteDenial(in.Denial)
 	t.member.observe(t.asked, in)
 	t.fire(t.engine().charts.conn.readyIdle)
 	t.engine().wantDispatch(t.member)
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -14,6 +14,8 @@
 	Classify(ClassifyRequest) bool
 	Control(ControlReport) bool
 	Span(Span)
+	// Note offers a line for the log; it never waits.
+	Note(Decision)
 }
 
 // CallerCommand is an item of the callerio duty's ring.
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -62,6 +62,8 @@
 	readyAt    time.Time
 	readyTerm  core.Term
 	outcome    string
+	// refusal is the proxy's own answer, nil if there was none.
+	refusal *core.Refusal
 	// hopSince is when the statement entered its state.
 	hopSince time.Time
 }
@@ -94,6 +96,7 @@
 	s.denial = DenialNone
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
+	s.refusal = nil
 	s.state = e.charts.statement.Initial()
 	s.arm()
 }
@@ -142,6 +145,7 @@
 	}
 	e := s.c.e
 	s.active = false
+	s.note()
 	s.sent = false
 	e.timers.Disarm(&s.item)
 	s.unlist()
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -185,12 +185,15 @@
 	s.position = in.Position
 	s.errorState = in.ErrorState
 	s.denial = in.Denial
-	t.member.observe(s.sentAt, &in)
+	asked := s.sentAt
 	t.member.noteDenial(in.Denial)
-	t.member.served(e.now.Sub(s.sentAt))
+	t.member.served(e.now.Sub(asked))
 	c.settle(s, in.TxStatus)
 	t.settle(c)
 	s.fire(e.charts.stmt.ready)
+	// A newer term ends what runs on the replaced primary, so the answer itself
+	// has to be dealt with first.
+	t.member.observe(asked, &in)
 	e.wantDispatch(t.member)
 }
 
--- a/pkg/session/world_outputs_test.go
+++ b/pkg/session/world_outputs_test.go
@@ -177,3 +177,6 @@
 	}
 	w.inputs = append(w.inputs, TargetClosed{Target: conn.id, Unsent: unsent, Refused: !conn.ready})
 }
+
+// Note implements Outputs.
+func (w *world) Note(Decision) {}
