--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -12,6 +12,9 @@
 type Catalogue struct {
 	// Version grows by one with each accepted edit.
 	Version uint64 `json:"version"`
+	// OperatorVersion is the operator's own version where Version is not; zero
+	// otherwise.
+	OperatorVersion uint64 `json:"operator_version,omitempty"`
 	// EditID is the identity of the edit that made this version.
 	EditID string `json:"edit_id"`
 	// RecentEdits lists the identities of the last edits, oldest first, EditID
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -16,6 +16,11 @@
 type Config struct {
 	Self   Instance
 	Bounds Bounds
+	// RateWindow, RateOverage and RateSlack say how rates are counted: over any
+	// window of this length, with a tolerated part and number above the rate.
+	RateWindow  time.Duration
+	RateOverage float64
+	RateSlack   float64
 }
 
 // Bounds are the durations that the engine keeps to.
@@ -81,6 +86,10 @@
 // Outputs receives what the engine decides.
 type Outputs interface {
 	Session(session.Input)
+	// ClaimHome asks the registrar to make this instance an account's home.
+	ClaimHome(HomeClaim)
+	// Leave gives the registration and the homes up.
+	Leave()
 	// Work hands a job to the worker and reports whether there was room.
 	Work(Job) bool
 	// Ready tells the balancer's probe whether callers may come.
@@ -113,7 +122,7 @@
 
 	configuration *Configuration
 	members       map[core.MemberID]*member
-	instances     map[core.InstanceID]*instance
+	instances     map[string]*instance
 	// storeLost is set while the store cannot be read, storeBack when it could
 	// be read again.
 	storeLost bool
@@ -123,6 +132,7 @@
 	sweep     timerq.Item[func()]
 	published uint64
 	shares    shares
+	homes     homes
 
 	succession  *chart.Table[*succession]
 	change      successionEvents
@@ -160,7 +170,7 @@
 		config:    config,
 		out:       out,
 		members:   map[core.MemberID]*member{},
-		instances: map[core.InstanceID]*instance{},
+		instances: map[string]*instance{},
 
 		successions: map[core.DatabaseName]*succession{},
 	}
@@ -180,6 +190,7 @@
 	e.lifeTimer.Value = func() { e.fire(e.on.timedOut) }
 	e.sweep.Value = e.sweepMembers
 	e.shares.init(e)
+	e.homes.init(e)
 	return e, nil
 }
 
@@ -191,6 +202,7 @@
 		Actions: map[string]func(*Engine){
 			"become_ready":   func(e *Engine) { e.setReady(true) },
 			"become_unready": func(e *Engine) { e.setReady(false) },
+			"leave":          func(e *Engine) { e.out.Leave() },
 			"drain_sessions": func(e *Engine) { e.out.Session(session.Drain{}) },
 			"finish":         func(e *Engine) { e.out.Finish() },
 		},
@@ -234,6 +246,11 @@
 		e.loseStore(in.Reason)
 	case FromSession:
 		e.fromSession(in.Report)
+	case LeaseHeld:
+		e.homes.leaseUntil = in.Until
+		if e.configuration != nil {
+			e.publishHomes()
+		}
 	case JobDone:
 		e.jobDone(&in)
 	case StopRequested:
@@ -263,8 +280,8 @@
 	switch r := report.(type) {
 	case session.Drained:
 		e.fire(e.on.drained)
-	case session.Demand:
-		e.shares.demand = r
+	case session.PeerRefused:
+		e.homes.processDead(r.Address)
 	case session.SuspectMember:
 		e.suspect(r.Member)
 	}
@@ -294,20 +311,32 @@
 		m.missing = m.missing || !seen[id]
 	}
 	e.instancesSeen(s.Instances)
+	e.homes.replaceAll(s.Homes)
 	e.adopt(s.Configuration)
 	e.armSweep()
 	e.publish()
 }
 
 func (e *Engine) storeChanged(changes []Change) {
+	members := false
 	for i := range changes {
 		e.apply(&changes[i])
+		members = members || changes[i].concernsMembers()
 	}
-	if len(changes) > 0 {
+	switch {
+	case members:
 		e.publish()
+	case len(changes) > 0 && e.configuration != nil:
+		e.publishHomes()
+		e.homes.review()
 	}
 }
 
+// concernsMembers reports a change of the configuration or of a member.
+func (c *Change) concernsMembers() bool {
+	return c.Configuration != nil || c.Member != nil || c.GoneMember != ""
+}
+
 func (e *Engine) apply(c *Change) {
 	switch {
 	case c.Configuration != nil:
@@ -317,9 +346,13 @@
 	case c.GoneMember != "":
 		e.memberGone(c.GoneMember)
 	case c.Instance != nil:
-		e.instances[c.Instance.ID] = &instance{Instance: *c.Instance}
+		e.instanceSeen(*c.Instance)
 	case c.GoneInstance != "":
 		e.instanceGone(c.GoneInstance)
+	case c.Home != nil:
+		e.homes.set(c.Home.Account, c.Home)
+	case c.GoneHome != "":
+		e.homes.set(c.GoneHome, nil)
 	}
 }
 
@@ -459,20 +492,29 @@
 	for i := range c.Databases {
 		e.out.Session(e.view(&c.Databases[i]))
 	}
-	e.shares.publish()
-	e.reviewSuccession()
 	if len(e.members) > 0 {
 		e.fire(e.on.configured)
 	}
+	e.publishHomes()
+	e.reviewSuccession()
+	e.homes.review()
+}
+
+// publishHomes tells session the homes and the shares that go with them.
+func (e *Engine) publishHomes() {
+	e.homes.publish()
+	e.shares.publish()
 }
 
 // catalogue joins the configuration and the members. Its version counts what
 // was published here; EditID tells the operator's version.
 func (e *Engine) catalogue() *catalogue.Catalogue {
 	c := &catalogue.Catalogue{
-		Version:  e.published,
-		Accounts: e.configuration.Accounts,
-		Entries:  e.configuration.Entries,
+		Version: e.published,
+
+		OperatorVersion: e.configuration.Version,
+		Accounts:        e.configuration.Accounts,
+		Entries:         e.configuration.Entries,
 	}
 	for _, g := range e.configuration.Groups {
 		c.Databases = append(c.Databases, catalogue.Database{
--- /dev/null
+++ b/pkg/fleet/homes.go
@@ -0,0 +1,264 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/homing"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// Home is the record of an account's home. It lasts as long as the registration
+// of its holder.
+type Home struct {
+	Account core.AccountName `json:"account"`
+	// Node and Instance name the holder and its run.
+	Node     string          `json:"node"`
+	Instance core.InstanceID `json:"instance"`
+	// Revision is that of the record.
+	Revision Revision `json:"-"`
+}
+
+// HomeClaim asks to make this instance the home of an account.
+type HomeClaim struct {
+	Account core.AccountName
+	// Replaces is the revision of the record to replace; 0 if there is none.
+	Replaces Revision
+}
+
+// LeaseHeld reports until when the registration of this instance certainly
+// lasts; the zero time after it was lost.
+type LeaseHeld struct {
+	Until time.Time
+}
+
+func (LeaseHeld) fleetInput() {}
+
+const (
+	// homeSettle is how long the registrations have to be unchanged before a
+	// vacant account is claimed; instances start within 0.3 s of each other.
+	homeSettle = 800 * time.Millisecond
+	// homeTurn is the head start of each instance over the next in an account's
+	// order.
+	homeTurn = 200 * time.Millisecond
+	// homeRetry is the pause between two claims of the same account.
+	homeRetry = 400 * time.Millisecond
+	// maxHomeTurns bounds the wait of the last instances in an order.
+	maxHomeTurns = 10
+)
+
+// homes is what is known of the homes of all accounts.
+type homes struct {
+	e       *Engine
+	records map[core.AccountName]*homeState
+	timer   timerq.Item[func()]
+	// changed is when a registration last appeared or went.
+	changed time.Time
+	// leaseUntil is until when this instance may act as a home.
+	leaseUntil time.Time
+}
+
+type homeState struct {
+	record *Home
+	// vacant is since when nobody holds the account, or the holder is known to
+	// be dead.
+	vacant time.Time
+	// asked is when this instance claimed the account last.
+	asked time.Time
+	// dead is set with the proof that the holder's process has ended.
+	dead bool
+}
+
+func (h *homes) init(e *Engine) {
+	h.e = e
+	h.records = map[core.AccountName]*homeState{}
+	h.timer.Value = h.review
+}
+
+func (h *homes) of(account core.AccountName) *homeState {
+	s := h.records[account]
+	if s == nil {
+		s = &homeState{vacant: h.e.now}
+		h.records[account] = s
+	}
+	return s
+}
+
+// set takes a record of the store; nil for one that is gone.
+func (h *homes) set(account core.AccountName, record *Home) {
+	s := h.of(account)
+	if record != nil && s.record != nil && record.Revision < s.record.Revision {
+		return
+	}
+	if record == nil && s.record != nil {
+		s.vacant = h.e.now
+	}
+	if record != nil && (s.record == nil || record.Instance != s.record.Instance) {
+		h.e.out.Log(LogEvent{Event: "home", Message: "account has a home", Fields: map[string]any{
+			"account": account, "home": record.Node, "revision": record.Revision,
+		}})
+	}
+	s.record, s.dead = record, false
+}
+
+// replaceAll takes all records of the store.
+func (h *homes) replaceAll(list []Home) {
+	seen := map[core.AccountName]bool{}
+	for i := range list {
+		seen[list[i].Account] = true
+		h.set(list[i].Account, &list[i])
+	}
+	for account, s := range h.records {
+		if !seen[account] && s.record != nil {
+			h.set(account, nil)
+		}
+	}
+}
+
+// here reports whether this instance is the account's home now.
+func (h *homes) here(account core.AccountName) bool {
+	s := h.records[account]
+	return s != nil && s.record != nil && s.record.Instance == h.e.config.Self.ID && h.e.now.Before(h.leaseUntil)
+}
+
+// processDead takes a refused connection for the proof that a home's process
+// has ended.
+func (h *homes) processDead(address session.PeerAddress) {
+	for account, s := range h.records {
+		if s.record == nil || s.dead {
+			continue
+		}
+		holder := h.e.instances[s.record.Node]
+		if holder == nil || holder.Peer != string(address) || holder.ID != s.record.Instance {
+			continue
+		}
+		s.dead = true
+		s.vacant = h.e.now
+		h.e.out.Log(LogEvent{Warning: true, Event: "home_dead", Message: "the home's host refuses connections",
+			Fields: map[string]any{"account": account, "home": s.record.Node}})
+	}
+	h.review()
+}
+
+// review claims the accounts whose turn has come and arms the next look.
+func (h *homes) review() {
+	e := h.e
+	if e.configuration == nil || !h.mayClaim() {
+		return
+	}
+	nodes := e.liveNodes()
+	assigned := homing.Assign(e.homingAccounts(), nodes)
+	next := e.now.Add(idleLife)
+	for _, a := range e.configuration.Accounts {
+		due, wanted := h.due(a.Name, assigned[a.Name], nodes)
+		if !wanted {
+			continue
+		}
+		if due.After(e.now) {
+			next = earlier(next, due)
+			continue
+		}
+		h.claim(a.Name)
+		next = earlier(next, e.now.Add(homeRetry))
+	}
+	e.timers.Arm(&h.timer, next)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// mayClaim reports whether this instance is registered and does not stop.
+func (h *homes) mayClaim() bool {
+	e := h.e
+	self := e.instances[e.config.Self.Node]
+	return self != nil && self.ID == e.config.Self.ID && !e.storeLost && e.life.StateName(e.state) == "serving"
+}
+
+// due returns when this instance is to claim the account, and false if it is
+// held.
+func (h *homes) due(account core.AccountName, assigned string, nodes []string) (time.Time, bool) {
+	e := h.e
+	s := h.of(account)
+	retry := s.asked.Add(homeRetry)
+	own := e.config.Self.Node
+	switch {
+	case s.record != nil && s.record.Instance == e.config.Self.ID:
+		return time.Time{}, false
+	case s.record != nil && s.record.Node == own:
+		// The holder was an earlier run of this process.
+		return retry, true
+	case s.record != nil && !s.dead:
+		return time.Time{}, false
+	}
+	turn := min(slices.Index(homing.Order(account, nodes), own)+1, maxHomeTurns)
+	if assigned == own {
+		turn = 0
+	}
+	at := s.vacant
+	if s.record == nil {
+		at = later(at, h.changed.Add(homeSettle))
+	}
+	return later(at.Add(time.Duration(turn)*homeTurn), retry), true
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (h *homes) claim(account core.AccountName) {
+	s := h.of(account)
+	s.asked = h.e.now
+	c := HomeClaim{Account: account}
+	if s.record != nil {
+		c.Replaces = s.record.Revision
+	}
+	h.e.out.ClaimHome(c)
+}
+
+// publish tells session where the accounts are at home.
+func (h *homes) publish() {
+	e := h.e
+	in := session.HomesInForce{Homes: map[core.AccountName]session.Home{}}
+	for account, s := range h.records {
+		if s.record == nil {
+			continue
+		}
+		if h.here(account) {
+			in.Homes[account] = session.Home{Here: true}
+			continue
+		}
+		holder := e.instances[s.record.Node]
+		if holder == nil || s.record.Instance == e.config.Self.ID || holder.ID != s.record.Instance {
+			continue
+		}
+		in.Homes[account] = session.Home{Address: session.PeerAddress(holder.Peer)}
+	}
+	e.out.Session(in)
+}
+
+// liveNodes returns the names of the registered nodes in order.
+func (e *Engine) liveNodes() []string {
+	nodes := make([]string, 0, len(e.instances))
+	for node := range e.instances {
+		nodes = append(nodes, node)
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+func (e *Engine) homingAccounts() []homing.Account {
+	list := make([]homing.Account, len(e.configuration.Accounts))
+	for i, a := range e.configuration.Accounts {
+		list[i] = homing.Account{Name: a.Name, Rate: a.Rate}
+	}
+	return list
+}
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-
 // instance is a registered instance.
 type instance struct {
 	Instance
@@ -11,18 +9,25 @@
 }
 
 func (e *Engine) instancesSeen(list []Instance) {
-	seen := map[core.InstanceID]bool{}
+	seen := map[string]bool{}
 	for _, i := range list {
-		seen[i.ID] = true
-		e.instances[i.ID] = &instance{Instance: i}
+		seen[i.Node] = true
+		e.instanceSeen(i)
+	}
+	for node, i := range e.instances {
+		i.missing = i.missing || !seen[node]
 	}
-	for id, i := range e.instances {
-		i.missing = i.missing || !seen[id]
+}
+
+func (e *Engine) instanceSeen(i Instance) {
+	if e.instances[i.Node] == nil {
+		e.homes.changed = e.now
 	}
+	e.instances[i.Node] = &instance{Instance: i}
 }
 
-func (e *Engine) instanceGone(id core.InstanceID) {
-	i := e.instances[id]
+func (e *Engine) instanceGone(node string) {
+	i := e.instances[node]
 	if i == nil {
 		return
 	}
@@ -31,7 +36,8 @@
 		e.armSweep()
 		return
 	}
-	delete(e.instances, id)
+	delete(e.instances, node)
+	e.homes.changed = e.now
 }
 
 // forgetInstances removes those that did not register again in time.
@@ -39,9 +45,9 @@
 	if e.storeLost || e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
 		return
 	}
-	for id, i := range e.instances {
+	for node, i := range e.instances {
 		if i.missing {
-			delete(e.instances, id)
+			delete(e.instances, node)
 		}
 	}
 }
--- a/pkg/fleet/registrar.go
+++ b/pkg/fleet/registrar.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 )
 
 // Registrar keeps the instance registered in the store on a thread of its own.
@@ -15,10 +18,16 @@
 	self     Instance
 	bounds   RegistrarBounds
 	log      func(LogEvent)
-	ctx      context.Context
-	cancel   context.CancelFunc
-	lease    Lease
-	held     bool
+	deliver  func(Input) bool
+	claims   *ring.Ring[HomeClaim]
+	signal   *ring.Signal
+	leaving  atomic.Bool
+	// renewAt is when the lease is renewed next.
+	renewAt time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	lease   Lease
+	held    bool
 }
 
 // RegistrarBounds are the periods of a Registrar.
@@ -28,12 +37,32 @@
 	Renew time.Duration
 	// Answer bounds one call.
 	Answer time.Duration
+	// Margin is how long before the end of the lease the instance stops acting
+	// on it.
+	Margin time.Duration
 }
 
+// claimRing is the number of home claims that can wait; there are a few for
+// each instance.
+const claimRing = 64
+
 // NewRegistrar returns a registrar.
-func NewRegistrar(registry Registry, self Instance, bounds RegistrarBounds, log func(LogEvent)) *Registrar {
+func NewRegistrar(registry Registry, self Instance, bounds RegistrarBounds, deliver func(Input) bool, log func(LogEvent)) *Registrar {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Registrar{registry: registry, self: self, bounds: bounds, log: log, ctx: ctx, cancel: cancel}
+	signal := ring.NewSignal()
+	return &Registrar{
+		registry: registry, self: self, bounds: bounds, deliver: deliver, log: log,
+		claims: ring.New[HomeClaim](claimRing, signal), signal: signal, ctx: ctx, cancel: cancel,
+	}
+}
+
+// ClaimHome hands over a claim and reports whether there was room.
+func (r *Registrar) ClaimHome(c HomeClaim) bool { return r.claims.TryPush(c) }
+
+// Leave ends the registration, and with it the homes, before the thread stops.
+func (r *Registrar) Leave() {
+	r.leaving.Store(true)
+	r.signal.Wake()
 }
 
 // Start starts the thread in g.
@@ -44,32 +73,53 @@
 // Stop ends the registration and the thread.
 func (r *Registrar) Stop() {
 	r.cancel()
+	r.signal.Wake()
 }
 
 func (r *Registrar) run() {
-	ticker := time.NewTicker(r.bounds.Renew)
-	defer ticker.Stop()
-	for {
-		if err := r.keep(); err != nil {
-			r.log(LogEvent{Warning: true, Event: "registration_failed", Message: err.Error()})
-		}
-		select {
-		case <-ticker.C:
-		case <-r.ctx.Done():
+	for r.ctx.Err() == nil {
+		if r.leaving.Load() {
 			r.end()
-			return
+			r.signal.Wait(r.bounds.Renew)
+			continue
+		}
+		if !clock.Now().Before(r.renewAt) {
+			r.renewAt = clock.Now().Add(r.bounds.Renew)
+			r.report(r.keep())
 		}
+		if claim, ok := r.claims.Pop(); ok {
+			r.claim(claim)
+			continue
+		}
+		if r.claims.Park() {
+			r.signal.Wait(max(r.renewAt.Sub(clock.Now()), time.Millisecond))
+			r.claims.Unpark()
+		}
+	}
+	r.end()
+}
+
+func (r *Registrar) report(err error) {
+	if err != nil {
+		r.log(LogEvent{Warning: true, Event: "registration_failed", Message: err.Error()})
 	}
 }
 
-// keep renews the lease, or registers anew.
+// keep renews the lease, or registers anew. The lease runs from the arrival of
+// the call, so it is counted from before.
 func (r *Registrar) keep() error {
 	ctx, cancel := context.WithTimeout(r.ctx, r.bounds.Answer)
 	defer cancel()
+	asked := clock.Now()
 	if r.held {
 		err := r.registry.Renew(ctx, r.lease)
 		if eris.Is(err, ErrLeaseEnded) {
 			r.held = false
+			r.deliver(LeaseHeld{})
+			r.renewAt = asked
+		}
+		if err == nil {
+			r.hold(asked)
 		}
 		return err
 	}
@@ -81,14 +131,32 @@
 		return err
 	}
 	r.lease, r.held = lease, true
+	r.hold(asked)
 	return nil
 }
 
+func (r *Registrar) hold(asked time.Time) {
+	r.deliver(LeaseHeld{Until: asked.Add(r.bounds.TTL - r.bounds.Margin)})
+}
+
+func (r *Registrar) claim(c HomeClaim) {
+	if !r.held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.bounds.Answer)
+	defer cancel()
+	err := r.registry.ClaimHome(ctx, c, r.self, r.lease)
+	if err != nil {
+		r.log(LogEvent{Event: "home_not_claimed", Message: err.Error(), Fields: map[string]any{"account": c.Account}})
+	}
+}
+
 // end gives the lease back, so that others need not wait for its end.
 func (r *Registrar) end() {
 	if !r.held {
 		return
 	}
+	r.held = false
 	ctx, cancel := context.WithTimeout(context.Background(), r.bounds.Answer)
 	defer cancel()
 	if err := r.registry.End(ctx, r.lease); err != nil {
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -3,20 +3,30 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// shareValid is how long a published share may be spent; it is published anew
-// long before.
-const shareValid = 24 * time.Hour
+const (
+	// shareValid is how long a published share may be spent; it is published
+	// anew long before.
+	shareValid = 24 * time.Hour
+	// homeBurst is the part of an account's burst that its home may spend; the
+	// rest covers what instances spend that cannot reach the home.
+	homeBurst = 0.5
+	// windowMargin is the part of the counting window by which requests that
+	// waited in queues may be counted late.
+	windowMargin = 0.1
+	// spareConnections is the part of each member's connections that is left to
+	// instances that cannot reach the homes.
+	spareConnections = 0.15
+)
 
-// shares divides rates and connections among the registered instances.
+// shares divides rates and connections between the homes of the accounts and
+// the instances that cannot reach them.
 type shares struct {
 	e        *Engine
-	demand   session.Demand
 	revision uint64
 }
 
@@ -35,41 +45,45 @@
 		Connections: map[core.DatabaseName]int{},
 		Until:       e.now.Add(shareValid),
 	}
-	instances := float64(max(len(e.instances), 1))
-	rank := s.rank()
+	sum := 0.0
 	for _, a := range e.configuration.Accounts {
-		share.Accounts[a.Name] = session.RateShare{Rate: a.Rate / instances, Burst: max(a.Burst/instances, 1)}
+		sum += a.Rate
+	}
+	part := 0.0
+	for i := range e.configuration.Accounts {
+		a := &e.configuration.Accounts[i]
+		share.Accounts[a.Name] = s.awayShare(a)
+		if e.homes.here(a.Name) {
+			share.Accounts[a.Name] = session.RateShare{Rate: a.Rate, Burst: max(a.Burst*homeBurst, 1), Until: e.homes.leaseUntil}
+			part += connectionWeight(a.Rate, sum, len(e.configuration.Accounts))
+		}
 	}
 	for _, g := range e.configuration.Groups {
-		share.Connections[g.Name] = divide(g.MemberConnections, max(len(e.instances), 1), rank, offsetOf(g.Name))
+		homed := int(float64(g.MemberConnections) * (1 - spareConnections) * part)
+		share.Connections[g.Name] = max(homed, 1)
 	}
 	e.out.Session(share)
 }
 
-// rank returns the place of this instance among the registered ones.
-func (s *shares) rank() int {
-	rank := 0
-	for id := range s.e.instances {
-		if id < s.e.config.Self.ID {
-			rank++
-		}
+// connectionWeight is the part of the connections for an account: half of them
+// are divided evenly, half by the rates.
+func connectionWeight(rate, sum float64, accounts int) float64 {
+	even := 1 / float64(accounts)
+	if sum <= 0 {
+		return even
 	}
-	return rank
+	return (even + rate/sum) / 2
 }
 
-// divide returns the part of a whole number of units that the instance of the
-// given rank holds. The parts differ by one at most and sum up to the whole;
-// offset chooses who holds the larger ones.
-func divide(units, instances, rank, offset int) int {
-	place := (rank + offset) % instances
-	part := units*(place+1)/instances - units*place/instances
-	return max(part, 1)
-}
-
-// offsetOf spreads the larger parts of different groups over the instances.
-func offsetOf(group core.DatabaseName) int {
-	return int(xxhash.Sum64String(string(group)) % offsets)
+// awayShare is what an instance may spend of an account that is at home
+// elsewhere. All instances together, with the home, stay within what the
+// counting window tolerates.
+func (s *shares) awayShare(a *catalogue.Account) session.RateShare {
+	e := s.e
+	instances := float64(max(len(e.instances), 1))
+	window := e.config.RateWindow.Seconds()
+	tolerated := (a.Rate*window+a.Burst)*(1+e.config.RateOverage) + e.config.RateSlack
+	home := a.Rate*window*(1+windowMargin) + a.Burst*homeBurst
+	left := max(tolerated-home-instances, 0) / (1 + windowMargin)
+	return session.RateShare{Rate: left / window / instances, Burst: 1}
 }
-
-// offsets is above the number of instances of any fleet.
-const offsets = 1 << 16
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -55,6 +55,9 @@
 	End(ctx context.Context, lease Lease) error
 	// Register publishes the instance for as long as the lease runs.
 	Register(ctx context.Context, instance Instance, lease Lease) error
+	// ClaimHome makes the instance the home of an account unless the record has
+	// changed.
+	ClaimHome(ctx context.Context, claim HomeClaim, holder Instance, lease Lease) error
 	// Claim takes the group's claim if nobody holds it. It returns the claim in
 	// force, which is another instance's if Holder says so.
 	Claim(ctx context.Context, group core.DatabaseName, holder core.InstanceID, lease Lease) (Claim, error)
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -114,18 +114,18 @@
 // turnOf is the place of this instance in the group's order of instances, which
 // is another for each group.
 func (e *Engine) turnOf(group core.DatabaseName) int {
-	own := turnHash(group, e.config.Self.ID)
+	own := turnHash(group, e.config.Self.Node)
 	place := 0
-	for id := range e.instances {
-		if turnHash(group, id) > own {
+	for node := range e.instances {
+		if turnHash(group, node) > own {
 			place++
 		}
 	}
 	return min(place, lastTurn)
 }
 
-func turnHash(group core.DatabaseName, id core.InstanceID) uint64 {
-	return xxhash.Sum64String(string(group) + "/" + string(id))
+func turnHash(group core.DatabaseName, node string) uint64 {
+	return xxhash.Sum64String(string(group) + "/" + node)
 }
 
 // reviewSuccession looks at every group after news about members.
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -55,6 +55,8 @@
 
 // Instance is the registration of a running instance.
 type Instance struct {
+	// Node is the name that the platform gives to the machine, ID that of the run.
+	Node   string          `json:"node"`
 	ID     core.InstanceID `json:"id"`
 	Domain core.Domain     `json:"domain"`
 	// Peer is the address for messages between instances.
@@ -67,7 +69,10 @@
 	Member        *Announcement
 	GoneMember    core.MemberID
 	Instance      *Instance
-	GoneInstance  core.InstanceID
+	// GoneInstance is a node's name.
+	GoneInstance string
+	Home         *Home
+	GoneHome     core.AccountName
 }
 
 // Snapshot is everything that the store holds of interest.
@@ -76,6 +81,7 @@
 	Configuration *Configuration
 	Members       []Announcement
 	Instances     []Instance
+	Homes         []Home
 	// Revision is the store's revision at or before the read of any part.
 	Revision Revision
 }
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -23,6 +23,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
@@ -55,6 +56,8 @@
 	watcher   *fleet.Watcher
 	registrar *fleet.Registrar
 	worker    *fleet.Worker
+	rpc       *rpc.Duty
+	self      fleet.Instance
 	probe     net.Listener
 	probes    *http.Server
 	ready     atomic.Bool
@@ -72,11 +75,15 @@
 	h.sessions.now = clock.Now
 	h.fleets = newDecisionDuty[fleet.Input](hostedRing)
 	h.fleets.now = clock.Now
+	h.self = fleet.Instance{
+		Node: s.Name, ID: newRunID(s.Name), Domain: s.Domain,
+		Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+	}
 	h.telemetry = telemetry.New(telemetry.Config{
 		Output: output, Level: logrus.InfoLevel, Capacity: hostedRing,
 		Base: telemetry.Fields{"instance": s.Name},
 	})
-	for _, step := range []func() error{h.buildCallers, h.buildTargets, h.buildSession, h.buildFleet, h.buildProbe} {
+	for _, step := range []func() error{h.buildCallers, h.buildTargets, h.buildPeers, h.buildSession, h.buildFleet, h.buildProbe} {
 		if err := step(); err != nil {
 			return nil, eris.Wrap(ErrStart, err.Error())
 		}
@@ -110,11 +117,22 @@
 	return err
 }
 
+func (h *Hosted) buildPeers() error {
+	duty, err := rpc.New(rpc.DefaultConfig())
+	if err != nil {
+		return err
+	}
+	h.rpc = duty
+	_, err = duty.Listen(h.self.Peer)
+	return err
+}
+
 func (h *Hosted) buildSession() error {
 	out := &hostedSession{
 		callers: &port[linkio.CallerInput]{ring: h.callers.Ring()},
 		targets: &port[session.TargetCommand]{ring: h.targets.Ring()},
 		fleet:   h.fleets.input,
+		peers:   &port[rpc.Command]{ring: h.rpc.Commands()},
 		hosted:  h,
 	}
 	config := session.DefaultConfig()
@@ -133,7 +151,7 @@
 	}
 	h.engine = engine
 	h.sessions.engine = engine
-	h.sessions.outlets = []outlet{out.callers, out.targets}
+	h.sessions.outlets = []outlet{out.callers, out.targets, out.peers}
 	return nil
 }
 
@@ -150,22 +168,18 @@
 	if err != nil {
 		return err
 	}
-	self := fleet.Instance{
-		ID:     newRunID(h.settings.Name),
-		Domain: h.settings.Domain,
-		Peer:   net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPort)),
-	}
 	out := &hostedFleet{hosted: h, session: &port[session.Input]{ring: h.sessions.input}}
-	engine, err := fleet.New(fleet.Config{Self: self, Bounds: fleet.Bounds{
-		BalancerNotice: balancerNotice,
-		Drain:          h.settings.StopGrace - balancerNotice - time.Second,
-		TargetDrain:    h.settings.TargetDrain * 3 / 4,
-		ReturnWait:     3 * time.Second,
-		PromotionCall:  2 * time.Second,
-		PromotionRetry: 500 * time.Millisecond,
-		Takeover:       3 * time.Second,
-		ShareEvery:     time.Second,
-	}}, fleet.Charts{Instance: life, Succession: succession}, out)
+	engine, err := fleet.New(fleet.Config{Self: h.self, RateWindow: h.settings.RateWindow,
+		RateOverage: h.settings.RateOverage, RateSlack: h.settings.RateSlack, Bounds: fleet.Bounds{
+			BalancerNotice: balancerNotice,
+			Drain:          h.settings.StopGrace - balancerNotice - time.Second,
+			TargetDrain:    h.settings.TargetDrain * 3 / 4,
+			ReturnWait:     3 * time.Second,
+			PromotionCall:  2 * time.Second,
+			PromotionRetry: 500 * time.Millisecond,
+			Takeover:       3 * time.Second,
+			ShareEvery:     time.Second,
+		}}, fleet.Charts{Instance: life, Succession: succession}, out)
 	if err != nil {
 		return err
 	}
@@ -175,11 +189,11 @@
 	h.watcher = fleet.NewWatcher(store, fleet.WatchBounds{
 		Wait: time.Second, Answer: 600 * time.Millisecond, Pause: 100 * time.Millisecond,
 	}, h.deliverFleet)
-	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), self, fleet.RegistrarBounds{
-		TTL: 10 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second,
-	}, h.fleetLog)
+	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), h.self, fleet.RegistrarBounds{
+		TTL: 12 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second, Margin: 1500 * time.Millisecond,
+	}, h.deliverFleet, h.fleetLog)
 	h.worker = fleet.NewWorker(platform.NewStore(h.settings.StoreAddress, h.skipped),
-		platform.NewOrders(h.settings.Name, h.settings.PromotionAddress), self.ID, fleet.WorkerBounds{
+		platform.NewOrders(h.settings.Name, h.settings.PromotionAddress), h.self.ID, fleet.WorkerBounds{
 			Call: time.Second, Member: 300 * time.Millisecond, ClaimTTL: 5 * time.Second,
 		}, h.deliverFleet)
 	return nil
@@ -222,6 +236,7 @@
 func (h *Hosted) Run(stop <-chan os.Signal) {
 	h.duties.Start("telemetry", h.telemetry.Run)
 	h.serve("target-io", h.targets.Run)
+	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
 	h.duties.Start("session", h.sessions.run)
 	h.duties.Start("fleet", h.fleets.run)
 	h.watcher.Start(&h.duties)
@@ -270,6 +285,7 @@
 	h.sessions.stop()
 	h.targets.Stop()
 	h.fleets.stop()
+	h.rpc.Send(rpc.Stop{})
 	_ = h.probes.Close()
 	h.telemetry.Stop()
 	h.duties.Wait()
@@ -292,6 +308,7 @@
 	callers *port[linkio.CallerInput]
 	targets *port[session.TargetCommand]
 	fleet   *ring.Ring[fleet.Input]
+	peers   *port[rpc.Command]
 	hosted  *Hosted
 }
 
@@ -328,9 +345,14 @@
 
 func (o *hostedFleet) Session(in session.Input) { o.session.send(in) }
 func (o *hostedFleet) Work(j fleet.Job) bool    { return o.hosted.worker.Push(j) }
-func (o *hostedFleet) Ready(ready bool)         { o.hosted.ready.Store(ready) }
-func (o *hostedFleet) Finish()                  { o.hosted.finished() }
-func (o *hostedFleet) Log(l fleet.LogEvent)     { o.hosted.fleetLog(l) }
+func (o *hostedFleet) Leave()                   { o.hosted.registrar.Leave() }
+
+// ClaimHome drops a claim that finds no room; it is repeated.
+func (o *hostedFleet) ClaimHome(c fleet.HomeClaim) { o.hosted.registrar.ClaimHome(c) }
+
+func (o *hostedFleet) Ready(ready bool)     { o.hosted.ready.Store(ready) }
+func (o *hostedFleet) Finish()              { o.hosted.finished() }
+func (o *hostedFleet) Log(l fleet.LogEvent) { o.hosted.fleetLog(l) }
 
 // HostedVariable names the environment variable with the path of the
 // platform's settings file.
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -60,6 +60,11 @@
 	})
 }
 
+// Peer is not used: every instance runs the requests of its own callers.
+func (o *sessionOutputs) Peer(session.PeerCommand) bool {
+	return false
+}
+
 // Note writes the refusals; they are counted as well.
 func (o *sessionOutputs) Note(d session.Decision) {
 	o.telemetry.Log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
--- /dev/null
+++ b/pkg/instance/relaybridge.go
@@ -0,0 +1,128 @@
+package instance
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
+)
+
+// Tags of calls to other instances.
+type (
+	visitTag struct {
+		id      session.VisitID
+		address session.PeerAddress
+	}
+	pingTag  struct{ address session.PeerAddress }
+	leaveTag struct{}
+)
+
+const (
+	// visitSlack is how much longer a visit may take than session waits for it.
+	visitSlack = time.Second
+	// shortCall bounds calls that take no time at the other instance.
+	shortCall = 500 * time.Millisecond
+)
+
+// Peer encodes a command to another instance.
+func (o *hostedSession) Peer(c session.PeerCommand) bool {
+	switch m := c.(type) {
+	case session.Visit:
+		params := relay.NewVisit(o.hosted.self.ID, m, clock.Now())
+		o.peers.send(rpc.Call{
+			Tag: visitTag{id: m.ID, address: m.Address}, Address: string(m.Address),
+			Method: relay.MethodVisit, Params: params, Timeout: m.Within + visitSlack,
+		})
+	case session.VisitEnd:
+		params := relay.Leave{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
+		o.peers.send(rpc.Call{Tag: leaveTag{}, Address: string(m.Address), Method: relay.MethodLeave, Params: params, Timeout: shortCall})
+	case session.PeerProbe:
+		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing, Timeout: shortCall})
+	case session.VisitAnswer:
+		if to, ok := m.Reply.(replyTo); ok {
+			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.NewAnswer(m)})
+		}
+	}
+	return true
+}
+
+// deliverPeer decodes an event of the rpc duty for session.
+func (h *Hosted) deliverPeer(event rpc.Event) bool {
+	in := h.peerInput(event)
+	return in == nil || deliver(h.sessions.input, in, h.rpc)
+}
+
+func (h *Hosted) peerInput(event rpc.Event) session.Input {
+	switch e := event.(type) {
+	case rpc.Request:
+		return h.peerRequest(e)
+	case rpc.Result:
+		switch tag := e.Tag.(type) {
+		case visitTag:
+			return visitResult(tag, e)
+		case pingTag:
+			if e.Err == nil {
+				return session.PeerAlive{Address: tag.address}
+			}
+		}
+	}
+	return nil
+}
+
+func (h *Hosted) peerRequest(r rpc.Request) session.Input {
+	switch r.Method {
+	case relay.MethodPing:
+		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
+		return nil
+	case relay.MethodLeave:
+		var leave relay.Leave
+		if !h.decodePeer(r, &leave) {
+			return nil
+		}
+		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
+		return session.VisitorGone{Visitor: session.VisitorID{Instance: leave.Instance, Caller: session.CallerID(leave.Caller)}}
+	case relay.MethodVisit:
+		var visit relay.Visit
+		if !h.decodePeer(r, &visit) {
+			return nil
+		}
+		return visit.Input(replyTo{conn: r.Conn, id: r.ID}, clock.Now())
+	}
+	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "unknown method " + r.Method}})
+	return nil
+}
+
+// decodePeer answers a request that cannot be decoded with an error.
+func (h *Hosted) decodePeer(r rpc.Request, params any) bool {
+	err := json.Unmarshal(r.Params, params)
+	if err == nil {
+		return true
+	}
+	h.log(logrus.WarnLevel, "peer_request_invalid", err.Error(), telemetry.Fields{"method": r.Method})
+	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: err.Error()}})
+	return false
+}
+
+// visitResult decodes the answer to a visit, or tells what is known of one
+// without an answer.
+func visitResult(tag visitTag, r rpc.Result) session.Input {
+	lost := session.VisitLost{ID: tag.id, Address: tag.address}
+	if r.Err == nil {
+		var answer relay.Answer
+		if json.Unmarshal(r.Raw, &answer) != nil {
+			return lost
+		}
+		return session.VisitResult{ID: tag.id, Address: tag.address, Answer: answer.Decode()}
+	}
+	lost.Refused = errors.As(r.Err, new(*rpc.RefusedError))
+	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.OverloadError)) || errors.As(r.Err, new(*rpc.EncodeError)) ||
+		errors.As(r.Err, new(*rpc.RemoteError))
+	return lost
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,100 @@
+// Package relay holds the JSON-RPC messages with which an instance lets the home
+// of an account run the requests of its callers.
+package relay
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// Methods of the protocol between instances.
+const (
+	// MethodVisit runs a request: Visit -> Answer.
+	MethodVisit = "visit"
+	// MethodLeave ends a visitor's session or transaction: Leave -> {}.
+	MethodLeave = "leave"
+	// MethodPing asks for a sign of life: {} -> {}.
+	MethodPing = "ping"
+)
+
+// Visit is a request of a caller of another instance.
+type Visit struct {
+	// Instance is the run of the sender, Caller its caller.
+	Instance core.InstanceID `json:"instance"`
+	Caller   uint64          `json:"caller"`
+	Entry    core.EntryName  `json:"entry"`
+	// Key identifies the caller's key; it is not the key.
+	Key     core.KeyID    `json:"key"`
+	Floor   core.Position `json:"floor"`
+	Version uint64        `json:"version"`
+	Begins  bool          `json:"begins"`
+	// ElapsedMicros is the time since the request arrived at the sender.
+	ElapsedMicros int64                       `json:"elapsed_us"`
+	Verdict       session.Verdict             `json:"verdict"`
+	ID            string                      `json:"id"`
+	Text          string                      `json:"text"`
+	Settings      []session.Setting           `json:"settings,omitempty"`
+	Prepared      []session.PreparedStatement `json:"prepared,omitempty"`
+}
+
+// Answer is the answer to a Visit.
+type Answer struct {
+	Elsewhere  bool          `json:"elsewhere,omitempty"`
+	Frames     string        `json:"frames,omitempty"`
+	TxStatus   string        `json:"tx"`
+	Position   core.Position `json:"position"`
+	ErrorState string        `json:"error,omitempty"`
+	Refusal    *core.Refusal `json:"refusal,omitempty"`
+	Closing    bool          `json:"closing,omitempty"`
+}
+
+// Leave ends a visitor's session or transaction.
+type Leave struct {
+	Instance core.InstanceID `json:"instance"`
+	Caller   uint64          `json:"caller"`
+}
+
+// NewVisit encodes a visit of the given instance; now is the time of its clock.
+func NewVisit(self core.InstanceID, v session.Visit, now time.Time) Visit {
+	p := v.Request.Payload
+	return Visit{
+		Instance: self, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
+		Version: v.Version, Begins: v.Begins, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
+		Verdict: *v.Request.Verdict, ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
+	}
+}
+
+// Input decodes a visit; reply comes back in the answer.
+func (v *Visit) Input(reply any, now time.Time) session.VisitorRequest {
+	return session.VisitorRequest{
+		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
+		Reply:   reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Begins: v.Begins,
+		Request: &session.Request{
+			Simple: true, Verdict: &v.Verdict,
+			Payload: &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
+			Arrived: now.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
+		},
+	}
+}
+
+// NewAnswer encodes an answer.
+func NewAnswer(a session.VisitAnswer) Answer {
+	return Answer{
+		Elsewhere: a.Elsewhere, Frames: string(a.Frames), TxStatus: string(rune(a.TxStatus)), Position: a.Position,
+		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
+	}
+}
+
+// Decode returns the answer.
+func (a *Answer) Decode() session.VisitAnswer {
+	status := byte(session.TxIdle)
+	if len(a.TxStatus) == 1 {
+		status = a.TxStatus[0]
+	}
+	return session.VisitAnswer{
+		Elsewhere: a.Elsewhere, Frames: []byte(a.Frames), TxStatus: status, Position: a.Position,
+		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
+	}
+}
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -52,6 +52,8 @@
 	burst  float64
 	tokens float64
 	at     time.Time
+	// until is the time after which nothing may be spent; zero for none.
+	until time.Time
 }
 
 // set replaces the share; another grant empties the bucket.
@@ -59,6 +61,7 @@
 	b.refill(now, until)
 	b.rate = share.Rate
 	b.burst = share.Burst
+	b.until = share.Until
 	b.tokens = min(b.tokens, share.Burst)
 	if regranted {
 		b.tokens = 0
@@ -104,6 +107,9 @@
 		return false
 	}
 	b := s.bucket()
+	if !b.until.IsZero() && e.now.After(b.until) {
+		return false
+	}
 	b.refill(e.now, e.shareUntil)
 	if b.tokens < 1 {
 		return false
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -113,7 +113,7 @@
 
 func (s *statement) reply(tag, column, value string) {
 	s.outcome = "answered by the proxy"
-	s.c.e.box.caller(CallerReply{
+	s.c.e.toCaller(s.c.id, CallerReply{
 		Caller:   s.c.id,
 		Tag:      tag,
 		Column:   column,
--- /dev/null
+++ b/pkg/session/away.go
@@ -0,0 +1,360 @@
+package session
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// A caller's requests run at the home of its account, another instance, while
+// that can be reached. This file is the caller's side; visitors.go is the
+// home's.
+
+// PeerAddress is where an instance takes messages of other instances, IP:port.
+type PeerAddress string
+
+// Home is the home of an account.
+type Home struct {
+	// Here is set if this instance is the home.
+	Here bool
+	// Address is the home's.
+	Address PeerAddress
+}
+
+// HomesInForce publishes the homes of the accounts. Accounts without a home are
+// served by every instance from its own share.
+type HomesInForce struct {
+	Homes map[core.AccountName]Home
+}
+
+// VisitID pairs a request to a home with its answer.
+type VisitID struct {
+	Caller   CallerID
+	Sequence uint64
+}
+
+// Visit is a request that a home runs for a caller of this instance.
+type Visit struct {
+	ID      VisitID
+	Address PeerAddress
+	Entry   core.EntryName
+	Key     core.KeyID
+	// Floor is the position that the session's reads must see.
+	Floor core.Position
+	// Version is the configuration with which the request was accepted.
+	Version uint64
+	// Begins is set for a request outside a transaction.
+	Begins bool
+	// Within is how long the request may still take.
+	Within  time.Duration
+	Request *Request
+}
+
+// VisitEnd tells a home that a session has gone or has left its transaction.
+type VisitEnd struct {
+	Address PeerAddress
+	Caller  CallerID
+}
+
+// PeerProbe asks an instance for a sign of life.
+type PeerProbe struct {
+	Address PeerAddress
+}
+
+// PeerCommand is an item of the ring to the duty that talks to other instances.
+type PeerCommand interface {
+	peerCommand()
+}
+
+func (Visit) peerCommand()       {}
+func (VisitEnd) peerCommand()    {}
+func (PeerProbe) peerCommand()   {}
+func (VisitAnswer) peerCommand() {}
+
+// VisitResult is a home's answer to a Visit.
+type VisitResult struct {
+	ID      VisitID
+	Address PeerAddress
+	Answer  VisitAnswer
+}
+
+// VisitLost reports a Visit without an answer.
+type VisitLost struct {
+	ID      VisitID
+	Address PeerAddress
+	// Unsent is set when the request certainly did not reach the home.
+	Unsent bool
+	// Refused is set when the home's host refused the connection.
+	Refused bool
+}
+
+// PeerAlive answers a PeerProbe.
+type PeerAlive struct {
+	Address PeerAddress
+}
+
+func (HomesInForce) sessionInput() {}
+func (VisitResult) sessionInput()  {}
+func (VisitLost) sessionInput()    {}
+func (PeerAlive) sessionInput()    {}
+
+// PeerRefused reports that the host of an instance refuses connections, which
+// proves that its process is dead.
+type PeerRefused struct {
+	Address PeerAddress
+}
+
+func (PeerRefused) controlReport() {}
+
+const (
+	// peerProbeEvery is the period of probes while a home owes answers; the
+	// round trip between failure domains is about 2 ms.
+	peerProbeEvery = 150 * time.Millisecond
+	// peerSilence is how long a home that owes answers may give no sign of life.
+	peerSilence = 450 * time.Millisecond
+	// peerAvoided is how long a silent or refusing home is not used.
+	peerAvoided = 500 * time.Millisecond
+	// visitMargin is how much later than the home this instance gives up.
+	visitMargin = 30 * time.Millisecond
+)
+
+// homePeer is what is known of an instance that is the home of accounts.
+type homePeer struct {
+	e       *Engine
+	address PeerAddress
+	// visits are the unanswered requests, by caller.
+	visits map[CallerID]*statement
+	// heard is the last sign of life, or the beginning of the first visit.
+	heard      time.Time
+	avoidUntil time.Time
+	item       timerq.Item[timed]
+}
+
+func (e *Engine) peer(address PeerAddress) *homePeer {
+	p := e.peers[address]
+	if p == nil {
+		p = &homePeer{e: e, address: address, visits: map[CallerID]*statement{}}
+		p.item.Value = p
+		e.peers[address] = p
+	}
+	return p
+}
+
+// timeOut probes a home that owes answers and gives up on a silent one.
+func (p *homePeer) timeOut() {
+	if len(p.visits) == 0 {
+		return
+	}
+	if p.e.now.Sub(p.heard) > peerSilence {
+		p.giveUp()
+		return
+	}
+	p.e.box.out.Peer(PeerProbe{Address: p.address})
+	p.e.timers.Arm(&p.item, p.e.now.Add(peerProbeEvery))
+}
+
+// giveUp ends the visits to a silent home; what they asked for may have run.
+func (p *homePeer) giveUp() {
+	e := p.e
+	p.avoidUntil = e.now.Add(peerAvoided)
+	e.metrics.HomesLost++
+	for id, s := range p.visits {
+		delete(p.visits, id)
+		e.box.out.Peer(VisitEnd{Address: p.address, Caller: id})
+		s.unsent = false
+		s.fire(e.charts.stmt.awayLost)
+	}
+}
+
+func (p *homePeer) usable() bool {
+	return !p.e.now.Before(p.avoidUntil)
+}
+
+// homesInForce replaces the homes. Visits under way go on where they are.
+func (e *Engine) homesInForce(in HomesInForce) {
+	e.homes = in.Homes
+}
+
+// goesHome reports a request that another instance runs: it is part of a
+// transaction there, or begins something and the home is usable.
+func (c *caller) goesHome(r *Request) bool {
+	if c.visit != nil || r.Verdict == nil {
+		return false
+	}
+	if c.inTransaction() {
+		return c.away != nil
+	}
+	if r.Verdict.Kind == KindEnd {
+		return false
+	}
+	home, known := c.e.homes[c.account.name]
+	if !known || home.Here || c.entry.definition.Open && c.key == "" {
+		return false
+	}
+	c.away = c.e.peer(home.Address)
+	if !c.away.usable() {
+		c.away = nil
+		return false
+	}
+	return true
+}
+
+// sendHome hands the request to the home.
+func (s *statement) sendHome() {
+	c := s.c
+	e := c.e
+	p := c.away
+	if len(p.visits) == 0 {
+		p.heard = e.now
+		e.timers.Arm(&p.item, e.now.Add(peerProbeEvery))
+	}
+	p.visits[c.id] = s
+	s.reason = "the account's home runs it"
+	s.sentAt = e.now
+	s.unsent = true
+	visit := Visit{
+		ID: VisitID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
+		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
+		Begins: !c.inTransaction(), Within: s.deadline.Sub(e.now), Request: s.request,
+	}
+	s.deadline = s.deadline.Add(visitMargin)
+	s.arm()
+	if e.box.out.Peer(visit) {
+		s.unsent = false
+		return
+	}
+	delete(p.visits, c.id)
+	s.fire(e.charts.stmt.awayLost)
+}
+
+func (e *Engine) operatorVersion() uint64 {
+	if e.catalogue == nil {
+		return 0
+	}
+	return e.catalogue.OperatorVersion
+}
+
+// visitOf returns the statement that an answer of a home is for; nil if it is
+// over.
+func (e *Engine) visitOf(id VisitID, address PeerAddress) *statement {
+	c := e.callers[id.Caller]
+	if c == nil || !c.stmt.active || c.stmt.sequence != id.Sequence {
+		return nil
+	}
+	p := e.peers[address]
+	if p == nil || p.visits[id.Caller] != &c.stmt {
+		return nil
+	}
+	delete(p.visits, id.Caller)
+	return &c.stmt
+}
+
+func (e *Engine) visitResult(in VisitResult) {
+	e.peerAlive(in.Address)
+	s := e.visitOf(in.ID, in.Address)
+	if s == nil {
+		return
+	}
+	a := in.Answer
+	if a.Elsewhere {
+		s.unsent = true
+		s.fire(e.charts.stmt.awayLost)
+		return
+	}
+	s.visitAnswer = a
+	if a.Refusal != nil {
+		s.fire(e.charts.stmt.awayRefused)
+		return
+	}
+	s.fire(e.charts.stmt.awayAnswered)
+}
+
+func (e *Engine) visitLost(in VisitLost) {
+	p := e.peer(in.Address)
+	if in.Refused {
+		p.avoidUntil = e.now.Add(peerAvoided)
+		e.box.out.Control(PeerRefused{Address: in.Address})
+	}
+	s := e.visitOf(in.ID, in.Address)
+	if s == nil {
+		return
+	}
+	s.unsent = in.Unsent
+	s.fire(e.charts.stmt.awayLost)
+}
+
+func (e *Engine) peerAlive(address PeerAddress) {
+	if p := e.peers[address]; p != nil {
+		p.heard = e.now
+	}
+}
+
+// finishAway gives the caller the home's answer.
+func (s *statement) finishAway() {
+	c := s.c
+	a := &s.visitAnswer
+	c.settleAway(a.TxStatus)
+	if a.Position.After(c.floor) {
+		c.floor = a.Position
+	}
+	c.floorKnown = true
+	s.outcome = "answered"
+	s.errorState = a.ErrorState
+	c.e.toCaller(c.id, CallerWrite{Caller: c.id, Frames: a.Frames, Done: true, TxStatus: c.txStatus})
+	if a.Closing {
+		c.ending = core.NotRun(core.StateStopping, "the account's home ended the session")
+	}
+}
+
+// settleAway applies the transaction status of the home.
+func (c *caller) settleAway(status byte) {
+	c.txStatus = status
+	if status == txIdle {
+		c.away = nil
+	}
+}
+
+// refuseAway passes the home's refusal on; the home has ended the transaction.
+func (s *statement) refuseAway() {
+	c := s.c
+	c.settleAway(txIdle)
+	s.refuse(s.visitAnswer.Refusal)
+}
+
+// endAway leaves the home, where the request or the transaction may still be.
+func (c *caller) endAway() {
+	p := c.away
+	if p == nil {
+		return
+	}
+	delete(p.visits, c.id)
+	c.e.box.out.Peer(VisitEnd{Address: p.address, Caller: c.id})
+	c.away = nil
+	c.txStatus = txIdle
+}
+
+// admitHere runs the statement at this instance after its home was lost.
+func (s *statement) admitHere() {
+	c := s.c
+	c.away = nil
+	c.txStatus = txIdle
+	if !s.unsent {
+		s.mayHaveRun = !s.isRead()
+	}
+	s.repeats++
+	if c.e.admits(c) {
+		s.fire(c.e.charts.stmt.admitted)
+		return
+	}
+	s.fire(c.e.charts.stmt.denied)
+}
+
+// mayRunHere reports a statement whose home was lost and that may be repeated:
+// nothing of it was sent, or it changes nothing.
+func (s *statement) mayRunHere() bool {
+	if s.c.inTransaction() || s.c.e.now.After(s.deadline) {
+		return false
+	}
+	return s.unsent || s.isRead()
+}
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -46,6 +46,11 @@
 	target   *target
 	txStatus byte
 	blocked  bool
+	// away is the home that runs the statement or the open transaction; nil if
+	// this instance does.
+	away *homePeer
+	// visit is set for a caller of another instance.
+	visit *visit
 	// keyLost is set when the session ends with its running statement.
 	keyLost bool
 	// ending is why the caller is told to go at the next clean boundary.
@@ -62,7 +67,7 @@
 		Guards: map[string]func(*caller) bool{
 			"stopping":            func(c *caller) bool { return c.e.stopping },
 			"in_transaction":      (*caller).inTransaction,
-			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil },
+			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.away == nil },
 			"transaction_expired": (*caller).transactionExpired,
 			"key_lost":            func(c *caller) bool { return c.keyLost },
 			"must_end":            func(c *caller) bool { return c.ending != nil },
@@ -136,6 +141,7 @@
 // abandonTarget closes the connection of a request or transaction that nobody
 // waits for any more, so that a late answer reaches no other caller.
 func (c *caller) abandonTarget() {
+	c.endAway()
 	t := c.target
 	c.unpin()
 	c.endTransaction()
@@ -190,7 +196,7 @@
 func (c *caller) close(refusal *core.Refusal) {
 	refusal.Fatal = true
 	c.e.metrics.Refusals[refusal.SQLState]++
-	c.e.box.caller(CallerClose{Caller: c.id, Refusal: refusal})
+	c.e.toCaller(c.id, CallerClose{Caller: c.id, Refusal: refusal})
 }
 
 func rolledBack(message string) *core.Refusal {
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -7,7 +7,7 @@
 	c := &caller{
 		e: e, id: in.Caller, key: in.Key, trace: in.Trace,
 		state: e.charts.caller.Initial(), maxAge: -1, txStatus: txIdle,
-		floor: in.Carried, floorKnown: !in.Carried.IsZero(),
+		floor: in.Carried, floorKnown: !in.Carried.IsZero(), visit: e.opening,
 	}
 	refusal := e.refuseOpening(c, in)
 	if refusal != nil {
@@ -19,7 +19,7 @@
 	c.stmt.init(c)
 	e.callers[c.id] = c
 	c.arm()
-	e.box.caller(CallerAdmitted{Caller: c.id})
+	e.toCaller(c.id, CallerAdmitted{Caller: c.id})
 }
 
 // refuseOpening resolves the caller's route, or returns why there is none.
@@ -121,7 +121,7 @@
 		// A refusal says that nothing is kept, so the transaction ends with it.
 		c.abandonTarget()
 	}
-	e.box.caller(CallerFail{Caller: c.id, Refusal: refusal, TxStatus: c.txStatus})
+	e.toCaller(c.id, CallerFail{Caller: c.id, Refusal: refusal, TxStatus: c.txStatus})
 }
 
 // drain starts the graceful stop.
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -349,3 +349,6 @@
 func (*sink) Span(Span)                     {}
 
 func (*sink) Note(Decision) {}
+
+// Peer implements Outputs.
+func (*sink) Peer(PeerCommand) bool { return true }
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -26,6 +26,16 @@
 	callers   map[CallerID]*caller
 	targets   map[TargetID]*target
 
+	// homes are the homes of the accounts, peers what is known of the instances
+	// that are some.
+	homes map[core.AccountName]Home
+	peers map[PeerAddress]*homePeer
+	// visitors are the callers of other instances, opening the one that is being
+	// admitted.
+	visitors     map[VisitorID]CallerID
+	lastVisitor  CallerID
+	opening      *visit
+	visitorSweep timer
 	// anonymous is the account of callers without a key on open entries that
 	// belong to no account.
 	anonymous   *account
@@ -92,6 +102,8 @@
 		accounts:  map[core.AccountName]*account{},
 		callers:   map[CallerID]*caller{},
 		targets:   map[TargetID]*target{},
+		peers:     map[PeerAddress]*homePeer{},
+		visitors:  map[VisitorID]CallerID{},
 		budget:    retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
 		policy:    newPolicy(&cfg),
 		metrics:   newMetrics(),
@@ -100,6 +112,8 @@
 	e.anonymous.unlimited = true
 	e.drainTimer.run = e.cutOff
 	e.drainTimer.item.Value = &e.drainTimer
+	e.visitorSweep.run = e.forgetVisitors
+	e.visitorSweep.item.Value = &e.visitorSweep
 	e.reporter.run = e.report
 	e.reporter.item.Value = &e.reporter
 	return e, nil
@@ -153,6 +167,16 @@
 		e.targetOpened(in)
 	case TargetClosed:
 		e.targetClosed(in)
+	case VisitorRequest:
+		e.visitorRequest(in)
+	case VisitResult:
+		e.visitResult(in)
+	case VisitLost:
+		e.visitLost(in)
+	case PeerAlive:
+		e.peerAlive(in.Address)
+	case VisitorGone:
+		e.visitorGone(in)
 	default:
 		e.handleControl(in)
 	}
@@ -170,6 +194,8 @@
 		e.shareInForce(in)
 	case Inspect:
 		e.inspect(in)
+	case HomesInForce:
+		e.homesInForce(in)
 	case KeysRevoked:
 		e.keysRevoked(in.Keys)
 	case KeysTrusted:
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -21,6 +21,7 @@
 	control  []ControlReport
 	classify []ClassifyRequest
 	spans    []Span
+	peers    []PeerCommand
 	// full makes the callerio ring refuse commands.
 	full bool
 }
@@ -192,3 +193,8 @@
 )
 
 func (h *harness) Note(Decision) {}
+
+func (h *harness) Peer(c PeerCommand) bool {
+	h.peers = append(h.peers, c)
+	return true
+}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -245,6 +245,9 @@
 	Rate float64
 	// Burst is in statements.
 	Burst float64
+	// Until is the time after which this share may not be spent; zero for that of
+	// all shares.
+	Until time.Time
 }
 
 // KeysTrusted publishes until when keys may be honoured without newer word of
--- a/pkg/session/metrics.go
+++ b/pkg/session/metrics.go
@@ -33,6 +33,8 @@
 	// nothing had been sent.
 	Retries  uint64
 	Requeued uint64
+	// HomesLost counts how often the home of an account was given up as silent.
+	HomesLost uint64
 	// Callers, Connections and Queued are current numbers.
 	Callers     int
 	Connections int
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -14,6 +14,8 @@
 	Classify(ClassifyRequest) bool
 	Control(ControlReport) bool
 	Span(Span)
+	// Peer hands a command to the duty that talks to other instances.
+	Peer(PeerCommand) bool
 	// Note offers a line for the log; it never waits.
 	Note(Decision)
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -62,6 +62,8 @@
 	readyAt    time.Time
 	readyTerm  core.Term
 	outcome    string
+	// visitAnswer is the home's answer.
+	visitAnswer VisitAnswer
 	// refusal is the proxy's own answer, nil if there was none.
 	refusal *core.Refusal
 	// hopSince is when the statement entered its state.
@@ -97,6 +99,7 @@
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
 	s.refusal = nil
+	s.visitAnswer = VisitAnswer{}
 	s.state = e.charts.statement.Initial()
 	s.arm()
 }
@@ -154,6 +157,7 @@
 	}
 	s.record()
 	s.request, s.chunk, s.held = nil, nil, nil
+	s.visitAnswer = VisitAnswer{}
 	s.c.fire(e.charts.on.answered)
 }
 
@@ -201,6 +205,7 @@
 			"repeat_any":               (*statement).repeatable,
 			"denied_placeable":         func(s *statement) bool { return s.denied() && s.placeable() },
 			"denied_repeatable":        (*statement).denied,
+			"may_run_here":             (*statement).mayRunHere,
 			"unsent":                   func(s *statement) bool { return s.unsent },
 		},
 		Actions:  statementActions(),
@@ -210,6 +215,11 @@
 
 func statementActions() map[string]func(*statement) {
 	return map[string]func(*statement){
+		"send_home":          (*statement).sendHome,
+		"finish_away":        (*statement).finishAway,
+		"refuse_away":        (*statement).refuseAway,
+		"end_away":           func(s *statement) { s.c.endAway() },
+		"admit_here":         (*statement).admitHere,
 		"await_token":        (*statement).awaitToken,
 		"ask_verdict":        (*statement).askVerdict,
 		"ask_floor":          func(s *statement) { s.c.db.needRound(s.c.needRound) },
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -12,6 +12,11 @@
 	s := &c.stmt
 	s.start(c.incoming)
 	c.incoming = nil
+	if c.goesHome(s.request) {
+		s.verdict = *s.request.Verdict
+		s.fire(c.e.charts.stmt.sentHome)
+		return
+	}
 	if c.countsNothing(s.request) {
 		s.fire(c.e.charts.stmt.admitted)
 		return
@@ -123,7 +128,7 @@
 
 func (s *statement) forward() {
 	s.progress = s.c.e.now
-	s.c.e.box.caller(CallerWrite{Caller: s.c.id, Frames: s.chunk})
+	s.c.e.toCaller(s.c.id, CallerWrite{Caller: s.c.id, Frames: s.chunk})
 	s.chunk = nil
 }
 
@@ -163,7 +168,7 @@
 	}
 	s.outcome = "answered"
 	c.e.metrics.countRead(s)
-	c.e.box.caller(answer)
+	c.e.toCaller(c.id, answer)
 }
 
 // raiseFloor makes later reads of the session see the statement's commit.
--- a/pkg/session/world_outputs_test.go
+++ b/pkg/session/world_outputs_test.go
@@ -180,3 +180,6 @@
 
 // Note implements Outputs.
 func (w *world) Note(Decision) {}
+
+// Peer implements Outputs.
+func (w *world) Peer(PeerCommand) bool { return true }
