Keep a denied statement inside its transaction

Ruled out: answers that arrive out of step, connections handed over with an open transaction. Change: a statement remembers where it began; visits carry their sequence and the one that began their transaction.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -29,7 +29,10 @@
 	Key     core.KeyID    `json:"key"`
 	Floor   core.Position `json:"floor"`
 	Version uint64        `json:"version"`
-	Begins  bool          `json:"begins"`
+	// Sequence, Begins and Transaction are those of session.VisitorRequest.
+	Sequence    uint64 `json:"sequence"`
+	Begins      bool   `json:"begins"`
+	Transaction uint64 `json:"transaction"`
 	// ElapsedMicros is the time since the request arrived at the sender.
 	ElapsedMicros int64                       `json:"elapsed_us"`
 	Verdict       session.Verdict             `json:"verdict"`
@@ -61,7 +64,7 @@
 	p := v.Request.Payload
 	return Visit{
 		Instance: self, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
-		Version: v.Version, Begins: v.Begins, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
+		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
 		Verdict: *v.Request.Verdict, ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
 }
@@ -70,7 +73,7 @@
 func (v *Visit) Input(reply any, now time.Time) session.VisitorRequest {
 	return session.VisitorRequest{
 		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
-		Reply:   reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Begins: v.Begins,
+		Reply:   reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction,
 		Request: &session.Request{
 			Simple: true, Verdict: &v.Verdict,
 			Payload: &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -149,6 +149,26 @@
 	require.True(t, ok)
 }
 
+// Guards against a statement of a transaction that runs outside of it: a member
+// that lost the lead may deny it and end the transaction with the same answer
+// (rnac-pool trouble-3, PINNED).
+func TestDeniedStatementOfATransactionIsNotRepeated(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	target := h.sent().Target
+	h.answer(target, 'T', term(1, 100))
+	h.order(1, "read", read)
+	sent := h.countSent()
+	h.deny(target, DenialNotPrimary)
+	h.announce(2, "m1")
+	h.connect()
+	require.Equal(t, sent, h.countSent())
+	write, ok := h.last().(CallerWrite)
+	require.True(t, ok, "%#v", h.last())
+	require.EqualValues(t, TxIdle, write.TxStatus)
+}
+
 // Guards against writes that go to a member which has said that it lost the
 // lead, and against writes that are lost while there is no primary.
 func TestWriteFollowsTheLead(t *testing.T) {
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -44,8 +44,10 @@
 	Floor core.Position
 	// Version is the configuration with which the request was accepted.
 	Version uint64
-	// Begins is set for a request outside a transaction.
-	Begins bool
+	// Begins is set for a request outside a transaction; Transaction is otherwise
+	// the sequence of the request that began it.
+	Begins      bool
+	Transaction uint64
 	// Within is how long the request may still take.
 	Within  time.Duration
 	Request *Request
@@ -216,7 +218,7 @@
 	visit := Visit{
 		ID: VisitID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
 		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
-		Begins: !c.inTransaction(), Within: s.deadline.Sub(e.now), Request: s.request,
+		Begins: !c.inTransaction(), Transaction: c.awayBegan, Within: s.deadline.Sub(e.now), Request: s.request,
 	}
 	s.deadline = s.deadline.Add(visitMargin)
 	s.arm()
@@ -309,6 +311,9 @@
 
 // settleAway applies the transaction status of the home.
 func (c *caller) settleAway(status byte) {
+	if !c.inTransaction() {
+		c.awayBegan = c.stmt.sequence
+	}
 	c.txStatus = status
 	if status == txIdle {
 		c.away = nil
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -49,6 +49,8 @@
 	// away is the home that runs the statement or the open transaction; nil if
 	// this instance does.
 	away *homePeer
+	// awayBegan is the sequence of the statement that began the transaction there.
+	awayBegan uint64
 	// visit is set for a caller of another instance.
 	visit *visit
 	// keyLost is set when the session ends with its running statement.
--- a/pkg/session/leader.go
+++ b/pkg/session/leader.go
@@ -137,7 +137,7 @@
 // denied reports an attempt that the member did not run and that may go
 // elsewhere.
 func (s *statement) denied() bool {
-	return s.denial != DenialNone && !s.c.inTransaction() && s.repeats < deniedRepeats && !s.c.e.now.After(s.deadline)
+	return s.denial != DenialNone && !s.inside && !s.c.inTransaction() && s.repeats < deniedRepeats && !s.c.e.now.After(s.deadline)
 }
 
 // deniedRepeats bounds the attempts of a statement that members deny.
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -33,6 +33,9 @@
 	askedApplied bool
 	// waitIndex is the place among the statements that wait for a view.
 	waitIndex int
+	// inside is set when the statement began inside a transaction; the member may
+	// end that with its answer.
+	inside bool
 	// denial is why the member did not run the last attempt.
 	denial Denial
 	// parked is set while the statement waits for a connection of its account.
@@ -96,6 +99,7 @@
 	s.sent, s.unsent, s.repeats, s.mayHaveRun = false, false, 0, false
 	s.chunk, s.held = nil, nil
 	s.denial = DenialNone
+	s.inside = s.c.inTransaction()
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
 	s.refusal = nil
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -145,7 +145,7 @@
 	if s.errorState != core.StateReadOnlyRoute || s.verdict.Kind != KindWrite || s.repeats >= fencedRepeats {
 		return false
 	}
-	return s.position.IsZero() && !s.c.entry.definition.ReadOnly && !s.c.inTransaction()
+	return s.position.IsZero() && !s.c.entry.definition.ReadOnly && !s.inside && !s.c.inTransaction()
 }
 
 // unconfirmed reports a commit that a majority is not known to have.
--- a/pkg/session/visitors.go
+++ b/pkg/session/visitors.go
@@ -25,9 +25,13 @@
 	Key     core.KeyID
 	Floor   core.Position
 	Version uint64
-	// Begins is set for a request outside a transaction.
-	Begins  bool
-	Request *Request
+	// Sequence grows with each request of a visitor.
+	Sequence uint64
+	// Begins is set for a request outside a transaction; Transaction is otherwise
+	// the sequence of the request that began it.
+	Begins      bool
+	Transaction uint64
+	Request     *Request
 }
 
 // VisitorGone reports that a visitor's session or transaction is over.
@@ -62,6 +66,10 @@
 	// frames are the parts of the answer under way.
 	frames []byte
 	seen   time.Time
+	// sequence is that of the newest request, began that of the newest one
+	// outside a transaction.
+	sequence uint64
+	began    uint64
 }
 
 const (
@@ -73,12 +81,16 @@
 
 func (e *Engine) visitorRequest(in VisitorRequest) {
 	c := e.callers[e.visitors[in.Visitor]]
+	if c != nil && in.Sequence <= c.visit.sequence {
+		// A late request that its caller has given up.
+		return
+	}
 	if c != nil && in.Begins && (c.inTransaction() || c.stmt.active) {
 		// The other instance has given the transaction up.
 		e.visitorGone(VisitorGone{Visitor: in.Visitor})
 		c = nil
 	}
-	if !in.Begins && (c == nil || !c.inTransaction()) {
+	if !in.Begins && (c == nil || !c.inTransaction() || c.visit.began != in.Transaction) {
 		refusal := rolledBack("the account's home does not have it any more")
 		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Refusal: refusal, TxStatus: txIdle})
 		return
@@ -99,6 +111,10 @@
 	c.visit.reply = in.Reply
 	c.visit.frames = nil
 	c.visit.seen = e.now
+	c.visit.sequence = in.Sequence
+	if in.Begins {
+		c.visit.began = in.Sequence
+	}
 	if in.Floor.After(c.floor) {
 		c.floor = in.Floor
 	}
