Spend a lost home's usage here, set aside what silent instances use

Ruled out: a larger standing part for every instance; with a surge at the home it breaks the rate's bound. Change: both sides measure what an instance uses at a home; when they lose each other, one spends it and the other sets it aside. Homes in use are probed and come back with their first answer. Watches wait 2.5 s.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -318,13 +318,11 @@
 }
 
 func (e *Engine) storeChanged(changes []Change) {
-	members := false
 	for i := range changes {
 		e.apply(&changes[i])
-		members = members || changes[i].concernsMembers()
 	}
 	switch {
-	case members:
+	case anyConcernsMembers(changes):
 		e.publish()
 	case len(changes) > 0 && e.configuration != nil:
 		e.publishHomes()
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -44,6 +44,10 @@
 		Accounts:    map[core.AccountName]session.RateShare{},
 		Connections: map[core.DatabaseName]int{},
 		Until:       e.now.Add(shareValid),
+		Instances:   map[core.InstanceID]bool{},
+	}
+	for _, i := range e.instances {
+		share.Instances[i.ID] = true
 	}
 	sum := 0.0
 	for _, a := range e.configuration.Accounts {
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -30,6 +30,9 @@
 	Answer time.Duration
 	// Pause is the time between two attempts while the store fails.
 	Pause time.Duration
+	// Gather is the pause after changes that concern instances only, which come
+	// in numbers when many of them start.
+	Gather time.Duration
 }
 
 // NewWatcher returns a watcher. deliver hands an input to the fleet duty and
@@ -60,7 +63,7 @@
 		}
 		if !eris.Is(err, ErrCompacted) {
 			w.deliver(StoreLost{Reason: err.Error()})
-			w.pause()
+			w.pause(w.bounds.Pause)
 		}
 	}
 }
@@ -93,11 +96,23 @@
 			return w.ctx.Err()
 		}
 		w.current = asked
+		if len(changes) > 0 && !anyConcernsMembers(changes) {
+			w.pause(w.bounds.Gather)
+		}
+	}
+}
+
+func anyConcernsMembers(changes []Change) bool {
+	for i := range changes {
+		if changes[i].concernsMembers() {
+			return true
+		}
 	}
+	return false
 }
 
-func (w *Watcher) pause() {
-	timer := time.NewTimer(w.bounds.Pause)
+func (w *Watcher) pause(d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -159,6 +159,10 @@
 // time of an answer.
 const balancerNotice = 2200 * time.Millisecond
 
+// stopReserve is the part of the grace time for the end of the duties, whose
+// calls to the store take up to a second.
+const stopReserve = 1700 * time.Millisecond
+
 func (h *Hosted) buildFleet() error {
 	life, err := charts.Load("hosted_instance")
 	if err != nil {
@@ -172,7 +176,7 @@
 	engine, err := fleet.New(fleet.Config{Self: h.self, RateWindow: h.settings.RateWindow,
 		RateOverage: h.settings.RateOverage, RateSlack: h.settings.RateSlack, Bounds: fleet.Bounds{
 			BalancerNotice: balancerNotice,
-			Drain:          h.settings.StopGrace - balancerNotice - time.Second,
+			Drain:          h.settings.StopGrace - balancerNotice - stopReserve,
 			TargetDrain:    h.settings.TargetDrain * 3 / 4,
 			ReturnWait:     3 * time.Second,
 			PromotionCall:  2 * time.Second,
@@ -187,7 +191,8 @@
 	h.fleets.outlets = []outlet{out.session}
 	store := platform.NewStore(h.settings.StoreAddress, h.skipped)
 	h.watcher = fleet.NewWatcher(store, fleet.WatchBounds{
-		Wait: time.Second, Answer: 600 * time.Millisecond, Pause: 100 * time.Millisecond,
+		Wait: 2500 * time.Millisecond, Answer: 500 * time.Millisecond, Pause: 100 * time.Millisecond,
+		Gather: 250 * time.Millisecond,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), h.self, fleet.RegistrarBounds{
 		TTL: 12 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second, Margin: 1500 * time.Millisecond,
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -44,7 +44,8 @@
 		params := relay.Leave{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
 		o.peers.send(rpc.Call{Tag: leaveTag{}, Address: string(m.Address), Method: relay.MethodLeave, Params: params, Timeout: shortCall})
 	case session.PeerProbe:
-		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing, Timeout: shortCall})
+		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing,
+			Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall})
 	case session.VisitAnswer:
 		if to, ok := m.Reply.(replyTo); ok {
 			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.NewAnswer(m)})
@@ -79,8 +80,12 @@
 func (h *Hosted) peerRequest(r rpc.Request) session.Input {
 	switch r.Method {
 	case relay.MethodPing:
+		var ping relay.Ping
+		if !h.decodePeer(r, &ping) {
+			return nil
+		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
-		return nil
+		return session.FrontAlive{Instance: ping.Instance}
 	case relay.MethodLeave:
 		var leave relay.Leave
 		if !h.decodePeer(r, &leave) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -15,7 +15,7 @@
 	MethodVisit = "visit"
 	// MethodLeave ends a visitor's session or transaction: Leave -> {}.
 	MethodLeave = "leave"
-	// MethodPing asks for a sign of life: {} -> {}.
+	// MethodPing asks for a sign of life: Ping -> {}.
 	MethodPing = "ping"
 )
 
@@ -53,6 +53,11 @@
 	Closing    bool          `json:"closing,omitempty"`
 }
 
+// Ping tells that its sender lives.
+type Ping struct {
+	Instance core.InstanceID `json:"instance"`
+}
+
 // Leave ends a visitor's session or transaction.
 type Leave struct {
 	Instance core.InstanceID `json:"instance"`
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -24,6 +24,13 @@
 	preparations bucket
 	waiters      []tokenWaiter
 	item         timerq.Item[timed]
+	// used is what callers of this instance use at the account's home; while
+	// homeLost, lostUsage of it may be spent here.
+	used      usage
+	homeLost  bool
+	lostUsage float64
+	// heldBackAt is when the home last looked at silent instances.
+	heldBackAt time.Time
 	// asked counts statements since the last demand report.
 	asked   int
 	metrics *AccountMetrics
@@ -106,6 +113,7 @@
 	if e.now.After(e.shareUntil) {
 		return false
 	}
+	s.c.account.holdBack()
 	b := s.bucket()
 	if !b.until.IsZero() && e.now.After(b.until) {
 		return false
@@ -201,8 +209,10 @@
 	e.shareUntil = in.Until
 	e.shares = in.Accounts
 	for _, a := range e.accounts {
+		a.applyShare()
 		e.armAccount(a)
 	}
+	e.forgetFronts(in.Instances)
 	for name, db := range e.databases {
 		db.setBound(in.Connections[name])
 	}
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -110,13 +110,13 @@
 func (PeerRefused) controlReport() {}
 
 const (
-	// peerProbeEvery is the period of probes while a home owes answers; the
-	// round trip between failure domains is about 2 ms.
+	// peerProbeEvery is the period of probes while a home owes answers or its
+	// accounts are in use; the round trip between failure domains is about 2 ms.
 	peerProbeEvery = 150 * time.Millisecond
-	// peerSilence is how long a home that owes answers may give no sign of life.
+	// peerSilence is how long a home that is probed may give no sign of life.
 	peerSilence = 450 * time.Millisecond
-	// peerAvoided is how long a silent or refusing home is not used.
-	peerAvoided = 500 * time.Millisecond
+	// peerUse is how long after its last use a home is probed.
+	peerUse = 3 * time.Second
 	// visitMargin is how much later than the home this instance gives up.
 	visitMargin = 30 * time.Millisecond
 )
@@ -127,10 +127,15 @@
 	address PeerAddress
 	// visits are the unanswered requests, by caller.
 	visits map[CallerID]*statement
-	// heard is the last sign of life, or the beginning of the first visit.
-	heard      time.Time
-	avoidUntil time.Time
-	item       timerq.Item[timed]
+	// heard is the last sign of life, used the last use, both of which begin with
+	// the first probe.
+	heard time.Time
+	used  time.Time
+	// lost is set from the silence of the home until its next sign of life.
+	lost bool
+	// probing is set while the timer of the probes runs.
+	probing bool
+	item    timerq.Item[timed]
 }
 
 func (e *Engine) peer(address PeerAddress) *homePeer {
@@ -143,24 +148,42 @@
 	return p
 }
 
-// timeOut probes a home that owes answers and gives up on a silent one.
+// use notes that a caller needs the home, and keeps probing it for a while.
+func (p *homePeer) use() {
+	p.used = p.e.now
+	if p.probing {
+		return
+	}
+	p.probing = true
+	p.heard = p.e.now
+	p.probe()
+}
+
+func (p *homePeer) probe() {
+	p.e.box.out.Peer(PeerProbe{Address: p.address})
+	p.e.timers.Arm(&p.item, p.e.now.Add(peerProbeEvery))
+}
+
+// timeOut probes the home and gives up on a silent one.
 func (p *homePeer) timeOut() {
-	if len(p.visits) == 0 {
+	if len(p.visits) == 0 && p.e.now.Sub(p.used) > peerUse {
+		p.probing = false
 		return
 	}
 	if p.e.now.Sub(p.heard) > peerSilence {
 		p.giveUp()
-		return
 	}
-	p.e.box.out.Peer(PeerProbe{Address: p.address})
-	p.e.timers.Arm(&p.item, p.e.now.Add(peerProbeEvery))
+	p.probe()
 }
 
 // giveUp ends the visits to a silent home; what they asked for may have run.
 func (p *homePeer) giveUp() {
 	e := p.e
-	p.avoidUntil = e.now.Add(peerAvoided)
-	e.metrics.HomesLost++
+	if !p.lost {
+		p.lost = true
+		e.metrics.HomesLost++
+		e.homesChanged()
+	}
 	for id, s := range p.visits {
 		delete(p.visits, id)
 		e.box.out.Peer(VisitEnd{Address: p.address, Caller: id})
@@ -169,13 +192,32 @@
 	}
 }
 
-func (p *homePeer) usable() bool {
-	return !p.e.now.Before(p.avoidUntil)
+// alive notes a sign of life.
+func (p *homePeer) alive() {
+	p.heard = p.e.now
+	if p.lost {
+		p.lost = false
+		p.e.homesChanged()
+	}
+}
+
+// homesChanged lets the accounts of lost homes be served here.
+func (e *Engine) homesChanged() {
+	for name, a := range e.accounts {
+		home, known := e.homes[name]
+		p := e.peers[home.Address]
+		if known && !home.Here && p != nil && p.lost {
+			a.loseHome()
+			continue
+		}
+		a.regainHome()
+	}
 }
 
 // homesInForce replaces the homes. Visits under way go on where they are.
 func (e *Engine) homesInForce(in HomesInForce) {
 	e.homes = in.Homes
+	e.homesChanged()
 }
 
 // goesHome reports a request that another instance runs: it is part of a
@@ -194,11 +236,12 @@
 	if !known || home.Here || c.entry.definition.Open && c.key == "" {
 		return false
 	}
-	c.away = c.e.peer(home.Address)
-	if !c.away.usable() {
-		c.away = nil
+	p := c.e.peer(home.Address)
+	p.use()
+	if p.lost {
 		return false
 	}
+	c.away = p
 	return true
 }
 
@@ -207,10 +250,7 @@
 	c := s.c
 	e := c.e
 	p := c.away
-	if len(p.visits) == 0 {
-		p.heard = e.now
-		e.timers.Arm(&p.item, e.now.Add(peerProbeEvery))
-	}
+	p.use()
 	p.visits[c.id] = s
 	s.reason = "the account's home runs it"
 	s.sentAt = e.now
@@ -273,22 +313,19 @@
 }
 
 func (e *Engine) visitLost(in VisitLost) {
-	p := e.peer(in.Address)
+	if s := e.visitOf(in.ID, in.Address); s != nil {
+		s.unsent = in.Unsent
+		s.fire(e.charts.stmt.awayLost)
+	}
 	if in.Refused {
-		p.avoidUntil = e.now.Add(peerAvoided)
 		e.box.out.Control(PeerRefused{Address: in.Address})
+		e.peer(in.Address).giveUp()
 	}
-	s := e.visitOf(in.ID, in.Address)
-	if s == nil {
-		return
-	}
-	s.unsent = in.Unsent
-	s.fire(e.charts.stmt.awayLost)
 }
 
 func (e *Engine) peerAlive(address PeerAddress) {
 	if p := e.peers[address]; p != nil {
-		p.heard = e.now
+		p.alive()
 	}
 }
 
@@ -296,6 +333,9 @@
 func (s *statement) finishAway() {
 	c := s.c
 	a := &s.visitAnswer
+	if !s.inside {
+		c.account.used.add(c.e.now)
+	}
 	c.settleAway(a.TxStatus)
 	if a.Position.After(c.floor) {
 		c.floor = a.Position
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -30,6 +30,8 @@
 	// that are some.
 	homes map[core.AccountName]Home
 	peers map[PeerAddress]*homePeer
+	// fronts are the instances whose callers' requests run here.
+	fronts map[core.InstanceID]*front
 	// visitors are the callers of other instances, opening the one that is being
 	// admitted.
 	visitors     map[VisitorID]CallerID
@@ -103,6 +105,7 @@
 		callers:   map[CallerID]*caller{},
 		targets:   map[TargetID]*target{},
 		peers:     map[PeerAddress]*homePeer{},
+		fronts:    map[core.InstanceID]*front{},
 		visitors:  map[VisitorID]CallerID{},
 		budget:    retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
 		policy:    newPolicy(&cfg),
@@ -175,6 +178,8 @@
 		e.visitLost(in)
 	case PeerAlive:
 		e.peerAlive(in.Address)
+	case FrontAlive:
+		e.frontAlive(in.Instance)
 	case VisitorGone:
 		e.visitorGone(in)
 	default:
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -236,6 +236,8 @@
 	Connections map[core.DatabaseName]int
 	// Until is the time after which nothing of the share may be spent.
 	Until time.Time
+	// Instances are the registered runs of instances.
+	Instances map[core.InstanceID]bool
 }
 
 // RateShare is this instance's part of an account's rate and burst. A share
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -40,6 +40,9 @@
 	e := s.c.e
 	s.tokenWait = false
 	s.c.account.metrics.Admitted++
+	if s.c.visit != nil && !s.inside {
+		e.countVisit(s.c)
+	}
 	e.budget.earn()
 	if s.request.Verdict != nil {
 		s.verdict = *s.request.Verdict
--- a/pkg/session/visitors.go
+++ b/pkg/session/visitors.go
@@ -79,6 +79,7 @@
 	visitorIdle = time.Minute
 )
 
+// visitorRequest runs a visitor's request, or answers that it does not.
 func (e *Engine) visitorRequest(in VisitorRequest) {
 	c := e.callers[e.visitors[in.Visitor]]
 	if c != nil && in.Sequence <= c.visit.sequence {
@@ -119,6 +120,7 @@
 		c.floor = in.Floor
 	}
 	c.incoming = in.Request
+	e.frontAlive(in.Visitor.Instance)
 	c.fire(e.charts.on.request)
 }
 
