Claim the accounts of a leaving home at once

Change: the settling time counts only for accounts that never had a home; while there is none, instances go on with their usage; a new home sets aside an even part for each instance it has not heard.

--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -37,8 +37,8 @@
 func (LeaseHeld) fleetInput() {}
 
 const (
-	// homeSettle is how long the registrations have to be unchanged before a
-	// vacant account is claimed; instances start within 0.3 s of each other.
+	// homeSettle is how long no instance may have appeared before accounts are
+	// claimed that nobody ever held; instances start within 0.3 s of each other.
 	homeSettle = 800 * time.Millisecond
 	// homeTurn is the head start of each instance over the next in an account's
 	// order.
@@ -54,8 +54,8 @@
 	e       *Engine
 	records map[core.AccountName]*homeState
 	timer   timerq.Item[func()]
-	// changed is when a registration last appeared or went.
-	changed time.Time
+	// appeared is when an instance last registered that was not before.
+	appeared time.Time
 	// leaseUntil is until when this instance may act as a home.
 	leaseUntil time.Time
 }
@@ -67,6 +67,8 @@
 	vacant time.Time
 	// asked is when this instance claimed the account last.
 	asked time.Time
+	// held is set once the account has had a home.
+	held bool
 	// dead is set with the proof that the holder's process has ended.
 	dead bool
 }
@@ -101,6 +103,7 @@
 		}})
 	}
 	s.record, s.dead = record, false
+	s.held = s.held || record != nil
 }
 
 // replaceAll takes all records of the store.
@@ -201,8 +204,8 @@
 		turn = 0
 	}
 	at := s.vacant
-	if s.record == nil {
-		at = later(at, h.changed.Add(homeSettle))
+	if !s.held {
+		at = later(at, h.appeared.Add(homeSettle))
 	}
 	return later(at.Add(time.Duration(turn)*homeTurn), retry), true
 }
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -21,7 +21,7 @@
 
 func (e *Engine) instanceSeen(i Instance) {
 	if e.instances[i.Node] == nil {
-		e.homes.changed = e.now
+		e.homes.appeared = e.now
 	}
 	e.instances[i.Node] = &instance{Instance: i}
 }
@@ -37,7 +37,6 @@
 		return
 	}
 	delete(e.instances, node)
-	e.homes.changed = e.now
 }
 
 // forgetInstances removes those that did not register again in time.
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -29,6 +29,8 @@
 	used      usage
 	homeLost  bool
 	lostUsage float64
+	// homeSince is when this instance became the account's home.
+	homeSince time.Time
 	// heldBackAt is when the home last looked at silent instances.
 	heldBackAt time.Time
 	// asked counts statements since the last demand report.
@@ -68,7 +70,6 @@
 	b.refill(now, until)
 	b.rate = share.Rate
 	b.burst = share.Burst
-	b.until = share.Until
 	b.tokens = min(b.tokens, share.Burst)
 	if regranted {
 		b.tokens = 0
@@ -123,6 +124,9 @@
 		return false
 	}
 	b.tokens--
+	if s.c.visit == nil && b == &s.c.account.bucket {
+		s.c.account.used.add(e.now)
+	}
 	return true
 }
 
@@ -212,6 +216,7 @@
 		a.applyShare()
 		e.armAccount(a)
 	}
+	e.instances = in.Instances
 	e.forgetFronts(in.Instances)
 	for name, db := range e.databases {
 		db.setBound(in.Connections[name])
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -206,7 +206,7 @@
 	for name, a := range e.accounts {
 		home, known := e.homes[name]
 		p := e.peers[home.Address]
-		if known && !home.Here && p != nil && p.lost {
+		if !known || !home.Here && p != nil && p.lost {
 			a.loseHome()
 			continue
 		}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -32,6 +32,8 @@
 	peers map[PeerAddress]*homePeer
 	// fronts are the instances whose callers' requests run here.
 	fronts map[core.InstanceID]*front
+	// instances are the registered runs of instances.
+	instances map[core.InstanceID]bool
 	// visitors are the callers of other instances, opening the one that is being
 	// admitted.
 	visitors     map[VisitorID]CallerID
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -16,6 +16,10 @@
 // usageSpan is the time over which usage is averaged.
 const usageSpan = 4 * time.Second
 
+// usageRoom is how much more than before may be used after the loss of a home,
+// so that chance does not refuse a part.
+const usageRoom = 1.2
+
 // usage is a decaying count of admitted requests.
 type usage struct {
 	count float64
@@ -85,12 +89,49 @@
 	sum := 0.0
 	for _, f := range e.fronts {
 		if u := f.used[a.name]; u != nil && e.now.Sub(f.heard) > frontSilence {
-			sum += u.rate(f.heard)
+			sum += u.rate(f.heard) * usageRoom
+		}
+	}
+	return sum + a.setAsideUnheard()
+}
+
+// setAsideUnheard is for instances that a new home has not heard of yet: what
+// they used at the home before is not known here, and is taken for their even
+// part of the account's usual use.
+func (a *account) setAsideUnheard() float64 {
+	e := a.e
+	if e.now.Sub(a.homeSince) > unheardBound {
+		return 0
+	}
+	unheard := 0
+	for id := range e.instances {
+		if e.fronts[id] == nil {
+			unheard++
 		}
 	}
-	return sum
+	even := e.shares[a.name].Rate * usualUse / float64(max(len(e.instances), 1))
+	return float64(unheard) * even
 }
 
+const (
+	// unheardBound is when an instance that has not been heard has lost its
+	// registration.
+	unheardBound = 12 * time.Second
+	// usualUse is the part of its rate that an account uses on an ordinary day.
+	usualUse = 0.5
+)
+
+// becomeHome notes that the account is at home here from now on.
+func (a *account) becomeHome() {
+	e := a.e
+	a.homeSince = e.now
+	// The home before it has not spent its burst to the end.
+	a.bucket.tokens = max(a.bucket.tokens, e.shares[a.name].Rate*firstTokens)
+}
+
+// firstTokens is the time for which a new home may admit at once, in seconds.
+const firstTokens = 0.2
+
 // forgetFronts drops instances that are not registered any more. What they used
 // stays set aside until their registration has ended.
 func (e *Engine) forgetFronts(registered map[core.InstanceID]bool) {
@@ -108,9 +149,11 @@
 		return
 	}
 	a.homeLost = true
-	a.lostUsage = a.used.rate(e.now)
+	a.lostUsage = a.used.rate(e.now) * usageRoom
 	a.bucket.refill(e.now, e.shareUntil)
 	a.applyShare()
+	// What waited for the home comes here at once.
+	a.bucket.tokens = max(a.bucket.tokens, a.lostUsage*lostBurst)
 }
 
 // regainHome ends what loseHome began.
@@ -129,12 +172,16 @@
 // applyShare sets the bucket's rate from the share in force.
 func (a *account) applyShare() {
 	share := a.e.shares[a.name]
+	begins := a.bucket.until.IsZero() && !share.Until.IsZero()
 	a.bucket.rate, a.bucket.burst, a.bucket.until = share.Rate, share.Burst, share.Until
 	if a.homeLost {
 		a.bucket.rate += a.lostUsage
 		a.bucket.burst += a.lostUsage * lostBurst
 	}
 	a.bucket.tokens = min(a.bucket.tokens, a.bucket.burst)
+	if begins {
+		a.becomeHome()
+	}
 }
 
 // holdBack lowers the home's rate by what silent instances may be spending. It
