Let isolated homes give way and fetch configurations from other instances

Change: usage is averaged over the time since its first request; a home whose callers' instances are mostly silent releases its accounts; an instance that sees a newer version asks its peer for the configuration.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -74,6 +74,20 @@
 	Report session.ControlReport
 }
 
+// ConfigurationAsked is a request of another instance for the configuration.
+type ConfigurationAsked struct {
+	// Reply comes back with the answer.
+	Reply any
+}
+
+// ConfigurationGiven is the configuration of another instance.
+type ConfigurationGiven struct {
+	Configuration *Configuration
+}
+
+func (ConfigurationAsked) fleetInput() {}
+func (ConfigurationGiven) fleetInput() {}
+
 // StopRequested begins the planned stop.
 type StopRequested struct{}
 
@@ -88,6 +102,10 @@
 	Session(session.Input)
 	// ClaimHome asks the registrar to make this instance an account's home.
 	ClaimHome(HomeClaim)
+	// AskConfiguration asks another instance for its configuration, and
+	// GiveConfiguration answers such a question.
+	AskConfiguration(session.PeerAddress)
+	GiveConfiguration(reply any, c *Configuration)
 	// Leave gives the registration and the homes up.
 	Leave()
 	// Work hands a job to the worker and reports whether there was room.
@@ -246,6 +264,10 @@
 		e.loseStore(in.Reason)
 	case FromSession:
 		e.fromSession(in.Report)
+	case ConfigurationAsked:
+		e.out.GiveConfiguration(in.Reply, e.configuration)
+	case ConfigurationGiven:
+		e.configurationGiven(in.Configuration)
 	case LeaseHeld:
 		e.homes.leaseUntil = in.Until
 		if e.configuration != nil {
@@ -280,6 +302,12 @@
 	switch r := report.(type) {
 	case session.Drained:
 		e.fire(e.on.drained)
+	case session.Demand:
+		e.homes.demand(r)
+	case session.NewerVersion:
+		if e.configuration == nil || r.Version > e.configuration.Version {
+			e.out.AskConfiguration(r.Address)
+		}
 	case session.PeerRefused:
 		e.homes.processDead(r.Address)
 	case session.SuspectMember:
@@ -365,6 +393,16 @@
 	}})
 }
 
+// configurationGiven takes a newer configuration from another instance, which
+// reaches the store when this one may not.
+func (e *Engine) configurationGiven(c *Configuration) {
+	if e.configuration != nil && c.Version <= e.configuration.Version {
+		return
+	}
+	e.adopt(c)
+	e.publish()
+}
+
 func (e *Engine) memberSeen(a *Announcement) {
 	m := e.members[a.Member]
 	if m == nil {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -26,6 +26,8 @@
 	Account core.AccountName
 	// Replaces is the revision of the record to replace; 0 if there is none.
 	Replaces Revision
+	// Release gives the home up instead.
+	Release bool
 }
 
 // LeaseHeld reports until when the registration of this instance certainly
@@ -56,6 +58,9 @@
 	timer   timerq.Item[func()]
 	// appeared is when an instance last registered that was not before.
 	appeared time.Time
+	// barredUntil is until when this instance claims no home, because others do
+	// not reach it.
+	barredUntil time.Time
 	// leaseUntil is until when this instance may act as a home.
 	leaseUntil time.Time
 }
@@ -149,6 +154,9 @@
 func (h *homes) review() {
 	e := h.e
 	if e.configuration == nil || !h.mayClaim() {
+		if e.now.Before(h.barredUntil) {
+			e.timers.Arm(&h.timer, h.barredUntil)
+		}
 		return
 	}
 	nodes := e.liveNodes()
@@ -180,7 +188,7 @@
 func (h *homes) mayClaim() bool {
 	e := h.e
 	self := e.instances[e.config.Self.Node]
-	return self != nil && self.ID == e.config.Self.ID && !e.storeLost && e.life.StateName(e.state) == "serving"
+	return self != nil && self.ID == e.config.Self.ID && !e.storeLost && !e.now.Before(h.barredUntil) && e.life.StateName(e.state) == "serving"
 }
 
 // due returns when this instance is to claim the account, and false if it is
@@ -227,6 +235,28 @@
 	h.e.out.ClaimHome(c)
 }
 
+// homeBar is how long an isolated instance claims no home.
+const homeBar = 4 * time.Second
+
+// demand gives the homes up whose callers' instances are mostly silent, and
+// bars an instance from which most homes are silent.
+func (h *homes) demand(d session.Demand) {
+	e := h.e
+	if d.HomesSilent*2 > d.HomesUsed {
+		h.barredUntil = e.now.Add(homeBar)
+	}
+	for _, account := range d.Isolated {
+		h.barredUntil = e.now.Add(homeBar)
+		s := h.records[account]
+		if s == nil || s.record == nil || e.storeLost {
+			continue
+		}
+		e.out.Log(LogEvent{Warning: true, Event: "home_released", Message: "the instances of most callers are silent",
+			Fields: map[string]any{"account": account}})
+		e.out.ClaimHome(HomeClaim{Account: account, Replaces: s.record.Revision, Release: true})
+	}
+}
+
 // publish tells session where the accounts are at home.
 func (h *homes) publish() {
 	e := h.e
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -23,6 +23,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
@@ -350,7 +351,17 @@
 
 func (o *hostedFleet) Session(in session.Input) { o.session.send(in) }
 func (o *hostedFleet) Work(j fleet.Job) bool    { return o.hosted.worker.Push(j) }
-func (o *hostedFleet) Leave()                   { o.hosted.registrar.Leave() }
+func (o *hostedFleet) AskConfiguration(address session.PeerAddress) {
+	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCall})
+}
+
+func (o *hostedFleet) GiveConfiguration(reply any, c *fleet.Configuration) {
+	if to, ok := reply.(replyTo); ok {
+		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: c})
+	}
+}
+
+func (o *hostedFleet) Leave() { o.hosted.registrar.Leave() }
 
 // ClaimHome drops a claim that finds no room; it is repeated.
 func (o *hostedFleet) ClaimHome(c fleet.HomeClaim) { o.hosted.registrar.ClaimHome(c) }
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -20,8 +21,9 @@
 		id      session.VisitID
 		address session.PeerAddress
 	}
-	pingTag  struct{ address session.PeerAddress }
-	leaveTag struct{}
+	configurationTag struct{}
+	pingTag          struct{ address session.PeerAddress }
+	leaveTag         struct{}
 )
 
 const (
@@ -35,7 +37,7 @@
 func (o *hostedSession) Peer(c session.PeerCommand) bool {
 	switch m := c.(type) {
 	case session.Visit:
-		params := relay.NewVisit(o.hosted.self.ID, m, clock.Now())
+		params := relay.NewVisit(o.hosted.self.ID, session.PeerAddress(o.hosted.self.Peer), m, clock.Now())
 		o.peers.send(rpc.Call{
 			Tag: visitTag{id: m.ID, address: m.Address}, Address: string(m.Address),
 			Method: relay.MethodVisit, Params: params, Timeout: m.Within + visitSlack,
@@ -68,6 +70,8 @@
 		switch tag := e.Tag.(type) {
 		case visitTag:
 			return visitResult(tag, e)
+		case configurationTag:
+			h.takeConfiguration(e)
 		case pingTag:
 			if e.Err == nil {
 				return session.PeerAlive{Address: tag.address}
@@ -86,6 +90,11 @@
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.FrontAlive{Instance: ping.Instance}
+	case relay.MethodConfiguration:
+		if !h.fleets.input.TryPush(fleet.ConfigurationAsked{Reply: replyTo{conn: r.Conn, id: r.ID}}) {
+			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
+		}
+		return nil
 	case relay.MethodLeave:
 		var leave relay.Leave
 		if !h.decodePeer(r, &leave) {
@@ -104,6 +113,17 @@
 	return nil
 }
 
+// takeConfiguration hands another instance's configuration to the fleet duty. A
+// full ring drops it; it is asked for again.
+func (h *Hosted) takeConfiguration(r rpc.Result) {
+	var c fleet.Configuration
+	if r.Err != nil || json.Unmarshal(r.Raw, &c) != nil || c.Version == 0 {
+		h.log(logrus.WarnLevel, "configuration_not_fetched", "another instance did not give its configuration", nil)
+		return
+	}
+	h.fleets.input.TryPush(fleet.ConfigurationGiven{Configuration: &c})
+}
+
 // decodePeer answers a request that cannot be decoded with an error.
 func (h *Hosted) decodePeer(r rpc.Request, params any) bool {
 	err := json.Unmarshal(r.Params, params)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -15,6 +15,9 @@
 	MethodVisit = "visit"
 	// MethodLeave ends a visitor's session or transaction: Leave -> {}.
 	MethodLeave = "leave"
+	// MethodConfiguration asks for the configuration in force: {} ->
+	// fleet.Configuration.
+	MethodConfiguration = "configuration"
 	// MethodPing asks for a sign of life: Ping -> {}.
 	MethodPing = "ping"
 )
@@ -24,7 +27,9 @@
 	// Instance is the run of the sender, Caller its caller.
 	Instance core.InstanceID `json:"instance"`
 	Caller   uint64          `json:"caller"`
-	Entry    core.EntryName  `json:"entry"`
+	// From is the sender's address.
+	From  session.PeerAddress `json:"from"`
+	Entry core.EntryName      `json:"entry"`
 	// Key identifies the caller's key; it is not the key.
 	Key     core.KeyID    `json:"key"`
 	Floor   core.Position `json:"floor"`
@@ -45,6 +50,7 @@
 // Answer is the answer to a Visit.
 type Answer struct {
 	Elsewhere  bool          `json:"elsewhere,omitempty"`
+	Version    uint64        `json:"version,omitempty"`
 	Frames     string        `json:"frames,omitempty"`
 	TxStatus   string        `json:"tx"`
 	Position   core.Position `json:"position"`
@@ -65,10 +71,10 @@
 }
 
 // NewVisit encodes a visit of the given instance; now is the time of its clock.
-func NewVisit(self core.InstanceID, v session.Visit, now time.Time) Visit {
+func NewVisit(self core.InstanceID, from session.PeerAddress, v session.Visit, now time.Time) Visit {
 	p := v.Request.Payload
 	return Visit{
-		Instance: self, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
+		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
 		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
 		Verdict: *v.Request.Verdict, ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
@@ -78,7 +84,7 @@
 func (v *Visit) Input(reply any, now time.Time) session.VisitorRequest {
 	return session.VisitorRequest{
 		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
-		Reply:   reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction,
+		From:    v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction,
 		Request: &session.Request{
 			Simple: true, Verdict: &v.Verdict,
 			Payload: &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
@@ -90,7 +96,7 @@
 // NewAnswer encodes an answer.
 func NewAnswer(a session.VisitAnswer) Answer {
 	return Answer{
-		Elsewhere: a.Elsewhere, Frames: string(a.Frames), TxStatus: string(rune(a.TxStatus)), Position: a.Position,
+		Elsewhere: a.Elsewhere, Version: a.Version, Frames: string(a.Frames), TxStatus: string(rune(a.TxStatus)), Position: a.Position,
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
 	}
 }
@@ -102,7 +108,7 @@
 		status = a.TxStatus[0]
 	}
 	return session.VisitAnswer{
-		Elsewhere: a.Elsewhere, Frames: []byte(a.Frames), TxStatus: status, Position: a.Position,
+		Elsewhere: a.Elsewhere, Version: a.Version, Frames: []byte(a.Frames), TxStatus: status, Position: a.Position,
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
 	}
 }
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -269,6 +269,8 @@
 		Accounts:    make(map[core.AccountName]float64, len(e.accounts)),
 		Connections: make(map[core.DatabaseName]int, len(e.databases)),
 	}
+	demand.Isolated = e.isolated()
+	demand.HomesSilent, demand.HomesUsed = e.silentHomes()
 	for name, a := range e.accounts {
 		demand.Accounts[name] = float64(a.asked) / seconds
 	}
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -133,6 +133,8 @@
 	used  time.Time
 	// lost is set from the silence of the home until its next sign of life.
 	lost bool
+	// refused is set when the home's host refused a connection.
+	refused bool
 	// probing is set while the timer of the probes runs.
 	probing bool
 	item    timerq.Item[timed]
@@ -195,6 +197,7 @@
 // alive notes a sign of life.
 func (p *homePeer) alive() {
 	p.heard = p.e.now
+	p.refused = false
 	if p.lost {
 		p.lost = false
 		p.e.homesChanged()
@@ -277,6 +280,20 @@
 	return e.catalogue.OperatorVersion
 }
 
+// NewerVersion reports that another instance has a newer configuration.
+type NewerVersion struct {
+	Address PeerAddress
+	Version uint64
+}
+
+func (NewerVersion) controlReport() {}
+
+func (e *Engine) newerVersionAt(address PeerAddress, version uint64) {
+	if version > e.operatorVersion() {
+		e.box.out.Control(NewerVersion{Address: address, Version: version})
+	}
+}
+
 // visitOf returns the statement that an answer of a home is for; nil if it is
 // over.
 func (e *Engine) visitOf(id VisitID, address PeerAddress) *statement {
@@ -300,6 +317,7 @@
 	}
 	a := in.Answer
 	if a.Elsewhere {
+		e.newerVersionAt(in.Address, a.Version)
 		s.unsent = true
 		s.fire(e.charts.stmt.awayLost)
 		return
@@ -319,7 +337,9 @@
 	}
 	if in.Refused {
 		e.box.out.Control(PeerRefused{Address: in.Address})
-		e.peer(in.Address).giveUp()
+		p := e.peer(in.Address)
+		p.refused = true
+		p.giveUp()
 	}
 }
 
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -242,6 +242,13 @@
 	Accounts map[core.AccountName]float64
 	// Connections is the number of target connections that queued work could use.
 	Connections map[core.DatabaseName]int
+	// Isolated are the accounts at home here whose callers' instances are mostly
+	// silent.
+	Isolated []core.AccountName
+	// HomesUsed counts the homes in use at other instances, HomesSilent those of
+	// them that give no sign of life.
+	HomesUsed   int
+	HomesSilent int
 }
 
 // ShareApplied reports that a ShareInForce governs every later admission.
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -24,9 +24,14 @@
 type usage struct {
 	count float64
 	at    time.Time
+	// since is the first request, before which nothing could be counted.
+	since time.Time
 }
 
 func (u *usage) add(now time.Time) {
+	if u.count == 0 {
+		u.since = now
+	}
 	u.count = u.decayed(now) + 1
 	u.at = now
 }
@@ -38,11 +43,17 @@
 	return u.count * math.Exp(-now.Sub(u.at).Seconds()/usageSpan.Seconds())
 }
 
-// rate returns the average in requests per second.
+// rate returns the average in requests per second over usageSpan, or over the
+// time since the first request where that is shorter.
 func (u *usage) rate(now time.Time) float64 {
-	return u.decayed(now) / usageSpan.Seconds()
+	seen := max(now.Sub(u.since), leastSpan).Seconds()
+	weight := usageSpan.Seconds() * (1 - math.Exp(-seen/usageSpan.Seconds()))
+	return u.decayed(now) / weight
 }
 
+// leastSpan is the shortest time over which usage is averaged.
+const leastSpan = 500 * time.Millisecond
+
 // front is another instance whose callers' requests run here.
 type front struct {
 	heard time.Time
@@ -197,3 +208,52 @@
 }
 
 const holdBackEvery = 50 * time.Millisecond
+
+// isolated reports accounts at home here most of whose usage comes from
+// instances that give no sign of life: the others had better find a home that
+// they reach.
+func (e *Engine) isolated() []core.AccountName {
+	var list []core.AccountName
+	for name, home := range e.homes {
+		if !home.Here {
+			continue
+		}
+		silent, all := 0.0, 0.0
+		for _, f := range e.fronts {
+			u := f.used[name]
+			if u == nil {
+				continue
+			}
+			used := u.rate(f.heard)
+			all += used
+			if e.now.Sub(f.heard) > isolationBound {
+				silent += used
+			}
+		}
+		if a := e.accounts[name]; a != nil {
+			all += a.used.rate(e.now)
+		}
+		if silent > all/2 && silent > 1 {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// isolationBound is how long instances have to be silent before their home
+// gives way.
+const isolationBound = 800 * time.Millisecond
+
+// silentHomes counts the homes in use, and those of them that are silent.
+func (e *Engine) silentHomes() (silent, used int) {
+	for _, p := range e.peers {
+		if e.now.Sub(p.used) > peerUse {
+			continue
+		}
+		used++
+		if p.lost && !p.refused {
+			silent++
+		}
+	}
+	return silent, used
+}
--- a/pkg/session/visitors.go
+++ b/pkg/session/visitors.go
@@ -19,6 +19,8 @@
 // VisitorRequest is a request of a visitor.
 type VisitorRequest struct {
 	Visitor VisitorID
+	// From is the address of the visitor's instance.
+	From PeerAddress
 	// Reply comes back in the VisitAnswer.
 	Reply   any
 	Entry   core.EntryName
@@ -49,8 +51,10 @@
 	// Elsewhere is set when this instance does not run the request, because it
 	// is not the home or has another configuration. Nothing ran.
 	Elsewhere bool
-	Frames    []byte
-	TxStatus  byte
+	// Version is the configuration here, set with Elsewhere.
+	Version  uint64
+	Frames   []byte
+	TxStatus byte
 	// Position is that of a commit, zero if none.
 	Position   core.Position
 	ErrorState string
@@ -97,7 +101,8 @@
 		return
 	}
 	if in.Begins && (in.Version != e.operatorVersion() || e.stopping) {
-		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Elsewhere: true})
+		e.newerVersionAt(in.From, in.Version)
+		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Elsewhere: true, Version: e.operatorVersion()})
 		return
 	}
 	if c == nil {
