Take a silent primary for dead when no instance hears it

Ruled out: promoting on this instance's own silence, which replaces a healthy primary in a primary_cut. Change: a primary that owes answers for 350 ms is examined and the other instances are asked; homes give way when another instance hears it. Instances that stop probing because they are idle are not taken for silent. Tests of the fleet, of the adapter and of homes.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -102,6 +102,9 @@
 	Session(session.Input)
 	// ClaimHome asks the registrar to make this instance an account's home.
 	ClaimHome(HomeClaim)
+	// AskMember asks another instance what it has heard of a member; the answer is
+	// a MemberOpinion.
+	AskMember(node string, address session.PeerAddress, member core.MemberID)
 	// AskConfiguration asks another instance for its configuration, and
 	// GiveConfiguration answers such a question.
 	AskConfiguration(session.PeerAddress)
@@ -155,6 +158,8 @@
 	succession  *chart.Table[*succession]
 	change      successionEvents
 	successions map[core.DatabaseName]*succession
+	// examinations are the inquiries under way, by primary.
+	examinations map[core.MemberID]*examination
 }
 
 type lifeEvents struct {
@@ -190,7 +195,8 @@
 		members:   map[core.MemberID]*member{},
 		instances: map[string]*instance{},
 
-		successions: map[core.DatabaseName]*succession{},
+		successions:  map[core.DatabaseName]*succession{},
+		examinations: map[core.MemberID]*examination{},
 	}
 	if err := e.loadSuccession(charts.Succession); err != nil {
 		return nil, err
@@ -264,6 +270,8 @@
 		e.loseStore(in.Reason)
 	case FromSession:
 		e.fromSession(in.Report)
+	case MemberOpinion:
+		e.opinion(in)
 	case ConfigurationAsked:
 		e.out.GiveConfiguration(in.Reply, e.configuration)
 	case ConfigurationGiven:
--- /dev/null
+++ b/pkg/fleet/engine_test.go
@@ -0,0 +1,372 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// harness drives an engine and records its outputs.
+type harness struct {
+	t        *testing.T
+	e        *Engine
+	now      time.Time
+	sessions []session.Input
+	jobs     []Job
+	claims   []HomeClaim
+	asked    []string
+	ready    bool
+	left     bool
+	finished bool
+	revision Revision
+}
+
+func (h *harness) Session(in session.Input)               { h.sessions = append(h.sessions, in) }
+func (h *harness) Work(j Job) bool                        { h.jobs = append(h.jobs, j); return true }
+func (h *harness) ClaimHome(c HomeClaim)                  { h.claims = append(h.claims, c) }
+func (h *harness) Leave()                                 { h.left = true }
+func (h *harness) Ready(ready bool)                       { h.ready = ready }
+func (h *harness) Finish()                                { h.finished = true }
+func (h *harness) Log(LogEvent)                           {}
+func (h *harness) AskConfiguration(a session.PeerAddress) { h.asked = append(h.asked, string(a)) }
+func (h *harness) GiveConfiguration(any, *Configuration)  {}
+func (h *harness) AskMember(node string, _ session.PeerAddress, _ core.MemberID) {
+	h.asked = append(h.asked, node)
+}
+
+func load(t *testing.T, name string) *chart.Definition {
+	d, err := charts.Load(name)
+	require.NoError(t, err)
+	return d
+}
+
+// newHarness gives a serving instance "self" among "a" and "b", before one group
+// with the primary p and the replicas r1 and r2.
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, now: start, revision: 100}
+	config := Config{
+		Self:       Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
+		RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20,
+		Bounds: Bounds{
+			BalancerNotice: 2 * time.Second, Drain: 2 * time.Second, TargetDrain: 5 * time.Second,
+			ReturnWait: 3 * time.Second, PromotionCall: 2 * time.Second, PromotionRetry: 500 * time.Millisecond,
+			Takeover: 3 * time.Second,
+		},
+	}
+	e, err := New(config, Charts{Instance: load(t, "hosted_instance"), Succession: load(t, "succession")}, h)
+	require.NoError(t, err)
+	h.e = e
+	h.do(StoreSeen{Snapshot: &Snapshot{
+		Configuration: configuration(1),
+		Members:       []Announcement{h.announce("p", core.RolePrimary), h.announce("r1", core.RoleReplica), h.announce("r2", core.RoleReplica)},
+		Instances: []Instance{
+			{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"}, {Node: "a", ID: "a-1", Peer: "10.0.0.2:1"}, {Node: "b", ID: "b-1", Peer: "10.0.0.3:1"},
+		},
+	}})
+	return h
+}
+
+func configuration(version uint64) *Configuration {
+	return &Configuration{
+		Version:  version,
+		Accounts: []catalogue.Account{{Name: "acct", Rate: 100, Burst: 100}},
+		Groups:   []Group{{Name: "g", MemberConnections: 34}},
+	}
+}
+
+func (h *harness) announce(id core.MemberID, role core.Role) Announcement {
+	h.revision++
+	return Announcement{Member: id, Group: "g", Address: string(id) + ":1", Slots: 2, Role: role, Revision: h.revision}
+}
+
+func (h *harness) do(in Input) { h.e.Handle(h.now, in) }
+
+func (h *harness) wait(d time.Duration) {
+	end := h.now.Add(d)
+	for {
+		at, armed := h.e.NextDeadline()
+		if !armed || at.After(end) {
+			break
+		}
+		h.now = later(h.now, at)
+		h.e.Tick(h.now)
+	}
+	h.now = end
+	h.e.Tick(h.now)
+}
+
+func (h *harness) member(a Announcement) {
+	h.do(StoreChanged{Changes: []Change{{Member: &a}}, Since: h.now})
+}
+
+func (h *harness) view() session.GroupView {
+	for i := len(h.sessions) - 1; i >= 0; i-- {
+		if v, ok := h.sessions[i].(session.GroupView); ok {
+			return v
+		}
+	}
+	require.Fail(h.t, "no view was published")
+	return session.GroupView{}
+}
+
+func (h *harness) usable(id core.MemberID) bool {
+	for _, m := range h.view().Members {
+		if m.Status.Member == id {
+			return m.Reachable
+		}
+	}
+	return false
+}
+
+func (h *harness) share() session.ShareInForce {
+	for i := len(h.sessions) - 1; i >= 0; i-- {
+		if s, ok := h.sessions[i].(session.ShareInForce); ok {
+			return s
+		}
+	}
+	require.Fail(h.t, "no share was published")
+	return session.ShareInForce{}
+}
+
+func (h *harness) lastJob() Job {
+	require.NotEmpty(h.t, h.jobs)
+	return h.jobs[len(h.jobs)-1]
+}
+
+// Guards against a configuration that goes back, by any way.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	h := newHarness(t)
+	h.do(StoreChanged{Changes: []Change{{Configuration: configuration(9)}}})
+	h.do(StoreChanged{Changes: []Change{{Configuration: configuration(4)}}})
+	h.do(ConfigurationGiven{Configuration: configuration(8)})
+	h.do(StoreSeen{Snapshot: &Snapshot{Configuration: configuration(7)}})
+	require.EqualValues(t, 9, h.e.configuration.Version)
+	h.do(ConfigurationGiven{Configuration: configuration(12)})
+	require.EqualValues(t, 12, h.e.configuration.Version)
+	h.do(FromSession{Report: session.NewerVersion{Address: "x:1", Version: 12}})
+	require.Empty(t, h.asked)
+	h.do(FromSession{Report: session.NewerVersion{Address: "x:1", Version: 13}})
+	require.Equal(t, []string{"x:1"}, h.asked)
+}
+
+// Guards against work for a member beyond its bound when the news of its
+// draining came late (rnac-pool scale-1, DRAIN).
+func TestDrainingCountsFromTheLastNews(t *testing.T) {
+	h := newHarness(t)
+	last := h.now
+	h.now = h.now.Add(2 * time.Second)
+	p := h.announce("p", core.RolePrimary)
+	p.Draining = true
+	h.do(StoreChanged{Changes: []Change{{Member: &p}}, Since: last})
+	require.True(t, h.usable("p"), "nobody else takes writes yet")
+	h.wait(2900 * time.Millisecond)
+	require.True(t, h.usable("p"))
+	h.wait(200 * time.Millisecond)
+	require.False(t, h.usable("p"), "five seconds after the last news")
+	r := h.announce("r1", core.RoleReplica)
+	r.Draining = true
+	h.member(r)
+	require.False(t, h.usable("r1"), "others serve reads")
+}
+
+// Guards against members that are dropped because their entries ended while the
+// store was away, and against gone ones that are kept.
+func TestMembersMayReturnAfterAnOutage(t *testing.T) {
+	h := newHarness(t)
+	h.do(StoreLost{Reason: "test"})
+	h.wait(5 * time.Second)
+	h.do(StoreSeen{Snapshot: &Snapshot{Configuration: configuration(1)}})
+	require.True(t, h.usable("r1"))
+	h.wait(2 * time.Second)
+	h.member(h.announce("r1", core.RoleReplica))
+	h.wait(2 * time.Second)
+	require.True(t, h.usable("r1"))
+	require.False(t, h.usable("r2"), "it did not announce itself within three seconds")
+}
+
+// Guards against two instances that promote at a time, a promotion without a
+// claim, a replica that lacks what another has, and a token that is used again
+// after it was refused.
+func TestSuccession(t *testing.T) {
+	h := newHarness(t)
+	h.wait(4 * time.Second)
+	h.do(StoreChanged{Changes: []Change{{GoneMember: "p"}}, Since: h.now})
+	h.wait(2 * time.Second)
+	require.Equal(t, JobClaim, h.lastJob().Kind)
+	h.do(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "other"}})
+	jobs := len(h.jobs)
+	h.wait(100 * time.Millisecond)
+	require.Len(t, h.jobs, jobs, "another instance holds the claim")
+	h.wait(time.Second)
+	require.Equal(t, JobClaim, h.lastJob().Kind)
+	h.do(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	survey := h.lastJob()
+	require.Equal(t, JobSurvey, survey.Kind)
+	require.Len(t, survey.Targets, 2)
+	h.do(JobDone{Job: survey, States: []MemberState{
+		{Member: "r1", Role: core.RoleReplica, Term: 1, Received: core.Position{Term: 1, LSN: 10}},
+		{Member: "r2", Role: core.RoleReplica, Term: 1, Received: core.Position{Term: 1, LSN: 12}},
+	}})
+	order := h.lastJob()
+	require.Equal(t, JobPromote, order.Kind)
+	require.Equal(t, core.MemberID("r2"), order.Targets[0].Member)
+	require.EqualValues(t, 5, order.Claim.Token)
+	h.do(JobDone{Job: order, Err: eris.Wrap(ErrFenced, "test")})
+	h.wait(600 * time.Millisecond)
+	require.Equal(t, JobClaim, h.lastJob().Kind, "a refused order needs a new claim")
+	h.member(h.announce("r2", core.RolePrimary))
+	jobs = len(h.jobs)
+	h.wait(10 * time.Second)
+	require.Len(t, h.jobs, jobs, "the group has a primary")
+}
+
+// Guards against acknowledged writes that are lost in a planned change: the old
+// primary steps down after the order, while the new one still receives.
+func TestPlannedSuccession(t *testing.T) {
+	h := newHarness(t)
+	p := h.announce("p", core.RolePrimary)
+	p.Draining = true
+	h.member(p)
+	h.wait(2 * time.Second)
+	h.do(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	h.do(JobDone{Job: h.lastJob(), States: []MemberState{{Member: "r1", Term: 3, Received: core.Position{Term: 3, LSN: 10}}}})
+	h.do(JobDone{Job: h.lastJob()})
+	down := h.lastJob()
+	require.Equal(t, JobStepDown, down.Kind)
+	require.Equal(t, core.MemberID("p"), down.Targets[0].Member)
+	require.EqualValues(t, 4, down.Term)
+}
+
+// Guards against the loss of a commit that only a silent replica holds.
+func TestSurveyWithSynchronousReplicas(t *testing.T) {
+	h := newHarness(t)
+	c := configuration(2)
+	c.Groups[0].SyncReplicas = 1
+	h.do(StoreChanged{Changes: []Change{{Configuration: c}}})
+	h.wait(4 * time.Second)
+	h.do(StoreChanged{Changes: []Change{{GoneMember: "p"}}, Since: h.now})
+	h.wait(2 * time.Second)
+	h.do(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	survey := h.lastJob()
+	require.Equal(t, JobSurvey, survey.Kind)
+	require.NotZero(t, survey.Term, "the replicas stop receiving first")
+	one := []MemberState{{Member: "r1", Term: 0, Received: core.Position{Term: 1, LSN: 10}}}
+	h.do(JobDone{Job: survey, States: one, Err: eris.Wrap(ErrSilent, "test")})
+	for _, j := range h.jobs {
+		require.NotEqual(t, JobPromote, j.Kind, "the silent replica may hold more")
+	}
+}
+
+// Guards against a healthy primary that is replaced because one instance does
+// not reach it, and against a dead one that is kept.
+func TestSilentPrimary(t *testing.T) {
+	silent := func(h *harness) {
+		h.do(FromSession{Report: session.SuspectMember{Database: "g", Member: "p"}})
+		require.Equal(t, JobExamine, h.lastJob().Kind)
+		h.do(JobDone{Job: h.lastJob(), Err: eris.Wrap(ErrSilent, "test")})
+		require.ElementsMatch(t, []string{"a", "b"}, h.asked)
+	}
+	h := newHarness(t)
+	silent(h)
+	h.do(MemberOpinion{Member: "p", Node: "a", Known: true, Ago: 10 * time.Millisecond})
+	h.do(MemberOpinion{Member: "p", Node: "b", Known: true, Silence: time.Second, Ago: time.Second})
+	h.wait(opinionWait)
+	require.True(t, h.usable("p"), "another instance hears it")
+	h = newHarness(t)
+	silent(h)
+	h.wait(opinionWait)
+	require.True(t, h.usable("p"), "nobody else has said anything")
+	h = newHarness(t)
+	silent(h)
+	h.do(MemberOpinion{Member: "p", Node: "a", Known: true, Silence: time.Second, Ago: time.Second})
+	h.wait(opinionWait)
+	require.False(t, h.usable("p"))
+	h = newHarness(t)
+	h.do(FromSession{Report: session.SuspectMember{Database: "g", Member: "p"}})
+	h.do(JobDone{Job: h.lastJob(), Err: eris.Wrap(ErrRefusedConnection, "test")})
+	require.False(t, h.usable("p"), "no process listens there")
+}
+
+// Guards against an account without a home, with two, or with one that acts on
+// a lease which may have ended.
+func TestHomes(t *testing.T) {
+	h := newHarness(t)
+	h.do(LeaseHeld{Until: h.now.Add(10 * time.Second)})
+	h.wait(5 * time.Second)
+	require.NotEmpty(t, h.claims, "an account without a home is claimed at last")
+	require.Zero(t, h.claims[0].Replaces)
+	own := &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 200}
+	h.do(StoreChanged{Changes: []Change{{Home: own}}})
+	h.do(LeaseHeld{Until: h.now.Add(10 * time.Second)})
+	require.Equal(t, 100.0, h.share().Accounts["acct"].Rate)
+	require.Equal(t, h.now.Add(10*time.Second), h.share().Accounts["acct"].Until)
+	claims := len(h.claims)
+	h.wait(9 * time.Second)
+	require.Len(t, h.claims, claims)
+	h.wait(2 * time.Second)
+	h.do(LeaseHeld{})
+	require.Less(t, h.share().Accounts["acct"].Rate, 50.0, "the lease has ended")
+	other := &Home{Account: "acct", Node: "a", Instance: "a-1", Revision: 300}
+	h.do(StoreChanged{Changes: []Change{{Home: other}}})
+	h.wait(10 * time.Second)
+	require.Len(t, h.claims, claims, "another instance holds the account")
+	h.do(FromSession{Report: session.PeerRefused{Address: "10.0.0.2:1"}})
+	h.wait(3 * time.Second)
+	require.Greater(t, len(h.claims), claims, "the holder is proved dead")
+	require.EqualValues(t, 300, h.claims[claims].Replaces)
+}
+
+// Guards against an account that stays at an instance which most callers do not
+// reach.
+func TestIsolatedHomeGivesWay(t *testing.T) {
+	h := newHarness(t)
+	h.do(LeaseHeld{Until: h.now.Add(time.Hour)})
+	h.do(StoreChanged{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 200}}}})
+	h.do(FromSession{Report: session.Demand{Isolated: []core.AccountName{"acct"}}})
+	require.Equal(t, HomeClaim{Account: "acct", Replaces: 200, Release: true}, h.claims[len(h.claims)-1])
+	claims := len(h.claims)
+	h.do(StoreChanged{Changes: []Change{{GoneHome: "acct"}}})
+	h.wait(3 * time.Second)
+	require.Len(t, h.claims, claims, "it lets others claim first")
+}
+
+// Guards against a fleet that together spends more than what is tolerated.
+func TestShares(t *testing.T) {
+	h := newHarness(t)
+	away := h.share().Accounts["acct"]
+	h.do(LeaseHeld{Until: h.now.Add(time.Hour)})
+	h.do(StoreChanged{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 200}}}})
+	home := h.share().Accounts["acct"]
+	const window, instances = 5.0, 3.0
+	most := home.Rate*window + home.Burst + instances*(away.Rate*window+away.Burst)
+	tolerated := (100*window+100)*1.1 + 20
+	require.LessOrEqual(t, most, tolerated)
+	require.Equal(t, 100.0, home.Rate)
+}
+
+// Guards against a stop that cuts off callers before the balancer has noticed,
+// that keeps accounts, or that never ends.
+func TestPlannedStop(t *testing.T) {
+	h := newHarness(t)
+	require.True(t, h.ready)
+	h.do(StopRequested{})
+	require.False(t, h.ready)
+	require.True(t, h.left)
+	h.wait(1900 * time.Millisecond)
+	require.NotContains(t, h.sessions, session.Drain{})
+	h.wait(200 * time.Millisecond)
+	require.Contains(t, h.sessions, session.Drain{})
+	require.False(t, h.finished)
+	h.wait(2 * time.Second)
+	require.True(t, h.finished, "the bound of the stop has passed")
+}
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -247,16 +247,30 @@
 	}
 	for _, account := range d.Isolated {
 		h.barredUntil = e.now.Add(homeBar)
-		s := h.records[account]
-		if s == nil || s.record == nil || e.storeLost {
-			continue
+		h.release(account, "the instances of most callers are silent")
+	}
+}
+
+// giveWay releases every home of this instance, for one that reaches more.
+func (h *homes) giveWay(reason string) {
+	h.barredUntil = h.e.now.Add(homeBar)
+	for account := range h.records {
+		if h.here(account) {
+			h.release(account, reason)
 		}
-		e.out.Log(LogEvent{Warning: true, Event: "home_released", Message: "the instances of most callers are silent",
-			Fields: map[string]any{"account": account}})
-		e.out.ClaimHome(HomeClaim{Account: account, Replaces: s.record.Revision, Release: true})
 	}
 }
 
+func (h *homes) release(account core.AccountName, reason string) {
+	e := h.e
+	s := h.records[account]
+	if s == nil || s.record == nil || e.storeLost {
+		return
+	}
+	e.out.Log(LogEvent{Warning: true, Event: "home_released", Message: reason, Fields: map[string]any{"account": account}})
+	e.out.ClaimHome(HomeClaim{Account: account, Replaces: s.record.Revision, Release: true})
+}
+
 // publish tells session where the accounts are at home.
 func (h *homes) publish() {
 	e := h.e
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -350,29 +350,3 @@
 		"takeover_ms": e.now.Sub(s.orderedAt).Milliseconds(),
 	}})
 }
-
-// suspect examines a primary that a session could not reach.
-func (e *Engine) suspect(id core.MemberID) {
-	m := e.members[id]
-	if m == nil || m.dead || m.examining || m.Role != core.RolePrimary {
-		return
-	}
-	m.examining = e.out.Work(Job{Kind: JobExamine, Group: m.Group, Targets: []Target{m.target()}})
-}
-
-// examined takes a primary whose host refuses connections for dead. One that is
-// only silent may be cut off from this instance alone.
-func (e *Engine) examined(d *JobDone) {
-	m := e.members[d.Job.Targets[0].Member]
-	if m == nil {
-		return
-	}
-	m.examining = false
-	if !eris.Is(d.Err, ErrRefusedConnection) {
-		return
-	}
-	m.dead = true
-	e.out.Log(LogEvent{Warning: true, Event: "primary_dead", Message: "the primary's host refuses connections",
-		Fields: map[string]any{"member": m.Member, "group": m.Group}})
-	e.publish()
-}
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -355,6 +355,13 @@
 	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCall})
 }
 
+func (o *hostedFleet) AskMember(node string, address session.PeerAddress, member core.MemberID) {
+	o.hosted.rpc.Send(rpc.Call{
+		Tag: opinionTag{member: member, node: node}, Address: string(address),
+		Method: relay.MethodMember, Params: relay.MemberQuestion{Member: member}, Timeout: shortCall,
+	})
+}
+
 func (o *hostedFleet) GiveConfiguration(reply any, c *fleet.Configuration) {
 	if to, ok := reply.(replyTo); ok {
 		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: c})
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -22,8 +23,12 @@
 		address session.PeerAddress
 	}
 	configurationTag struct{}
-	pingTag          struct{ address session.PeerAddress }
-	leaveTag         struct{}
+	opinionTag       struct {
+		member core.MemberID
+		node   string
+	}
+	pingTag  struct{ address session.PeerAddress }
+	leaveTag struct{}
 )
 
 const (
@@ -48,6 +53,12 @@
 	case session.PeerProbe:
 		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing,
 			Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall})
+	case session.MemberHeard:
+		if to, ok := m.Reply.(replyTo); ok {
+			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.MemberAnswer{
+				Known: m.Known, SilenceMillis: m.Silence.Milliseconds(), AgoMillis: m.Ago.Milliseconds(),
+			}})
+		}
 	case session.VisitAnswer:
 		if to, ok := m.Reply.(replyTo); ok {
 			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.NewAnswer(m)})
@@ -70,6 +81,8 @@
 		switch tag := e.Tag.(type) {
 		case visitTag:
 			return visitResult(tag, e)
+		case opinionTag:
+			h.takeMemberAnswer(tag, e)
 		case configurationTag:
 			h.takeConfiguration(e)
 		case pingTag:
@@ -90,6 +103,12 @@
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.FrontAlive{Instance: ping.Instance}
+	case relay.MethodMember:
+		var question relay.MemberQuestion
+		if !h.decodePeer(r, &question) {
+			return nil
+		}
+		return session.MemberAsked{Reply: replyTo{conn: r.Conn, id: r.ID}, Member: question.Member}
 	case relay.MethodConfiguration:
 		if !h.fleets.input.TryPush(fleet.ConfigurationAsked{Reply: replyTo{conn: r.Conn, id: r.ID}}) {
 			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
@@ -113,6 +132,19 @@
 	return nil
 }
 
+// takeMemberAnswer hands what another instance has heard of a member to the
+// fleet duty. One that does not answer says nothing.
+func (h *Hosted) takeMemberAnswer(tag opinionTag, r rpc.Result) {
+	var a relay.MemberAnswer
+	if r.Err != nil || json.Unmarshal(r.Raw, &a) != nil {
+		return
+	}
+	h.fleets.input.TryPush(fleet.MemberOpinion{
+		Member: tag.member, Node: tag.node, Known: a.Known,
+		Silence: time.Duration(a.SilenceMillis) * time.Millisecond, Ago: time.Duration(a.AgoMillis) * time.Millisecond,
+	})
+}
+
 // takeConfiguration hands another instance's configuration to the fleet duty. A
 // full ring drops it; it is asked for again.
 func (h *Hosted) takeConfiguration(r rpc.Result) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,9 @@
 	// MethodConfiguration asks for the configuration in force: {} ->
 	// fleet.Configuration.
 	MethodConfiguration = "configuration"
+	// MethodMember asks what the instance has heard of a member: MemberQuestion ->
+	// MemberAnswer.
+	MethodMember = "member"
 	// MethodPing asks for a sign of life: Ping -> {}.
 	MethodPing = "ping"
 )
@@ -38,6 +41,8 @@
 	Sequence    uint64 `json:"sequence"`
 	Begins      bool   `json:"begins"`
 	Transaction uint64 `json:"transaction"`
+	Opens       bool   `json:"opens,omitempty"`
+	ReadOnly    bool   `json:"read_only,omitempty"`
 	// ElapsedMicros is the time since the request arrived at the sender.
 	ElapsedMicros int64                       `json:"elapsed_us"`
 	Verdict       session.Verdict             `json:"verdict"`
@@ -59,6 +64,19 @@
 	Closing    bool          `json:"closing,omitempty"`
 }
 
+// MemberQuestion names a member.
+type MemberQuestion struct {
+	Member core.MemberID `json:"member"`
+}
+
+// MemberAnswer is what an instance has heard of a member, as in
+// session.MemberHeard.
+type MemberAnswer struct {
+	Known         bool  `json:"known"`
+	SilenceMillis int64 `json:"silence_ms"`
+	AgoMillis     int64 `json:"ago_ms"`
+}
+
 // Ping tells that its sender lives.
 type Ping struct {
 	Instance core.InstanceID `json:"instance"`
@@ -75,7 +93,7 @@
 	p := v.Request.Payload
 	return Visit{
 		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
-		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
+		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction, Opens: v.Opens, ReadOnly: v.ReadOnly, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
 		Verdict: *v.Request.Verdict, ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
 }
@@ -85,6 +103,7 @@
 	return session.VisitorRequest{
 		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
 		From:    v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction,
+		Opens: v.Opens, ReadOnly: v.ReadOnly,
 		Request: &session.Request{
 			Simple: true, Verdict: &v.Verdict,
 			Payload: &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -144,7 +144,7 @@
 	if !c.e.cfg.RatePerOperation {
 		return false
 	}
-	return c.inTransaction() || r.Verdict != nil && r.Verdict.Kind == KindEnd
+	return c.inTransaction() || r.Verdict != nil && r.Verdict.Kind == KindEnd && c.stmt.opens == nil
 }
 
 // countDemand counts a new request for the demand report.
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -68,6 +68,7 @@
 	h.open(1, core.Position{})
 	h.open(2, core.Position{})
 	h.order(1, "begin", begin)
+	h.order(1, "read", read)
 	pinned := h.sent().Target
 	h.answer(pinned, 'T', term(1, 100))
 	h.order(2, "write", write)
@@ -156,6 +157,7 @@
 	h := newAsyncHarness(t)
 	h.open(1, core.Position{})
 	h.order(1, "begin", begin)
+	h.order(1, "read", read)
 	target := h.sent().Target
 	h.answer(target, 'T', term(1, 100))
 	h.order(1, "read", read)
@@ -205,6 +207,7 @@
 	h := newAsyncHarness(t)
 	h.open(1, core.Position{})
 	h.order(1, "begin", begin)
+	h.order(1, "read", read)
 	target := h.sent().Target
 	h.answer(target, 'T', term(1, 100))
 	h.do(TargetClosed{Target: target, Unsent: true})
@@ -224,3 +227,53 @@
 	require.IsType(t, CallerWrite{}, h.callers[1])
 	h.closedWith(core.StateKeyRevoked, core.OutcomeNotRun)
 }
+
+// Guards against a connection that is held while its caller has not asked for
+// anything, and against a first statement that runs outside its transaction.
+func TestTransactionBeginsWithItsFirstStatement(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	require.EqualValues(t, 'T', h.last().(CallerReply).TxStatus)
+	require.Zero(t, h.countSent())
+	h.order(1, "write", write)
+	first := h.sent()
+	require.True(t, first.Begin)
+	h.deny(first.Target, DenialNotPrimary)
+	h.announce(2, "m1")
+	h.connect()
+	again := h.sent()
+	require.Equal(t, core.MemberID("m1"), h.memberOf(again.Target))
+	require.True(t, again.Begin, "the transaction begins again")
+	h.answer(again.Target, 'T', term(2, 100))
+	h.order(1, "write", write)
+	require.False(t, h.sent().Begin)
+	require.Equal(t, again.Target, h.sent().Target)
+}
+
+// Guards against a transaction without statements that needs a member to be
+// rolled back, or is told as committed without one.
+func TestTransactionWithoutStatements(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	h.order(1, "rollback", Verdict{Kind: KindEnd, Name: "rollback"})
+	require.EqualValues(t, TxIdle, h.last().(CallerReply).TxStatus)
+	require.Zero(t, h.countSent())
+	h.order(1, "begin", begin)
+	h.order(1, "commit", commit)
+	require.True(t, h.sent().Begin)
+}
+
+// Guards against a stop that cuts off a caller whose transaction was answered as
+// begun.
+func TestDrainWaitsForABegunTransaction(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	h.do(Drain{})
+	require.IsType(t, CallerReply{}, h.last())
+	h.order(1, "write", write)
+	h.answer(h.sent().Target, TxIdle, term(1, 100))
+	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+}
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -45,8 +45,11 @@
 	// Version is the configuration with which the request was accepted.
 	Version uint64
 	// Begins is set for a request outside a transaction; Transaction is otherwise
-	// the sequence of the request that began it.
+	// the sequence of the request that began it. Opens and ReadOnly are set for
+	// the first request of a transaction.
 	Begins      bool
+	Opens       bool
+	ReadOnly    bool
 	Transaction uint64
 	// Within is how long the request may still take.
 	Within  time.Duration
@@ -232,7 +235,7 @@
 	if c.inTransaction() {
 		return c.away != nil
 	}
-	if r.Verdict.Kind == KindEnd {
+	if r.Verdict.Kind == KindEnd && c.stmt.opens == nil {
 		return false
 	}
 	home, known := c.e.homes[c.account.name]
@@ -261,7 +264,7 @@
 	visit := Visit{
 		ID: VisitID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
 		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
-		Begins: !c.inTransaction(), Transaction: c.awayBegan, Within: s.deadline.Sub(e.now), Request: s.request,
+		Begins: !c.inTransaction(), Opens: s.opens != nil, ReadOnly: s.opens != nil && s.opens.readOnly, Transaction: c.awayBegan, Within: s.deadline.Sub(e.now), Request: s.request,
 	}
 	s.deadline = s.deadline.Add(visitMargin)
 	s.arm()
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -46,6 +46,8 @@
 	target   *target
 	txStatus byte
 	blocked  bool
+	// begun is the transaction that no member has yet.
+	begun *opening
 	// away is the home that runs the statement or the open transaction; nil if
 	// this instance does.
 	away *homePeer
@@ -71,6 +73,7 @@
 			"in_transaction":      (*caller).inTransaction,
 			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.away == nil },
 			"transaction_expired": (*caller).transactionExpired,
+			"begun":               func(c *caller) bool { return c.begun != nil },
 			"key_lost":            func(c *caller) bool { return c.keyLost },
 			"must_end":            func(c *caller) bool { return c.ending != nil },
 		},
@@ -155,6 +158,7 @@
 // endTransaction forgets the open transaction without its settings.
 func (c *caller) endTransaction() {
 	c.txStatus = txIdle
+	c.begun = nil
 	c.txSettings = settings{}
 }
 
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -180,6 +180,8 @@
 		e.visitLost(in)
 	case PeerAlive:
 		e.peerAlive(in.Address)
+	case MemberAsked:
+		e.memberAsked(in)
 	case FrontAlive:
 		e.frontAlive(in.Instance)
 	case VisitorGone:
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -22,6 +22,8 @@
 	classify []ClassifyRequest
 	spans    []Span
 	peers    []PeerCommand
+	// opens makes the requests of visitors the first of a transaction.
+	opens bool
 	// full makes the callerio ring refuse commands.
 	full bool
 }
--- /dev/null
+++ b/pkg/session/lazybegin.go
@@ -0,0 +1,58 @@
+package session
+
+// With AsyncReplication the beginning of a transaction is answered here, and the
+// member gets it together with the first statement. That spares a round trip to
+// the member and keeps the connection free while the caller pauses.
+
+// opening is the beginning of a transaction that no member has yet.
+type opening struct {
+	// readOnly is set for a transaction that a replica may run.
+	readOnly bool
+}
+
+// begins answers the beginning of a transaction and reports that it did.
+func (c *caller) begins(r *Request) bool {
+	if !c.e.cfg.AsyncReplication || r.Verdict == nil || r.Verdict.Kind != KindBegin {
+		return false
+	}
+	if c.inTransaction() || c.begun != nil {
+		return false
+	}
+	c.begun = &opening{readOnly: r.Verdict.ReadOnly}
+	c.stmt.verdict = *r.Verdict
+	c.stmt.fire(c.e.charts.stmt.answeredHere)
+	return true
+}
+
+// answerBegun tells the caller that its transaction is open.
+func (s *statement) answerBegun() {
+	s.outcome = "answered by the proxy"
+	s.c.e.toCaller(s.c.id, CallerReply{Caller: s.c.id, Tag: "BEGIN", TxStatus: txOpen})
+}
+
+// ends answers the end of a transaction that no member has, and reports that it
+// did. A commit goes to a member all the same, because only a member's answer
+// says that it succeeded.
+func (c *caller) ends(r *Request) bool {
+	if c.begun == nil || r.Verdict == nil || r.Verdict.Kind != KindEnd || r.Verdict.Commit {
+		return false
+	}
+	c.begun = nil
+	c.stmt.verdict = *r.Verdict
+	c.stmt.fire(c.e.charts.stmt.answeredHere)
+	return true
+}
+
+// open makes the statement the first of the caller's transaction, if it is.
+func (s *statement) open() {
+	s.opens = s.c.begun
+	s.c.begun = nil
+}
+
+func (s *statement) answerHereNow() {
+	if s.verdict.Kind == KindBegin {
+		s.answerBegun()
+		return
+	}
+	s.answerHere()
+}
--- a/pkg/session/leader.go
+++ b/pkg/session/leader.go
@@ -121,7 +121,7 @@
 // checks returns what the member has to verify before it runs the statement.
 // Writes and transactions that may write are verified by every member.
 func (s *statement) checks() (least core.Position, leaderOnly bool) {
-	if !s.c.e.cfg.AsyncReplication || s.c.inTransaction() || !s.mayUseReplica() || s.readsNoData() {
+	if !s.c.e.cfg.AsyncReplication || s.c.inTransaction() || !s.mayUseReplica() || s.readsNoData() && s.opens == nil {
 		return core.Position{}, false
 	}
 	need, known := s.neededPosition()
@@ -164,7 +164,8 @@
 // old, so that replicas can go on serving reads.
 func (db *database) probePrimary() {
 	e := db.e
-	e.timers.Arm(&db.probe.item, e.now.Add(e.cfg.Bounds.ProbeEvery))
+	e.timers.Arm(&db.probe.item, e.now.Add(e.cfg.Bounds.ProbeEvery/2))
+	db.checkSilence()
 	newest, known := db.log.Newest()
 	if known && e.now.Sub(newest) < e.cfg.Bounds.ProbeEvery || db.primary == nil {
 		return
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -48,6 +48,10 @@
 	laggingUntil  time.Time
 	busyUntil     time.Time
 	fullUntil     time.Time
+	// heardAt is the last answer of the member; owesSince is the oldest request
+	// since then that it has not answered, zero if there is none.
+	heardAt   time.Time
+	owesSince time.Time
 	// servesAsPrimary is set while the newest view names the member primary.
 	servesAsPrimary bool
 }
@@ -80,6 +84,9 @@
 	if before == states.idle {
 		m.removeIdle(t)
 	}
+	if t.state == states.busy || t.state == states.probing || t.state == states.opening {
+		m.owe()
+	}
 	if t.state == states.idle {
 		t.idleIndex = len(m.idle)
 		t.idleSince = m.db.e.now
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -107,6 +107,10 @@
 	MinPosition core.Position
 	// LeaderOnly makes the member refuse the request unless it is the primary.
 	LeaderOnly bool
+	// Begin opens a transaction first, which ReadOnly declares to read only. If
+	// the member denies that, the request does not run.
+	Begin    bool
+	ReadOnly bool
 }
 
 // TargetProbe asks an idle connection for proof that its member is the primary.
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -186,6 +186,7 @@
 	m.connections++
 	db.connections++
 	m.counts[t.state]++
+	m.owe()
 	t.arm()
 	e.box.target(TargetOpen{Target: t.id, Database: db.name, Member: m.id, Address: m.address, Account: account})
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -65,6 +65,9 @@
 	readyAt    time.Time
 	readyTerm  core.Term
 	outcome    string
+	// opens is set for the first statement of a transaction, with which the member
+	// gets the beginning of it.
+	opens *opening
 	// visitAnswer is the home's answer.
 	visitAnswer VisitAnswer
 	// refusal is the proxy's own answer, nil if there was none.
@@ -99,6 +102,7 @@
 	s.sent, s.unsent, s.repeats, s.mayHaveRun = false, false, 0, false
 	s.chunk, s.held = nil, nil
 	s.denial = DenialNone
+	s.opens = nil
 	s.inside = s.c.inTransaction()
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
@@ -243,6 +247,7 @@
 		"count_repeat":       (*statement).countRepeat,
 		"forget_attempt":     (*statement).forgetAttempt,
 		"answer_own":         (*statement).answerOwn,
+		"answer_at_once":     (*statement).answerHereNow,
 		"answer_here":        (*statement).answerHere,
 		"answer_rolled_back": (*statement).answerRolledBack,
 		"answer_uncertain":   (*statement).answerUncertain,
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -12,6 +12,10 @@
 	s := &c.stmt
 	s.start(c.incoming)
 	c.incoming = nil
+	if c.begins(s.request) || c.ends(s.request) {
+		return
+	}
+	s.open()
 	if c.goesHome(s.request) {
 		s.verdict = *s.request.Verdict
 		s.fire(c.e.charts.stmt.sentHome)
@@ -118,6 +122,8 @@
 		NotAfter:    s.deadline,
 		MinPosition: least,
 		LeaderOnly:  leaderOnly,
+		Begin:       s.opens != nil,
+		ReadOnly:    s.opens != nil && s.opens.readOnly,
 	})
 	if c.blocked {
 		t.follow(true)
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -33,7 +33,7 @@
 // DISCARD ALL, which need no target.
 func (s *statement) isAnsweredHere() bool {
 	if s.verdict.Kind == KindEnd {
-		return s.verdict.Name != ""
+		return s.verdict.Name != "" && s.opens == nil
 	}
 	return s.verdict.Kind == KindSessionSet && s.verdict.Name == discardAll
 }
@@ -66,6 +66,9 @@
 
 // mayUseReplica reports reads outside a transaction and read-only transactions.
 func (s *statement) mayUseReplica() bool {
+	if s.opens != nil {
+		return s.opens.readOnly
+	}
 	if s.verdict.Kind == KindBegin {
 		return s.verdict.ReadOnly || s.c.entry.definition.ReadOnly
 	}
@@ -74,6 +77,10 @@
 
 // isRead reports requests that change nothing, so that they may be repeated.
 func (s *statement) isRead() bool {
+	if s.opens != nil {
+		// Repeated, it would run in another transaction than the one it opened.
+		return false
+	}
 	return s.verdict.Kind == KindRead || s.readsNoData() || s.isStatusQuery()
 }
 
@@ -196,6 +203,9 @@
 	if s.verdict.Kind == KindBegin && !s.verdict.Commit && !s.unsent {
 		return true
 	}
+	if s.opens != nil {
+		return !s.unsent && !s.mayCommit()
+	}
 	if !s.c.inTransaction() {
 		return false
 	}
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -150,6 +150,7 @@
 
 func (e *Engine) targetOpened(in TargetOpened) {
 	if t, ok := e.targets[in.Target]; ok {
+		t.member.hear()
 		t.fire(e.charts.conn.opened)
 	}
 }
@@ -170,6 +171,7 @@
 	if !ok {
 		return
 	}
+	t.member.hear()
 	if t.state == e.states.probing {
 		t.probeAnswered(&in)
 		return
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -57,7 +57,9 @@
 // front is another instance whose callers' requests run here.
 type front struct {
 	heard time.Time
-	used  map[core.AccountName]*usage
+	// visited is its last request.
+	visited time.Time
+	used    map[core.AccountName]*usage
 }
 
 // frontSilence is how long an instance may give no sign of life before what it
@@ -91,6 +93,14 @@
 		f.used[c.account.name] = u
 	}
 	u.add(e.now)
+	f.visited = e.now
+}
+
+// silentFor reports an instance that has given no sign of life for the time,
+// other than one that has stopped probing because it has no requests.
+func (f *front) silentFor(bound time.Duration, now time.Time) bool {
+	idle := f.heard.Sub(f.visited) >= peerUse-2*peerProbeEvery
+	return !idle && now.Sub(f.heard) > bound
 }
 
 // setAside is the rate of the account that instances may be spending which give
@@ -99,7 +109,7 @@
 	e := a.e
 	sum := 0.0
 	for _, f := range e.fronts {
-		if u := f.used[a.name]; u != nil && e.now.Sub(f.heard) > frontSilence {
+		if u := f.used[a.name]; u != nil && f.silentFor(frontSilence, e.now) {
 			sum += u.rate(f.heard) * usageRoom
 		}
 	}
@@ -226,7 +236,7 @@
 			}
 			used := u.rate(f.heard)
 			all += used
-			if e.now.Sub(f.heard) > isolationBound {
+			if f.silentFor(isolationBound, e.now) {
 				silent += used
 			}
 		}
--- a/pkg/session/visitors.go
+++ b/pkg/session/visitors.go
@@ -33,7 +33,11 @@
 	// the sequence of the request that began it.
 	Begins      bool
 	Transaction uint64
-	Request     *Request
+	// Opens is set for the first request of a transaction, ReadOnly if that only
+	// reads.
+	Opens    bool
+	ReadOnly bool
+	Request  *Request
 }
 
 // VisitorGone reports that a visitor's session or transaction is over.
@@ -124,6 +128,9 @@
 	if in.Floor.After(c.floor) {
 		c.floor = in.Floor
 	}
+	if in.Opens {
+		c.begun = &opening{readOnly: in.ReadOnly}
+	}
 	c.incoming = in.Request
 	e.frontAlive(in.Visitor.Instance)
 	c.fire(e.charts.on.request)
