Do not take a full member for a silent one

New homes set aside for instances that had just started. Change: a refusal by the bound is an answer; instances that ran for less than a second have used nothing; a new home may admit 0.4 s of its rate at once; draining replicas serve until their bound.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -512,9 +512,8 @@
 	e.armSweep()
 }
 
-// usable reports whether new work may go to the member. A draining primary is
-// used until its bound, because nobody else takes writes; a draining replica is
-// left at once.
+// usable reports whether new work may go to the member. A draining one is used
+// until its bound: a group of three has no more capacity than its members.
 func (e *Engine) usable(m *member) bool {
 	if m.dead {
 		return false
@@ -522,7 +521,7 @@
 	if !m.Draining {
 		return true
 	}
-	return m.Role == core.RolePrimary && e.now.Before(e.unusableAt(m))
+	return e.now.Before(e.unusableAt(m))
 }
 
 // publish tells session what is in force.
--- a/pkg/fleet/orders.go
+++ b/pkg/fleet/orders.go
@@ -14,6 +14,8 @@
 	ErrRefusedConnection = eris.New("the member's host refused the connection")
 	// ErrSilent means that the member did not answer in time.
 	ErrSilent = eris.New("the member did not answer")
+	// ErrDenied means that the member answered, but did not carry the order out.
+	ErrDenied = eris.New("the member denied the order")
 	// ErrFenced means that the order was not carried out, because a newer claim
 	// was used or the member does not run.
 	ErrFenced = eris.New("the order was refused")
@@ -38,7 +40,7 @@
 // Orders reaches members and the platform's promotion. Each method makes one
 // attempt, bounded by ctx.
 type Orders interface {
-	// Status returns ErrRefusedConnection or ErrSilent, wrapped.
+	// Status returns ErrRefusedConnection, ErrSilent or ErrDenied, wrapped.
 	Status(ctx context.Context, t Target) (MemberState, error)
 	// Pause stops a replica from receiving in terms up to the given one.
 	Pause(ctx context.Context, t Target, term core.Term) (MemberState, error)
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -216,7 +216,6 @@
 		a.applyShare()
 		e.armAccount(a)
 	}
-	e.instances = in.Instances
 	e.forgetFronts(in.Instances)
 	for name, db := range e.databases {
 		db.setBound(in.Connections[name])
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -277,3 +277,18 @@
 	h.answer(h.sent().Target, TxIdle, term(1, 100))
 	h.closedWith(core.StateStopping, core.OutcomeNotRun)
 }
+
+// Guards against a member that is taken for silent although it refuses
+// connections because of its bound (vejtrae-pool trouble-1, after the power
+// returned: five homes gave way).
+func TestFullMemberIsNotSilent(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.do(CallerRequest{Caller: 1, Request: &Request{Verdict: &Verdict{Kind: KindWrite, Hints: Hints{MaxAge: -1}},
+		Payload: &Payload{}, Arrived: h.now}})
+	for range 10 {
+		h.do(TargetClosed{Target: h.e.lastTarget, Unsent: true, Refused: true, Full: true})
+		h.wait(100 * time.Millisecond)
+	}
+	require.NotContains(t, h.control, SuspectMember{Database: "db", Member: "m0"})
+}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -32,8 +32,9 @@
 	peers map[PeerAddress]*homePeer
 	// fronts are the instances whose callers' requests run here.
 	fronts map[core.InstanceID]*front
-	// instances are the registered runs of instances.
-	instances map[core.InstanceID]bool
+	// instances are the registered runs of instances, with the time at which each
+	// was first seen.
+	instances map[core.InstanceID]time.Time
 	// visitors are the callers of other instances, opening the one that is being
 	// admitted.
 	visitors     map[VisitorID]CallerID
@@ -108,6 +109,7 @@
 		targets:   map[TargetID]*target{},
 		peers:     map[PeerAddress]*homePeer{},
 		fronts:    map[core.InstanceID]*front{},
+		instances: map[core.InstanceID]time.Time{},
 		visitors:  map[VisitorID]CallerID{},
 		budget:    retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
 		policy:    newPolicy(&cfg),
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -242,6 +242,9 @@
 		return
 	}
 	t.full = in.Full
+	if in.Full {
+		t.member.hear()
+	}
 	if t.caller != nil {
 		t.caller.stmt.unsent = in.Unsent
 	}
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -125,8 +125,8 @@
 		return 0
 	}
 	unheard := 0
-	for id := range e.instances {
-		if e.fronts[id] == nil {
+	for id, since := range e.instances {
+		if e.fronts[id] == nil && a.homeSince.Sub(since) > leastHistory {
 			unheard++
 		}
 	}
@@ -138,6 +138,9 @@
 	// unheardBound is when an instance that has not been heard has lost its
 	// registration.
 	unheardBound = 12 * time.Second
+	// leastHistory is how long an instance must have run to have used anything
+	// that counts.
+	leastHistory = time.Second
 	// usualUse is the part of its rate that an account uses on an ordinary day.
 	usualUse = 0.5
 )
@@ -151,7 +154,7 @@
 }
 
 // firstTokens is the time for which a new home may admit at once, in seconds.
-const firstTokens = 0.2
+const firstTokens = 0.4
 
 // forgetFronts drops instances that are not registered any more. What they used
 // stays set aside until their registration has ended.
@@ -161,6 +164,16 @@
 			delete(e.fronts, id)
 		}
 	}
+	for id := range e.instances {
+		if !registered[id] {
+			delete(e.instances, id)
+		}
+	}
+	for id := range registered {
+		if _, known := e.instances[id]; !known {
+			e.instances[id] = e.now
+		}
+	}
 }
 
 // loseHome lets the account spend here what its callers used at the home.
