Leave a member that drained before the start; shorter visits

Change: such a member gets nothing. Visits have short names and no empty fields, the watch gathers changes that nobody waits for, idle databases are not probed.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -366,6 +366,14 @@
 	}
 }
 
+// isUrgent reports a change that requests may be waiting for.
+func (c *Change) isUrgent() bool {
+	if c.Member != nil {
+		return c.Member.Draining || c.Member.Role == core.RolePrimary
+	}
+	return c.Configuration != nil || c.GoneMember != ""
+}
+
 // concernsMembers reports a change of the configuration or of a member.
 func (c *Change) concernsMembers() bool {
 	return c.Configuration != nil || c.Member != nil || c.GoneMember != ""
@@ -433,10 +441,11 @@
 		return
 	}
 	if m.drainingSince.IsZero() {
-		m.drainingSince = e.now
-		if !e.since.IsZero() {
-			// The announcement may be as old as the last news before it.
-			m.drainingSince = e.since
+		// The announcement may be as old as the last news before it; at the start,
+		// when there was none, it may be of any age.
+		m.drainingSince = e.since
+		if e.since.IsZero() {
+			m.drainingSince = e.now.Add(-e.config.Bounds.TargetDrain)
 		}
 		e.armSweep()
 	}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -181,6 +181,16 @@
 	require.False(t, h.usable("r1"))
 }
 
+// Guards against work for a member that has been draining since before this
+// instance started (vejtrae-pool scale-1, DRAIN).
+func TestDrainingBeforeTheStartIsOfUnknownAge(t *testing.T) {
+	h := newHarness(t)
+	r := h.announce("r3", core.RoleReplica)
+	r.Draining = true
+	h.do(StoreSeen{Snapshot: &Snapshot{Configuration: configuration(1), Members: []Announcement{r}}})
+	require.False(t, h.usable("r3"))
+}
+
 // Guards against members that are dropped because their entries ended while the
 // store was away, and against gone ones that are kept.
 func TestMembersMayReturnAfterAnOutage(t *testing.T) {
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -30,8 +30,8 @@
 	Answer time.Duration
 	// Pause is the time between two attempts while the store fails.
 	Pause time.Duration
-	// Gather is the pause after changes that concern instances only, which come
-	// in numbers when many of them start.
+	// Gather is the pause after changes that nobody waits for, which come in
+	// numbers when instances and members start.
 	Gather time.Duration
 }
 
@@ -96,12 +96,21 @@
 			return w.ctx.Err()
 		}
 		w.current = asked
-		if len(changes) > 0 && !anyConcernsMembers(changes) {
+		if len(changes) > 0 && !anyUrgent(changes) {
 			w.pause(w.bounds.Gather)
 		}
 	}
 }
 
+func anyUrgent(changes []Change) bool {
+	for i := range changes {
+		if changes[i].isUrgent() {
+			return true
+		}
+	}
+	return false
+}
+
 func anyConcernsMembers(changes []Change) bool {
 	for i := range changes {
 		if changes[i].concernsMembers() {
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -126,7 +126,12 @@
 		if !h.decodePeer(r, &visit) {
 			return nil
 		}
-		return visit.Input(replyTo{conn: r.Conn, id: r.ID}, clock.Now())
+		in, err := visit.Input(replyTo{conn: r.Conn, id: r.ID}, clock.Now())
+		if err != nil {
+			h.refusePeer(r, err)
+			return nil
+		}
+		return in
 	}
 	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "unknown method " + r.Method}})
 	return nil
@@ -162,9 +167,13 @@
 	if err == nil {
 		return true
 	}
+	h.refusePeer(r, err)
+	return false
+}
+
+func (h *Hosted) refusePeer(r rpc.Request, err error) {
 	h.log(logrus.WarnLevel, "peer_request_invalid", err.Error(), telemetry.Fields{"method": r.Method})
 	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: err.Error()}})
-	return false
 }
 
 // visitResult decodes the answer to a visit, or tells what is known of one
@@ -172,11 +181,15 @@
 func visitResult(tag visitTag, r rpc.Result) session.Input {
 	lost := session.VisitLost{ID: tag.id, Address: tag.address}
 	if r.Err == nil {
-		var answer relay.Answer
-		if json.Unmarshal(r.Raw, &answer) != nil {
+		var encoded relay.Answer
+		if json.Unmarshal(r.Raw, &encoded) != nil {
+			return lost
+		}
+		answer, err := encoded.Decode()
+		if err != nil {
 			return lost
 		}
-		return session.VisitResult{ID: tag.id, Address: tag.address, Answer: answer.Decode()}
+		return session.VisitResult{ID: tag.id, Address: tag.address, Answer: answer}
 	}
 	lost.Refused = errors.As(r.Err, new(*rpc.RefusedError))
 	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.OverloadError)) || errors.As(r.Err, new(*rpc.EncodeError)) ||
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,43 +25,49 @@
 	MethodPing = "ping"
 )
 
-// Visit is a request of a caller of another instance.
+// Visit is a request of a caller of another instance. Names are short because
+// visits are most of the bytes between failure domains.
 type Visit struct {
-	// Instance is the run of the sender, Caller its caller.
-	Instance core.InstanceID `json:"instance"`
-	Caller   uint64          `json:"caller"`
-	// From is the sender's address.
-	From  session.PeerAddress `json:"from"`
-	Entry core.EntryName      `json:"entry"`
+	// Instance is the run of the sender, From its address, Caller its caller.
+	Instance core.InstanceID     `json:"i"`
+	From     session.PeerAddress `json:"f"`
+	Caller   uint64              `json:"c"`
+	Entry    core.EntryName      `json:"e"`
 	// Key identifies the caller's key; it is not the key.
-	Key     core.KeyID    `json:"key"`
-	Floor   core.Position `json:"floor"`
-	Version uint64        `json:"version"`
-	// Sequence, Begins and Transaction are those of session.VisitorRequest.
-	Sequence    uint64 `json:"sequence"`
-	Begins      bool   `json:"begins"`
-	Transaction uint64 `json:"transaction"`
-	Opens       bool   `json:"opens,omitempty"`
-	ReadOnly    bool   `json:"read_only,omitempty"`
+	Key core.KeyID `json:"k,omitempty"`
+	// Floor is a position as "term/lsn", empty for none.
+	Floor   string `json:"p,omitempty"`
+	Version uint64 `json:"v"`
+	// Sequence, Begins, Transaction, Opens and ReadOnly are those of
+	// session.VisitorRequest.
+	Sequence    uint64 `json:"s"`
+	Begins      bool   `json:"b,omitempty"`
+	Transaction uint64 `json:"t,omitempty"`
+	Opens       bool   `json:"o,omitempty"`
+	ReadOnly    bool   `json:"r,omitempty"`
 	// ElapsedMicros is the time since the request arrived at the sender.
-	ElapsedMicros int64                       `json:"elapsed_us"`
-	Verdict       session.Verdict             `json:"verdict"`
-	ID            string                      `json:"id"`
-	Text          string                      `json:"text"`
-	Settings      []session.Setting           `json:"settings,omitempty"`
-	Prepared      []session.PreparedStatement `json:"prepared,omitempty"`
+	ElapsedMicros int64        `json:"u"`
+	Kind          session.Kind `json:"q,omitempty"`
+	// Ends names the end of a transaction.
+	Ends     string                      `json:"n,omitempty"`
+	Commit   bool                        `json:"m,omitempty"`
+	ID       string                      `json:"d"`
+	Text     string                      `json:"x"`
+	Settings []session.Setting           `json:"w,omitempty"`
+	Prepared []session.PreparedStatement `json:"a,omitempty"`
 }
 
 // Answer is the answer to a Visit.
 type Answer struct {
-	Elsewhere  bool          `json:"elsewhere,omitempty"`
-	Version    uint64        `json:"version,omitempty"`
-	Frames     string        `json:"frames,omitempty"`
-	TxStatus   string        `json:"tx"`
-	Position   core.Position `json:"position"`
-	ErrorState string        `json:"error,omitempty"`
-	Refusal    *core.Refusal `json:"refusal,omitempty"`
-	Closing    bool          `json:"closing,omitempty"`
+	Elsewhere bool   `json:"e,omitempty"`
+	Version   uint64 `json:"v,omitempty"`
+	Frames    string `json:"f,omitempty"`
+	TxStatus  string `json:"t,omitempty"`
+	// Position is as "term/lsn", empty for none.
+	Position   string        `json:"p,omitempty"`
+	ErrorState string        `json:"s,omitempty"`
+	Refusal    *core.Refusal `json:"r,omitempty"`
+	Closing    bool          `json:"c,omitempty"`
 }
 
 // MemberQuestion names a member.
@@ -92,42 +98,73 @@
 func NewVisit(self core.InstanceID, from session.PeerAddress, v session.Visit, now time.Time) Visit {
 	p := v.Request.Payload
 	return Visit{
-		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: v.Floor,
-		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction, Opens: v.Opens, ReadOnly: v.ReadOnly, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
-		Verdict: *v.Request.Verdict, ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
+		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: encodePosition(v.Floor),
+		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction,
+		Opens: v.Opens, ReadOnly: v.ReadOnly, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
+		Kind: v.Request.Verdict.Kind, Ends: v.Request.Verdict.Name, Commit: v.Request.Verdict.Commit,
+		ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
 }
 
-// Input decodes a visit; reply comes back in the answer.
-func (v *Visit) Input(reply any, now time.Time) session.VisitorRequest {
+// Input decodes a visit; reply comes back in the answer. It returns a
+// *core.PositionError for a position that cannot be read.
+func (v *Visit) Input(reply any, now time.Time) (session.VisitorRequest, error) {
+	floor, err := decodePosition(v.Floor)
+	if err != nil {
+		return session.VisitorRequest{}, err
+	}
 	return session.VisitorRequest{
 		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
-		From:    v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: v.Floor, Version: v.Version, Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction,
-		Opens: v.Opens, ReadOnly: v.ReadOnly,
+		From:    v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: floor, Version: v.Version,
+		Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction, Opens: v.Opens, ReadOnly: v.ReadOnly,
 		Request: &session.Request{
-			Simple: true, Verdict: &v.Verdict,
+			Simple:  true,
+			Verdict: &session.Verdict{Kind: v.Kind, Name: v.Ends, Commit: v.Commit, Hints: session.Hints{MaxAge: noOwnAge}},
 			Payload: &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
 			Arrived: now.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
 		},
+	}, nil
+}
+
+// noOwnAge leaves the accepted age to the entry.
+const noOwnAge time.Duration = -1
+
+func encodePosition(p core.Position) string {
+	if p.IsZero() {
+		return ""
 	}
+	return p.String()
+}
+
+func decodePosition(text string) (core.Position, error) {
+	if text == "" {
+		return core.Position{}, nil
+	}
+	return core.ParsePosition(text)
 }
 
 // NewAnswer encodes an answer.
 func NewAnswer(a session.VisitAnswer) Answer {
-	return Answer{
-		Elsewhere: a.Elsewhere, Version: a.Version, Frames: string(a.Frames), TxStatus: string(rune(a.TxStatus)), Position: a.Position,
+	encoded := Answer{
+		Elsewhere: a.Elsewhere, Version: a.Version, Frames: string(a.Frames), Position: encodePosition(a.Position),
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
 	}
+	if a.TxStatus != session.TxIdle && a.TxStatus != 0 {
+		encoded.TxStatus = string(rune(a.TxStatus))
+	}
+	return encoded
 }
 
-// Decode returns the answer.
-func (a *Answer) Decode() session.VisitAnswer {
+// Decode returns the answer. It returns a *core.PositionError for a position
+// that cannot be read.
+func (a *Answer) Decode() (session.VisitAnswer, error) {
 	status := byte(session.TxIdle)
 	if len(a.TxStatus) == 1 {
 		status = a.TxStatus[0]
 	}
+	position, err := decodePosition(a.Position)
 	return session.VisitAnswer{
-		Elsewhere: a.Elsewhere, Version: a.Version, Frames: []byte(a.Frames), TxStatus: status, Position: a.Position,
+		Elsewhere: a.Elsewhere, Version: a.Version, Frames: []byte(a.Frames), TxStatus: status, Position: position,
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
-	}
+	}, err
 }
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -115,9 +115,9 @@
 const (
 	// peerProbeEvery is the period of probes while a home owes answers or its
 	// accounts are in use; the round trip between failure domains is about 2 ms.
-	peerProbeEvery = 150 * time.Millisecond
+	peerProbeEvery = 200 * time.Millisecond
 	// peerSilence is how long a home that is probed may give no sign of life.
-	peerSilence = 450 * time.Millisecond
+	peerSilence = 480 * time.Millisecond
 	// peerUse is how long after its last use a home is probed.
 	peerUse = 3 * time.Second
 	// visitMargin is how much later than the home this instance gives up.
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -43,8 +43,9 @@
 	memberBound int
 	// log is what is known of the primary's log over time.
 	log freshness.Log
-	// probe is the timer of probePrimary.
+	// probe is the timer of probePrimary, usedAt the last statement.
 	probe       timer
+	usedAt      time.Time
 	connections int
 	// openTime is the smoothed time to open a connection.
 	openTime time.Duration
@@ -68,9 +69,6 @@
 	db.memberBound = e.cfg.MemberConnections
 	db.probe.run = db.probePrimary
 	db.probe.item.Value = &db.probe
-	if e.cfg.AsyncReplication {
-		e.timers.Arm(&db.probe.item, e.now.Add(e.cfg.Bounds.ProbeEvery))
-	}
 	db.floorTimer.run = db.repeatRound
 	db.floorTimer.item.Value = &db.floorTimer
 	return db
--- a/pkg/session/leader.go
+++ b/pkg/session/leader.go
@@ -160,10 +160,26 @@
 // drains in some tens of milliseconds.
 const busyPause = 20 * time.Millisecond
 
+// probedAfterUse is how long after its last statement a database's primary is
+// probed; by then no entry accepts a position from before.
+const probedAfterUse = 5 * time.Second
+
+// use keeps the primary probed for a while.
+func (db *database) use() {
+	idle := db.e.now.Sub(db.usedAt) > probedAfterUse
+	db.usedAt = db.e.now
+	if idle && db.e.cfg.AsyncReplication {
+		db.e.timers.Arm(&db.probe.item, db.e.now.Add(db.e.cfg.Bounds.ProbeEvery/2))
+	}
+}
+
 // probePrimary asks the primary for its position when the newest proof of it is
 // old, so that replicas can go on serving reads.
 func (db *database) probePrimary() {
 	e := db.e
+	if e.now.Sub(db.usedAt) > probedAfterUse {
+		return
+	}
 	e.timers.Arm(&db.probe.item, e.now.Add(e.cfg.Bounds.ProbeEvery/2))
 	db.checkSilence()
 	newest, known := db.log.Newest()
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -42,6 +42,7 @@
 
 func (s *statement) askVerdict() {
 	e := s.c.e
+	s.c.db.use()
 	s.tokenWait = false
 	s.c.account.metrics.Admitted++
 	if s.c.visit != nil && !s.inside {
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -65,7 +65,7 @@
 // frontSilence is how long an instance may give no sign of life before what it
 // used is set aside. It is shorter than peerSilence, after which the instance
 // spends it.
-const frontSilence = 300 * time.Millisecond
+const frontSilence = 380 * time.Millisecond
 
 // FrontAlive reports a sign of life of another instance.
 type FrontAlive struct {
