Bound the end of the caller sockets at a stop

A request that came in one packet with the startup waited for the next packet. Ruled out: calls to the store at the end of a stop; they are bounded by 1 s. Change: the poll ends with the linger time; input that waits is processed after the admission.

--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -49,7 +49,6 @@
 	on      callerEvents
 	links   map[session.CallerID]*callerLink
 	nextID  session.CallerID
-	stopBy  time.Time
 	open    atomic.Int64
 }
 
@@ -171,7 +170,10 @@
 	}
 	switch m := in.Command.(type) {
 	case session.CallerAdmitted:
-		d.with(m.Caller, func(l *callerLink) { l.fire(d.on.admitted) })
+		d.with(m.Caller, func(l *callerLink) {
+			l.fire(d.on.admitted)
+			l.process()
+		})
 	case session.CallerWrite:
 		d.with(m.Caller, func(l *callerLink) { l.answer(m) })
 	case session.CallerFail:
--- a/pkg/linkio/reactor.go
+++ b/pkg/linkio/reactor.go
@@ -26,6 +26,8 @@
 	handle   func(In)
 	finished func() bool
 	stopping atomic.Bool
+	// stopBy ends a stop that waits for output; zero until the stop is seen.
+	stopBy time.Time
 }
 
 func newReactor[In any](capacity int, session outbox.SessionRing, handle func(In)) (*reactor[In], error) {
@@ -69,6 +71,9 @@
 	}
 	defer r.ring.Unpark()
 	next, armed := r.timers.Next()
+	if !r.stopBy.IsZero() && (!armed || r.stopBy.Before(next)) {
+		next, armed = r.stopBy, true
+	}
 	if !armed {
 		return r.loop.Poll(-1)
 	}
