Serve metrics as text and explain requests from logs

Each hosted instance serves counters, latency buckets, ring depths and chart transitions at the second internal port; sassafrasshuntctl logs explain tells the story of one request from the logs of several instances.

--- a/cmd/sassafrasshuntctl/main.go
+++ b/cmd/sassafrasshuntctl/main.go
@@ -38,6 +38,9 @@
 		&group{name: "chart", synopsis: "check and draw the built-in state charts", commands: []subcommands.Command{
 			&chartCheck{}, &chartGraph{},
 		}},
+		&group{name: "logs", synopsis: "explain requests from log files", commands: []subcommands.Command{
+			&logsExplain{},
+		}},
 		cli.Strict(&status{}), cli.Strict(&ready{}), cli.Strict(&explain{}), cli.Strict(&switchover{}),
 	}
 }
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -61,6 +62,8 @@
 	self      fleet.Instance
 	probe     net.Listener
 	probes    *http.Server
+	metricsAt net.Listener
+	metrics   *http.Server
 	ready     atomic.Bool
 	stopped   chan struct{}
 	finish    sync.Once
@@ -84,7 +87,7 @@
 		Output: output, Level: logrus.InfoLevel, Capacity: hostedRing,
 		Base: telemetry.Fields{"instance": s.Name},
 	})
-	for _, step := range []func() error{h.buildCallers, h.buildTargets, h.buildPeers, h.buildSession, h.buildFleet, h.buildProbe} {
+	for _, step := range []func() error{h.buildCallers, h.buildTargets, h.buildPeers, h.buildSession, h.buildFleet, h.buildProbe, h.buildMetrics} {
 		if err := step(); err != nil {
 			return nil, eris.Wrap(ErrStart, err.Error())
 		}
@@ -249,7 +252,8 @@
 	h.registrar.Start(&h.duties)
 	h.worker.Start(&h.duties)
 	h.serve("caller-io", h.callers.Run)
-	h.duties.Start("ready", func() { _ = h.probes.Serve(h.probe) })
+	h.servePages("ready", h.probes, h.probe)
+	h.servePages("metrics", h.metrics, h.metricsAt)
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": h.settings.CallerAddress, "store": h.settings.StoreAddress, "domain": string(h.settings.Domain),
 	})
@@ -277,6 +281,22 @@
 	})
 }
 
+// servePages starts a duty that serves HTTP; net/http runs a goroutine for each
+// request.
+func (h *Hosted) servePages(name string, server *http.Server, listener net.Listener) {
+	h.duties.Start(name, func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.log(logrus.ErrorLevel, "duty_failed", err.Error(), telemetry.Fields{"duty": name})
+		}
+	})
+}
+
+func (h *Hosted) closePages(server *http.Server) {
+	if err := server.Close(); err != nil {
+		h.log(logrus.WarnLevel, "listener_not_closed", err.Error(), nil)
+	}
+}
+
 func (h *Hosted) finished() {
 	h.finish.Do(func() { close(h.stopped) })
 }
@@ -292,7 +312,8 @@
 	h.targets.Stop()
 	h.fleets.stop()
 	h.rpc.Send(rpc.Stop{})
-	_ = h.probes.Close()
+	h.closePages(h.probes)
+	h.closePages(h.metrics)
 	h.telemetry.Stop()
 	h.duties.Wait()
 }
--- /dev/null
+++ b/pkg/instance/hostedmetrics.go
@@ -0,0 +1,127 @@
+package instance
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// pathMetrics is where a hosted instance serves its metrics, at the second of
+// the ports between instances.
+const pathMetrics = "/metrics"
+
+func (h *Hosted) buildMetrics() error {
+	listener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPort+1)))
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathMetrics, h.serveMetrics)
+	h.metricsAt = listener
+	h.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+// serveMetrics answers with one line for each value, as NAME{LABELS} VALUE.
+func (h *Hosted) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	page := &metricsPage{}
+	inspection, ok := inspectSession(h.sessions.input, "")
+	page.add("sassafrasshunt_inspected", "", boolean(ok))
+	if ok {
+		page.session(&inspection)
+	}
+	page.add("sassafrasshunt_ready", "", boolean(h.ready.Load()))
+	page.add("sassafrasshunt_callers_open", "", float64(h.callers.Open()))
+	page.add("sassafrasshunt_targets_open", "", float64(h.targets.Open()))
+	page.add("sassafrasshunt_targets_opened_total", "", float64(h.targets.Opened()))
+	page.rings(map[string]ring.Stats{
+		"session": h.sessions.input.Stats(), "fleet": h.fleets.input.Stats(), "caller_io": h.callers.Ring().Stats(),
+		"target_io": h.targets.Ring().Stats(), "rpc": h.rpc.Commands().Stats(), "telemetry": h.telemetry.Stats(),
+	})
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// A client that has gone needs no answer.
+	_, _ = w.Write([]byte(page.text.String()))
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// metricsPage collects the lines of a page.
+type metricsPage struct {
+	text strings.Builder
+}
+
+func (p *metricsPage) add(name, labels string, value float64) {
+	if labels != "" {
+		labels = "{" + labels + "}"
+	}
+	fmt.Fprintf(&p.text, "%s%s %s\n", name, labels, strconv.FormatFloat(value, 'g', -1, 64))
+}
+
+func label(name, value string) string {
+	return name + "=" + strconv.Quote(value)
+}
+
+func sorted[K ~string, V any](values map[K]V) []K {
+	keys := make([]K, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (p *metricsPage) session(i *session.Inspection) {
+	counters := map[string]float64{
+		"reads_by_replicas_total": float64(i.ReplicaReads), "reads_by_primaries_total": float64(i.PrimaryReads),
+		"writes_acknowledged_total": float64(i.WritesAcknowledged), "writes_uncertain_total": float64(i.WritesUncertain),
+		"retries_total": float64(i.Retries), "requeued_total": float64(i.Requeued), "homes_lost_total": float64(i.HomesLost),
+		"callers": float64(i.Callers), "connections": float64(i.Connections), "queued": float64(i.Queued),
+	}
+	for _, name := range sorted(counters) {
+		p.add("sassafrasshunt_"+name, "", counters[name])
+	}
+	for _, state := range sorted(i.Refusals) {
+		p.add("sassafrasshunt_refusals_total", label("state", state), float64(i.Refusals[state]))
+	}
+	for _, account := range sorted(i.Accounts) {
+		p.account(account, i.Accounts[account])
+	}
+	for _, name := range sorted(i.Transitions) {
+		for _, transition := range sorted(i.Transitions[name]) {
+			labels := label("chart", name) + "," + label("transition", transition)
+			p.add("sassafrasshunt_transitions_total", labels, float64(i.Transitions[name][transition]))
+		}
+	}
+}
+
+func (p *metricsPage) account(name core.AccountName, a session.AccountInspection) {
+	labels := label("account", string(name))
+	p.add("sassafrasshunt_admitted_total", labels, float64(a.Admitted))
+	p.add("sassafrasshunt_refused_total", labels, float64(a.Refused))
+	for _, b := range a.Latencies {
+		p.add("sassafrasshunt_latency_microseconds_bucket", labels+","+label("le", strconv.FormatInt(b.UpTo, 10)), float64(b.Count))
+	}
+	p.add("sassafrasshunt_latency_p50_microseconds", labels, float64(a.P50))
+	p.add("sassafrasshunt_latency_p99_microseconds", labels, float64(a.P99))
+}
+
+func (p *metricsPage) rings(stats map[string]ring.Stats) {
+	for _, name := range sorted(stats) {
+		labels := label("ring", name)
+		p.add("sassafrasshunt_ring_depth", labels, float64(stats[name].Depth))
+		p.add("sassafrasshunt_ring_refused_total", labels, float64(stats[name].Refusals))
+	}
+}
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -26,8 +26,14 @@
 }
 
 func (i *Instance) inspect(account core.AccountName) (session.Inspection, bool) {
+	return inspectSession(i.sessions.input, account)
+}
+
+// inspectSession asks the session duty for a copy of its counters, with the
+// explanations of one account; empty for none.
+func inspectSession(input *ring.Ring[session.Input], account core.AccountName) (session.Inspection, bool) {
 	reply := make(chan session.Inspection, 1)
-	if !i.sessions.input.TryPush(session.Inspect{Account: account, Reply: reply}) {
+	if !input.TryPush(session.Inspect{Account: account, Reply: reply}) {
 		return session.Inspection{}, false
 	}
 	bound := time.NewTimer(inspectBound)
--- a/pkg/session/inspect.go
+++ b/pkg/session/inspect.go
@@ -27,6 +27,7 @@
 	RateUnknown        uint64                                 `json:"rate_refusals_without_share"`
 	Retries            uint64                                 `json:"retries"`
 	Requeued           uint64                                 `json:"requeued"`
+	HomesLost          uint64                                 `json:"homes_lost"`
 	Callers            int                                    `json:"callers"`
 	Connections        int                                    `json:"connections"`
 	Queued             int                                    `json:"queued"`
@@ -45,6 +46,33 @@
 	// Latencies are in microseconds.
 	P50 int64 `json:"p50_us"`
 	P99 int64 `json:"p99_us"`
+	// Latencies counts the answers up to each bound, in microseconds.
+	Latencies []LatencyBucket `json:"latencies"`
+}
+
+// LatencyBucket counts answers that took up to a time.
+type LatencyBucket struct {
+	UpTo  int64 `json:"up_to_us"`
+	Count int64 `json:"count"`
+}
+
+// latencyBounds are the bounds of the buckets, in microseconds.
+var latencyBounds = []int64{1_000, 2_000, 5_000, 10_000, 20_000, 50_000, 100_000, 200_000, 500_000, 1_000_000, 2_000_000, maxLatency}
+
+// buckets returns how many answers took up to each of latencyBounds.
+func (a *AccountMetrics) buckets() []LatencyBucket {
+	list := make([]LatencyBucket, len(latencyBounds))
+	for i, bound := range latencyBounds {
+		list[i].UpTo = bound
+	}
+	for _, bar := range a.Latency.Distribution() {
+		for i, bound := range latencyBounds {
+			if bar.To <= bound {
+				list[i].Count += bar.Count
+			}
+		}
+	}
+	return list
 }
 
 const (
@@ -59,7 +87,7 @@
 		ReplicaReads: m.ReplicaReads, PrimaryReads: m.PrimaryReads,
 		WritesAcknowledged: m.WritesAcknowledged, WritesUncertain: m.WritesUncertain,
 		Refusals: make(map[string]uint64, len(m.Refusals)), RateUnknown: m.RateUnknown,
-		Retries: m.Retries, Requeued: m.Requeued,
+		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost,
 		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
 		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
 		Transitions: e.charts.taken(),
@@ -71,6 +99,7 @@
 		answer.Accounts[name] = AccountInspection{
 			Admitted: a.Admitted, Refused: a.Refused,
 			P50: a.Latency.ValueAtQuantile(median), P99: a.Latency.ValueAtQuantile(ninetyNinth),
+			Latencies: a.buckets(),
 		}
 	}
 	if in.Account != "" {
