--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -245,6 +245,9 @@
 	need, known := s.neededPosition()
 	if !known && !s.readsNoData() {
 		s.reason = "the primary's position is not known for the accepted age"
+		if s.maxAge() <= 0 {
+			s.reason = "only the proven primary serves the entry"
+		}
 		return
 	}
 	e.candidates = e.candidates[:0]
