Share one socket loop and one connection life between the front ends

pkg/reactor is the loop that callerio, targetio and linkio had each; linkio's two sides share the life cycle with its deadlines.

--- a/pkg/callerio/bench_test.go
+++ b/pkg/callerio/bench_test.go
@@ -19,9 +19,9 @@
 	events := ring.New[session.Input](1<<10, ring.NewSignal())
 	duty, err := New(Config{Address: "127.0.0.1:0", MaxInput: 1 << 16}, Deps{Session: events, Chart: loadChart(t)})
 	require.NoError(t, err)
-	t.Cleanup(duty.loop.Close)
+	t.Cleanup(duty.Loop.Close)
 	c := &caller{duty: duty, conn: &netloop.Conn{}, id: 1, state: duty.startup.serving, txStatus: txIdle}
-	c.linger.Value = timer{caller: c, fire: func(*caller) {}}
+	c.linger.Value = func() {}
 	duty.callers[c.id] = c
 	return c, events
 }
--- a/pkg/callerio/caller.go
+++ b/pkg/callerio/caller.go
@@ -44,9 +44,9 @@
 	// closed by the caller or the linger timeout: closing it with unread input
 	// resets it, and the caller would lose the error that it was sent.
 	unread  bool
-	timeout timerq.Item[timer]
-	delay   timerq.Item[timer]
-	linger  timerq.Item[timer]
+	timeout timerq.Item[func()]
+	delay   timerq.Item[func()]
+	linger  timerq.Item[func()]
 
 	account     core.AccountName
 	entry       core.EntryName
@@ -105,7 +105,7 @@
 func (c *caller) Drained(*netloop.Conn) {
 	if c.blocked {
 		c.blocked = false
-		c.duty.outbox.Push(session.CallerDrained{Caller: c.id})
+		c.duty.Outbox.Push(session.CallerDrained{Caller: c.id})
 	}
 }
 
@@ -114,9 +114,9 @@
 	c.gone = true
 	d := c.duty
 	c.fire(d.startup.lost)
-	d.timers.Disarm(&c.timeout)
-	d.timers.Disarm(&c.delay)
-	d.timers.Disarm(&c.linger)
+	d.Timers.Disarm(&c.timeout)
+	d.Timers.Disarm(&c.delay)
+	d.Timers.Disarm(&c.linger)
 	delete(d.callers, c.id)
 	if d.processes[c.process32] == c {
 		delete(d.processes, c.process32)
@@ -124,13 +124,13 @@
 	c.releaseStatements()
 	d.counts.open.Add(-1)
 	if c.announced {
-		d.outbox.Push(session.CallerClosed{Caller: c.id})
+		d.Outbox.Push(session.CallerClosed{Caller: c.id})
 	}
 }
 
 // process consumes the buffered input as far as it can be handled now.
 func (c *caller) process() {
-	if c.duty.outbox.Blocked() {
+	if c.duty.Outbox.Blocked() {
 		c.stall()
 		return
 	}
@@ -164,7 +164,15 @@
 	c.conn.PauseRead()
 	if !c.stalled {
 		c.stalled = true
-		c.duty.stalled = append(c.duty.stalled, c)
+		c.duty.Stall(c.resume)
+	}
+}
+
+// resume reads the socket again once the session ring has room.
+func (c *caller) resume() {
+	c.stalled = false
+	if !c.gone {
+		c.process()
 	}
 }
 
@@ -183,7 +191,7 @@
 	c.conn.Write(b)
 	if !c.blocked && c.conn.Pending() > c.duty.config.OutputMark {
 		c.blocked = true
-		c.duty.outbox.Push(session.CallerBlocked{Caller: c.id})
+		c.duty.Outbox.Push(session.CallerBlocked{Caller: c.id})
 	}
 }
 
@@ -232,7 +240,7 @@
 		c.conn.CloseAfterFlush()
 	}
 	if !c.gone {
-		c.duty.timers.Arm(&c.linger, time.Now().Add(c.duty.config.LingerTimeout))
+		c.duty.Timers.Arm(&c.linger, time.Now().Add(c.duty.config.LingerTimeout))
 	}
 }
 
--- a/pkg/callerio/duty.go
+++ b/pkg/callerio/duty.go
@@ -7,24 +7,17 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/reactor"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
 )
 
-// drainBatch bounds the ring items handled between two polls, so that a burst
-// of commands does not starve the sockets.
-const drainBatch = 256
-
 // Duty owns the caller sockets. Run and everything below it work on one thread.
 type Duty struct {
+	*reactor.Reactor[Input]
 	config   Config
 	note     func(Note)
-	loop     *netloop.Loop
-	ring     *ring.Ring[Input]
-	outbox   *outbox.Outbox
 	address  netip.AddrPort
 	startup  *startupChart
 	scram    *wire.ScramServer
@@ -35,20 +28,8 @@
 	processes map[uint32]*caller
 	nextID    session.CallerID
 	catalogue *catalogue.Catalogue
-	timers    timerq.Queue[timer]
-	// stalled are the callers whose sockets wait for room in the session ring.
-	stalled  []*caller
-	scratch  []byte
-	stopping atomic.Bool
-	// stopBy ends a stop that waits for output; zero until Stop is seen.
-	stopBy time.Time
-	counts counters
-}
-
-// timer is a deadline of one caller.
-type timer struct {
-	caller *caller
-	fire   func(*caller)
+	scratch   []byte
+	counts    counters
 }
 
 // New binds the listening socket and returns the duty. It returns a
@@ -62,16 +43,9 @@
 	if err != nil {
 		return nil, err
 	}
-	loop, err := netloop.New()
-	if err != nil {
-		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
-	}
 	d := &Duty{
 		config:    config,
 		note:      deps.Note,
-		loop:      loop,
-		ring:      ring.New[Input](config.RingCapacity, loop),
-		outbox:    outbox.New(deps.Session, loop),
 		startup:   startup,
 		scram:     wire.NewScramServer(),
 		attempts:  newAttempts(config.BaseDelay, config.MaxDelay),
@@ -79,9 +53,16 @@
 		callers:   map[session.CallerID]*caller{},
 		processes: map[uint32]*caller{},
 	}
-	d.address, err = loop.Listen(config.Address, d.accept)
+	d.Reactor, err = reactor.New(reactor.Config[Input]{
+		Capacity: config.RingCapacity, Session: deps.Session, Handle: d.handle, Now: time.Now,
+	})
 	if err != nil {
-		loop.Close()
+		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
+	}
+	d.Lingers, d.LingerTime = d.outputWaits, config.LingerTimeout
+	d.address, err = d.Loop.Listen(config.Address, d.accept)
+	if err != nil {
+		d.Loop.Close()
 		return nil, &ConfigError{Reason: "cannot listen on " + config.Address, Err: err}
 	}
 	return d, nil
@@ -89,7 +70,7 @@
 
 // Ring returns the input ring of the duty.
 func (d *Duty) Ring() *ring.Ring[Input] {
-	return d.ring
+	return d.Commands
 }
 
 // Address returns the bound address.
@@ -102,66 +83,6 @@
 	return d.startup.table.Taken()
 }
 
-// Stop ends Run after the buffered output was sent or LingerTimeout has
-// passed. It is safe for concurrent use.
-func (d *Duty) Stop() {
-	d.stopping.Store(true)
-	d.loop.Wake()
-}
-
-// Run serves the callers until Stop. It returns an error when the event loop fails.
-func (d *Duty) Run() error {
-	defer d.loop.Close()
-	for !d.finished() {
-		d.drainRing()
-		d.resumeStalled()
-		d.fireTimers(time.Now())
-		if err := d.wait(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *Duty) wait() error {
-	if !d.ring.Park() {
-		return d.loop.Poll(0)
-	}
-	defer d.ring.Unpark()
-	return d.loop.Poll(d.untilNextTimer(time.Now()))
-}
-
-func (d *Duty) untilNextTimer(now time.Time) time.Duration {
-	next, armed := d.timers.Next()
-	if !d.stopBy.IsZero() && (!armed || d.stopBy.Before(next)) {
-		next, armed = d.stopBy, true
-	}
-	if !armed {
-		return -1
-	}
-	return max(next.Sub(now), 0)
-}
-
-func (d *Duty) fireTimers(now time.Time) {
-	for {
-		item, due := d.timers.PopDue(now)
-		if !due {
-			return
-		}
-		item.Value.fire(item.Value.caller)
-	}
-}
-
-func (d *Duty) drainRing() {
-	for range drainBatch {
-		input, ok := d.ring.Pop()
-		if !ok {
-			return
-		}
-		d.handle(input)
-	}
-}
-
 func (d *Duty) handle(input Input) {
 	if input.Command != nil {
 		d.command(input.Command)
@@ -171,47 +92,13 @@
 	case Publish:
 		d.catalogue = control.Catalogue
 	case StopAccepting:
-		d.loop.CloseListeners()
-	}
-}
-
-// resumeStalled reads the paused sockets again once the session ring has
-// taken every waiting event.
-func (d *Duty) resumeStalled() {
-	if d.outbox.Blocked() && !d.outbox.Flush() {
-		return
-	}
-	for len(d.stalled) > 0 && !d.outbox.Blocked() {
-		last := len(d.stalled) - 1
-		c := d.stalled[last]
-		d.stalled[last] = nil
-		d.stalled = d.stalled[:last]
-		c.stalled = false
-		if !c.gone {
-			c.process()
-		}
+		d.Loop.CloseListeners()
 	}
 }
 
-// finished reports whether a requested stop is complete.
-func (d *Duty) finished() bool {
-	if !d.stopping.Load() {
-		return false
-	}
-	now := time.Now()
-	if d.stopBy.IsZero() {
-		d.stopBy = now.Add(d.config.LingerTimeout)
-		d.loop.CloseListeners()
-	}
-	return !now.Before(d.stopBy) || !d.outputWaits()
-}
-
 // outputWaits reports answers that are not sent yet. Events for session do not
 // count: it may have stopped before.
 func (d *Duty) outputWaits() bool {
-	if d.ring.Len() > 0 {
-		return true
-	}
 	for _, c := range d.callers {
 		if c.conn.Pending() > 0 {
 			return true
@@ -223,9 +110,9 @@
 func (d *Duty) accept(conn *netloop.Conn) netloop.Handler {
 	d.nextID++
 	c := &caller{duty: d, conn: conn, id: d.nextID, state: d.startup.table.Initial(), txStatus: txIdle}
-	c.timeout.Value = timer{caller: c, fire: (*caller).timedOut}
-	c.delay.Value = timer{caller: c, fire: (*caller).delayOver}
-	c.linger.Value = timer{caller: c, fire: (*caller).lingerOver}
+	c.timeout.Value = c.timedOut
+	c.delay.Value = c.delayOver
+	c.linger.Value = c.lingerOver
 	d.callers[c.id] = c
 	d.counts.accepted.Add(1)
 	d.counts.open.Add(1)
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -317,5 +317,5 @@
 	c.running = r
 	request.Arrived = time.Now()
 	c.duty.counts.requests.Add(1)
-	c.duty.outbox.Push(session.CallerRequest{Caller: c.id, Request: request})
+	c.duty.Outbox.Push(session.CallerRequest{Caller: c.id, Request: request})
 }
--- a/pkg/callerio/startup.go
+++ b/pkg/callerio/startup.go
@@ -98,10 +98,10 @@
 func (c *caller) armTimeout() {
 	limit := c.duty.startup.table.Timeout(c.state)
 	if limit == 0 || c.gone {
-		c.duty.timers.Disarm(&c.timeout)
+		c.duty.Timers.Disarm(&c.timeout)
 		return
 	}
-	c.duty.timers.Arm(&c.timeout, time.Now().Add(limit))
+	c.duty.Timers.Arm(&c.timeout, time.Now().Add(limit))
 }
 
 func (c *caller) timedOut() {
@@ -256,7 +256,7 @@
 
 func (c *caller) announce() {
 	c.announced = true
-	c.duty.outbox.Push(session.CallerOpened{
+	c.duty.Outbox.Push(session.CallerOpened{
 		Caller:  c.id,
 		Account: c.account,
 		Entry:   c.entry,
@@ -272,11 +272,11 @@
 	c.exchange = nil
 	now := time.Now()
 	wait := c.duty.attempts.failed(c.conn.Remote().Addr(), now)
-	c.duty.timers.Arm(&c.delay, now.Add(wait))
+	c.duty.Timers.Arm(&c.delay, now.Add(wait))
 }
 
 func (c *caller) forgetDelay() {
-	c.duty.timers.Disarm(&c.delay)
+	c.duty.Timers.Disarm(&c.delay)
 }
 
 // sendRefusal answers every failed attempt with the same text.
@@ -307,7 +307,7 @@
 	if named == nil || subtle.ConstantTimeCompare(named.secret[:], c.cancelSecret) != 1 {
 		return
 	}
-	c.duty.outbox.Push(session.CallerCancel{Caller: named.id})
+	c.duty.Outbox.Push(session.CallerCancel{Caller: named.id})
 }
 
 func (c *caller) welcome() {
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -43,8 +43,8 @@
 	page.add("sassafrasshunt_targets_open", "", float64(h.targets.Open()))
 	page.add("sassafrasshunt_targets_opened_total", "", float64(h.targets.Opened()))
 	page.rings(map[string]ring.Stats{
-		"session": h.sessions.input.Stats(), "fleet": h.fleets.input.Stats(), "caller_io": h.callers.Ring().Stats(),
-		"target_io": h.targets.Ring().Stats(), "rpc": h.rpc.Commands().Stats(), "telemetry": h.telemetry.Stats(),
+		"session": h.sessions.input.Stats(), "fleet": h.fleets.input.Stats(), "caller_io": h.callers.Commands.Stats(),
+		"target_io": h.targets.Commands.Stats(), "rpc": h.rpc.Commands().Stats(), "telemetry": h.telemetry.Stats(),
 	})
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	// A client that has gone needs no answer.
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -9,9 +9,8 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/reactor"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
 )
@@ -42,7 +41,7 @@
 
 // Callers owns the caller sockets. Run and everything below it work on one thread.
 type Callers struct {
-	*reactor[CallerInput]
+	*reactor.Reactor[CallerInput]
 	config  CallerConfig
 	address netip.AddrPort
 	chart   *chart.Table[*callerLink]
@@ -74,12 +73,12 @@
 		answered: e("answered"), dismissed: e("dismissed"), quit: e("quit"), violated: e("violated"),
 		lost: e("lost"), timedOut: e(chart.TimeoutEvent),
 	}
-	if d.reactor, err = newReactor(config.RingCapacity, to, d.take); err != nil {
+	if d.Reactor, err = newReactor(config.RingCapacity, to, d.take); err != nil {
 		return nil, err
 	}
-	d.finished = d.isFinished
-	if d.address, err = d.loop.Listen(config.Address, d.accept); err != nil {
-		d.loop.Close()
+	d.Lingers, d.LingerTime = d.outputWaits, config.Linger
+	if d.address, err = d.Loop.Listen(config.Address, d.accept); err != nil {
+		d.Loop.Close()
 		return nil, &ConfigError{Reason: "cannot listen on " + config.Address, Err: err}
 	}
 	return d, nil
@@ -105,38 +104,14 @@
 	}
 }
 
-// Ring returns the input ring of the duty.
-func (d *Callers) Ring() *ring.Ring[CallerInput] { return d.ring }
-
 // Address returns the bound address.
 func (d *Callers) Address() netip.AddrPort { return d.address }
 
 // Open returns the number of open connections. It is safe for concurrent use.
 func (d *Callers) Open() int64 { return d.open.Load() }
 
-// Run serves the callers until Stop. It returns an error when the event loop fails.
-func (d *Callers) Run() error { return d.run() }
-
-// Stop ends Run once the buffered output was sent or the linger time has
-// passed. It is safe for concurrent use.
-func (d *Callers) Stop() { d.stop() }
-
-func (d *Callers) isFinished() bool {
-	if !d.stopping.Load() {
-		return false
-	}
-	now := clock.Now()
-	if d.stopBy.IsZero() {
-		d.stopBy = now.Add(d.config.Linger)
-		d.loop.CloseListeners()
-	}
-	return !now.Before(d.stopBy) || !d.outputWaits()
-}
-
+// outputWaits reports answers that are not sent yet.
 func (d *Callers) outputWaits() bool {
-	if d.ring.Len() > 0 {
-		return true
-	}
 	for _, l := range d.links {
 		if l.conn.Pending() > 0 {
 			return true
@@ -148,10 +123,9 @@
 func (d *Callers) accept(conn *netloop.Conn) netloop.Handler {
 	d.nextID++
 	l := &callerLink{
-		duty: d, conn: conn, id: d.nextID, codec: d.config.NewCodec(),
-		state: d.chart.Initial(), txStatus: session.TxIdle,
+		duty: d, conn: conn, id: d.nextID, codec: d.config.NewCodec(), txStatus: session.TxIdle,
 	}
-	l.timer.Value = l.timedOut
+	l.enter(l, d.chart, &d.Timers, func() { l.expire(d.on.timedOut) })
 	d.links[l.id] = l
 	d.open.Add(1)
 	if len(d.links) > d.config.MaxCallers {
@@ -165,7 +139,7 @@
 // take carries out one command. A command for a caller that is gone is dropped.
 func (d *Callers) take(in CallerInput) {
 	if in.StopAccepting {
-		d.loop.CloseListeners()
+		d.Loop.CloseListeners()
 		return
 	}
 	switch m := in.Command.(type) {
@@ -193,14 +167,12 @@
 
 // callerLink is one caller connection.
 type callerLink struct {
+	life[*callerLink]
 	duty     *Callers
 	conn     *netloop.Conn
 	id       session.CallerID
 	codec    CallerCodec
-	state    chart.State
-	timer    timerq.Item[func()]
 	txStatus byte
-	gone     bool
 	stalled  bool
 	// message, violation and refusal are what the next event is about.
 	message   CallerMessage
@@ -221,39 +193,15 @@
 func (l *callerLink) Closed(*netloop.Conn, error) {
 	l.gone = true
 	l.fire(l.duty.on.lost)
-	l.duty.timers.Disarm(&l.timer)
+	l.end()
 	delete(l.duty.links, l.id)
 	l.duty.open.Add(-1)
 }
 
-func (l *callerLink) fire(event chart.Event) {
-	before := l.state
-	l.duty.chart.Fire(l, &l.state, event)
-	if l.state != before && !l.gone {
-		l.arm()
-	}
-}
-
-func (l *callerLink) arm() {
-	if l.duty.chart.Final(l.state) {
-		l.duty.timers.Disarm(&l.timer)
-		return
-	}
-	l.duty.timers.Arm(&l.timer, clock.Now().Add(l.duty.chart.Timeout(l.state)))
-}
-
-func (l *callerLink) timedOut() {
-	before := l.state
-	l.fire(l.duty.on.timedOut)
-	if l.state == before && !l.gone {
-		l.arm()
-	}
-}
-
 // process decodes buffered messages while the connection can take them.
 func (l *callerLink) process() {
 	for !l.gone && l.takesInput() {
-		if l.duty.outbox.Blocked() {
+		if l.duty.Outbox.Blocked() {
 			l.stall()
 			return
 		}
@@ -317,7 +265,7 @@
 	}
 	l.stalled = true
 	l.conn.PauseRead()
-	l.duty.stall(l.resume)
+	l.duty.Stall(l.resume)
 }
 
 func (l *callerLink) resume() {
@@ -331,7 +279,7 @@
 
 func (l *callerLink) announce() {
 	m := l.message.(Startup)
-	l.duty.outbox.Push(session.CallerOpened{Caller: l.id, Entry: m.Entry, Key: m.Key})
+	l.duty.Outbox.Push(session.CallerOpened{Caller: l.id, Entry: m.Entry, Key: m.Key})
 }
 
 func (l *callerLink) greet() {
@@ -342,7 +290,7 @@
 func (l *callerLink) deliver() {
 	m := l.message.(Request)
 	m.Request.Arrived = clock.Now()
-	l.duty.outbox.Push(session.CallerRequest{Caller: l.id, Request: m.Request})
+	l.duty.Outbox.Push(session.CallerRequest{Caller: l.id, Request: m.Request})
 }
 
 func (l *callerLink) answerLocal() {
@@ -387,7 +335,7 @@
 }
 
 func (l *callerLink) reportClosed() {
-	l.duty.outbox.Push(session.CallerClosed{Caller: l.id})
+	l.duty.Outbox.Push(session.CallerClosed{Caller: l.id})
 }
 
 func (l *callerLink) close() {
--- a/pkg/linkio/callers_test.go
+++ b/pkg/linkio/callers_test.go
@@ -95,7 +95,7 @@
 }
 
 func (s *served) send(c session.CallerCommand) {
-	require.True(s.t, s.duty.Ring().TryPush(CallerInput{Command: c}))
+	require.True(s.t, s.duty.Commands.TryPush(CallerInput{Command: c}))
 }
 
 func (s *served) dial() net.Conn {
--- a/pkg/linkio/protocol.go
+++ b/pkg/linkio/protocol.go
@@ -7,8 +7,11 @@
 import (
 	"fmt"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/reactor"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
 )
 
 // CallerMessage is a decoded message of a caller.
@@ -133,3 +136,13 @@
 func (e *ConfigError) Unwrap() error {
 	return e.Err
 }
+
+// newReactor returns the loop of a duty, on the clock that runs through
+// suspensions.
+func newReactor[In any](capacity int, to outbox.SessionRing, handle func(In)) (*reactor.Reactor[In], error) {
+	r, err := reactor.New(reactor.Config[In]{Capacity: capacity, Session: to, Handle: handle, Now: clock.Now})
+	if err != nil {
+		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
+	}
+	return r, nil
+}
--- a/pkg/linkio/targets.go
+++ b/pkg/linkio/targets.go
@@ -7,8 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/reactor"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
 )
@@ -25,7 +24,7 @@
 
 // Targets owns the target sockets. Run and everything below it work on one thread.
 type Targets struct {
-	*reactor[session.TargetCommand]
+	*reactor.Reactor[session.TargetCommand]
 	config TargetConfig
 	chart  *chart.Table[*targetLink]
 	on     targetEvents
@@ -51,7 +50,7 @@
 		connected: e("connected"), accepted: e("accepted"), refused: e("refused"), sent: e("sent"),
 		answered: e("answered"), dismissed: e("dismissed"), lost: e("lost"), timedOut: e(chart.TimeoutEvent),
 	}
-	if d.reactor, err = newReactor(config.RingCapacity, to, d.take); err != nil {
+	if d.Reactor, err = newReactor(config.RingCapacity, to, d.take); err != nil {
 		return nil, err
 	}
 	return d, nil
@@ -73,22 +72,12 @@
 	}
 }
 
-// Ring returns the input ring of the duty.
-func (d *Targets) Ring() *ring.Ring[session.TargetCommand] { return d.ring }
-
 // Open returns the number of connections. It is safe for concurrent use.
 func (d *Targets) Open() int64 { return d.open.Load() }
 
 // Opened returns how many connections were started. It is safe for concurrent use.
 func (d *Targets) Opened() uint64 { return d.opened.Load() }
 
-// Run serves the connections until Stop. It returns an error when the event
-// loop fails.
-func (d *Targets) Run() error { return d.run() }
-
-// Stop ends Run and closes every connection. It is safe for concurrent use.
-func (d *Targets) Stop() { d.stop() }
-
 // take carries out one command. A command for a connection that is gone is
 // dropped: TargetClosed is on its way.
 func (d *Targets) take(command session.TargetCommand) {
@@ -111,12 +100,12 @@
 }
 
 func (d *Targets) start(m session.TargetOpen) {
-	l := &targetLink{duty: d, id: m.Target, open: m, codec: d.config.NewCodec(), state: d.chart.Initial()}
-	l.timer.Value = l.timedOut
+	l := &targetLink{duty: d, id: m.Target, open: m, codec: d.config.NewCodec()}
+	l.enter(l, d.chart, &d.Timers, l.late)
 	d.opened.Add(1)
-	conn, err := d.loop.Connect(m.Address, l)
+	conn, err := d.Loop.Connect(m.Address, l)
 	if err != nil {
-		d.outbox.Push(session.TargetClosed{Target: m.Target, Unsent: true, Refused: true, Reason: err.Error()})
+		d.Outbox.Push(session.TargetClosed{Target: m.Target, Unsent: true, Refused: true, Reason: err.Error()})
 		return
 	}
 	l.conn = conn
@@ -127,14 +116,12 @@
 
 // targetLink is one connection to a target.
 type targetLink struct {
+	life[*targetLink]
 	duty  *Targets
 	conn  *netloop.Conn
 	id    session.TargetID
 	open  session.TargetOpen
 	codec TargetCodec
-	state chart.State
-	timer timerq.Item[func()]
-	gone  bool
 	// accepted is set once the startup is complete, sent while a request may
 	// have reached the member.
 	accepted bool
@@ -158,40 +145,22 @@
 func (l *targetLink) Closed(_ *netloop.Conn, err error) {
 	l.gone = true
 	l.fire(l.duty.on.lost)
-	l.duty.timers.Disarm(&l.timer)
+	l.end()
 	delete(l.duty.links, l.id)
 	l.duty.open.Add(-1)
 	if l.reason == "" && err != nil {
 		l.reason = err.Error()
 	}
-	l.duty.outbox.Push(session.TargetClosed{
+	l.duty.Outbox.Push(session.TargetClosed{
 		Target: l.id, Unsent: !l.sent, Reason: l.reason, Refused: !l.accepted, Full: l.full,
 	})
 }
 
-func (l *targetLink) fire(event chart.Event) {
-	before := l.state
-	l.duty.chart.Fire(l, &l.state, event)
-	if l.state != before && !l.gone {
-		l.arm()
-	}
-}
-
-func (l *targetLink) arm() {
-	if l.duty.chart.Final(l.state) {
-		l.duty.timers.Disarm(&l.timer)
-		return
-	}
-	l.duty.timers.Arm(&l.timer, clock.Now().Add(l.duty.chart.Timeout(l.state)))
-}
-
-func (l *targetLink) timedOut() {
-	before := l.state
-	l.reason = "timeout while " + l.duty.chart.StateName(before)
-	l.fire(l.duty.on.timedOut)
-	if l.state == before && !l.gone {
+// late closes a connection whose opening takes too long.
+func (l *targetLink) late() {
+	l.reason = "timeout while " + l.duty.chart.StateName(l.state)
+	if l.expire(l.duty.on.timedOut) {
 		l.reason = ""
-		l.arm()
 	}
 }
 
@@ -201,7 +170,7 @@
 
 func (l *targetLink) reportOpened() {
 	l.accepted = true
-	l.duty.outbox.Push(session.TargetOpened{Target: l.id})
+	l.duty.Outbox.Push(session.TargetOpened{Target: l.id})
 }
 
 // send writes a request unless its time has passed; a connection whose request
@@ -229,7 +198,7 @@
 // process decodes buffered messages.
 func (l *targetLink) process() {
 	for !l.gone {
-		if l.duty.outbox.Blocked() {
+		if l.duty.Outbox.Blocked() {
 			l.stall()
 			return
 		}
@@ -259,7 +228,7 @@
 		l.sent = false
 		l.fire(l.duty.on.answered)
 		m.Ready.Target = l.id
-		l.duty.outbox.Push(m.Ready)
+		l.duty.Outbox.Push(m.Ready)
 	case Progress:
 		if len(m.Send) > 0 {
 			l.conn.Write(m.Send)
@@ -273,7 +242,7 @@
 	}
 	l.stalled = true
 	l.conn.PauseRead()
-	l.duty.stall(l.resume)
+	l.duty.Stall(l.resume)
 }
 
 func (l *targetLink) resume() {
--- a/pkg/targetio/cancel.go
+++ b/pkg/targetio/cancel.go
@@ -23,7 +23,7 @@
 		return
 	}
 	c := &canceller{target: t}
-	conn, err := t.duty.loop.Connect(t.address, c)
+	conn, err := t.duty.Loop.Connect(t.address, c)
 	if err != nil {
 		return
 	}
@@ -31,7 +31,7 @@
 	t.cancels++
 	t.duty.counts.cancels.Add(1)
 	c.timeout.Value = conn.Close
-	t.duty.timers.Arm(&c.timeout, time.Now().Add(t.duty.config.CancelTimeout))
+	t.duty.Timers.Arm(&c.timeout, time.Now().Add(t.duty.config.CancelTimeout))
 }
 
 // Opened implements netloop.Handler.
@@ -59,7 +59,7 @@
 // has taken the cancel request.
 func (c *canceller) Closed(*netloop.Conn, error) {
 	t := c.target
-	t.duty.timers.Disarm(&c.timeout)
+	t.duty.Timers.Disarm(&c.timeout)
 	t.cancels--
 	if t.cancels > 0 || t.deferred == nil || t.gone {
 		return
--- a/pkg/targetio/duty.go
+++ b/pkg/targetio/duty.go
@@ -5,32 +5,20 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/reactor"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/wire/outbox"
 )
 
-// drainBatch bounds the ring items handled between two polls, so that a burst
-// of commands does not starve the sockets.
-const drainBatch = 256
-
 // Duty owns the target connections. Run and everything below it work on one thread.
 type Duty struct {
+	*reactor.Reactor[Input]
 	config  Config
-	loop    *netloop.Loop
-	ring    *ring.Ring[Input]
-	outbox  *outbox.Outbox
 	startup *startupChart
 	scram   *wire.ScramClient
 	targets map[session.TargetID]*target
-	timers  timerq.Queue[func()]
-	// stalled are the targets whose sockets wait for room in the session ring.
-	stalled  []*target
-	stopping atomic.Bool
-	counts   counters
+	counts  counters
 }
 
 // counters are read by the metrics page.
@@ -66,24 +54,25 @@
 	if err != nil {
 		return nil, &ConfigError{Reason: "credentials", Err: err}
 	}
-	loop, err := netloop.New()
-	if err != nil {
-		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
-	}
-	return &Duty{
+	d := &Duty{
 		config:  config,
-		loop:    loop,
-		ring:    ring.New[Input](config.RingCapacity, loop),
-		outbox:  outbox.New(deps.Session, loop),
 		startup: startup,
 		scram:   client,
 		targets: map[session.TargetID]*target{},
-	}, nil
+	}
+	d.Reactor, err = reactor.New(reactor.Config[Input]{
+		Capacity: config.RingCapacity, Session: deps.Session, Now: time.Now,
+		Handle: func(in Input) { d.command(in.Command) },
+	})
+	if err != nil {
+		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
+	}
+	return d, nil
 }
 
 // Ring returns the input ring of the duty.
 func (d *Duty) Ring() *ring.Ring[Input] {
-	return d.ring
+	return d.Commands
 }
 
 // Transitions returns how often each transition of the startup chart was taken.
@@ -102,75 +91,6 @@
 	}
 }
 
-// Stop ends Run and closes every connection. It is safe for concurrent use.
-func (d *Duty) Stop() {
-	d.stopping.Store(true)
-	d.loop.Wake()
-}
-
-// Run serves the connections until Stop. It returns an error when the event loop fails.
-func (d *Duty) Run() error {
-	defer d.loop.Close()
-	for !d.stopping.Load() {
-		d.drainRing()
-		d.resumeStalled()
-		d.fireTimers(time.Now())
-		if err := d.wait(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *Duty) wait() error {
-	if !d.ring.Park() {
-		return d.loop.Poll(0)
-	}
-	defer d.ring.Unpark()
-	next, armed := d.timers.Next()
-	if !armed {
-		return d.loop.Poll(-1)
-	}
-	return d.loop.Poll(max(time.Until(next), 0))
-}
-
-func (d *Duty) fireTimers(now time.Time) {
-	for {
-		item, due := d.timers.PopDue(now)
-		if !due {
-			return
-		}
-		item.Value()
-	}
-}
-
-func (d *Duty) drainRing() {
-	for range drainBatch {
-		input, ok := d.ring.Pop()
-		if !ok {
-			return
-		}
-		d.command(input.Command)
-	}
-}
-
-// resumeStalled reads the paused sockets again once the session ring has
-// taken every waiting event.
-func (d *Duty) resumeStalled() {
-	if d.outbox.Blocked() && !d.outbox.Flush() {
-		return
-	}
-	for len(d.stalled) > 0 && !d.outbox.Blocked() {
-		last := len(d.stalled) - 1
-		t := d.stalled[last]
-		d.stalled[last] = nil
-		d.stalled = d.stalled[:last]
-		t.stalled = false
-		t.balance()
-		t.process()
-	}
-}
-
 // command carries out one command of the session duty. A command for a
 // connection that is gone is dropped: TargetClosed is on its way.
 func (d *Duty) command(command session.TargetCommand) {
@@ -206,7 +126,7 @@
 		d.refuse(t.id, "the database name holds a zero byte")
 		return
 	}
-	conn, err := d.loop.Connect(m.Address, t)
+	conn, err := d.Loop.Connect(m.Address, t)
 	if err != nil {
 		d.refuse(t.id, err.Error())
 		return
@@ -219,5 +139,5 @@
 
 func (d *Duty) refuse(id session.TargetID, reason string) {
 	d.counts.refused.Add(1)
-	d.outbox.Push(session.TargetClosed{Target: id, Unsent: true, Refused: true, Reason: reason})
+	d.Outbox.Push(session.TargetClosed{Target: id, Unsent: true, Refused: true, Reason: reason})
 }
--- a/pkg/targetio/exchange.go
+++ b/pkg/targetio/exchange.go
@@ -288,7 +288,7 @@
 	}
 	e := t.exchange
 	t.exchange = nil
-	t.duty.outbox.Push(session.TargetReady{
+	t.duty.Outbox.Push(session.TargetReady{
 		Target:     t.id,
 		Frames:     append(e.gathered, f.Raw...),
 		TxStatus:   f.Body[0],
--- a/pkg/targetio/startup.go
+++ b/pkg/targetio/startup.go
@@ -74,10 +74,10 @@
 func (t *target) armTimeout() {
 	limit := t.duty.startup.table.Timeout(t.state)
 	if limit == 0 || t.gone {
-		t.duty.timers.Disarm(&t.timeout)
+		t.duty.Timers.Disarm(&t.timeout)
 		return
 	}
-	t.duty.timers.Arm(&t.timeout, time.Now().Add(limit))
+	t.duty.Timers.Arm(&t.timeout, time.Now().Add(limit))
 }
 
 func (t *target) timedOut() {
@@ -207,5 +207,5 @@
 func (t *target) reportOpened() {
 	t.proof = nil
 	t.duty.counts.opened.Add(1)
-	t.duty.outbox.Push(session.TargetOpened{Target: t.id})
+	t.duty.Outbox.Push(session.TargetOpened{Target: t.id})
 }
--- a/pkg/targetio/target.go
+++ b/pkg/targetio/target.go
@@ -64,13 +64,13 @@
 	started := t.state == t.duty.startup.open
 	t.gone = true
 	t.fire(t.duty.startup.lost)
-	t.duty.timers.Disarm(&t.timeout)
+	t.duty.Timers.Disarm(&t.timeout)
 	delete(t.duty.targets, t.id)
 	t.duty.counts.open.Add(-1)
 	if !started {
 		t.duty.counts.refused.Add(1)
 	}
-	t.duty.outbox.Push(session.TargetClosed{
+	t.duty.Outbox.Push(session.TargetClosed{
 		Target:  t.id,
 		Unsent:  t.exchange == nil || !t.exchange.written,
 		Reason:  t.closeReason(err),
@@ -108,7 +108,7 @@
 
 // process consumes the complete frames that are buffered.
 func (t *target) process() {
-	if t.duty.outbox.Blocked() {
+	if t.duty.Outbox.Blocked() {
 		t.stall()
 		return
 	}
@@ -158,7 +158,7 @@
 	}
 	frames := t.exchange.gathered
 	t.exchange.gathered = nil
-	t.duty.outbox.Push(session.TargetData{Target: t.id, Frames: frames})
+	t.duty.Outbox.Push(session.TargetData{Target: t.id, Frames: frames})
 }
 
 // stall stops reading until the session ring has room.
@@ -167,10 +167,17 @@
 		return
 	}
 	t.stalled = true
-	t.duty.stalled = append(t.duty.stalled, t)
+	t.duty.Stall(t.resume)
 	t.balance()
 }
 
+// resume reads the socket again once the session ring has room.
+func (t *target) resume() {
+	t.stalled = false
+	t.balance()
+	t.process()
+}
+
 func (t *target) setPaused(paused bool) {
 	t.paused = paused
 	t.balance()
