Split the fleet engine and the hosted assembly; name their bounds

Messages, members and publishing are files of their own; the bounds of a hosted instance stand in one place with their source. The operator's bound of idle transactions is applied.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -1,13 +1,10 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -40,92 +37,6 @@
 	PromotionCall  time.Duration
 	PromotionRetry time.Duration
 	Takeover       time.Duration
-	// ShareEvery is how often the shares are worked out.
-	ShareEvery time.Duration
-}
-
-// Input is an item of the fleet duty's ring.
-type Input interface {
-	fleetInput()
-}
-
-// StoreSeen reports everything that the store holds, after a start or a gap.
-type StoreSeen struct {
-	Snapshot *Snapshot
-	// Since is a time at which the store had no newer news than those that were
-	// delivered before; zero at the start.
-	Since time.Time
-}
-
-// StoreChanged reports changes in their order.
-type StoreChanged struct {
-	Changes []Change
-	// Since is as in StoreSeen.
-	Since time.Time
-}
-
-// StoreLost reports that the store cannot be read; StoreSeen ends that.
-type StoreLost struct {
-	Reason string
-}
-
-// FromSession is a report of the session duty.
-type FromSession struct {
-	Report session.ControlReport
-}
-
-// ConfigurationAsked is a request of another instance for the configuration.
-type ConfigurationAsked struct {
-	// Reply comes back with the answer.
-	Reply any
-}
-
-// ConfigurationGiven is the configuration of another instance.
-type ConfigurationGiven struct {
-	Configuration *Configuration
-}
-
-func (ConfigurationAsked) fleetInput() {}
-func (ConfigurationGiven) fleetInput() {}
-
-// StopRequested begins the planned stop.
-type StopRequested struct{}
-
-func (StoreSeen) fleetInput()     {}
-func (StoreChanged) fleetInput()  {}
-func (StoreLost) fleetInput()     {}
-func (FromSession) fleetInput()   {}
-func (StopRequested) fleetInput() {}
-
-// Outputs receives what the engine decides.
-type Outputs interface {
-	Session(session.Input)
-	// ClaimHome asks the registrar to make this instance an account's home.
-	ClaimHome(HomeClaim)
-	// AskMember asks another instance what it has heard of a member; the answer is
-	// a MemberOpinion.
-	AskMember(node string, address session.PeerAddress, member core.MemberID)
-	// AskConfiguration asks another instance for its configuration, and
-	// GiveConfiguration answers such a question.
-	AskConfiguration(session.PeerAddress)
-	GiveConfiguration(reply any, c *Configuration)
-	// Leave gives the registration and the homes up.
-	Leave()
-	// Work hands a job to the worker and reports whether there was room.
-	Work(Job) bool
-	// Ready tells the balancer's probe whether callers may come.
-	Ready(bool)
-	// Finish ends the process after a planned stop.
-	Finish()
-	Log(LogEvent)
-}
-
-// LogEvent is a line about a decision or a change of belief.
-type LogEvent struct {
-	Warning bool
-	Event   string
-	Message string
-	Fields  map[string]any
 }
 
 // Engine holds the state of the fleet duty. It has no I/O and no clock, and is
@@ -155,6 +66,10 @@
 	shares    shares
 	homes     homes
 
+	// steadyState and servingState are states that decisions ask for.
+	steadyState  chart.State
+	servingState chart.State
+
 	succession  *chart.Table[*succession]
 	change      successionEvents
 	successions map[core.DatabaseName]*succession
@@ -166,20 +81,6 @@
 	configured, stop, drained, timedOut chart.Event
 }
 
-// member is what is known of a member of any group.
-type member struct {
-	Announcement
-	// drainingSince is when the member was first seen draining.
-	drainingSince time.Time
-	// missing is set when the store lacks the entry after an outage.
-	missing bool
-	// dead is set when the member's host refused a connection, until the member
-	// announces itself again.
-	dead bool
-	// examining is set while the worker asks the member.
-	examining bool
-}
-
 // Charts are the life cycles of the fleet duty.
 type Charts struct {
 	Instance   *chart.Definition
@@ -207,6 +108,7 @@
 	}
 	e.life = table
 	e.state = table.Initial()
+	e.servingState = table.StateID("serving")
 	e.on = lifeEvents{
 		configured: table.Event("configured"), stop: table.Event("stop"),
 		drained: table.Event("drained"), timedOut: table.Event(chart.TimeoutEvent),
@@ -418,194 +320,3 @@
 	e.adopt(c)
 	e.publish()
 }
-
-func (e *Engine) memberSeen(a *Announcement) {
-	m := e.members[a.Member]
-	if m == nil {
-		m = &member{}
-		e.members[a.Member] = m
-	}
-	if a.Revision < m.Revision {
-		return
-	}
-	if m.Role != a.Role || m.Draining != a.Draining || m.missing {
-		e.out.Log(LogEvent{Event: "member", Message: "member announced itself", Fields: map[string]any{
-			"member": a.Member, "group": a.Group, "role": a.Role, "draining": a.Draining, "revision": a.Revision,
-		}})
-	}
-	m.dead = m.dead && a.Revision == m.Revision
-	m.Announcement = *a
-	m.missing = false
-	if !a.Draining {
-		m.drainingSince = time.Time{}
-		return
-	}
-	if m.drainingSince.IsZero() {
-		// The announcement may be as old as the last news before it; at the start,
-		// when there was none, it may be of any age.
-		m.drainingSince = e.since
-		if e.since.IsZero() {
-			m.drainingSince = e.now.Add(-e.config.Bounds.TargetDrain)
-		}
-		e.armSweep()
-	}
-}
-
-// memberGone removes a member. While the store has just come back, its entry
-// may have ended without the member, which then announces itself again.
-func (e *Engine) memberGone(id core.MemberID) {
-	m := e.members[id]
-	if m == nil {
-		return
-	}
-	if e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
-		m.missing = true
-		e.armSweep()
-		return
-	}
-	e.forget(m)
-}
-
-func (e *Engine) forget(m *member) {
-	delete(e.members, m.Member)
-	e.out.Log(LogEvent{Event: "member_gone", Message: "member is gone", Fields: map[string]any{
-		"member": m.Member, "group": m.Group,
-	}})
-}
-
-// armSweep sets the time at which the next member stops being used.
-func (e *Engine) armSweep() {
-	var next time.Time
-	for _, m := range e.members {
-		next = sooner(next, e.unusableAt(m), e.now)
-	}
-	for _, i := range e.instances {
-		if i.missing {
-			next = sooner(next, e.storeBack.Add(e.config.Bounds.ReturnWait), e.now)
-		}
-	}
-	if !next.IsZero() {
-		e.timers.Arm(&e.sweep, next)
-	}
-}
-
-// sooner returns the earlier of two times, where times that have passed and the
-// zero time do not count.
-func sooner(next, at, now time.Time) time.Time {
-	if !at.After(now) || !next.IsZero() && next.Before(at) {
-		return next
-	}
-	return at
-}
-
-// unusableAt returns when a draining or missing member stops being used, zero
-// for others.
-func (e *Engine) unusableAt(m *member) time.Time {
-	if m.missing {
-		return e.storeBack.Add(e.config.Bounds.ReturnWait)
-	}
-	if m.Draining {
-		return m.drainingSince.Add(e.config.Bounds.TargetDrain)
-	}
-	return time.Time{}
-}
-
-func (e *Engine) sweepMembers() {
-	for _, m := range e.members {
-		if m.missing && !e.storeLost && !e.now.Before(e.unusableAt(m)) {
-			e.forget(m)
-		}
-	}
-	e.forgetInstances()
-	e.publish()
-	e.armSweep()
-}
-
-// usable reports whether new work may go to the member. A draining one is used
-// until its bound: a group of three has no more capacity than its members.
-func (e *Engine) usable(m *member) bool {
-	if m.dead {
-		return false
-	}
-	if !m.Draining {
-		return true
-	}
-	return e.now.Before(e.unusableAt(m))
-}
-
-// publish tells session what is in force.
-func (e *Engine) publish() {
-	if e.configuration == nil {
-		return
-	}
-	e.published++
-	c := e.catalogue()
-	e.out.Session(session.CatalogueInForce{Catalogue: c})
-	for i := range c.Databases {
-		e.out.Session(e.view(&c.Databases[i]))
-	}
-	if len(e.members) > 0 {
-		e.fire(e.on.configured)
-	}
-	e.publishHomes()
-	e.reviewSuccession()
-	e.homes.review()
-}
-
-// publishHomes tells session the homes and the shares that go with them.
-func (e *Engine) publishHomes() {
-	e.homes.publish()
-	e.shares.publish()
-}
-
-// catalogue joins the configuration and the members. Its version counts what
-// was published here; EditID tells the operator's version.
-func (e *Engine) catalogue() *catalogue.Catalogue {
-	c := &catalogue.Catalogue{
-		Version: e.published,
-
-		OperatorVersion: e.configuration.Version,
-		Accounts:        e.configuration.Accounts,
-		Entries:         e.configuration.Entries,
-	}
-	for _, g := range e.configuration.Groups {
-		c.Databases = append(c.Databases, catalogue.Database{
-			Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive, Members: e.membersOf(g.Name),
-		})
-	}
-	return c
-}
-
-func (e *Engine) membersOf(group core.DatabaseName) []catalogue.Member {
-	var list []catalogue.Member
-	for _, m := range e.members {
-		if m.Group != group {
-			continue
-		}
-		list = append(list, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
-	}
-	slices.SortFunc(list, func(a, b catalogue.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return list
-}
-
-func (e *Engine) view(db *catalogue.Database) session.GroupView {
-	view := session.GroupView{Database: db.Name}
-	for i := range db.Members {
-		m := e.members[db.Members[i].ID]
-		view.Members = append(view.Members, session.MemberView{
-			Status:    core.MemberStatus{Member: m.Member, Role: m.leadRole()},
-			Reachable: e.usable(m),
-			Announced: uint64(m.Revision),
-			SeenAt:    e.now,
-		})
-	}
-	return view
-}
-
-// leadRole is the announced role, but for a dead primary, which leads nobody.
-func (m *member) leadRole() core.Role {
-	if m.dead {
-		return core.RoleReplica
-	}
-	return m.Role
-}
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -188,7 +188,9 @@
 func (h *homes) mayClaim() bool {
 	e := h.e
 	self := e.instances[e.config.Self.Node]
-	return self != nil && self.ID == e.config.Self.ID && !e.storeLost && !e.now.Before(h.barredUntil) && e.life.StateName(e.state) == "serving"
+	registered := self != nil && self.ID == e.config.Self.ID
+	barred := e.now.Before(h.barredUntil)
+	return registered && !barred && !e.storeLost && e.state == e.servingState
 }
 
 // due returns when this instance is to claim the account, and false if it is
--- /dev/null
+++ b/pkg/fleet/publish.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// publish tells session what is in force.
+func (e *Engine) publish() {
+	if e.configuration == nil {
+		return
+	}
+	e.published++
+	c := e.catalogue()
+	e.out.Session(session.CatalogueInForce{Catalogue: c})
+	e.out.Session(session.LimitsInForce{TransactionIdle: e.configuration.TransactionIdle})
+	for i := range c.Databases {
+		e.out.Session(e.view(&c.Databases[i]))
+	}
+	if len(e.members) > 0 {
+		e.fire(e.on.configured)
+	}
+	e.publishHomes()
+	e.reviewSuccession()
+	e.homes.review()
+}
+
+// publishHomes tells session the homes and the shares that go with them.
+func (e *Engine) publishHomes() {
+	e.homes.publish()
+	e.shares.publish()
+}
+
+// catalogue joins the configuration and the members. Its version counts what
+// was published here; EditID tells the operator's version.
+func (e *Engine) catalogue() *catalogue.Catalogue {
+	c := &catalogue.Catalogue{
+		Version: e.published,
+
+		OperatorVersion: e.configuration.Version,
+		Accounts:        e.configuration.Accounts,
+		Entries:         e.configuration.Entries,
+	}
+	for _, g := range e.configuration.Groups {
+		c.Databases = append(c.Databases, catalogue.Database{
+			Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive, Members: e.membersOf(g.Name),
+		})
+	}
+	return c
+}
+
+func (e *Engine) membersOf(group core.DatabaseName) []catalogue.Member {
+	var list []catalogue.Member
+	for _, m := range e.members {
+		if m.Group != group {
+			continue
+		}
+		list = append(list, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
+	}
+	slices.SortFunc(list, func(a, b catalogue.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (e *Engine) view(db *catalogue.Database) session.GroupView {
+	view := session.GroupView{Database: db.Name}
+	for i := range db.Members {
+		m := e.members[db.Members[i].ID]
+		view.Members = append(view.Members, session.MemberView{
+			Status:    core.MemberStatus{Member: m.Member, Role: m.leadRole()},
+			Reachable: e.usable(m),
+			Announced: uint64(m.Revision),
+			SeenAt:    e.now,
+		})
+	}
+	return view
+}
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -78,6 +78,7 @@
 	}
 	event := table.Event
 	e.succession = table
+	e.steadyState = table.StateID("settled")
 	e.change = successionEvents{
 		needed: event("needed"), settled: event("settled"), claimed: event("claimed"),
 		claimFailed: event("claim_failed"), surveyed: event("surveyed"), surveyFailed: event("survey_failed"),
@@ -181,7 +182,7 @@
 
 func (s *succession) need(reason string, old core.MemberID, planned bool) {
 	e := s.e
-	if e.succession.StateName(s.state) == "settled" {
+	if s.state == e.steadyState {
 		s.neededAt = e.now
 		s.candidate = MemberState{}
 		e.out.Log(LogEvent{Warning: true, Event: "primary_needed", Message: reason, Fields: map[string]any{
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -163,6 +163,7 @@
 // receiving, one that does not answer fails the survey.
 func (w *Worker) survey(j Job) ([]MemberState, error) {
 	if j.Term == 0 {
+		// A replica that does not answer is no candidate, and no reason to wait.
 		states, _ := w.ask(j.Targets, w.orders.Status)
 		return states, nil
 	}
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -24,7 +24,6 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
@@ -32,18 +31,6 @@
 	"github.com/sassafrasshunt/sassafrasshunt/platform"
 )
 
-const (
-	// hostedRing is the capacity of the rings of a hosted instance, in items. It
-	// holds one input of every caller that the descriptors allow.
-	hostedRing = 4096
-	// reservedDescriptors are kept for files, the store and the targets.
-	reservedDescriptors = 600
-	// memoryFraction is the part of the memory limit that the heap may use.
-	memoryFraction = 0.7
-	// maxCallerInput bounds the unread input of a caller, in bytes.
-	maxCallerInput = 256 << 10
-)
-
 // Hosted is an instance whose addresses and bounds are given by the users'
 // platform. It has the same decisions as Instance and other edges.
 type Hosted struct {
@@ -103,7 +90,7 @@
 	h.callers, err = linkio.NewCallers(linkio.CallerConfig{
 		Address: h.settings.CallerAddress, RingCapacity: hostedRing,
 		MaxCallers: max(h.settings.Descriptors-reservedDescriptors, 1), MaxInput: maxCallerInput,
-		Startup: 10 * time.Second, Admission: 5 * time.Second, Linger: 500 * time.Millisecond,
+		Startup: callerStartup, Admission: callerAdmission, Linger: callerLinger,
 		NewCodec: platform.NewCallerCodec,
 	}, definition, h.sessions.input)
 	return err
@@ -115,7 +102,7 @@
 		return err
 	}
 	h.targets, err = linkio.NewTargets(linkio.TargetConfig{
-		RingCapacity: hostedRing, Connect: 500 * time.Millisecond, Startup: time.Second,
+		RingCapacity: hostedRing, Connect: targetConnect, Startup: targetStartup,
 		NewCodec: platform.NewTargetCodec,
 	}, definition, h.sessions.input)
 	return err
@@ -145,10 +132,10 @@
 	config.AsyncReplication = true
 	config.RatePerOperation = true
 	config.FinishOnRevocation = true
-	config.MemberConnections = 2
-	config.Bounds.TransactionIdle = 10 * time.Second
-	config.Bounds.ConnectionOpen = 2 * time.Second
-	config.Bounds.Drain = h.settings.StopGrace / 2
+	config.MemberConnections = firstConnections
+	config.Bounds.TransactionIdle = firstTransactionIdle
+	config.Bounds.ConnectionOpen = connectionOpen
+	config.Bounds.Drain = h.settings.StopGrace / sessionDrainPart
 	engine, err := session.New(config, out)
 	if err != nil {
 		return err
@@ -159,14 +146,6 @@
 	return nil
 }
 
-// balancerNotice is two missed probes of the balancer, one a second, and the
-// time of an answer.
-const balancerNotice = 2200 * time.Millisecond
-
-// stopReserve is the part of the grace time for the end of the duties, whose
-// calls to the store take up to a second.
-const stopReserve = 1700 * time.Millisecond
-
 func (h *Hosted) buildFleet() error {
 	life, err := charts.Load("hosted_instance")
 	if err != nil {
@@ -181,12 +160,11 @@
 		RateOverage: h.settings.RateOverage, RateSlack: h.settings.RateSlack, Bounds: fleet.Bounds{
 			BalancerNotice: balancerNotice,
 			Drain:          h.settings.StopGrace - balancerNotice - stopReserve,
-			TargetDrain:    h.settings.TargetDrain * 3 / 4,
-			ReturnWait:     3 * time.Second,
-			PromotionCall:  2 * time.Second,
-			PromotionRetry: 500 * time.Millisecond,
-			Takeover:       3 * time.Second,
-			ShareEvery:     time.Second,
+			TargetDrain:    time.Duration(float64(h.settings.TargetDrain) * targetDrainPart),
+			ReturnWait:     returnWait,
+			PromotionCall:  promotionStep,
+			PromotionRetry: promotionRetry,
+			Takeover:       takeover,
 		}}, fleet.Charts{Instance: life, Succession: succession}, out)
 	if err != nil {
 		return err
@@ -195,15 +173,14 @@
 	h.fleets.outlets = []outlet{out.session}
 	store := platform.NewStore(h.settings.StoreAddress, h.skipped)
 	h.watcher = fleet.NewWatcher(store, fleet.WatchBounds{
-		Wait: 2500 * time.Millisecond, Answer: 500 * time.Millisecond, Pause: 100 * time.Millisecond,
-		Gather: 250 * time.Millisecond,
+		Wait: storeWait, Answer: storeAnswer, Pause: storePause, Gather: storeGather,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), h.self, fleet.RegistrarBounds{
-		TTL: 12 * time.Second, Renew: 1500 * time.Millisecond, Answer: time.Second, Margin: 1500 * time.Millisecond,
+		TTL: leaseTTL, Renew: leaseRenew, Answer: callBound, Margin: leaseMargin,
 	}, h.deliverFleet, h.fleetLog)
 	h.worker = fleet.NewWorker(platform.NewStore(h.settings.StoreAddress, h.skipped),
 		platform.NewOrders(h.settings.Name, h.settings.PromotionAddress), h.self.ID, fleet.WorkerBounds{
-			Call: time.Second, Member: 300 * time.Millisecond, ClaimTTL: 5 * time.Second,
+			Call: callBound, Member: memberOrder, ClaimTTL: claimTTL,
 		}, h.deliverFleet)
 	return nil
 }
@@ -330,74 +307,6 @@
 	h.log(level, l.Event, l.Message, telemetry.Fields(l.Fields))
 }
 
-// hostedSession puts the outputs of the session engine into rings.
-type hostedSession struct {
-	callers *port[linkio.CallerInput]
-	targets *port[session.TargetCommand]
-	fleet   *ring.Ring[fleet.Input]
-	peers   *port[rpc.Command]
-	hosted  *Hosted
-}
-
-func (o *hostedSession) Caller(c session.CallerCommand) bool {
-	o.callers.send(linkio.CallerInput{Command: c})
-	return true
-}
-
-func (o *hostedSession) Target(c session.TargetCommand) bool {
-	o.targets.send(c)
-	return true
-}
-
-// Classify is not used: the callers' protocol says what a request does.
-func (o *hostedSession) Classify(session.ClassifyRequest) bool {
-	return false
-}
-
-func (o *hostedSession) Control(r session.ControlReport) bool {
-	return o.fleet.TryPush(fleet.FromSession{Report: r})
-}
-
-func (o *hostedSession) Span(session.Span) {}
-
-func (o *hostedSession) Note(d session.Decision) {
-	o.hosted.log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
-}
-
-// hostedFleet carries out the outputs of the fleet engine.
-type hostedFleet struct {
-	hosted  *Hosted
-	session *port[session.Input]
-}
-
-func (o *hostedFleet) Session(in session.Input) { o.session.send(in) }
-func (o *hostedFleet) Work(j fleet.Job) bool    { return o.hosted.worker.Push(j) }
-func (o *hostedFleet) AskConfiguration(address session.PeerAddress) {
-	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCall})
-}
-
-func (o *hostedFleet) AskMember(node string, address session.PeerAddress, member core.MemberID) {
-	o.hosted.rpc.Send(rpc.Call{
-		Tag: opinionTag{member: member, node: node}, Address: string(address),
-		Method: relay.MethodMember, Params: relay.MemberQuestion{Member: member}, Timeout: shortCall,
-	})
-}
-
-func (o *hostedFleet) GiveConfiguration(reply any, c *fleet.Configuration) {
-	if to, ok := reply.(replyTo); ok {
-		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: c})
-	}
-}
-
-func (o *hostedFleet) Leave() { o.hosted.registrar.Leave() }
-
-// ClaimHome drops a claim that finds no room; it is repeated.
-func (o *hostedFleet) ClaimHome(c fleet.HomeClaim) { o.hosted.registrar.ClaimHome(c) }
-
-func (o *hostedFleet) Ready(ready bool)     { o.hosted.ready.Store(ready) }
-func (o *hostedFleet) Finish()              { o.hosted.finished() }
-func (o *hostedFleet) Log(l fleet.LogEvent) { o.hosted.fleetLog(l) }
-
 // HostedVariable names the environment variable with the path of the
 // platform's settings file.
 const HostedVariable = platform.BootVariable
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -19,7 +19,12 @@
 const pathMetrics = "/metrics"
 
 func (h *Hosted) buildMetrics() error {
-	listener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.FirstPort+1)))
+	port := h.settings.FirstPort + 1
+	if h.settings.FirstPort == 0 {
+		// The kernel chooses the ports of an instance that is only checked.
+		port = 0
+	}
+	listener, err := net.Listen("tcp4", net.JoinHostPort(h.settings.IP, strconv.Itoa(port)))
 	if err != nil {
 		return err
 	}
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -46,9 +46,12 @@
 	address netip.AddrPort
 	chart   *chart.Table[*callerLink]
 	on      callerEvents
-	links   map[session.CallerID]*callerLink
-	nextID  session.CallerID
-	open    atomic.Int64
+	// startupState and idleState are the states in which messages are decoded.
+	startupState chart.State
+	idleState    chart.State
+	links        map[session.CallerID]*callerLink
+	nextID       session.CallerID
+	open         atomic.Int64
 }
 
 type callerEvents struct {
@@ -67,6 +70,7 @@
 	if d.chart, err = chart.Compile(definition, d.registry()); err != nil {
 		return nil, &ConfigError{Reason: "chart", Err: err}
 	}
+	d.startupState, d.idleState = d.chart.StateID("startup"), d.chart.StateID("idle")
 	e := d.chart.Event
 	d.on = callerEvents{
 		started: e("started"), admitted: e("admitted"), request: e("request"), local: e("local"),
@@ -214,8 +218,7 @@
 
 // takesInput reports whether a message may be decoded in the present state.
 func (l *callerLink) takesInput() bool {
-	name := l.duty.chart.StateName(l.state)
-	return name == "startup" || name == "idle"
+	return l.state == l.duty.startupState || l.state == l.duty.idleState
 }
 
 // pushBack stops reading a caller that sends far ahead of its answers.
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -292,3 +292,19 @@
 	}
 	require.NotContains(t, h.control, SuspectMember{Database: "db", Member: "m0"})
 }
+
+// Guards against a connection that is held by a caller which rests inside its
+// transaction.
+func TestIdleTransactionIsEnded(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.do(LimitsInForce{TransactionIdle: 3 * time.Second})
+	h.open(1, core.Position{})
+	h.order(1, "begin", begin)
+	h.order(1, "write", write)
+	h.answer(h.sent().Target, 'T', term(1, 100))
+	h.wait(2900 * time.Millisecond)
+	require.IsType(t, CallerWrite{}, h.last())
+	h.wait(200 * time.Millisecond)
+	require.IsType(t, CallerClose{}, h.last())
+	require.Contains(t, h.targets, TargetClose{Target: h.sent().Target})
+}
--- a/pkg/session/away.go
+++ b/pkg/session/away.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // A caller's requests run at the home of its account, another instance, while
-// that can be reached. This file is the caller's side; visitors.go is the
-// home's.
+// that can be reached. This file is the caller's side; visitors.go is the home's,
+// and homepeer.go tells whether a home can be reached.
 
 // PeerAddress is where an instance takes messages of other instances, IP:port.
 type PeerAddress string
@@ -72,9 +71,12 @@
 	peerCommand()
 }
 
-func (Visit) peerCommand()       {}
-func (VisitEnd) peerCommand()    {}
-func (PeerProbe) peerCommand()   {}
+func (Visit) peerCommand() {}
+
+func (VisitEnd) peerCommand() {}
+
+func (PeerProbe) peerCommand() {}
+
 func (VisitAnswer) peerCommand() {}
 
 // VisitResult is a home's answer to a Visit.
@@ -100,9 +102,12 @@
 }
 
 func (HomesInForce) sessionInput() {}
-func (VisitResult) sessionInput()  {}
-func (VisitLost) sessionInput()    {}
-func (PeerAlive) sessionInput()    {}
+
+func (VisitResult) sessionInput() {}
+
+func (VisitLost) sessionInput() {}
+
+func (PeerAlive) sessionInput() {}
 
 // PeerRefused reports that the host of an instance refuses connections, which
 // proves that its process is dead.
@@ -112,120 +117,6 @@
 
 func (PeerRefused) controlReport() {}
 
-const (
-	// peerProbeEvery is the period of probes while a home owes answers or its
-	// accounts are in use; the round trip between failure domains is about 2 ms.
-	peerProbeEvery = 200 * time.Millisecond
-	// peerSilence is how long a home that is probed may give no sign of life.
-	peerSilence = 480 * time.Millisecond
-	// peerUse is how long after its last use a home is probed.
-	peerUse = 3 * time.Second
-	// visitMargin is how much later than the home this instance gives up.
-	visitMargin = 30 * time.Millisecond
-)
-
-// homePeer is what is known of an instance that is the home of accounts.
-type homePeer struct {
-	e       *Engine
-	address PeerAddress
-	// visits are the unanswered requests, by caller.
-	visits map[CallerID]*statement
-	// heard is the last sign of life, used the last use, both of which begin with
-	// the first probe.
-	heard time.Time
-	used  time.Time
-	// lost is set from the silence of the home until its next sign of life.
-	lost bool
-	// refused is set when the home's host refused a connection.
-	refused bool
-	// probing is set while the timer of the probes runs.
-	probing bool
-	item    timerq.Item[timed]
-}
-
-func (e *Engine) peer(address PeerAddress) *homePeer {
-	p := e.peers[address]
-	if p == nil {
-		p = &homePeer{e: e, address: address, visits: map[CallerID]*statement{}}
-		p.item.Value = p
-		e.peers[address] = p
-	}
-	return p
-}
-
-// use notes that a caller needs the home, and keeps probing it for a while.
-func (p *homePeer) use() {
-	p.used = p.e.now
-	if p.probing {
-		return
-	}
-	p.probing = true
-	p.heard = p.e.now
-	p.probe()
-}
-
-func (p *homePeer) probe() {
-	p.e.box.out.Peer(PeerProbe{Address: p.address})
-	p.e.timers.Arm(&p.item, p.e.now.Add(peerProbeEvery))
-}
-
-// timeOut probes the home and gives up on a silent one.
-func (p *homePeer) timeOut() {
-	if len(p.visits) == 0 && p.e.now.Sub(p.used) > peerUse {
-		p.probing = false
-		return
-	}
-	if p.e.now.Sub(p.heard) > peerSilence {
-		p.giveUp()
-	}
-	p.probe()
-}
-
-// giveUp ends the visits to a silent home; what they asked for may have run.
-func (p *homePeer) giveUp() {
-	e := p.e
-	if !p.lost {
-		p.lost = true
-		e.metrics.HomesLost++
-		e.homesChanged()
-	}
-	for id, s := range p.visits {
-		delete(p.visits, id)
-		e.box.out.Peer(VisitEnd{Address: p.address, Caller: id})
-		s.unsent = false
-		s.fire(e.charts.stmt.awayLost)
-	}
-}
-
-// alive notes a sign of life.
-func (p *homePeer) alive() {
-	p.heard = p.e.now
-	p.refused = false
-	if p.lost {
-		p.lost = false
-		p.e.homesChanged()
-	}
-}
-
-// homesChanged lets the accounts of lost homes be served here.
-func (e *Engine) homesChanged() {
-	for name, a := range e.accounts {
-		home, known := e.homes[name]
-		p := e.peers[home.Address]
-		if !known || !home.Here && p != nil && p.lost {
-			a.loseHome()
-			continue
-		}
-		a.regainHome()
-	}
-}
-
-// homesInForce replaces the homes. Visits under way go on where they are.
-func (e *Engine) homesInForce(in HomesInForce) {
-	e.homes = in.Homes
-	e.homesChanged()
-}
-
 // goesHome reports a request that another instance runs: it is part of a
 // transaction there, or begins something and the home is usable.
 func (c *caller) goesHome(r *Request) bool {
@@ -346,12 +237,6 @@
 	}
 }
 
-func (e *Engine) peerAlive(address PeerAddress) {
-	if p := e.peers[address]; p != nil {
-		p.alive()
-	}
-}
-
 // finishAway gives the caller the home's answer.
 func (s *statement) finishAway() {
 	c := s.c
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -109,7 +109,11 @@
 		delete(c.e.callers, c.id)
 		return
 	}
-	c.e.timers.Arm(&c.item, c.e.now.Add(table.Timeout(c.state)))
+	after := table.Timeout(c.state)
+	if after == ownTransactionIdle {
+		after = c.e.transactionIdle
+	}
+	c.e.timers.Arm(&c.item, c.e.now.Add(after))
 }
 
 func (c *caller) timeOut() {
--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -190,7 +190,7 @@
 	return map[string]time.Duration{
 		"caller_idle":      b.CallerIdle,
 		"caller_active":    b.StreamStall,
-		"transaction_idle": b.TransactionIdle,
+		"transaction_idle": ownTransactionIdle,
 	}
 }
 
@@ -214,6 +214,9 @@
 	}
 }
 
+// ownTransactionIdle stands in the chart's table for the bound in force.
+const ownTransactionIdle time.Duration = 0
+
 // ownDeadline stands in the chart's table for the statement's own deadline.
 const ownDeadline time.Duration = 0
 
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -41,6 +41,8 @@
 	lastVisitor  CallerID
 	opening      *visit
 	visitorSweep timer
+	// transactionIdle bounds the pauses of callers in a transaction.
+	transactionIdle time.Duration
 	// anonymous is the account of callers without a key on open entries that
 	// belong to no account.
 	anonymous   *account
@@ -111,9 +113,12 @@
 		fronts:    map[core.InstanceID]*front{},
 		instances: map[core.InstanceID]time.Time{},
 		visitors:  map[VisitorID]CallerID{},
-		budget:    retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
-		policy:    newPolicy(&cfg),
-		metrics:   newMetrics(),
+
+		transactionIdle: cfg.Bounds.TransactionIdle,
+
+		budget:  retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
+		policy:  newPolicy(&cfg),
+		metrics: newMetrics(),
 	}
 	e.anonymous = e.newAccount("")
 	e.anonymous.unlimited = true
@@ -205,6 +210,10 @@
 		e.shareInForce(in)
 	case Inspect:
 		e.inspect(in)
+	case LimitsInForce:
+		if in.TransactionIdle > 0 {
+			e.transactionIdle = in.TransactionIdle
+		}
 	case HomesInForce:
 		e.homesInForce(in)
 	case KeysRevoked:
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -252,6 +252,15 @@
 	Until time.Time
 }
 
+// LimitsInForce publishes the operator's limits.
+type LimitsInForce struct {
+	// TransactionIdle bounds the pauses of callers in a transaction; zero leaves
+	// the configured bound.
+	TransactionIdle time.Duration
+}
+
+func (LimitsInForce) sessionInput() {}
+
 // KeysTrusted publishes until when keys may be honoured without newer word of
 // revocations. Until it has been published once, keys are honoured.
 type KeysTrusted struct {
--- a/pkg/settings/hosted.go
+++ b/pkg/settings/hosted.go
@@ -34,12 +34,6 @@
 	TargetDrain time.Duration
 	// StopGrace is the time from the request to stop until the process is killed.
 	StopGrace time.Duration
-	// ApplyBound is the time in which a configuration has to be in force.
-	ApplyBound time.Duration
-	// AnnounceEvery is the period of the targets' announcements.
-	AnnounceEvery time.Duration
-	// LeaseTTL is the shortest lease that the store gives.
-	LeaseTTL time.Duration
 	// RateWindow is the window over which rates are counted, RateOverage the
 	// tolerated part above the rate, and RateSlack the tolerated requests.
 	RateWindow  time.Duration
