--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -36,7 +36,7 @@
 }
 
 // catalogue joins the configuration and the members. Its version counts what
-// was published here; EditID tells the operator's version.
+// was published here.
 func (e *Engine) catalogue() *catalogue.Catalogue {
 	c := &catalogue.Catalogue{
 		Version: e.published,
