--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -18,8 +18,8 @@
 
 // Tags of calls to other instances.
 type (
-	visitTag struct {
-		id      session.VisitID
+	relayTag struct {
+		id      session.RelayID
 		address session.PeerAddress
 	}
 	configurationTag struct{}
@@ -32,8 +32,8 @@
 )
 
 const (
-	// visitSlack is how much longer a visit may take than session waits for it.
-	visitSlack = time.Second
+	// relaySlack is how much longer a relayed request may take than session waits for it.
+	relaySlack = time.Second
 	// shortCall bounds calls that take no time at the other instance.
 	shortCall = 500 * time.Millisecond
 )
@@ -41,13 +41,13 @@
 // Peer encodes a command to another instance.
 func (o *hostedSession) Peer(c session.PeerCommand) bool {
 	switch m := c.(type) {
-	case session.Visit:
-		params := relay.NewVisit(o.hosted.self.ID, session.PeerAddress(o.hosted.self.Peer), m, clock.Now())
+	case session.RelayRequest:
+		params := relay.NewRequest(o.hosted.self.ID, session.PeerAddress(o.hosted.self.Peer), m, clock.Now())
 		o.peers.send(rpc.Call{
-			Tag: visitTag{id: m.ID, address: m.Address}, Address: string(m.Address),
-			Method: relay.MethodVisit, Params: params, Timeout: m.Within + visitSlack,
+			Tag: relayTag{id: m.ID, address: m.Address}, Address: string(m.Address),
+			Method: relay.MethodRelay, Params: params, Timeout: m.Within + relaySlack,
 		})
-	case session.VisitEnd:
+	case session.RelayEnd:
 		params := relay.Leave{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
 		o.peers.send(rpc.Call{Tag: leaveTag{}, Address: string(m.Address), Method: relay.MethodLeave, Params: params, Timeout: shortCall})
 	case session.PeerProbe:
@@ -59,7 +59,7 @@
 				Known: m.Known, SilenceMillis: m.Silence.Milliseconds(), AgoMillis: m.Ago.Milliseconds(),
 			}})
 		}
-	case session.VisitAnswer:
+	case session.RelayAnswer:
 		if to, ok := m.Reply.(replyTo); ok {
 			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.NewAnswer(m)})
 		}
@@ -79,8 +79,8 @@
 		return h.peerRequest(e)
 	case rpc.Result:
 		switch tag := e.Tag.(type) {
-		case visitTag:
-			return visitResult(tag, e)
+		case relayTag:
+			return relayResult(tag, e)
 		case opinionTag:
 			h.takeMemberAnswer(tag, e)
 		case configurationTag:
@@ -102,7 +102,7 @@
 			return nil
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
-		return session.FrontAlive{Instance: ping.Instance}
+		return session.OriginAlive{Instance: ping.Instance}
 	case relay.MethodMember:
 		var question relay.MemberQuestion
 		if !h.decodePeer(r, &question) {
@@ -120,13 +120,13 @@
 			return nil
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
-		return session.VisitorGone{Visitor: session.VisitorID{Instance: leave.Instance, Caller: session.CallerID(leave.Caller)}}
-	case relay.MethodVisit:
-		var visit relay.Visit
-		if !h.decodePeer(r, &visit) {
+		return session.RemoteGone{Caller: session.RemoteID{Instance: leave.Instance, Caller: session.CallerID(leave.Caller)}}
+	case relay.MethodRelay:
+		var request relay.Request
+		if !h.decodePeer(r, &request) {
 			return nil
 		}
-		in, err := visit.Input(replyTo{conn: r.Conn, id: r.ID}, clock.Now())
+		in, err := request.Input(replyTo{conn: r.Conn, id: r.ID}, clock.Now())
 		if err != nil {
 			h.refusePeer(r, err)
 			return nil
@@ -176,10 +176,10 @@
 	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: err.Error()}})
 }
 
-// visitResult decodes the answer to a visit, or tells what is known of one
+// relayResult decodes the answer to a relayed request, or tells what is known of one
 // without an answer.
-func visitResult(tag visitTag, r rpc.Result) session.Input {
-	lost := session.VisitLost{ID: tag.id, Address: tag.address}
+func relayResult(tag relayTag, r rpc.Result) session.Input {
+	lost := session.RelayLost{ID: tag.id, Address: tag.address}
 	if r.Err == nil {
 		var encoded relay.Answer
 		if json.Unmarshal(r.Raw, &encoded) != nil {
@@ -189,7 +189,7 @@
 		if err != nil {
 			return lost
 		}
-		return session.VisitResult{ID: tag.id, Address: tag.address, Answer: answer}
+		return session.RelayResult{ID: tag.id, Address: tag.address, Answer: answer}
 	}
 	lost.Refused = errors.As(r.Err, new(*rpc.RefusedError))
 	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.OverloadError)) || errors.As(r.Err, new(*rpc.EncodeError)) ||
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -11,9 +11,9 @@
 
 // Methods of the protocol between instances.
 const (
-	// MethodVisit runs a request: Visit -> Answer.
-	MethodVisit = "visit"
-	// MethodLeave ends a visitor's session or transaction: Leave -> {}.
+	// MethodRelay runs a request: Request -> Answer.
+	MethodRelay = "relay"
+	// MethodLeave ends a relayed session or transaction: Leave -> {}.
 	MethodLeave = "leave"
 	// MethodConfiguration asks for the configuration in force: {} ->
 	// fleet.Configuration.
@@ -25,9 +25,9 @@
 	MethodPing = "ping"
 )
 
-// Visit is a request of a caller of another instance. Names are short because
-// visits are most of the bytes between failure domains.
-type Visit struct {
+// Request is a request of a caller of another instance. Names are short because
+// relayed requests are most of the bytes between failure domains.
+type Request struct {
 	// Instance is the run of the sender, From its address, Caller its caller.
 	Instance core.InstanceID     `json:"i"`
 	From     session.PeerAddress `json:"f"`
@@ -39,7 +39,7 @@
 	Floor   string `json:"p,omitempty"`
 	Version uint64 `json:"v"`
 	// Sequence, Begins, Transaction, Opens and ReadOnly are those of
-	// session.VisitorRequest.
+	// session.RemoteRequest.
 	Sequence    uint64 `json:"s"`
 	Begins      bool   `json:"b,omitempty"`
 	Transaction uint64 `json:"t,omitempty"`
@@ -57,7 +57,7 @@
 	Prepared []session.PreparedStatement `json:"a,omitempty"`
 }
 
-// Answer is the answer to a Visit.
+// Answer is the answer to a Request.
 type Answer struct {
 	Elsewhere bool   `json:"e,omitempty"`
 	Version   uint64 `json:"v,omitempty"`
@@ -88,16 +88,16 @@
 	Instance core.InstanceID `json:"instance"`
 }
 
-// Leave ends a visitor's session or transaction.
+// Leave ends a relayed session or transaction.
 type Leave struct {
 	Instance core.InstanceID `json:"instance"`
 	Caller   uint64          `json:"caller"`
 }
 
-// NewVisit encodes a visit of the given instance; now is the time of its clock.
-func NewVisit(self core.InstanceID, from session.PeerAddress, v session.Visit, now time.Time) Visit {
+// NewRequest encodes a request of the given instance; now is the time of its clock.
+func NewRequest(self core.InstanceID, from session.PeerAddress, v session.RelayRequest, now time.Time) Request {
 	p := v.Request.Payload
-	return Visit{
+	return Request{
 		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: encodePosition(v.Floor),
 		Version: v.Version, Sequence: v.ID.Sequence, Begins: v.Begins, Transaction: v.Transaction,
 		Opens: v.Opens, ReadOnly: v.ReadOnly, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
@@ -106,16 +106,16 @@
 	}
 }
 
-// Input decodes a visit; reply comes back in the answer. It returns a
+// Input decodes a request; reply comes back in the answer. It returns a
 // *core.PositionError for a position that cannot be read.
-func (v *Visit) Input(reply any, now time.Time) (session.VisitorRequest, error) {
+func (v *Request) Input(reply any, now time.Time) (session.RemoteRequest, error) {
 	floor, err := decodePosition(v.Floor)
 	if err != nil {
-		return session.VisitorRequest{}, err
+		return session.RemoteRequest{}, err
 	}
-	return session.VisitorRequest{
-		Visitor: session.VisitorID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
-		From:    v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: floor, Version: v.Version,
+	return session.RemoteRequest{
+		Caller: session.RemoteID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
+		From:   v.From, Reply: reply, Entry: v.Entry, Key: v.Key, Floor: floor, Version: v.Version,
 		Sequence: v.Sequence, Begins: v.Begins, Transaction: v.Transaction, Opens: v.Opens, ReadOnly: v.ReadOnly,
 		Request: &session.Request{
 			Simple:  true,
@@ -144,7 +144,7 @@
 }
 
 // NewAnswer encodes an answer.
-func NewAnswer(a session.VisitAnswer) Answer {
+func NewAnswer(a session.RelayAnswer) Answer {
 	encoded := Answer{
 		Elsewhere: a.Elsewhere, Version: a.Version, Frames: string(a.Frames), Position: encodePosition(a.Position),
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
@@ -157,13 +157,13 @@
 
 // Decode returns the answer. It returns a *core.PositionError for a position
 // that cannot be read.
-func (a *Answer) Decode() (session.VisitAnswer, error) {
+func (a *Answer) Decode() (session.RelayAnswer, error) {
 	status := byte(session.TxIdle)
 	if len(a.TxStatus) == 1 {
 		status = a.TxStatus[0]
 	}
 	position, err := decodePosition(a.Position)
-	return session.VisitAnswer{
+	return session.RelayAnswer{
 		Elsewhere: a.Elsewhere, Version: a.Version, Frames: []byte(a.Frames), TxStatus: status, Position: position,
 		ErrorState: a.ErrorState, Refusal: a.Refusal, Closing: a.Closing,
 	}, err
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -19,12 +19,12 @@
 	return again
 }
 
-// Guards against a field of a visit that is lost on the way: the home would run
+// Guards against a field of a request that is lost on the way: the home would run
 // another request, in another transaction or for another caller.
-func TestVisitRoundTrip(t *testing.T) {
+func TestRequestRoundTrip(t *testing.T) {
 	now := time.Unix(100, 0)
-	v := session.Visit{
-		ID: session.VisitID{Caller: 7, Sequence: 9}, Entry: "entry", Key: "key", Floor: core.Position{Term: 2, LSN: 5},
+	v := session.RelayRequest{
+		ID: session.RelayID{Caller: 7, Sequence: 9}, Entry: "entry", Key: "key", Floor: core.Position{Term: 2, LSN: 5},
 		Version: 12, Begins: true, Opens: true, ReadOnly: true, Transaction: 4,
 		Request: &session.Request{
 			Verdict: &session.Verdict{Kind: session.KindEnd, Name: "commit", Commit: true, Hints: session.Hints{MaxAge: -1}},
@@ -33,10 +33,10 @@
 			Arrived: now.Add(-3 * time.Millisecond),
 		},
 	}
-	encoded := roundTrip(t, NewVisit("run", "10.0.0.1:1", v, now))
+	encoded := roundTrip(t, NewRequest("run", "10.0.0.1:1", v, now))
 	in, err := encoded.Input("reply", now)
 	require.NoError(t, err)
-	require.Equal(t, session.VisitorID{Instance: "run", Caller: 7}, in.Visitor)
+	require.Equal(t, session.RemoteID{Instance: "run", Caller: 7}, in.Caller)
 	require.Equal(t, session.PeerAddress("10.0.0.1:1"), in.From)
 	require.Equal(t, v.Floor, in.Floor)
 	require.Equal(t, []any{v.Entry, v.Key, v.Version, v.ID.Sequence, v.Begins, v.Opens, v.ReadOnly, v.Transaction},
@@ -48,7 +48,7 @@
 
 // Guards against an answer that promises something else at the caller's instance.
 func TestAnswerRoundTrip(t *testing.T) {
-	for _, a := range []session.VisitAnswer{
+	for _, a := range []session.RelayAnswer{
 		{Frames: []byte("rows\r\n"), TxStatus: 'T', Position: core.Position{Term: 1, LSN: 3}, ErrorState: "E"},
 		{Frames: []byte{}, TxStatus: 'I', Refusal: core.Uncertain("x"), Closing: true},
 		{Frames: []byte{}, TxStatus: 'I', Elsewhere: true, Version: 4},
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	b.tokens--
-	if s.c.visit == nil && b == &s.c.account.bucket {
+	if s.c.remote == nil && b == &s.c.account.bucket {
 		s.c.account.used.add(e.now)
 	}
 	return true
@@ -216,7 +216,7 @@
 		a.applyShare()
 		e.armAccount(a)
 	}
-	e.forgetFronts(in.Instances)
+	e.forgetOrigins(in.Instances)
 	for name, db := range e.databases {
 		db.setBound(in.Connections[name])
 	}
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -48,13 +48,13 @@
 	blocked  bool
 	// begun is the transaction that no member has yet.
 	begun *opening
-	// away is the home that runs the statement or the open transaction; nil if
+	// relayedTo is the home that runs the statement or the open transaction; nil if
 	// this instance does.
-	away *homePeer
-	// awayBegan is the sequence of the statement that began the transaction there.
-	awayBegan uint64
-	// visit is set for a caller of another instance.
-	visit *visit
+	relayedTo *homePeer
+	// relayBegan is the sequence of the statement that began the transaction there.
+	relayBegan uint64
+	// remote is set for a caller of another instance.
+	remote *remoteCaller
 	// keyLost is set when the session ends with its running statement.
 	keyLost bool
 	// ending is why the caller is told to go at the next clean boundary.
@@ -71,7 +71,7 @@
 		Guards: map[string]func(*caller) bool{
 			"stopping":            func(c *caller) bool { return c.e.stopping },
 			"in_transaction":      (*caller).inTransaction,
-			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.away == nil },
+			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.relayedTo == nil },
 			"transaction_expired": (*caller).transactionExpired,
 			"begun":               func(c *caller) bool { return c.begun != nil },
 			"key_lost":            func(c *caller) bool { return c.keyLost },
@@ -150,7 +150,7 @@
 // abandonTarget closes the connection of a request or transaction that nobody
 // waits for any more, so that a late answer reaches no other caller.
 func (c *caller) abandonTarget() {
-	c.endAway()
+	c.endRelay()
 	t := c.target
 	c.unpin()
 	c.endTransaction()
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -7,7 +7,7 @@
 	c := &caller{
 		e: e, id: in.Caller, key: in.Key, trace: in.Trace,
 		state: e.charts.caller.Initial(), maxAge: -1, txStatus: txIdle,
-		floor: in.Carried, floorKnown: !in.Carried.IsZero(), visit: e.opening,
+		floor: in.Carried, floorKnown: !in.Carried.IsZero(), remote: e.opening,
 	}
 	refusal := e.refuseOpening(c, in)
 	if refusal != nil {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -31,16 +31,16 @@
 	homes map[core.AccountName]Home
 	peers map[PeerAddress]*homePeer
 	// fronts are the instances whose callers' requests run here.
-	fronts map[core.InstanceID]*front
+	origins map[core.InstanceID]*origin
 	// instances are the registered runs of instances, with the time at which each
 	// was first seen.
 	instances map[core.InstanceID]time.Time
-	// visitors are the callers of other instances, opening the one that is being
+	// remotes are the callers of other instances, opening the one that is being
 	// admitted.
-	visitors     map[VisitorID]CallerID
-	lastVisitor  CallerID
-	opening      *visit
-	visitorSweep timer
+	remotes     map[RemoteID]CallerID
+	lastRemote  CallerID
+	opening     *remoteCaller
+	remoteSweep timer
 	// transactionIdle bounds the pauses of callers in a transaction.
 	transactionIdle time.Duration
 	// anonymous is the account of callers without a key on open entries that
@@ -110,9 +110,9 @@
 		callers:   map[CallerID]*caller{},
 		targets:   map[TargetID]*target{},
 		peers:     map[PeerAddress]*homePeer{},
-		fronts:    map[core.InstanceID]*front{},
+		origins:   map[core.InstanceID]*origin{},
 		instances: map[core.InstanceID]time.Time{},
-		visitors:  map[VisitorID]CallerID{},
+		remotes:   map[RemoteID]CallerID{},
 
 		transactionIdle: cfg.Bounds.TransactionIdle,
 
@@ -124,8 +124,8 @@
 	e.anonymous.unlimited = true
 	e.drainTimer.run = e.cutOff
 	e.drainTimer.item.Value = &e.drainTimer
-	e.visitorSweep.run = e.forgetVisitors
-	e.visitorSweep.item.Value = &e.visitorSweep
+	e.remoteSweep.run = e.forgetRemotes
+	e.remoteSweep.item.Value = &e.remoteSweep
 	e.reporter.run = e.report
 	e.reporter.item.Value = &e.reporter
 	return e, nil
@@ -179,20 +179,20 @@
 		e.targetOpened(in)
 	case TargetClosed:
 		e.targetClosed(in)
-	case VisitorRequest:
-		e.visitorRequest(in)
-	case VisitResult:
-		e.visitResult(in)
-	case VisitLost:
-		e.visitLost(in)
+	case RemoteRequest:
+		e.remoteRequest(in)
+	case RelayResult:
+		e.relayResult(in)
+	case RelayLost:
+		e.relayLost(in)
 	case PeerAlive:
 		e.peerAlive(in.Address)
 	case MemberAsked:
 		e.memberAsked(in)
-	case FrontAlive:
-		e.frontAlive(in.Instance)
-	case VisitorGone:
-		e.visitorGone(in)
+	case OriginAlive:
+		e.originAlive(in.Instance)
+	case RemoteGone:
+		e.remoteGone(in)
 	default:
 		e.handleControl(in)
 	}
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -22,7 +22,7 @@
 	classify []ClassifyRequest
 	spans    []Span
 	peers    []PeerCommand
-	// opens makes the requests of visitors the first of a transaction.
+	// opens makes the requests of remote callers the first of a transaction.
 	opens bool
 	// full makes the callerio ring refuse commands.
 	full bool
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -14,16 +14,16 @@
 	peerSilence = 480 * time.Millisecond
 	// peerUse is how long after its last use a home is probed.
 	peerUse = 3 * time.Second
-	// visitMargin is how much later than the home this instance gives up.
-	visitMargin = 30 * time.Millisecond
+	// relayMargin is how much later than the home this instance gives up.
+	relayMargin = 30 * time.Millisecond
 )
 
 // homePeer is what is known of an instance that is the home of accounts.
 type homePeer struct {
 	e       *Engine
 	address PeerAddress
-	// visits are the unanswered requests, by caller.
-	visits map[CallerID]*statement
+	// relayed are the unanswered requests, by caller.
+	relayed map[CallerID]*statement
 	// heard is the last sign of life, used the last use, both of which begin with
 	// the first probe.
 	heard time.Time
@@ -40,7 +40,7 @@
 func (e *Engine) peer(address PeerAddress) *homePeer {
 	p := e.peers[address]
 	if p == nil {
-		p = &homePeer{e: e, address: address, visits: map[CallerID]*statement{}}
+		p = &homePeer{e: e, address: address, relayed: map[CallerID]*statement{}}
 		p.item.Value = p
 		e.peers[address] = p
 	}
@@ -65,7 +65,7 @@
 
 // timeOut probes the home and gives up on a silent one.
 func (p *homePeer) timeOut() {
-	if len(p.visits) == 0 && p.e.now.Sub(p.used) > peerUse {
+	if len(p.relayed) == 0 && p.e.now.Sub(p.used) > peerUse {
 		p.probing = false
 		return
 	}
@@ -75,7 +75,7 @@
 	p.probe()
 }
 
-// giveUp ends the visits to a silent home; what they asked for may have run.
+// giveUp ends the requests relayed to a silent home; what they asked for may have run.
 func (p *homePeer) giveUp() {
 	e := p.e
 	if !p.lost {
@@ -83,11 +83,11 @@
 		e.metrics.HomesLost++
 		e.homesChanged()
 	}
-	for id, s := range p.visits {
-		delete(p.visits, id)
-		e.box.out.Peer(VisitEnd{Address: p.address, Caller: id})
+	for id, s := range p.relayed {
+		delete(p.relayed, id)
+		e.box.out.Peer(RelayEnd{Address: p.address, Caller: id})
 		s.unsent = false
-		s.fire(e.charts.stmt.awayLost)
+		s.fire(e.charts.stmt.relayLost)
 	}
 }
 
@@ -114,7 +114,7 @@
 	}
 }
 
-// homesInForce replaces the homes. Visits under way go on where they are.
+// homesInForce replaces the homes. Relayed requests under way go on where they are.
 func (e *Engine) homesInForce(in HomesInForce) {
 	e.homes = in.Homes
 	e.homesChanged()
--- a/pkg/session/away.go
+++ b/pkg/session/relay.go
@@ -7,8 +7,8 @@
 )
 
 // A caller's requests run at the home of its account, another instance, while
-// that can be reached. This file is the caller's side; visitors.go is the home's,
-// and homepeer.go tells whether a home can be reached.
+// that can be reached. This file is the caller's side; remotecallers.go is the
+// home's, and homepeer.go tells whether a home can be reached.
 
 // PeerAddress is where an instance takes messages of other instances, IP:port.
 type PeerAddress string
@@ -27,15 +27,15 @@
 	Homes map[core.AccountName]Home
 }
 
-// VisitID pairs a request to a home with its answer.
-type VisitID struct {
+// RelayID pairs a request to a home with its answer.
+type RelayID struct {
 	Caller   CallerID
 	Sequence uint64
 }
 
-// Visit is a request that a home runs for a caller of this instance.
-type Visit struct {
-	ID      VisitID
+// RelayRequest is a request that a home runs for a caller of this instance.
+type RelayRequest struct {
+	ID      RelayID
 	Address PeerAddress
 	Entry   core.EntryName
 	Key     core.KeyID
@@ -55,8 +55,8 @@
 	Request *Request
 }
 
-// VisitEnd tells a home that a session has gone or has left its transaction.
-type VisitEnd struct {
+// RelayEnd tells a home that a session has gone or has left its transaction.
+type RelayEnd struct {
 	Address PeerAddress
 	Caller  CallerID
 }
@@ -71,24 +71,24 @@
 	peerCommand()
 }
 
-func (Visit) peerCommand() {}
+func (RelayRequest) peerCommand() {}
 
-func (VisitEnd) peerCommand() {}
+func (RelayEnd) peerCommand() {}
 
 func (PeerProbe) peerCommand() {}
 
-func (VisitAnswer) peerCommand() {}
+func (RelayAnswer) peerCommand() {}
 
-// VisitResult is a home's answer to a Visit.
-type VisitResult struct {
-	ID      VisitID
+// RelayResult is a home's answer to a RelayRequest.
+type RelayResult struct {
+	ID      RelayID
 	Address PeerAddress
-	Answer  VisitAnswer
+	Answer  RelayAnswer
 }
 
-// VisitLost reports a Visit without an answer.
-type VisitLost struct {
-	ID      VisitID
+// RelayLost reports a RelayRequest without an answer.
+type RelayLost struct {
+	ID      RelayID
 	Address PeerAddress
 	// Unsent is set when the request certainly did not reach the home.
 	Unsent bool
@@ -103,9 +103,9 @@
 
 func (HomesInForce) sessionInput() {}
 
-func (VisitResult) sessionInput() {}
+func (RelayResult) sessionInput() {}
 
-func (VisitLost) sessionInput() {}
+func (RelayLost) sessionInput() {}
 
 func (PeerAlive) sessionInput() {}
 
@@ -117,14 +117,14 @@
 
 func (PeerRefused) controlReport() {}
 
-// goesHome reports a request that another instance runs: it is part of a
+// isRelayed reports a request that another instance runs: it is part of a
 // transaction there, or begins something and the home is usable.
-func (c *caller) goesHome(r *Request) bool {
-	if c.visit != nil || r.Verdict == nil {
+func (c *caller) isRelayed(r *Request) bool {
+	if c.remote != nil || r.Verdict == nil {
 		return false
 	}
 	if c.inTransaction() {
-		return c.away != nil
+		return c.relayedTo != nil
 	}
 	if r.Verdict.Kind == KindEnd && c.stmt.opens == nil {
 		return false
@@ -138,33 +138,37 @@
 	if p.lost {
 		return false
 	}
-	c.away = p
+	c.relayedTo = p
 	return true
 }
 
-// sendHome hands the request to the home.
-func (s *statement) sendHome() {
+// sendRelay hands the request to the home.
+func (s *statement) sendRelay() {
 	c := s.c
 	e := c.e
-	p := c.away
+	p := c.relayedTo
 	p.use()
-	p.visits[c.id] = s
+	p.relayed[c.id] = s
 	s.reason = "the account's home runs it"
 	s.sentAt = e.now
 	s.unsent = true
-	visit := Visit{
-		ID: VisitID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
+	request := RelayRequest{
+		ID: RelayID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
 		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
-		Begins: !c.inTransaction(), Opens: s.opens != nil, ReadOnly: s.opens != nil && s.opens.readOnly, Transaction: c.awayBegan, Within: s.deadline.Sub(e.now), Request: s.request,
+		Begins: !c.inTransaction(), Transaction: c.relayBegan,
+		Within: s.deadline.Sub(e.now), Request: s.request,
 	}
-	s.deadline = s.deadline.Add(visitMargin)
+	if s.opens != nil {
+		request.Opens, request.ReadOnly = true, s.opens.readOnly
+	}
+	s.deadline = s.deadline.Add(relayMargin)
 	s.arm()
-	if e.box.out.Peer(visit) {
+	if e.box.out.Peer(request) {
 		s.unsent = false
 		return
 	}
-	delete(p.visits, c.id)
-	s.fire(e.charts.stmt.awayLost)
+	delete(p.relayed, c.id)
+	s.fire(e.charts.stmt.relayLost)
 }
 
 func (e *Engine) operatorVersion() uint64 {
@@ -188,24 +192,24 @@
 	}
 }
 
-// visitOf returns the statement that an answer of a home is for; nil if it is
+// relayOf returns the statement that an answer of a home is for; nil if it is
 // over.
-func (e *Engine) visitOf(id VisitID, address PeerAddress) *statement {
+func (e *Engine) relayOf(id RelayID, address PeerAddress) *statement {
 	c := e.callers[id.Caller]
 	if c == nil || !c.stmt.active || c.stmt.sequence != id.Sequence {
 		return nil
 	}
 	p := e.peers[address]
-	if p == nil || p.visits[id.Caller] != &c.stmt {
+	if p == nil || p.relayed[id.Caller] != &c.stmt {
 		return nil
 	}
-	delete(p.visits, id.Caller)
+	delete(p.relayed, id.Caller)
 	return &c.stmt
 }
 
-func (e *Engine) visitResult(in VisitResult) {
+func (e *Engine) relayResult(in RelayResult) {
 	e.peerAlive(in.Address)
-	s := e.visitOf(in.ID, in.Address)
+	s := e.relayOf(in.ID, in.Address)
 	if s == nil {
 		return
 	}
@@ -213,21 +217,21 @@
 	if a.Elsewhere {
 		e.newerVersionAt(in.Address, a.Version)
 		s.unsent = true
-		s.fire(e.charts.stmt.awayLost)
+		s.fire(e.charts.stmt.relayLost)
 		return
 	}
-	s.visitAnswer = a
+	s.relayAnswer = a
 	if a.Refusal != nil {
-		s.fire(e.charts.stmt.awayRefused)
+		s.fire(e.charts.stmt.relayRefused)
 		return
 	}
-	s.fire(e.charts.stmt.awayAnswered)
+	s.fire(e.charts.stmt.relayAnswered)
 }
 
-func (e *Engine) visitLost(in VisitLost) {
-	if s := e.visitOf(in.ID, in.Address); s != nil {
+func (e *Engine) relayLost(in RelayLost) {
+	if s := e.relayOf(in.ID, in.Address); s != nil {
 		s.unsent = in.Unsent
-		s.fire(e.charts.stmt.awayLost)
+		s.fire(e.charts.stmt.relayLost)
 	}
 	if in.Refused {
 		e.box.out.Control(PeerRefused{Address: in.Address})
@@ -237,14 +241,14 @@
 	}
 }
 
-// finishAway gives the caller the home's answer.
-func (s *statement) finishAway() {
+// finishRelay gives the caller the home's answer.
+func (s *statement) finishRelay() {
 	c := s.c
-	a := &s.visitAnswer
+	a := &s.relayAnswer
 	if !s.inside {
 		c.account.used.add(c.e.now)
 	}
-	c.settleAway(a.TxStatus)
+	c.settleRelay(a.TxStatus)
 	if a.Position.After(c.floor) {
 		c.floor = a.Position
 	}
@@ -257,40 +261,40 @@
 	}
 }
 
-// settleAway applies the transaction status of the home.
-func (c *caller) settleAway(status byte) {
+// settleRelay applies the transaction status of the home.
+func (c *caller) settleRelay(status byte) {
 	if !c.inTransaction() {
-		c.awayBegan = c.stmt.sequence
+		c.relayBegan = c.stmt.sequence
 	}
 	c.txStatus = status
 	if status == txIdle {
-		c.away = nil
+		c.relayedTo = nil
 	}
 }
 
-// refuseAway passes the home's refusal on; the home has ended the transaction.
-func (s *statement) refuseAway() {
+// refuseRelay passes the home's refusal on; the home has ended the transaction.
+func (s *statement) refuseRelay() {
 	c := s.c
-	c.settleAway(txIdle)
-	s.refuse(s.visitAnswer.Refusal)
+	c.settleRelay(txIdle)
+	s.refuse(s.relayAnswer.Refusal)
 }
 
-// endAway leaves the home, where the request or the transaction may still be.
-func (c *caller) endAway() {
-	p := c.away
+// endRelay leaves the home, where the request or the transaction may still be.
+func (c *caller) endRelay() {
+	p := c.relayedTo
 	if p == nil {
 		return
 	}
-	delete(p.visits, c.id)
-	c.e.box.out.Peer(VisitEnd{Address: p.address, Caller: c.id})
-	c.away = nil
+	delete(p.relayed, c.id)
+	c.e.box.out.Peer(RelayEnd{Address: p.address, Caller: c.id})
+	c.relayedTo = nil
 	c.txStatus = txIdle
 }
 
 // admitHere runs the statement at this instance after its home was lost.
 func (s *statement) admitHere() {
 	c := s.c
-	c.away = nil
+	c.relayedTo = nil
 	c.txStatus = txIdle
 	if !s.unsent {
 		s.mayHaveRun = !s.isRead()
--- a/pkg/session/away_test.go
+++ b/pkg/session/relay_test.go
@@ -12,61 +12,61 @@
 
 const homeAddress PeerAddress = "10.0.0.2:1"
 
-// newFront gives an engine whose account is at home elsewhere.
-func newFront(t testing.TB) *harness {
+// newOrigin gives an engine whose account is at home elsewhere.
+func newOrigin(t testing.TB) *harness {
 	h := newAsyncHarness(t)
 	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Address: homeAddress}}})
 	h.open(1, core.Position{})
 	return h
 }
 
-// visit returns the newest request to the home.
-func (h *harness) visit() Visit {
+// relayed returns the newest request to the home.
+func (h *harness) relayed() RelayRequest {
 	for i := len(h.peers) - 1; i >= 0; i-- {
-		if v, ok := h.peers[i].(Visit); ok {
+		if v, ok := h.peers[i].(RelayRequest); ok {
 			return v
 		}
 	}
 	require.Fail(h.t, "nothing went to the home")
-	return Visit{}
+	return RelayRequest{}
 }
 
-func (h *harness) homeAnswers(v Visit, a VisitAnswer) {
-	h.do(VisitResult{ID: v.ID, Address: v.Address, Answer: a})
+func (h *harness) homeAnswers(v RelayRequest, a RelayAnswer) {
+	h.do(RelayResult{ID: v.ID, Address: v.Address, Answer: a})
 }
 
 // Guards against an answer of the home that is lost, given twice or given to
 // another request.
 func TestHomeRunsTheRequest(t *testing.T) {
-	h := newFront(t)
+	h := newOrigin(t)
 	h.order(1, "write", write)
-	v := h.visit()
+	v := h.relayed()
 	require.True(t, v.Begins)
 	require.Zero(t, h.countSent(), "nothing runs here")
-	answer := VisitAnswer{Frames: []byte("done"), TxStatus: TxIdle, Position: term(1, 101)}
+	answer := RelayAnswer{Frames: []byte("done"), TxStatus: TxIdle, Position: term(1, 101)}
 	h.homeAnswers(v, answer)
 	require.Equal(t, CallerWrite{Caller: 1, Frames: []byte("done"), Done: true, TxStatus: TxIdle}, h.last())
 	answers := len(h.callers)
 	h.homeAnswers(v, answer)
 	require.Len(t, h.callers, answers, "a second answer reaches nobody")
 	h.order(1, "read", read)
-	require.Equal(t, term(1, 101), h.visit().Floor, "the session sees its own commit")
+	require.Equal(t, term(1, 101), h.relayed().Floor, "the session sees its own commit")
 }
 
 // Guards against a transaction that is spread over two instances.
 func TestTransactionStaysAtItsHome(t *testing.T) {
-	h := newFront(t)
+	h := newOrigin(t)
 	h.order(1, "begin", begin)
 	require.EqualValues(t, 'T', h.last().(CallerReply).TxStatus)
 	require.Empty(t, h.peers, "the home gets it with the first statement")
 	h.order(1, "read", read)
-	first := h.visit()
+	first := h.relayed()
 	require.True(t, first.Begins)
 	require.True(t, first.Opens)
-	h.homeAnswers(first, VisitAnswer{TxStatus: 'T'})
+	h.homeAnswers(first, RelayAnswer{TxStatus: 'T'})
 	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Here: true}}})
 	h.order(1, "write", write)
-	v := h.visit()
+	v := h.relayed()
 	require.False(t, v.Begins)
 	require.Equal(t, first.ID.Sequence, v.Transaction)
 	require.Equal(t, homeAddress, v.Address)
@@ -75,7 +75,7 @@
 
 // Guards against promises and repetitions that are wrong when a home is lost:
 // what may have run there is not repeated and not promised.
-func TestLostVisit(t *testing.T) {
+func TestLostRelay(t *testing.T) {
 	cases := []struct {
 		name    string
 		kind    Verdict
@@ -88,10 +88,10 @@
 		{"a sent read runs here", read, false, true, ""},
 	}
 	for _, c := range cases {
-		h := newFront(t)
+		h := newOrigin(t)
 		h.order(1, "text", c.kind)
-		v := h.visit()
-		h.do(VisitLost{ID: v.ID, Address: v.Address, Unsent: c.unsent})
+		v := h.relayed()
+		h.do(RelayLost{ID: v.ID, Address: v.Address, Unsent: c.unsent})
 		h.connect()
 		require.Equal(t, c.local, h.countSent() > 0, c.name)
 		if c.outcome != "" {
@@ -105,28 +105,28 @@
 // Guards against a promise or a repetition that is wrong for the first statement
 // of a transaction.
 func TestLostFirstStatementOfATransaction(t *testing.T) {
-	h := newFront(t)
+	h := newOrigin(t)
 	h.order(1, "begin", begin)
 	h.order(1, "write", write)
-	v := h.visit()
-	h.do(VisitLost{ID: v.ID, Address: v.Address})
+	v := h.relayed()
+	h.do(RelayLost{ID: v.ID, Address: v.Address})
 	require.Zero(t, h.countSent())
 	h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun)
-	h = newFront(t)
+	h = newOrigin(t)
 	h.order(1, "begin", begin)
 	h.order(1, "commit", commit)
-	v = h.visit()
+	v = h.relayed()
 	require.True(t, v.Opens, "only a member's answer says that a commit succeeded")
-	h.do(VisitLost{ID: v.ID, Address: v.Address})
+	h.do(RelayLost{ID: v.ID, Address: v.Address})
 	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
 }
 
 // Guards against callers that wait for a silent home until their deadline, and
 // against a home that is never used again.
 func TestSilentHomeIsGivenUpAndComesBack(t *testing.T) {
-	h := newFront(t)
+	h := newOrigin(t)
 	h.order(1, "read", read)
-	h.visit()
+	h.relayed()
 	for range 5 {
 		h.wait(peerProbeEvery)
 	}
@@ -138,24 +138,24 @@
 	require.Greater(t, h.countSent(), sent)
 	h.answer(h.sent().Target, TxIdle, term(1, 100))
 	for _, c := range h.peers[peers:] {
-		_, visit := c.(Visit)
-		require.False(t, visit)
+		_, isRelayed := c.(RelayRequest)
+		require.False(t, isRelayed)
 	}
 	h.do(PeerAlive{Address: homeAddress})
 	sent = h.countSent()
 	h.order(1, "read", read)
 	require.Equal(t, sent, h.countSent())
-	require.Equal(t, "read", h.visit().Request.Payload.ID)
+	require.Equal(t, "read", h.relayed().Request.Payload.ID)
 }
 
 // Guards against refusals of what an account used before its home was lost, and
 // against more than that.
 func TestLostHomeSpendsItsUsage(t *testing.T) {
-	h := newFront(t)
+	h := newOrigin(t)
 	h.e.shares["acct"] = RateShare{Rate: 0.1, Burst: 1}
 	for range 100 {
 		h.order(1, "read", read)
-		h.homeAnswers(h.visit(), VisitAnswer{TxStatus: TxIdle})
+		h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
 		h.wait(50 * time.Millisecond)
 	}
 	a := h.e.accounts["acct"]
@@ -180,61 +180,61 @@
 	return h
 }
 
-func (h *harness) visitor(sequence, transaction uint64, begins bool, text string, v Verdict) {
+func (h *harness) remoteAsks(sequence, transaction uint64, begins bool, text string, v Verdict) {
 	v.Hints.MaxAge = -1
-	h.do(VisitorRequest{
-		Visitor: VisitorID{Instance: "front-1", Caller: 7}, Reply: sequence, Entry: "entry", Key: "k1",
+	h.do(RemoteRequest{
+		Caller: RemoteID{Instance: "origin-1", Caller: 7}, Reply: sequence, Entry: "entry", Key: "k1",
 		Sequence: sequence, Transaction: transaction, Begins: begins, Opens: h.opens,
 		Request: &Request{Verdict: &v, Payload: &Payload{ID: text, Frames: []byte(text)}, Arrived: h.now},
 	})
 	h.connect()
 }
 
-func (h *harness) visitAnswer() VisitAnswer {
+func (h *harness) relayAnswer() RelayAnswer {
 	require.NotEmpty(h.t, h.peers)
-	a, ok := h.peers[len(h.peers)-1].(VisitAnswer)
+	a, ok := h.peers[len(h.peers)-1].(RelayAnswer)
 	require.True(h.t, ok, "%#v", h.peers[len(h.peers)-1])
 	return a
 }
 
 // Guards against a statement that runs in another transaction than its own,
 // when requests are lost or come late.
-func TestVisitOfAnotherTransactionIsRefused(t *testing.T) {
+func TestRequestOfAnotherTransactionIsRefused(t *testing.T) {
 	h := newHome(t)
 	h.opens = true
-	h.visitor(1, 0, true, "read", read)
+	h.remoteAsks(1, 0, true, "read", read)
 	h.opens = false
 	require.True(t, h.sent().Begin)
 	h.answer(h.sent().Target, 'T', term(1, 100))
-	require.EqualValues(t, 'T', h.visitAnswer().TxStatus)
-	h.visitor(2, 1, false, "read", read)
+	require.EqualValues(t, 'T', h.relayAnswer().TxStatus)
+	h.remoteAsks(2, 1, false, "read", read)
 	h.answer(h.sent().Target, 'T', term(1, 100))
-	require.EqualValues(t, 2, h.visitAnswer().Reply)
+	require.EqualValues(t, 2, h.relayAnswer().Reply)
 	sent := h.countSent()
-	h.visitor(3, 99, false, "write", write)
+	h.remoteAsks(3, 99, false, "write", write)
 	require.Equal(t, sent, h.countSent())
-	require.Equal(t, core.StateTransactionAborted, h.visitAnswer().Refusal.SQLState)
+	require.Equal(t, core.StateTransactionAborted, h.relayAnswer().Refusal.SQLState)
 	peers := len(h.peers)
-	h.visitor(2, 1, false, "read", read)
+	h.remoteAsks(2, 1, false, "read", read)
 	require.Equal(t, sent, h.countSent(), "a late request")
 	require.Len(t, h.peers, peers)
-	h.visitor(5, 0, true, "write", write)
+	h.remoteAsks(5, 0, true, "write", write)
 	require.Greater(t, h.countSent(), sent)
 	require.NotEqual(t, TargetID(0), h.sent().Target)
 }
 
 // Guards against a home that acts for an account it does not hold, or with
 // another configuration than its caller's.
-func TestVisitElsewhere(t *testing.T) {
+func TestRelayElsewhere(t *testing.T) {
 	h := newHome(t)
 	h.do(HomesInForce{})
-	h.visitor(1, 0, true, "write", write)
-	require.True(t, h.visitAnswer().Elsewhere)
+	h.remoteAsks(1, 0, true, "write", write)
+	require.True(t, h.relayAnswer().Elsewhere)
 	require.Zero(t, h.countSent())
 	h = newHome(t)
-	h.do(VisitorRequest{Visitor: VisitorID{Instance: "front-1", Caller: 7}, Reply: 1, Entry: "entry", Key: "k1",
+	h.do(RemoteRequest{Caller: RemoteID{Instance: "origin-1", Caller: 7}, Reply: 1, Entry: "entry", Key: "k1",
 		Sequence: 1, Begins: true, Version: 12, Request: &Request{Verdict: &write, Payload: &Payload{}}})
-	require.True(t, h.visitAnswer().Elsewhere)
+	require.True(t, h.relayAnswer().Elsewhere)
 	require.Contains(t, h.control, NewerVersion{Version: 12})
 }
 
@@ -243,14 +243,14 @@
 func TestHomeSetsSilentUsageAside(t *testing.T) {
 	h := newHome(t)
 	for i := range uint64(100) {
-		h.visitor(i+1, 0, true, "read", read)
+		h.remoteAsks(i+1, 0, true, "read", read)
 		h.answer(h.sent().Target, TxIdle, term(1, 100))
 		h.wait(50 * time.Millisecond)
 	}
 	a := h.e.accounts["acct"]
 	require.Zero(t, a.setAside())
-	h.wait(2 * frontSilence)
+	h.wait(2 * originSilence)
 	require.InDelta(t, 20*usageRoom, a.setAside(), 5)
-	h.do(FrontAlive{Instance: "front-1"})
+	h.do(OriginAlive{Instance: "origin-1"})
 	require.Zero(t, a.setAside())
 }
--- a/pkg/session/visitors.go
+++ b/pkg/session/remotecallers.go
@@ -6,28 +6,28 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
-// Visitors are callers of other instances whose requests run here, the home of
-// their account.
+// Remote callers are callers of other instances whose requests run here, the home
+// of their account.
 
-// VisitorID identifies a caller of another instance.
-type VisitorID struct {
+// RemoteID identifies a caller of another instance.
+type RemoteID struct {
 	// Instance is one run of the other instance.
 	Instance core.InstanceID
 	Caller   CallerID
 }
 
-// VisitorRequest is a request of a visitor.
-type VisitorRequest struct {
-	Visitor VisitorID
-	// From is the address of the visitor's instance.
+// RemoteRequest is a request of a remote caller.
+type RemoteRequest struct {
+	Caller RemoteID
+	// From is the address of the remote caller's instance.
 	From PeerAddress
-	// Reply comes back in the VisitAnswer.
+	// Reply comes back in the RelayAnswer.
 	Reply   any
 	Entry   core.EntryName
 	Key     core.KeyID
 	Floor   core.Position
 	Version uint64
-	// Sequence grows with each request of a visitor.
+	// Sequence grows with each request of a remote caller.
 	Sequence uint64
 	// Begins is set for a request outside a transaction; Transaction is otherwise
 	// the sequence of the request that began it.
@@ -40,16 +40,16 @@
 	Request  *Request
 }
 
-// VisitorGone reports that a visitor's session or transaction is over.
-type VisitorGone struct {
-	Visitor VisitorID
+// RemoteGone reports that a remote caller's session or transaction is over.
+type RemoteGone struct {
+	Caller RemoteID
 }
 
-func (VisitorRequest) sessionInput() {}
-func (VisitorGone) sessionInput()    {}
+func (RemoteRequest) sessionInput() {}
+func (RemoteGone) sessionInput()    {}
 
-// VisitAnswer answers a VisitorRequest.
-type VisitAnswer struct {
+// RelayAnswer answers a RemoteRequest.
+type RelayAnswer struct {
 	// Reply is that of the request.
 	Reply any
 	// Elsewhere is set when this instance does not run the request, because it
@@ -67,9 +67,9 @@
 	Closing bool
 }
 
-// visit is the state of a visitor.
-type visit struct {
-	id    VisitorID
+// remoteCaller is the state of a remote caller.
+type remoteCaller struct {
+	id    RemoteID
 	reply any
 	// frames are the parts of the answer under way.
 	frames []byte
@@ -81,49 +81,49 @@
 }
 
 const (
-	// firstVisitor is above every ID that the socket duty gives to a caller.
-	firstVisitor CallerID = 1 << 62
-	// visitorIdle is how long a visitor without a transaction is remembered.
-	visitorIdle = time.Minute
+	// firstRemote is above every ID that the socket duty gives to a caller.
+	firstRemote CallerID = 1 << 62
+	// remoteIdle is how long a remote caller without a transaction is remembered.
+	remoteIdle = time.Minute
 )
 
-// visitorRequest runs a visitor's request, or answers that it does not.
-func (e *Engine) visitorRequest(in VisitorRequest) {
-	c := e.callers[e.visitors[in.Visitor]]
-	if c != nil && in.Sequence <= c.visit.sequence {
+// remoteRequest runs a remote caller's request, or answers that it does not.
+func (e *Engine) remoteRequest(in RemoteRequest) {
+	c := e.callers[e.remotes[in.Caller]]
+	if c != nil && in.Sequence <= c.remote.sequence {
 		// A late request that its caller has given up.
 		return
 	}
 	if c != nil && in.Begins && (c.inTransaction() || c.stmt.active) {
 		// The other instance has given the transaction up.
-		e.visitorGone(VisitorGone{Visitor: in.Visitor})
+		e.remoteGone(RemoteGone{Caller: in.Caller})
 		c = nil
 	}
-	if !in.Begins && (c == nil || !c.inTransaction() || c.visit.began != in.Transaction) {
+	if !in.Begins && (c == nil || !c.inTransaction() || c.remote.began != in.Transaction) {
 		refusal := rolledBack("the account's home does not have it any more")
-		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Refusal: refusal, TxStatus: txIdle})
+		e.box.out.Peer(RelayAnswer{Reply: in.Reply, Refusal: refusal, TxStatus: txIdle})
 		return
 	}
 	if in.Begins && (in.Version != e.operatorVersion() || e.stopping) {
 		e.newerVersionAt(in.From, in.Version)
-		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Elsewhere: true, Version: e.operatorVersion()})
+		e.box.out.Peer(RelayAnswer{Reply: in.Reply, Elsewhere: true, Version: e.operatorVersion()})
 		return
 	}
 	if c == nil {
-		if c = e.admitVisitor(in); c == nil {
+		if c = e.admitRemote(in); c == nil {
 			return
 		}
 	}
 	if in.Begins && !e.homes[c.account.name].Here {
-		e.box.out.Peer(VisitAnswer{Reply: in.Reply, Elsewhere: true})
+		e.box.out.Peer(RelayAnswer{Reply: in.Reply, Elsewhere: true})
 		return
 	}
-	c.visit.reply = in.Reply
-	c.visit.frames = nil
-	c.visit.seen = e.now
-	c.visit.sequence = in.Sequence
+	c.remote.reply = in.Reply
+	c.remote.frames = nil
+	c.remote.seen = e.now
+	c.remote.sequence = in.Sequence
 	if in.Begins {
-		c.visit.began = in.Sequence
+		c.remote.began = in.Sequence
 	}
 	if in.Floor.After(c.floor) {
 		c.floor = in.Floor
@@ -132,56 +132,56 @@
 		c.begun = &opening{readOnly: in.ReadOnly}
 	}
 	c.incoming = in.Request
-	e.frontAlive(in.Visitor.Instance)
+	e.originAlive(in.Caller.Instance)
 	c.fire(e.charts.on.request)
 }
 
-// admitVisitor makes a caller of a new visitor, or answers why it cannot.
-func (e *Engine) admitVisitor(in VisitorRequest) *caller {
-	e.lastVisitor++
-	id := firstVisitor + e.lastVisitor
-	e.opening = &visit{id: in.Visitor, reply: in.Reply, seen: e.now}
+// admitRemote makes a caller of a new remote caller, or answers why it cannot.
+func (e *Engine) admitRemote(in RemoteRequest) *caller {
+	e.lastRemote++
+	id := firstRemote + e.lastRemote
+	e.opening = &remoteCaller{id: in.Caller, reply: in.Reply, seen: e.now}
 	e.callerOpened(CallerOpened{Caller: id, Entry: in.Entry, Key: in.Key, Carried: in.Floor})
 	e.opening = nil
 	c := e.callers[id]
 	if c != nil {
-		if len(e.visitors) == 0 {
-			e.timers.Arm(&e.visitorSweep.item, e.now.Add(visitorIdle))
+		if len(e.remotes) == 0 {
+			e.timers.Arm(&e.remoteSweep.item, e.now.Add(remoteIdle))
 		}
-		e.visitors[in.Visitor] = id
+		e.remotes[in.Caller] = id
 	}
 	return c
 }
 
-func (e *Engine) visitorGone(in VisitorGone) {
-	id, known := e.visitors[in.Visitor]
+func (e *Engine) remoteGone(in RemoteGone) {
+	id, known := e.remotes[in.Caller]
 	if !known {
 		return
 	}
-	delete(e.visitors, in.Visitor)
+	delete(e.remotes, in.Caller)
 	e.callerClosed(CallerClosed{Caller: id})
 }
 
-// forgetVisitors drops those that have not asked for anything for long.
-func (e *Engine) forgetVisitors() {
-	for visitor, id := range e.visitors {
+// forgetRemotes drops those that have not asked for anything for long.
+func (e *Engine) forgetRemotes() {
+	for remote, id := range e.remotes {
 		c := e.callers[id]
 		if c == nil {
-			delete(e.visitors, visitor)
+			delete(e.remotes, remote)
 			continue
 		}
-		if !c.inTransaction() && !c.stmt.active && e.now.Sub(c.visit.seen) > visitorIdle {
-			delete(e.visitors, visitor)
+		if !c.inTransaction() && !c.stmt.active && e.now.Sub(c.remote.seen) > remoteIdle {
+			delete(e.remotes, remote)
 			c.fire(e.charts.on.closed)
 		}
 	}
-	e.timers.Arm(&e.visitorSweep.item, e.now.Add(visitorIdle))
+	e.timers.Arm(&e.remoteSweep.item, e.now.Add(remoteIdle))
 }
 
-// answerVisitor turns a command for a visitor into the answer to its request. It
+// answerRemote turns a command for a remote caller into the answer to its request. It
 // reports false for commands that answer nothing.
-func (v *visit) answerVisitor(command CallerCommand) (VisitAnswer, bool) {
-	a := VisitAnswer{Reply: v.reply, TxStatus: txIdle}
+func (v *remoteCaller) answerRemote(command CallerCommand) (RelayAnswer, bool) {
+	a := RelayAnswer{Reply: v.reply, TxStatus: txIdle}
 	switch m := command.(type) {
 	case CallerWrite:
 		v.frames = append(v.frames, m.Frames...)
@@ -203,20 +203,20 @@
 }
 
 // toCaller sends a command to a caller of this instance, or the answer to a
-// visitor.
+// remote caller.
 func (e *Engine) toCaller(id CallerID, command CallerCommand) {
-	if id < firstVisitor {
+	if id < firstRemote {
 		e.box.caller(command)
 		return
 	}
 	v := e.opening
 	if c := e.callers[id]; c != nil {
-		v = c.visit
+		v = c.remote
 	}
 	if v == nil {
 		return
 	}
-	if answer, complete := v.answerVisitor(command); complete {
+	if answer, complete := v.answerRemote(command); complete {
 		e.box.out.Peer(answer)
 	}
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -68,8 +68,8 @@
 	// opens is set for the first statement of a transaction, with which the member
 	// gets the beginning of it.
 	opens *opening
-	// visitAnswer is the home's answer.
-	visitAnswer VisitAnswer
+	// relayAnswer is the home's answer.
+	relayAnswer RelayAnswer
 	// refusal is the proxy's own answer, nil if there was none.
 	refusal *core.Refusal
 	// hopSince is when the statement entered its state.
@@ -107,7 +107,7 @@
 	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
 	s.outcome = ""
 	s.refusal = nil
-	s.visitAnswer = VisitAnswer{}
+	s.relayAnswer = RelayAnswer{}
 	s.state = e.charts.statement.Initial()
 	s.arm()
 }
@@ -165,7 +165,7 @@
 	}
 	s.record()
 	s.request, s.chunk, s.held = nil, nil, nil
-	s.visitAnswer = VisitAnswer{}
+	s.relayAnswer = RelayAnswer{}
 	s.c.fire(e.charts.on.answered)
 }
 
@@ -223,10 +223,10 @@
 
 func statementActions() map[string]func(*statement) {
 	return map[string]func(*statement){
-		"send_home":          (*statement).sendHome,
-		"finish_away":        (*statement).finishAway,
-		"refuse_away":        (*statement).refuseAway,
-		"end_away":           func(s *statement) { s.c.endAway() },
+		"send_relay":         (*statement).sendRelay,
+		"finish_relay":       (*statement).finishRelay,
+		"refuse_relay":       (*statement).refuseRelay,
+		"end_relay":          func(s *statement) { s.c.endRelay() },
 		"admit_here":         (*statement).admitHere,
 		"await_token":        (*statement).awaitToken,
 		"ask_verdict":        (*statement).askVerdict,
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -16,9 +16,9 @@
 		return
 	}
 	s.open()
-	if c.goesHome(s.request) {
+	if c.isRelayed(s.request) {
 		s.verdict = *s.request.Verdict
-		s.fire(c.e.charts.stmt.sentHome)
+		s.fire(c.e.charts.stmt.relay)
 		return
 	}
 	if c.countsNothing(s.request) {
@@ -45,8 +45,8 @@
 	s.c.db.use()
 	s.tokenWait = false
 	s.c.account.metrics.Admitted++
-	if s.c.visit != nil && !s.inside {
-		e.countVisit(s.c)
+	if s.c.remote != nil && !s.inside {
+		e.countRemote(s.c)
 	}
 	e.budget.earn()
 	if s.request.Verdict != nil {
--- a/pkg/session/tables.go
+++ b/pkg/session/tables.go
@@ -23,7 +23,7 @@
 	admitted, denied, classified, floorKnown, viewChanged, rerouted, dispatched event
 	data, ready, lost, confirmed, superseded, deposed                           event
 	cancelled, leaving, aborted, timedOut                                       event
-	sentHome, answeredHere, awayAnswered, awayRefused, awayLost                 event
+	relay, answeredHere, relayAnswered, relayRefused, relayLost                 event
 }
 
 type targetEvents struct {
@@ -80,7 +80,7 @@
 		floorKnown: s("floor_known"), viewChanged: s("view_changed"), rerouted: s("rerouted"),
 		dispatched: s("dispatched"), data: s("data"), ready: s("ready"), lost: s("lost"),
 		confirmed: s("confirmed"), superseded: s("superseded"), deposed: s("deposed"), cancelled: s("cancelled"),
-		sentHome: s("sent_home"), answeredHere: s("answered_here"), awayAnswered: s("away_answered"), awayRefused: s("away_refused"), awayLost: s("away_lost"),
+		relay: s("relay"), answeredHere: s("answered_here"), relayAnswered: s("relay_answered"), relayRefused: s("relay_refused"), relayLost: s("relay_lost"),
 		leaving: s("leaving"), aborted: s("aborted"), timedOut: s(chart.TimeoutEvent),
 	}
 	t.conn = targetEvents{
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -54,53 +54,53 @@
 // leastSpan is the shortest time over which usage is averaged.
 const leastSpan = 500 * time.Millisecond
 
-// front is another instance whose callers' requests run here.
-type front struct {
+// origin is another instance whose callers' requests run here.
+type origin struct {
 	heard time.Time
-	// visited is its last request.
-	visited time.Time
-	used    map[core.AccountName]*usage
+	// requested is its last request.
+	requested time.Time
+	used      map[core.AccountName]*usage
 }
 
-// frontSilence is how long an instance may give no sign of life before what it
+// originSilence is how long an instance may give no sign of life before what it
 // used is set aside. It is shorter than peerSilence, after which the instance
 // spends it.
-const frontSilence = 380 * time.Millisecond
+const originSilence = 380 * time.Millisecond
 
-// FrontAlive reports a sign of life of another instance.
-type FrontAlive struct {
+// OriginAlive reports a sign of life of another instance.
+type OriginAlive struct {
 	Instance core.InstanceID
 }
 
-func (FrontAlive) sessionInput() {}
+func (OriginAlive) sessionInput() {}
 
-func (e *Engine) frontAlive(id core.InstanceID) *front {
-	f := e.fronts[id]
+func (e *Engine) originAlive(id core.InstanceID) *origin {
+	f := e.origins[id]
 	if f == nil {
-		f = &front{used: map[core.AccountName]*usage{}}
-		e.fronts[id] = f
+		f = &origin{used: map[core.AccountName]*usage{}}
+		e.origins[id] = f
 	}
 	f.heard = e.now
 	return f
 }
 
-// countVisit measures what the visitor's instance uses of its account.
-func (e *Engine) countVisit(c *caller) {
-	f := e.frontAlive(c.visit.id.Instance)
+// countRemote measures what the remote caller's instance uses of its account.
+func (e *Engine) countRemote(c *caller) {
+	f := e.originAlive(c.remote.id.Instance)
 	u := f.used[c.account.name]
 	if u == nil {
 		u = &usage{}
 		f.used[c.account.name] = u
 	}
 	u.add(e.now)
-	f.visited = e.now
+	f.requested = e.now
 }
 
 // silentFor reports an instance that has given no sign of life for the time,
 // other than one that has stopped probing because it has no requests.
-func (f *front) silentFor(bound time.Duration, now time.Time) bool {
-	idle := f.heard.Sub(f.visited) >= peerUse-2*peerProbeEvery
-	return !idle && now.Sub(f.heard) > bound
+func (o *origin) silentFor(bound time.Duration, now time.Time) bool {
+	idle := o.heard.Sub(o.requested) >= peerUse-2*peerProbeEvery
+	return !idle && now.Sub(o.heard) > bound
 }
 
 // setAside is the rate of the account that instances may be spending which give
@@ -108,8 +108,8 @@
 func (a *account) setAside() float64 {
 	e := a.e
 	sum := 0.0
-	for _, f := range e.fronts {
-		if u := f.used[a.name]; u != nil && f.silentFor(frontSilence, e.now) {
+	for _, f := range e.origins {
+		if u := f.used[a.name]; u != nil && f.silentFor(originSilence, e.now) {
 			sum += u.rate(f.heard) * usageRoom
 		}
 	}
@@ -126,7 +126,7 @@
 	}
 	unheard := 0
 	for id, since := range e.instances {
-		if e.fronts[id] == nil && a.homeSince.Sub(since) > leastHistory {
+		if e.origins[id] == nil && a.homeSince.Sub(since) > leastHistory {
 			unheard++
 		}
 	}
@@ -156,12 +156,12 @@
 // firstTokens is the time for which a new home may admit at once, in seconds.
 const firstTokens = 0.4
 
-// forgetFronts drops instances that are not registered any more. What they used
+// forgetOrigins drops instances that are not registered any more. What they used
 // stays set aside until their registration has ended.
-func (e *Engine) forgetFronts(registered map[core.InstanceID]bool) {
-	for id := range e.fronts {
+func (e *Engine) forgetOrigins(registered map[core.InstanceID]bool) {
+	for id := range e.origins {
 		if !registered[id] {
-			delete(e.fronts, id)
+			delete(e.origins, id)
 		}
 	}
 	for id := range e.instances {
@@ -242,7 +242,7 @@
 			continue
 		}
 		silent, all := 0.0, 0.0
-		for _, f := range e.fronts {
+		for _, f := range e.origins {
 			u := f.used[name]
 			if u == nil {
 				continue
