--- a/standin/cmd/standin-call/main.go
+++ b/standin/cmd/standin-call/main.go
@@ -9,19 +9,13 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
-	"golang.org/x/exp/jsonrpc2"
-
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 )
 
-const (
-	defaultTimeout = 5 * time.Second
-	readSize       = 64 << 10
-)
+const defaultTimeout = 5 * time.Second
 
 var errUsage = errors.New("usage: standin-call [-timeout 5s] address method [params]")
 
@@ -42,47 +36,10 @@
 	if len(args) == 3 {
 		params = json.RawMessage(args[2])
 	}
-	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(1), args[1], params)
-	if err != nil {
-		return err
-	}
-	frame, err := rpc.Append(nil, call)
-	if err != nil {
-		return err
-	}
-	conn, err := net.DialTimeout("tcp", args[0], timeout)
+	result, err := endpoint.Call(timeout, args[0], args[1], params)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return err
-	}
-	if _, err := conn.Write(frame); err != nil {
-		return err
-	}
-	return printAnswer(conn)
-}
-
-func printAnswer(conn net.Conn) error {
-	var buffer []byte
-	for {
-		message, _, err := rpc.Decode(buffer)
-		if err != nil {
-			return err
-		}
-		if response, ok := message.(*jsonrpc2.Response); ok {
-			if response.Error != nil {
-				return response.Error
-			}
-			fmt.Println(string(response.Result))
-			return nil
-		}
-		chunk := make([]byte, readSize)
-		n, err := conn.Read(chunk)
-		if err != nil {
-			return err
-		}
-		buffer = append(buffer, chunk[:n]...)
-	}
+	fmt.Println(string(result))
+	return nil
 }
--- a/standin/e2e/calls_test.go
+++ b/standin/e2e/calls_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,10 +13,8 @@
 	"strings"
 	"time"
 
-	"golang.org/x/exp/jsonrpc2"
-
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
+	"github.com/sassafrasshunt/sassafrasshunt/standin/endpoint"
 	"github.com/sassafrasshunt/sassafrasshunt/standin/kvservice"
 	"github.com/sassafrasshunt/sassafrasshunt/standin/member"
 )
@@ -30,42 +27,11 @@
 }
 
 func callWithin(bound time.Duration, address, method string, params, result any) error {
-	call, err := jsonrpc2.NewCall(jsonrpc2.Int64ID(1), method, params)
+	answer, err := endpoint.Call(bound, address, method, params)
 	if err != nil {
 		return err
 	}
-	frame, err := rpc.Append(nil, call)
-	if err != nil {
-		return err
-	}
-	conn, err := net.DialTimeout("tcp", address, bound)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(bound))
-	if _, err := conn.Write(frame); err != nil {
-		return err
-	}
-	var buffer []byte
-	for {
-		message, _, err := rpc.Decode(buffer)
-		if err != nil {
-			return err
-		}
-		if response, ok := message.(*jsonrpc2.Response); ok {
-			if response.Error != nil {
-				return response.Error
-			}
-			return json.Unmarshal(response.Result, result)
-		}
-		chunk := make([]byte, 64<<10)
-		n, err := conn.Read(chunk)
-		if err != nil {
-			return err
-		}
-		buffer = append(buffer, chunk[:n]...)
-	}
+	return json.Unmarshal(answer, result)
 }
 
 // link applies "cut" or "restore" to every link whose name begins with prefix.
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -1,5 +1,5 @@
 // Package endpoint serves JSON-RPC 2.0 with Content-Length framing on the
-// thread of a netloop.Loop.
+// thread of a netloop.Loop, and makes single calls for scripts and tests.
 package endpoint
 
 import (
