--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -56,7 +56,7 @@
 	part := 0.0
 	for i := range e.configuration.Accounts {
 		a := &e.configuration.Accounts[i]
-		share.Accounts[a.Name] = s.awayShare(a)
+		share.Accounts[a.Name] = s.remoteShare(a)
 		if e.homes.here(a.Name) {
 			share.Accounts[a.Name] = session.RateShare{Rate: a.Rate, Burst: max(a.Burst*homeBurst, 1), Until: e.homes.leaseUntil}
 			part += connectionWeight(a.Rate, sum, len(e.configuration.Accounts))
@@ -79,10 +79,10 @@
 	return (even + rate/sum) / 2
 }
 
-// awayShare is what an instance may spend of an account that is at home
+// remoteShare is what an instance may spend of an account that is at home
 // elsewhere. All instances together, with the home, stay within what the
 // counting window tolerates.
-func (s *shares) awayShare(a *catalogue.Account) session.RateShare {
+func (s *shares) remoteShare(a *catalogue.Account) session.RateShare {
 	e := s.e
 	instances := float64(max(len(e.instances), 1))
 	window := e.config.RateWindow.Seconds()
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -25,8 +25,8 @@
 	claim   Claim
 	// candidate is the most advanced replica of the last survey.
 	candidate MemberState
-	// replicas that answered the last survey
-	surveyed []MemberState
+	// surveyed is how many replicas answered the last survey.
+	surveyed int
 	term     core.Term
 	// The times of the steps, for the report.
 	neededAt, claimedAt, surveyedAt, orderedAt time.Time
@@ -292,7 +292,7 @@
 }
 
 func (s *succession) surveyDone(d *JobDone) {
-	s.surveyed = d.States
+	s.surveyed = len(d.States)
 	for _, state := range d.States {
 		s.term = max(s.term, state.Term)
 	}
@@ -328,7 +328,7 @@
 	s.orderedAt = s.e.now
 	s.e.out.Log(LogEvent{Event: "promotion_ordered", Message: "promotion ordered", Fields: map[string]any{
 		"group": s.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": s.reason,
-		"position": s.candidate.Received.String(), "answered": len(s.surveyed), "failed": d.Err != nil,
+		"position": s.candidate.Received.String(), "answered": s.surveyed, "failed": d.Err != nil,
 	}})
 	switch {
 	case d.Err == nil:
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"io"
 	"net"
@@ -21,7 +19,6 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -40,7 +37,6 @@
 	callers   *linkio.Callers
 	targets   *linkio.Targets
 	sessions  *decisionDuty[session.Input]
-	engine    *session.Engine
 	fleets    *decisionDuty[fleet.Input]
 	watcher   *fleet.Watcher
 	registrar *fleet.Registrar
@@ -67,7 +63,7 @@
 	h.fleets = newDecisionDuty[fleet.Input](hostedRing)
 	h.fleets.now = clock.Now
 	h.self = fleet.Instance{
-		Node: s.Name, ID: newRunID(s.Name), Domain: s.Domain,
+		Node: s.Name, ID: newInstanceID(s.Name), Domain: s.Domain,
 		Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 	}
 	h.telemetry = telemetry.New(telemetry.Config{
@@ -140,7 +136,6 @@
 	if err != nil {
 		return err
 	}
-	h.engine = engine
 	h.sessions.engine = engine
 	h.sessions.outlets = []outlet{out.callers, out.targets, out.peers}
 	return nil
@@ -185,13 +180,6 @@
 	return nil
 }
 
-// newRunID returns an ID that no earlier run had.
-func newRunID(name string) core.InstanceID {
-	var random [instanceIDBytes]byte
-	_, _ = rand.Read(random[:])
-	return core.InstanceID(name + "-" + hex.EncodeToString(random[:]))
-}
-
 func (h *Hosted) skipped(key string, err error) {
 	h.log(logrus.WarnLevel, "store_value_skipped", err.Error(), telemetry.Fields{"key": key})
 }
@@ -300,11 +288,7 @@
 }
 
 func (h *Hosted) fleetLog(l fleet.LogEvent) {
-	level := logrus.InfoLevel
-	if l.Warning {
-		level = logrus.WarnLevel
-	}
-	h.log(level, l.Event, l.Message, telemetry.Fields(l.Fields))
+	h.log(logLevel(l.Warning), l.Event, l.Message, telemetry.Fields(l.Fields))
 }
 
 // HostedVariable names the environment variable with the path of the
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -69,7 +69,7 @@
 func New(s *settings.Settings, output io.Writer) (*Instance, error) {
 	i := &Instance{
 		settings:  s,
-		self:      control.Identity{Instance: newInstanceID(s.Domain), Domain: s.Domain, PeerAddress: s.PeerAddress},
+		self:      control.Identity{Instance: newInstanceID(string(s.Domain)), Domain: s.Domain, PeerAddress: s.PeerAddress},
 		callRoom:  ring.NewSignal(),
 		watchRoom: ring.NewSignal(),
 		stopped:   make(chan struct{}),
@@ -91,12 +91,13 @@
 	return i, nil
 }
 
-// newInstanceID returns an ID that no earlier run had: a restarted instance
-// must not be taken for its predecessor, whose share it does not hold.
-func newInstanceID(domain core.Domain) core.InstanceID {
+// newInstanceID returns an ID that begins with the prefix and that no earlier
+// run had: a restarted instance must not be taken for its predecessor, whose
+// share it does not hold.
+func newInstanceID(prefix string) core.InstanceID {
 	var random [instanceIDBytes]byte
 	_, _ = rand.Read(random[:])
-	return core.InstanceID(string(domain) + "-" + hex.EncodeToString(random[:]))
+	return core.InstanceID(prefix + "-" + hex.EncodeToString(random[:]))
 }
 
 func (i *Instance) buildTelemetry(output io.Writer) error {
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -165,11 +165,14 @@
 }
 
 func (o *controlOutputs) Log(l control.LogEvent) {
-	level := logrus.InfoLevel
-	if l.Warning {
-		level = logrus.WarnLevel
+	o.instance.log(logLevel(l.Warning), l.Event, l.Message, telemetry.Fields(l.Fields))
+}
+
+func logLevel(warning bool) logrus.Level {
+	if warning {
+		return logrus.WarnLevel
 	}
-	o.instance.log(level, l.Event, l.Message, telemetry.Fields(l.Fields))
+	return logrus.InfoLevel
 }
 
 func (o *controlOutputs) Stopped() {
--- a/pkg/session/accountpool.go
+++ b/pkg/session/accountpool.go
@@ -94,16 +94,13 @@
 // what its opening connections will soon serve.
 func (m *member) wantsConnection(account core.AccountName) bool {
 	states := &m.db.e.states
-	opening, serving, parked := 0, 0, 0
+	connections, parked := 0, 0
 	for _, t := range m.db.targets {
 		if t.member != m || t.account != account {
 			continue
 		}
-		switch t.state {
-		case states.opening:
-			opening++
-		case states.busy:
-			serving++
+		if t.state == states.opening || t.state == states.busy {
+			connections++
 		}
 	}
 	for _, s := range m.parked {
@@ -111,10 +108,10 @@
 			parked++
 		}
 	}
-	if opening+serving == 0 {
+	if connections == 0 {
 		return true
 	}
-	return opening+serving < m.slots && parked > m.capacity(opening+serving)
+	return connections < m.slots && parked > m.capacity(connections)
 }
 
 // replaceIdleOf closes the idle connection that has rested longest; the close
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -75,25 +75,25 @@
 func (OriginAlive) sessionInput() {}
 
 func (e *Engine) originAlive(id core.InstanceID) *origin {
-	f := e.origins[id]
-	if f == nil {
-		f = &origin{used: map[core.AccountName]*usage{}}
-		e.origins[id] = f
+	o := e.origins[id]
+	if o == nil {
+		o = &origin{used: map[core.AccountName]*usage{}}
+		e.origins[id] = o
 	}
-	f.heard = e.now
-	return f
+	o.heard = e.now
+	return o
 }
 
 // countRemote measures what the remote caller's instance uses of its account.
 func (e *Engine) countRemote(c *caller) {
-	f := e.originAlive(c.remote.id.Instance)
-	u := f.used[c.account.name]
+	o := e.originAlive(c.remote.id.Instance)
+	u := o.used[c.account.name]
 	if u == nil {
 		u = &usage{}
-		f.used[c.account.name] = u
+		o.used[c.account.name] = u
 	}
 	u.add(e.now)
-	f.requested = e.now
+	o.requested = e.now
 }
 
 // silentFor reports an instance that has given no sign of life for the time,
@@ -108,9 +108,9 @@
 func (a *account) setAside() float64 {
 	e := a.e
 	sum := 0.0
-	for _, f := range e.origins {
-		if u := f.used[a.name]; u != nil && f.silentFor(originSilence, e.now) {
-			sum += u.rate(f.heard) * usageRoom
+	for _, o := range e.origins {
+		if u := o.used[a.name]; u != nil && o.silentFor(originSilence, e.now) {
+			sum += u.rate(o.heard) * usageRoom
 		}
 	}
 	return sum + a.setAsideUnheard()
@@ -242,14 +242,14 @@
 			continue
 		}
 		silent, all := 0.0, 0.0
-		for _, f := range e.origins {
-			u := f.used[name]
+		for _, o := range e.origins {
+			u := o.used[name]
 			if u == nil {
 				continue
 			}
-			used := u.rate(f.heard)
+			used := u.rate(o.heard)
 			all += used
-			if f.silentFor(isolationBound, e.now) {
+			if o.silentFor(isolationBound, e.now) {
 				silent += used
 			}
 		}
