Reach each outcome of an edit by a fixed sequence; show how an ended process ended

The keeper and the promise that is checked were not at fault. Change: TestEachOutcomeIsReached takes a fixed sequence to each of the five outcomes through the same check of results. The drawn runs still must reach the other four. A signal to a process of an end-to-end test that has ended fails with its exit status and the end of its log, for TestLimitRateFrozen.

--- a/pkg/catalogue/keeper_test.go
+++ b/pkg/catalogue/keeper_test.go
@@ -22,10 +22,32 @@
 	return d
 }
 
+// drawer returns a number from minimum to maximum for the choice that is named.
+type drawer func(choice string, minimum, maximum int) int
+
+func drawnBy(t *rapid.T) drawer {
+	return func(choice string, minimum, maximum int) int {
+		return rapid.IntRange(minimum, maximum).Draw(t, choice)
+	}
+}
+
+// fixedDraws returns the numbers of each choice in order, and then the last
+// one again.
+func fixedDraws(draws map[string][]int) drawer {
+	next := map[string]int{}
+	return func(choice string, _, _ int) int {
+		numbers := draws[choice]
+		i := min(next[choice], len(numbers)-1)
+		next[choice]++
+		return numbers[i]
+	}
+}
+
 // keeperSim runs several keepers against one record, with lost responses and
 // delayed writes.
 type keeperSim struct {
-	t        *rapid.T
+	t        require.TestingT
+	draw     drawer
 	now      time.Time
 	record   Record
 	keepers  []*Keeper
@@ -36,7 +58,7 @@
 }
 
 func (s *keeperSim) chance(percent int, what string) bool {
-	return rapid.IntRange(1, 100).Draw(s.t, what) <= percent
+	return s.draw(what, 1, 100) <= percent
 }
 
 // apply compare-and-swaps the record.
@@ -64,7 +86,7 @@
 }
 
 func (s *keeperSim) answerWrite(k *Keeper, w Write) {
-	switch rapid.IntRange(0, 4).Draw(s.t, "write") {
+	switch s.draw("write", 0, 4) {
 	case 0:
 		k.NotWritten(w.EditID, s.now)
 	case 1:
@@ -83,13 +105,13 @@
 }
 
 func (s *keeperSim) step() {
-	s.now = s.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(s.t, "ms")) * time.Millisecond)
-	index := rapid.IntRange(0, len(s.keepers)-1).Draw(s.t, "keeper")
+	s.now = s.now.Add(time.Duration(s.draw("ms", 0, 2000)) * time.Millisecond)
+	index := s.draw("keeper", 0, len(s.keepers)-1)
 	k := s.keepers[index]
-	switch rapid.IntRange(0, 4).Draw(s.t, "step") {
+	switch s.draw("step", 0, 4) {
 	case 0:
 		s.serial++
-		rate := float64(rapid.IntRange(0, 5).Draw(s.t, "rate"))
+		rate := float64(s.draw("rate", 0, 5))
 		edit := PutAccount{Name: core.AccountName(fmt.Sprintf("a%d", s.serial)), Weight: 1, Rate: rate, Burst: 1}
 		require.NoError(s.t, k.Submit(fmt.Sprintf("e%d", s.serial), []Edit{edit}, s.now))
 	case 1:
@@ -117,38 +139,80 @@
 	s.versions[index] = version
 }
 
+func newKeeperSim(t require.TestingT, draw drawer) *keeperSim {
+	s := &keeperSim{t: t, draw: draw, now: time.Unix(0, 0), results: map[string][]Finished{}, versions: make([]uint64, 3)}
+	for range 3 {
+		k, err := NewKeeper(loadChart(t, "configuration"), testKeeperSettings)
+		require.NoError(t, err)
+		s.keepers = append(s.keepers, k)
+	}
+	return s
+}
+
+// run takes the steps, applies what was delayed and lets every edit end.
+func (s *keeperSim) run(steps int) {
+	for range steps {
+		s.step()
+	}
+	for _, w := range s.delayed {
+		s.apply(w)
+	}
+	for range 40 {
+		s.now = s.now.Add(time.Second)
+		for i, k := range s.keepers {
+			k.Tick(s.now)
+			s.drain(k, i)
+		}
+	}
+}
+
 // Guards against an edit without a result or with two, a refusal of an edit
 // that was accepted (or the reverse) when responses are lost and operators
 // race, and a version that goes back.
 func TestEveryEditGetsOneTrueResult(t *testing.T) {
 	outcomes := map[Outcome]int{}
 	rapid.Check(t, func(t *rapid.T) {
-		s := &keeperSim{t: t, now: time.Unix(0, 0), results: map[string][]Finished{}, versions: make([]uint64, 3)}
-		for range 3 {
-			k, err := NewKeeper(loadChart(t, "configuration"), testKeeperSettings)
-			require.NoError(t, err)
-			s.keepers = append(s.keepers, k)
-		}
-		for range rapid.IntRange(10, 60).Draw(t, "steps") {
-			s.step()
-		}
-		for _, w := range s.delayed {
-			s.apply(w)
-		}
-		for range 40 {
-			s.now = s.now.Add(time.Second)
-			for i, k := range s.keepers {
-				k.Tick(s.now)
-				s.drain(k, i)
-			}
-		}
+		s := newKeeperSim(t, drawnBy(t))
+		s.run(s.draw("steps", 10, 60))
 		s.checkResults(outcomes)
 	})
-	for _, o := range []Outcome{OutcomeAccepted, OutcomeConflict, OutcomeRejected, OutcomeNotWritten, OutcomeUncertain} {
+	for _, o := range []Outcome{OutcomeAccepted, OutcomeConflict, OutcomeRejected, OutcomeNotWritten} {
 		require.Positive(t, outcomes[o], "no edit ended as %s", o)
 	}
 }
 
+// Guards against an outcome that no edit can reach, which the drawn runs reach
+// only by luck, and against a wrong result in the shortest way to each.
+func TestEachOutcomeIsReached(t *testing.T) {
+	const (
+		submit    = 0
+		notTaken  = 0
+		lost      = 1
+		answered  = 4
+		readWorks = 1
+		readFails = 100
+	)
+	cases := map[Outcome]map[string][]int{
+		OutcomeAccepted:   {"rate": {1}, "keeper": {0}, "write": {answered}, "read answered": {readWorks}},
+		OutcomeRejected:   {"rate": {0}, "keeper": {0}, "write": {answered}, "read answered": {readWorks}},
+		OutcomeNotWritten: {"rate": {1}, "keeper": {0}, "write": {notTaken}, "read answered": {readWorks}},
+		// The third edit is written from the revision before the second.
+		OutcomeConflict: {"rate": {1}, "keeper": {0, 1, 0}, "write": {answered}, "read answered": {readWorks}},
+		// The record can't be read after the response to the write was lost.
+		OutcomeUncertain: {"rate": {1}, "keeper": {0}, "write": {lost}, "read answered": {readWorks, readFails}},
+	}
+	for outcome, draws := range cases {
+		t.Run(string(outcome), func(t *testing.T) {
+			draws["step"], draws["ms"] = []int{submit}, []int{0}
+			outcomes := map[Outcome]int{}
+			s := newKeeperSim(t, fixedDraws(draws))
+			s.run(len(draws["keeper"]))
+			s.checkResults(outcomes)
+			require.Positive(t, outcomes[outcome], "outcomes: %v", outcomes)
+		})
+	}
+}
+
 func (s *keeperSim) checkResults(outcomes map[Outcome]int) {
 	for i := range s.serial {
 		id := fmt.Sprintf("e%d", i+1)
--- a/standin/e2e/process_test.go
+++ b/standin/e2e/process_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -49,8 +50,16 @@
 	return nil
 }
 
+// signal sends a signal. For a process that has ended, the error tells how and
+// shows the end of its log.
 func (p *process) signal(s syscall.Signal) error {
-	return p.cmd.Process.Signal(s)
+	err := p.cmd.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-p.done
+		text, _ := os.ReadFile(p.log)
+		return fmt.Errorf("%s: %w (%s): %s", p.name, err, p.cmd.ProcessState, tail(string(text), 4000))
+	}
+	return err
 }
 
 // kill ends the process at once; a stopped process too.
