Report a cut-off instance as not ready and release its idle callers

Cause: in a cut failure domain the instances stayed ready. Change: while the store cannot be read or homes are silent, instances of other domains are probed (pkg/fleet/reach.go). If neither they nor the store answer in two rounds, the life cycle enters the state cut_off: not ready, and after the balancer's notice idle sessions end. A silent store is noticed at once by a read (Watcher.Check) when a round of probes is missed.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -64,6 +64,7 @@
 	sweep     timerq.Item[func()]
 	published uint64
 	shares    shares
+	reach     reach
 	homes     homes
 
 	// steadyState and servingState are states that decisions ask for.
@@ -78,7 +79,7 @@
 }
 
 type lifeEvents struct {
-	configured, stop, drained, timedOut chart.Event
+	configured, stop, drained, cutOff, reconnected, timedOut chart.Event
 }
 
 // Charts are the life cycles of the fleet duty.
@@ -111,11 +112,13 @@
 	e.servingState = table.StateID("serving")
 	e.on = lifeEvents{
 		configured: table.Event("configured"), stop: table.Event("stop"),
-		drained: table.Event("drained"), timedOut: table.Event(chart.TimeoutEvent),
+		drained: table.Event("drained"), cutOff: table.Event("cut_off"),
+		reconnected: table.Event("reconnected"), timedOut: table.Event(chart.TimeoutEvent),
 	}
 	e.lifeTimer.Value = func() { e.fire(e.on.timedOut) }
 	e.sweep.Value = e.sweepMembers
 	e.shares.init(e)
+	e.reach.init(e)
 	e.homes.init(e)
 	return e, nil
 }
@@ -126,11 +129,12 @@
 func (e *Engine) registry() chart.Registry[*Engine] {
 	return chart.Registry[*Engine]{
 		Actions: map[string]func(*Engine){
-			"become_ready":   func(e *Engine) { e.setReady(true) },
-			"become_unready": func(e *Engine) { e.setReady(false) },
-			"leave":          func(e *Engine) { e.out.Leave() },
-			"drain_sessions": func(e *Engine) { e.out.Session(session.Drain{}) },
-			"finish":         func(e *Engine) { e.out.Finish() },
+			"become_ready":    func(e *Engine) { e.setReady(true) },
+			"become_unready":  func(e *Engine) { e.setReady(false) },
+			"leave":           func(e *Engine) { e.out.Leave() },
+			"release_callers": func(e *Engine) { e.out.Session(session.ReleaseIdle{}) },
+			"drain_sessions":  func(e *Engine) { e.out.Session(session.Drain{}) },
+			"finish":          func(e *Engine) { e.out.Finish() },
 		},
 		Timeouts: map[string]time.Duration{
 			"starting":        idleLife,
@@ -172,6 +176,8 @@
 		e.loseStore(in.Reason)
 	case FromSession:
 		e.fromSession(in.Report)
+	case InstanceHeard:
+		e.reach.answered++
 	case MemberOpinion:
 		e.opinion(in)
 	case ConfigurationAsked:
@@ -214,6 +220,7 @@
 		e.fire(e.on.drained)
 	case session.Demand:
 		e.homes.demand(r)
+		e.reach.homesSeen(r)
 	case session.NewerVersion:
 		if e.configuration == nil || r.Version > e.configuration.Version {
 			e.out.AskConfiguration(r.Address)
@@ -232,6 +239,7 @@
 	e.storeLost = true
 	e.out.Log(LogEvent{Warning: true, Event: "store_lost", Message: "the store cannot be read",
 		Fields: map[string]any{"reason": reason}})
+	e.reach.doubt()
 }
 
 func (e *Engine) storeSeen(s *Snapshot) {
@@ -240,6 +248,7 @@
 	}
 	e.storeLost = false
 	e.storeBack = e.now
+	e.reach.restored()
 	seen := map[core.MemberID]bool{}
 	for i := range s.Members {
 		seen[s.Members[i].Member] = true
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -73,10 +73,15 @@
 	// AskMember asks another instance what it has heard of a member; the answer is
 	// a MemberOpinion.
 	AskMember(node string, address session.PeerAddress, member core.MemberID)
+	// ProbeInstance asks another instance for a sign of life; the answer is an
+	// InstanceHeard.
+	ProbeInstance(node string, address session.PeerAddress)
 	// AskConfiguration asks another instance for its configuration, and
 	// GiveConfiguration answers such a question.
 	AskConfiguration(session.PeerAddress)
 	GiveConfiguration(reply any, c *Configuration)
+	// CheckStore lets the store be read at once, which tells whether it can be.
+	CheckStore()
 	// Leave gives the registration and the homes up.
 	Leave()
 	// Work hands a job to the worker and reports whether there was room.
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,9 @@
 	deliver func(Input) bool
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// endWait ends the call under way; checking is set when Check has ended it.
+	endWait  atomic.Pointer[context.CancelFunc]
+	checking atomic.Bool
 	// current is when the store was last known to have nothing newer.
 	current time.Time
 }
@@ -52,6 +56,15 @@
 	w.cancel()
 }
 
+// Check ends the wait for changes, so that the store is read at once and a
+// silent one is noticed within the bound of a read.
+func (w *Watcher) Check() {
+	if end := w.endWait.Load(); end != nil {
+		w.checking.Store(true)
+		(*end)()
+	}
+}
+
 func (w *Watcher) run() {
 	for w.ctx.Err() == nil {
 		after, err := w.read()
@@ -61,7 +74,7 @@
 		if w.ctx.Err() != nil {
 			return
 		}
-		if !eris.Is(err, ErrCompacted) {
+		if !w.checking.Swap(false) && !eris.Is(err, ErrCompacted) {
 			w.deliver(StoreLost{Reason: err.Error()})
 			w.pause(w.bounds.Pause)
 		}
@@ -86,7 +99,9 @@
 	for {
 		asked := clock.Now()
 		ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Wait+w.bounds.Answer)
+		w.endWait.Store(&cancel)
 		changes, next, err := w.source.Watch(ctx, after, w.bounds.Wait)
+		w.endWait.Store(nil)
 		cancel()
 		if err != nil {
 			return err
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -67,12 +67,21 @@
 	})
 }
 
+func (o *hostedFleet) ProbeInstance(node string, address session.PeerAddress) {
+	o.hosted.rpc.Send(rpc.Call{
+		Tag: reachTag{node: node}, Address: string(address),
+		Method: relay.MethodPing, Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall,
+	})
+}
+
 func (o *hostedFleet) GiveConfiguration(reply any, c *fleet.Configuration) {
 	if to, ok := reply.(replyTo); ok {
 		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: c})
 	}
 }
 
+func (o *hostedFleet) CheckStore() { o.hosted.watcher.Check() }
+
 func (o *hostedFleet) Leave() { o.hosted.registrar.Leave() }
 
 // ClaimHome drops a claim that finds no room; it is repeated.
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -28,6 +28,7 @@
 		node   string
 	}
 	pingTag  struct{ address session.PeerAddress }
+	reachTag struct{ node string }
 	leaveTag struct{}
 )
 
@@ -83,6 +84,10 @@
 			return relayResult(tag, e)
 		case opinionTag:
 			h.takeMemberAnswer(tag, e)
+		case reachTag:
+			if e.Err == nil {
+				h.fleets.input.TryPush(fleet.InstanceHeard{Node: tag.node})
+			}
 		case configurationTag:
 			h.takeConfiguration(e)
 		case pingTag:
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -188,7 +188,11 @@
 }
 
 func (c *caller) tellStopping() {
-	c.close(core.NotRun(core.StateStopping, "this instance is stopping, please reconnect"))
+	reason := "this instance is stopping, please reconnect"
+	if !c.e.stopping {
+		reason = "this instance is cut off, please reconnect"
+	}
+	c.close(core.NotRun(core.StateStopping, reason))
 }
 
 func (c *caller) tellEnded() {
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -136,6 +136,12 @@
 	}
 }
 
+func (e *Engine) releaseIdle() {
+	for _, c := range e.callers {
+		c.fire(e.charts.on.drain)
+	}
+}
+
 // cutOff ends the callers that are left when the bound of the stop has passed.
 func (e *Engine) cutOff() {
 	for _, c := range e.callers {
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -76,6 +76,29 @@
 	require.Contains(t, h.control, Drained{})
 }
 
+// Guards against callers that stay with an instance which is cut off, and
+// against one that loses a request or its transaction by its release.
+func TestReleaseIdle(t *testing.T) {
+	h := newHarness(t, nil)
+	h.open(1, at100)
+	h.open(2, at100)
+	h.open(3, at100)
+	s := h.run(2, "begin", begin)
+	h.ready(s.Target, 'T', core.Position{})
+	running := h.run(3, "read", read)
+	h.do(ReleaseIdle{})
+	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	require.Len(t, h.e.callers, 2)
+	h.ready(running.Target, 'I', core.Position{})
+	s = h.run(2, "commit", commit)
+	h.ready(s.Target, 'I', core.Position{})
+	require.Len(t, h.e.callers, 2, "they were not idle")
+	h.do(ReleaseIdle{})
+	require.Empty(t, h.e.callers)
+	h.open(4, at100)
+	require.Len(t, h.e.callers, 1, "the instance does not stop")
+}
+
 // Guards against new work for a database that is leaving, and against an open
 // transaction that holds it for ever.
 func TestLeavingDatabase(t *testing.T) {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -220,6 +220,8 @@
 		e.keysRevoked(in.Keys)
 	case KeysTrusted:
 		e.keysUntil = in.Until
+	case ReleaseIdle:
+		e.releaseIdle()
 	case Drain:
 		e.drain()
 	}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -273,6 +273,10 @@
 	Keys []core.KeyID
 }
 
+// ReleaseIdle ends the sessions of callers that are outside a transaction and
+// have no request, so that they reconnect to an instance that can serve them.
+type ReleaseIdle struct{}
+
 // Drain starts the graceful stop: no new callers, and connected callers are
 // told to reconnect at a clean boundary.
 type Drain struct{}
@@ -295,4 +299,5 @@
 func (ShareInForce) sessionInput()     {}
 func (KeysTrusted) sessionInput()      {}
 func (KeysRevoked) sessionInput()      {}
+func (ReleaseIdle) sessionInput()      {}
 func (Drain) sessionInput()            {}
