Notice a cut by the first silent home

Cause: a cut that drops packets was noticed 2.0 s after it began: silent homes are counted in the report of each second, the store is read after the first missed round, and the verdict waited for the round after that. Change: the first silent home is reported at once, and the verdict falls with the failed read if enough rounds were missed. The store is read once for each doubt.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -221,6 +221,8 @@
 	case session.Demand:
 		e.homes.demand(r)
 		e.reach.homesSeen(r)
+	case session.HomeSilent:
+		e.reach.homeSilent()
 	case session.NewerVersion:
 		if e.configuration == nil || r.Version > e.configuration.Version {
 			e.out.AskConfiguration(r.Address)
@@ -239,7 +241,7 @@
 	e.storeLost = true
 	e.out.Log(LogEvent{Warning: true, Event: "store_lost", Message: "the store cannot be read",
 		Fields: map[string]any{"reason": reason}})
-	e.reach.doubt()
+	e.reach.storeLost()
 }
 
 func (e *Engine) storeSeen(s *Snapshot) {
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -431,12 +431,28 @@
 	require.True(t, h.ready, "the store answers again")
 }
 
+// Guards against callers that are refused while a silent store is waited for.
+func TestCutIsNoticedBySilentHomes(t *testing.T) {
+	h := cutOffHarness(t)
+	h.do(FromSession{Report: session.HomeSilent{}})
+	require.Equal(t, []string{"b"}, h.probed)
+	h.wait(opinionWait)
+	require.Equal(t, 1, h.checks, "the store is read at once")
+	h.wait(reachPause + opinionWait)
+	require.True(t, h.ready, "the store has not failed yet")
+	h.do(StoreLost{Reason: "test"})
+	require.False(t, h.ready)
+}
+
 // Guards against a domain that goes out of service because the instances of the
 // others have died, and against an outage of the store that empties the balancer.
 func TestReadyWhileStoreOrOthersAnswer(t *testing.T) {
 	h := cutOffHarness(t)
 	h.do(FromSession{Report: session.Demand{HomesUsed: 2, HomesSilent: 1}})
-	h.wait(5 * time.Second)
+	for range 10 {
+		h.wait(500 * time.Millisecond)
+		h.do(StoreSeen{Snapshot: &Snapshot{Instances: []Instance{{Node: "b", ID: "b-1", Domain: "two", Peer: "10.0.0.3:1"}}}})
+	}
 	require.True(t, h.ready, "the store can be read")
 	require.Equal(t, 1, h.checks, "the store is read once, not in each round")
 
--- a/pkg/fleet/reach.go
+++ b/pkg/fleet/reach.go
@@ -36,12 +36,14 @@
 	timer timerq.Item[func()]
 	// probing is set while rounds run, waiting while answers of one are awaited.
 	probing, waiting bool
+	// checked is set once the store was read because of this doubt.
+	checked bool
 	// homesSilent is the latest news of the session.
 	homesSilent bool
 	// offset rotates the instances that are probed.
 	offset int
-	// answered counts the answers since the last round ended, misses the rounds in a row
-	// without any.
+	// answered counts the answers since the last round ended, misses the rounds in
+	// a row without any.
 	answered int
 	misses   int
 }
@@ -54,12 +56,17 @@
 // doubt begins rounds unless they run.
 func (r *reach) doubt() {
 	if !r.probing {
-		r.probing = true
+		r.probing, r.checked = true, false
 		r.ask()
 	}
 }
 
-// homesSeen takes the session's news of silent homes.
+func (r *reach) homeSilent() {
+	r.homesSilent = true
+	r.doubt()
+}
+
+// homesSeen takes the session's regular report.
 func (r *reach) homesSeen(d session.Demand) {
 	r.homesSilent = d.HomesSilent > 0
 	if r.homesSilent {
@@ -67,6 +74,12 @@
 	}
 }
 
+// storeLost decides at once if the rounds before have gone without an answer.
+func (r *reach) storeLost() {
+	r.doubt()
+	r.cutOff()
+}
+
 // next concludes a round or begins another.
 func (r *reach) next() {
 	if r.waiting {
@@ -112,7 +125,8 @@
 		r.probing = e.storeLost || r.homesSilent
 	} else {
 		r.misses++
-		r.missed()
+		r.checkStore()
+		r.cutOff()
 	}
 	if r.probing {
 		e.timers.Arm(&r.timer, e.now.Add(reachPause))
@@ -125,17 +139,19 @@
 	r.e.fire(r.e.on.reconnected)
 }
 
-// missed decides after a round without an answer.
-func (r *reach) missed() {
-	e := r.e
-	if !e.storeLost {
-		// The other instances may be dead; the store tells.
-		if r.misses == 1 {
-			e.out.CheckStore()
-		}
-		return
+// checkStore lets the store tell whether the other instances are dead or this
+// one is cut off.
+func (r *reach) checkStore() {
+	if !r.e.storeLost && !r.checked {
+		r.checked = true
+		r.e.out.CheckStore()
 	}
-	if r.misses < reachRounds || e.state != e.servingState {
+}
+
+// cutOff decides once the store and enough rounds have gone without an answer.
+func (r *reach) cutOff() {
+	e := r.e
+	if !e.storeLost || r.misses < reachRounds || e.state != e.servingState {
 		return
 	}
 	e.out.Log(LogEvent{Warning: true, Event: "cut_off",
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -81,6 +81,7 @@
 	if !p.lost {
 		p.lost = true
 		e.metrics.HomesLost++
+		e.box.out.Control(HomeSilent{})
 		e.homesChanged()
 	}
 	for id, s := range p.relayed {
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -255,6 +255,10 @@
 	HomesSilent int
 }
 
+// HomeSilent reports that a home has stopped giving signs of life. The next
+// Demand counts it too.
+type HomeSilent struct{}
+
 // ShareApplied reports that a ShareInForce governs every later admission.
 type ShareApplied struct {
 	Revision uint64
@@ -270,6 +274,7 @@
 func (NeedApplied) controlReport()   {}
 func (SuspectMember) controlReport() {}
 func (Demand) controlReport()        {}
+func (HomeSilent) controlReport()    {}
 func (ShareApplied) controlReport()  {}
 func (Drained) controlReport()       {}
 
