Probe a home only when one direction is quiet

Cause: each instance probed each home in use every 200 ms, also while requests and answers passed. Change: a request counts as a sign of life of the origin, its answer as one of the home; a probe is sent when either is 200 ms old. Most pairs of instances have less than a request in 200 ms, so the gain is small there; it grows with the load of a pair.

--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// peerProbeEvery is the period of probes while a home owes answers or its
-	// accounts are in use; the round trip between failure domains is about 2 ms.
+	// peerProbeEvery is the longest time between two signs of life in either
+	// direction while a home owes answers or its accounts are in use. A request
+	// and its answer are such signs, so a busy home is seldom probed. The round
+	// trip between failure domains is about 2 ms.
 	peerProbeEvery = 200 * time.Millisecond
 	// peerSilence is how long a home that is probed may give no sign of life.
 	peerSilence = 480 * time.Millisecond
@@ -25,9 +27,11 @@
 	// relayed are the unanswered requests, by caller.
 	relayed map[CallerID]*statement
 	// heard is the last sign of life, used the last use, both of which begin with
-	// the first probe.
-	heard time.Time
-	used  time.Time
+	// the first probe; sent is the last request or probe, probed the last probe.
+	heard  time.Time
+	used   time.Time
+	sent   time.Time
+	probed time.Time
 	// lost is set from the silence of the home until its next sign of life.
 	lost bool
 	// refused is set when the home's host refused a connection.
@@ -60,10 +64,29 @@
 
 func (p *homePeer) probe() {
 	p.e.box.out.Peer(PeerProbe{Address: p.address})
-	p.e.timers.Arm(&p.item, p.e.now.Add(peerProbeEvery))
+	p.sent, p.probed = p.e.now, p.e.now
+	p.arm()
 }
 
-// timeOut probes the home and gives up on a silent one.
+// arm sets the time at which one direction may have been quiet for too long.
+func (p *homePeer) arm() {
+	p.e.timers.Arm(&p.item, p.quietSince().Add(peerProbeEvery))
+}
+
+// quietSince is the last time before which both sides had a sign of life, but
+// not before the last probe, which may be on its way.
+func (p *homePeer) quietSince() time.Time {
+	since := p.heard
+	if p.sent.Before(since) {
+		since = p.sent
+	}
+	if since.Before(p.probed) {
+		since = p.probed
+	}
+	return since
+}
+
+// timeOut probes a quiet home and gives up on a silent one.
 func (p *homePeer) timeOut() {
 	if len(p.relayed) == 0 && p.e.now.Sub(p.used) > peerUse {
 		p.probing = false
@@ -72,6 +95,10 @@
 	if p.e.now.Sub(p.heard) > peerSilence {
 		p.giveUp()
 	}
+	if p.e.now.Before(p.quietSince().Add(peerProbeEvery)) {
+		p.arm()
+		return
+	}
 	p.probe()
 }
 
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -165,6 +165,7 @@
 	s.arm()
 	if e.box.out.Peer(request) {
 		s.unsent = false
+		p.sent = e.now
 		return
 	}
 	delete(p.relayed, c.id)
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -148,6 +148,45 @@
 	require.Equal(t, "read", h.relayed().Request.Payload.ID)
 }
 
+// probes counts the probes so far.
+func (h *harness) probes() int {
+	n := 0
+	for _, c := range h.peers {
+		if _, ok := c.(PeerProbe); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against bytes between failure domains for probes of a home whose
+// requests and answers show that it lives, and against one that is not probed
+// although either direction is quiet.
+func TestBusyHomeIsNotProbed(t *testing.T) {
+	h := newOrigin(t)
+	h.order(1, "read", read)
+	h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
+	before := h.probes()
+	for range 20 {
+		h.wait(peerProbeEvery / 2)
+		h.order(1, "read", read)
+		h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
+	}
+	require.Equal(t, before, h.probes(), "answers come all the time")
+	h.order(1, "read", read)
+	for range 2 {
+		h.wait(peerProbeEvery)
+		h.do(PeerAlive{Address: homeAddress})
+	}
+	require.Equal(t, before+2, h.probes(), "a request waits for its answer")
+	require.False(t, h.e.peer(homeAddress).lost)
+	h.wait(peerProbeEvery)
+	h.wait(peerProbeEvery)
+	h.wait(peerProbeEvery)
+	require.Equal(t, before+5, h.probes(), "no answer comes")
+	require.True(t, h.e.peer(homeAddress).lost)
+}
+
 // Guards against refusals of what an account used before its home was lost, and
 // against more than that.
 func TestLostHomeSpendsItsUsage(t *testing.T) {
