Replace a home that no instance of another domain hears

Cause: accounts at home in a cut failure domain kept that home for the whole cut (a lease of 12 s). Ruled out: a shorter lease, which would end the homes in an outage of the store. Change: a silent home is examined as a silent primary is. If more than half of the instances of the other domains answer and none hears it, its accounts are claimed as those of a dead process are. An isolated home limits itself to what its side used, so both together stay within the rate.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -74,8 +74,8 @@
 	succession  *chart.Table[*succession]
 	change      successionEvents
 	successions map[core.DatabaseName]*succession
-	// examinations are the inquiries under way, by primary.
-	examinations map[core.MemberID]*examination
+	// examinations are the inquiries under way.
+	examinations map[session.Subject]*examination
 }
 
 type lifeEvents struct {
@@ -98,7 +98,7 @@
 		instances: map[string]*instance{},
 
 		successions:  map[core.DatabaseName]*succession{},
-		examinations: map[core.MemberID]*examination{},
+		examinations: map[session.Subject]*examination{},
 	}
 	if err := e.loadSuccession(charts.Succession); err != nil {
 		return nil, err
@@ -178,7 +178,7 @@
 		e.fromSession(in.Report)
 	case InstanceHeard:
 		e.reach.answered++
-	case MemberOpinion:
+	case Opinion:
 		e.opinion(in)
 	case ConfigurationAsked:
 		e.out.GiveConfiguration(in.Reply, e.configuration)
@@ -223,12 +223,15 @@
 		e.reach.homesSeen(r)
 	case session.HomeSilent:
 		e.reach.homeSilent()
+		if e.homes.heldAt(r.Address) {
+			e.examineHome(r.Address)
+		}
 	case session.NewerVersion:
 		if e.configuration == nil || r.Version > e.configuration.Version {
 			e.out.AskConfiguration(r.Address)
 		}
 	case session.PeerRefused:
-		e.homes.processDead(r.Address)
+		e.homes.holderGone(r.Address, "the home's host refuses connections")
 	case session.SuspectMember:
 		e.suspect(r.Member)
 	}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -42,7 +42,7 @@
 func (h *harness) Log(LogEvent)                           {}
 func (h *harness) AskConfiguration(a session.PeerAddress) { h.asked = append(h.asked, string(a)) }
 func (h *harness) GiveConfiguration(any, *Configuration)  {}
-func (h *harness) AskMember(node string, _ session.PeerAddress, _ core.MemberID) {
+func (h *harness) AskOpinion(node string, _ session.PeerAddress, _ session.Subject) {
 	h.asked = append(h.asked, node)
 }
 
@@ -298,8 +298,8 @@
 	}
 	h := newHarness(t)
 	silent(h)
-	h.do(MemberOpinion{Member: "p", Node: "a", Known: true, Ago: 10 * time.Millisecond})
-	h.do(MemberOpinion{Member: "p", Node: "b", Known: true, Silence: time.Second, Ago: time.Second})
+	h.do(Opinion{Subject: session.Subject{Member: "p"}, Node: "a", Known: true, Ago: 10 * time.Millisecond})
+	h.do(Opinion{Subject: session.Subject{Member: "p"}, Node: "b", Known: true, Silence: time.Second, Ago: time.Second})
 	h.wait(opinionWait)
 	require.True(t, h.usable("p"), "another instance hears it")
 	h = newHarness(t)
@@ -308,7 +308,7 @@
 	require.True(t, h.usable("p"), "nobody else has said anything")
 	h = newHarness(t)
 	silent(h)
-	h.do(MemberOpinion{Member: "p", Node: "a", Known: true, Silence: time.Second, Ago: time.Second})
+	h.do(Opinion{Subject: session.Subject{Member: "p"}, Node: "a", Known: true, Silence: time.Second, Ago: time.Second})
 	h.wait(opinionWait)
 	require.False(t, h.usable("p"))
 	h = newHarness(t)
@@ -391,6 +391,57 @@
 	require.True(t, h.finished, "the bound of the stop has passed")
 }
 
+// Guards against accounts without a usable home while their home is cut off, and
+// against two homes when only this instance is.
+func TestSilentHomeIsReplaced(t *testing.T) {
+	const home = session.PeerAddress("10.0.0.2:1")
+	atA := func() *harness {
+		h := newHarness(t)
+		h.do(LeaseHeld{Until: h.now.Add(time.Minute)})
+		h.do(StoreChanged{Changes: []Change{
+			{Home: &Home{Account: "acct", Node: "a", Instance: "a-1", Revision: 300}},
+			{Instance: &Instance{Node: "c", ID: "c-1", Peer: "10.0.0.4:1"}},
+		}, Since: h.now})
+		h.claims = nil
+		h.do(FromSession{Report: session.HomeSilent{Address: home}})
+		h.wait(homeDoubt)
+		require.ElementsMatch(t, []string{"a", "b", "c"}, h.asked)
+		return h
+	}
+	silence := Opinion{Subject: session.Subject{Home: home}, Known: true, Silence: time.Second, Ago: time.Second}
+	from := func(node string) Opinion { o := silence; o.Node = node; return o }
+
+	h := atA()
+	h.do(from("b"))
+	h.do(from("c"))
+	h.wait(5 * time.Second)
+	require.NotEmpty(t, h.claims, "nobody hears the home")
+	require.Equal(t, Revision(300), h.claims[0].Replaces)
+
+	h = atA()
+	h.wait(opinionWait)
+	h.e.instances["a"].Domain, h.e.instances["b"].Domain = "one", "one"
+	h.asked = nil
+	h.do(FromSession{Report: session.HomeSilent{Address: home}})
+	h.wait(homeDoubt)
+	require.ElementsMatch(t, []string{"c"}, h.asked, "the home's own domain may be cut off with it")
+
+	h = atA()
+	h.do(from("b"))
+	h.wait(5 * time.Second)
+	require.Empty(t, h.claims, "half of the instances are silent too")
+
+	h = atA()
+	h.do(from("b"))
+	h.do(Opinion{Subject: session.Subject{Home: home}, Node: "c", Known: true, Ago: 100 * time.Millisecond})
+	h.wait(5 * time.Second)
+	require.Empty(t, h.claims, "another instance hears it")
+	h.asked = nil
+	h.do(FromSession{Report: session.Demand{HomesUsed: 2, SilentHomes: []session.PeerAddress{home}}})
+	h.wait(homeDoubt)
+	require.NotEmpty(t, h.asked, "it is examined again while it is silent")
+}
+
 // cutOffHarness gives a serving instance of the failure domain "one" with an
 // instance "a" of its own and "b" of another domain.
 func cutOffHarness(t *testing.T) *harness {
@@ -448,7 +499,7 @@
 // others have died, and against an outage of the store that empties the balancer.
 func TestReadyWhileStoreOrOthersAnswer(t *testing.T) {
 	h := cutOffHarness(t)
-	h.do(FromSession{Report: session.Demand{HomesUsed: 2, HomesSilent: 1}})
+	h.do(FromSession{Report: session.Demand{HomesUsed: 2, SilentHomes: []session.PeerAddress{"10.0.0.3:1"}}})
 	for range 10 {
 		h.wait(500 * time.Millisecond)
 		h.do(StoreSeen{Snapshot: &Snapshot{Instances: []Instance{{Node: "b", ID: "b-1", Domain: "two", Peer: "10.0.0.3:1"}}}})
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -67,15 +67,15 @@
 
 type homeState struct {
 	record *Home
-	// vacant is since when nobody holds the account, or the holder is known to
-	// be dead.
+	// vacant is since when nobody holds the account, or the holder is gone.
 	vacant time.Time
 	// asked is when this instance claimed the account last.
 	asked time.Time
 	// held is set once the account has had a home.
 	held bool
-	// dead is set with the proof that the holder's process has ended.
-	dead bool
+	// gone is set with the proof that the holder's process has ended, or that no
+	// instance hears it.
+	gone bool
 }
 
 func (h *homes) init(e *Engine) {
@@ -107,7 +107,7 @@
 			"account": account, "home": record.Node, "revision": record.Revision,
 		}})
 	}
-	s.record, s.dead = record, false
+	s.record, s.gone = record, false
 	s.held = s.held || record != nil
 }
 
@@ -131,20 +131,32 @@
 	return s != nil && s.record != nil && s.record.Instance == h.e.config.Self.ID && h.e.now.Before(h.leaseUntil)
 }
 
-// processDead takes a refused connection for the proof that a home's process
-// has ended.
-func (h *homes) processDead(address session.PeerAddress) {
-	for account, s := range h.records {
-		if s.record == nil || s.dead {
-			continue
+// heldAt reports whether accounts are at home at the address.
+func (h *homes) heldAt(address session.PeerAddress) bool {
+	for _, s := range h.records {
+		if s.record != nil && !s.gone && h.holds(s.record, address) {
+			return true
 		}
-		holder := h.e.instances[s.record.Node]
-		if holder == nil || holder.Peer != string(address) || holder.ID != s.record.Instance {
+	}
+	return false
+}
+
+// holds reports whether the record's holder is the instance at the address.
+func (h *homes) holds(record *Home, address session.PeerAddress) bool {
+	holder := h.e.instances[record.Node]
+	return holder != nil && holder.Peer == string(address) && holder.ID == record.Instance
+}
+
+// holderGone lets the accounts of a home be claimed that has ended or that no
+// instance hears.
+func (h *homes) holderGone(address session.PeerAddress, reason string) {
+	for account, s := range h.records {
+		if s.record == nil || s.gone || !h.holds(s.record, address) {
 			continue
 		}
-		s.dead = true
+		s.gone = true
 		s.vacant = h.e.now
-		h.e.out.Log(LogEvent{Warning: true, Event: "home_dead", Message: "the home's host refuses connections",
+		h.e.out.Log(LogEvent{Warning: true, Event: "home_gone", Message: reason,
 			Fields: map[string]any{"account": account, "home": s.record.Node}})
 	}
 	h.review()
@@ -206,7 +218,7 @@
 	case s.record != nil && s.record.Node == own:
 		// The holder was an earlier run of this process.
 		return retry, true
-	case s.record != nil && !s.dead:
+	case s.record != nil && !s.gone:
 		return time.Time{}, false
 	}
 	turn := min(slices.Index(homing.Order(account, nodes), own)+1, maxHomeTurns)
@@ -244,7 +256,14 @@
 // bars an instance from which most homes are silent.
 func (h *homes) demand(d session.Demand) {
 	e := h.e
-	if d.HomesSilent*2 > d.HomesUsed {
+	silent := 0
+	for _, address := range d.SilentHomes {
+		if h.heldAt(address) {
+			silent++
+			e.examineHome(address)
+		}
+	}
+	if silent*2 > d.HomesUsed {
 		h.barredUntil = e.now.Add(homeBar)
 	}
 	for _, account := range d.Isolated {
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -70,9 +69,9 @@
 	Session(session.Input)
 	// ClaimHome asks the registrar to make this instance an account's home.
 	ClaimHome(HomeClaim)
-	// AskMember asks another instance what it has heard of a member; the answer is
-	// a MemberOpinion.
-	AskMember(node string, address session.PeerAddress, member core.MemberID)
+	// AskOpinion asks another instance what it has heard of the subject; the
+	// answer is an Opinion.
+	AskOpinion(node string, address session.PeerAddress, subject session.Subject)
 	// ProbeInstance asks another instance for a sign of life; the answer is an
 	// InstanceHeard.
 	ProbeInstance(node string, address session.PeerAddress)
--- a/pkg/fleet/reach.go
+++ b/pkg/fleet/reach.go
@@ -68,7 +68,7 @@
 
 // homesSeen takes the session's regular report.
 func (r *reach) homesSeen(d session.Demand) {
-	r.homesSilent = d.HomesSilent > 0
+	r.homesSilent = len(d.SilentHomes) > 0
 	if r.homesSilent {
 		r.doubt()
 	}
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -4,7 +4,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
@@ -60,10 +59,10 @@
 	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCall})
 }
 
-func (o *hostedFleet) AskMember(node string, address session.PeerAddress, member core.MemberID) {
+func (o *hostedFleet) AskOpinion(node string, address session.PeerAddress, subject session.Subject) {
 	o.hosted.rpc.Send(rpc.Call{
-		Tag: opinionTag{member: member, node: node}, Address: string(address),
-		Method: relay.MethodMember, Params: relay.MemberQuestion{Member: member}, Timeout: shortCall,
+		Tag: opinionTag{subject: subject, node: node}, Address: string(address),
+		Method: relay.MethodHeard, Params: relay.HeardQuestion{Member: subject.Member, Home: subject.Home}, Timeout: shortCall,
 	})
 }
 
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -24,8 +23,8 @@
 	}
 	configurationTag struct{}
 	opinionTag       struct {
-		member core.MemberID
-		node   string
+		subject session.Subject
+		node    string
 	}
 	pingTag  struct{ address session.PeerAddress }
 	reachTag struct{ node string }
@@ -54,9 +53,9 @@
 	case session.PeerProbe:
 		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing,
 			Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall})
-	case session.MemberHeard:
+	case session.Heard:
 		if to, ok := m.Reply.(replyTo); ok {
-			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.MemberAnswer{
+			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.HeardAnswer{
 				Known: m.Known, SilenceMillis: m.Silence.Milliseconds(), AgoMillis: m.Ago.Milliseconds(),
 			}})
 		}
@@ -83,7 +82,7 @@
 		case relayTag:
 			return relayResult(tag, e)
 		case opinionTag:
-			h.takeMemberAnswer(tag, e)
+			h.takeOpinion(tag, e)
 		case reachTag:
 			if e.Err == nil {
 				h.fleets.input.TryPush(fleet.InstanceHeard{Node: tag.node})
@@ -108,12 +107,14 @@
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.OriginAlive{Instance: ping.Instance}
-	case relay.MethodMember:
-		var question relay.MemberQuestion
+	case relay.MethodHeard:
+		var question relay.HeardQuestion
 		if !h.decodePeer(r, &question) {
 			return nil
 		}
-		return session.MemberAsked{Reply: replyTo{conn: r.Conn, id: r.ID}, Member: question.Member}
+		return session.HeardAsked{
+			Reply: replyTo{conn: r.Conn, id: r.ID}, Subject: session.Subject{Member: question.Member, Home: question.Home},
+		}
 	case relay.MethodConfiguration:
 		if !h.fleets.input.TryPush(fleet.ConfigurationAsked{Reply: replyTo{conn: r.Conn, id: r.ID}}) {
 			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
@@ -142,15 +143,15 @@
 	return nil
 }
 
-// takeMemberAnswer hands what another instance has heard of a member to the
-// fleet duty. One that does not answer says nothing.
-func (h *Hosted) takeMemberAnswer(tag opinionTag, r rpc.Result) {
-	var a relay.MemberAnswer
+// takeOpinion hands what another instance has heard of the subject to the fleet
+// duty. One that does not answer says nothing.
+func (h *Hosted) takeOpinion(tag opinionTag, r rpc.Result) {
+	var a relay.HeardAnswer
 	if r.Err != nil || json.Unmarshal(r.Raw, &a) != nil {
 		return
 	}
-	h.fleets.input.TryPush(fleet.MemberOpinion{
-		Member: tag.member, Node: tag.node, Known: a.Known,
+	h.fleets.input.TryPush(fleet.Opinion{
+		Subject: tag.subject, Node: tag.node, Known: a.Known,
 		Silence: time.Duration(a.SilenceMillis) * time.Millisecond, Ago: time.Duration(a.AgoMillis) * time.Millisecond,
 	})
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,9 +18,9 @@
 	// MethodConfiguration asks for the configuration in force: {} ->
 	// fleet.Configuration.
 	MethodConfiguration = "configuration"
-	// MethodMember asks what the instance has heard of a member: MemberQuestion ->
-	// MemberAnswer.
-	MethodMember = "member"
+	// MethodHeard asks what the instance has heard of a member or of a home:
+	// HeardQuestion -> HeardAnswer.
+	MethodHeard = "heard"
 	// MethodPing asks for a sign of life: Ping -> {}.
 	MethodPing = "ping"
 )
@@ -70,14 +70,14 @@
 	Closing    bool          `json:"c,omitempty"`
 }
 
-// MemberQuestion names a member.
-type MemberQuestion struct {
-	Member core.MemberID `json:"member"`
+// HeardQuestion names a member or the address of a home.
+type HeardQuestion struct {
+	Member core.MemberID       `json:"member,omitempty"`
+	Home   session.PeerAddress `json:"home,omitempty"`
 }
 
-// MemberAnswer is what an instance has heard of a member, as in
-// session.MemberHeard.
-type MemberAnswer struct {
+// HeardAnswer is what an instance has heard of the subject, as in session.Heard.
+type HeardAnswer struct {
 	Known         bool  `json:"known"`
 	SilenceMillis int64 `json:"silence_ms"`
 	AgoMillis     int64 `json:"ago_ms"`
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -269,7 +269,7 @@
 		Connections: make(map[core.DatabaseName]int, len(e.databases)),
 	}
 	demand.Isolated = e.isolated()
-	demand.HomesSilent, demand.HomesUsed = e.silentHomes()
+	demand.SilentHomes, demand.HomesUsed = e.silentHomes()
 	for name, a := range e.accounts {
 		demand.Accounts[name] = float64(a.asked) / seconds
 	}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -187,8 +187,8 @@
 		e.relayLost(in)
 	case PeerAlive:
 		e.peerAlive(in.Address)
-	case MemberAsked:
-		e.memberAsked(in)
+	case HeardAsked:
+		e.heardAsked(in)
 	case OriginAlive:
 		e.originAlive(in.Instance)
 	case RemoteGone:
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -108,7 +108,7 @@
 	if !p.lost {
 		p.lost = true
 		e.metrics.HomesLost++
-		e.box.out.Control(HomeSilent{})
+		e.box.out.Control(HomeSilent{Address: p.address})
 		e.homesChanged()
 	}
 	for id, s := range p.relayed {
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -249,15 +249,17 @@
 	// Isolated are the accounts at home here whose callers' instances are mostly
 	// silent.
 	Isolated []core.AccountName
-	// HomesUsed counts the homes in use at other instances, HomesSilent those of
-	// them that give no sign of life.
+	// HomesUsed counts the homes in use at other instances, SilentHomes are those
+	// of them that give no sign of life.
 	HomesUsed   int
-	HomesSilent int
+	SilentHomes []PeerAddress
 }
 
 // HomeSilent reports that a home has stopped giving signs of life. The next
 // Demand counts it too.
-type HomeSilent struct{}
+type HomeSilent struct {
+	Address PeerAddress
+}
 
 // ShareApplied reports that a ShareInForce governs every later admission.
 type ShareApplied struct {
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -293,3 +293,34 @@
 	h.do(OriginAlive{Instance: "origin-1"})
 	require.Zero(t, a.setAside())
 }
+
+// Guards against a rate that is spent twice: by a home that is cut off from most
+// of its callers, and by the instance that they have made the home instead.
+func TestIsolatedHomeSpendsItsSideOnly(t *testing.T) {
+	h := newHome(t)
+	for i := range uint64(100) {
+		h.remoteAsks(i+1, 0, true, "read", read)
+		h.answer(h.sent().Target, TxIdle, term(1, 100))
+		h.wait(50 * time.Millisecond)
+	}
+	a := h.e.accounts["acct"]
+	a.used = a.e.origins["origin-1"].used["acct"].scaled(0.25)
+	before := a.bucket.rate
+	h.wait(isolationBound - 2*holdBackEvery)
+	a.holdBack()
+	require.Greater(t, a.bucket.rate, before/2, "the other side may only be late")
+	h.wait(2 * holdBackEvery)
+	a.holdBack()
+	require.InDelta(t, 5*usageRoom+isolatedRate, a.bucket.rate, 2)
+	h.do(OriginAlive{Instance: "origin-1"})
+	h.wait(holdBackEvery)
+	a.holdBack()
+	require.InDelta(t, before, a.bucket.rate, 0.1)
+}
+
+// scaled returns a usage of a part of the rate.
+func (u *usage) scaled(part float64) usage {
+	s := *u
+	s.count *= part
+	return s
+}
--- a/pkg/session/silence.go
+++ b/pkg/session/silence.go
@@ -11,27 +11,34 @@
 // long on a slow member.
 const silenceBound = 350 * time.Millisecond
 
-// MemberAsked asks what this instance has heard of a member.
-type MemberAsked struct {
-	// Reply comes back in the MemberHeard.
-	Reply  any
+// Subject is a member or an instance that is the home of accounts; one field is
+// set.
+type Subject struct {
 	Member core.MemberID
+	Home   PeerAddress
 }
 
-func (MemberAsked) sessionInput() {}
+// HeardAsked asks what this instance has heard of the subject.
+type HeardAsked struct {
+	// Reply comes back in the Heard.
+	Reply   any
+	Subject Subject
+}
+
+func (HeardAsked) sessionInput() {}
 
-// MemberHeard answers a MemberAsked.
-type MemberHeard struct {
+// Heard answers a HeardAsked.
+type Heard struct {
 	Reply any
-	// Known is set if this instance has had anything to do with the member.
+	// Known is set if this instance has lately had anything to do with the subject.
 	Known bool
-	// Silence is how long the member has owed an answer, zero if it owes none.
+	// Silence is how long the subject has owed an answer, zero if it owes none.
 	Silence time.Duration
-	// Ago is how long ago the member gave an answer.
+	// Ago is how long ago the subject gave an answer.
 	Ago time.Duration
 }
 
-func (MemberHeard) peerCommand() {}
+func (Heard) peerCommand() {}
 
 // hear notes an answer of the member.
 func (m *member) hear() {
@@ -62,10 +69,17 @@
 	}
 }
 
-func (e *Engine) memberAsked(in MemberAsked) {
-	answer := MemberHeard{Reply: in.Reply}
+func (e *Engine) heardAsked(in HeardAsked) {
+	answer := Heard{Reply: in.Reply}
+	if p := e.peers[in.Subject.Home]; p != nil && p.probing {
+		answer.Known = true
+		answer.Ago = e.now.Sub(p.heard)
+		if p.lost {
+			answer.Silence = answer.Ago
+		}
+	}
 	for _, db := range e.databases {
-		m := db.member(in.Member)
+		m := db.member(in.Subject.Member)
 		if m == nil {
 			continue
 		}
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -228,35 +228,49 @@
 	a.heldBackAt = e.now
 	a.bucket.refill(e.now, e.shareUntil)
 	a.bucket.rate = max(e.shares[a.name].Rate-a.setAside(), 0)
+	if heard, silent := a.usageBySide(); isIsolated(heard, silent) {
+		// The other side may have made another instance the home.
+		a.bucket.rate = min(a.bucket.rate, heard*usageRoom+isolatedRate)
+	}
 }
 
-const holdBackEvery = 50 * time.Millisecond
+const (
+	holdBackEvery = 50 * time.Millisecond
+	// isolatedRate is what an isolated home may spend of an account that was not
+	// used on its side, in requests per second.
+	isolatedRate = 1
+)
 
-// isolated reports accounts at home here most of whose usage comes from
-// instances that give no sign of life: the others had better find a home that
-// they reach.
+// usageBySide returns the rates that the account's callers use through this
+// instance and those it hears, and through instances that give no sign of life.
+func (a *account) usageBySide() (heard, silent float64) {
+	e := a.e
+	heard = a.used.rate(e.now)
+	for _, o := range e.origins {
+		u := o.used[a.name]
+		switch {
+		case u == nil:
+		case o.silentFor(isolationBound, e.now):
+			silent += u.rate(o.heard)
+		default:
+			heard += u.rate(o.heard)
+		}
+	}
+	return heard, silent
+}
+
+// isIsolated reports a home of an account most of whose usage comes from
+// instances that give no sign of life.
+func isIsolated(heard, silent float64) bool {
+	return silent > heard && silent > 1
+}
+
+// isolated reports the accounts here that had better find a home which more of
+// their callers reach.
 func (e *Engine) isolated() []core.AccountName {
 	var list []core.AccountName
 	for name, home := range e.homes {
-		if !home.Here {
-			continue
-		}
-		silent, all := 0.0, 0.0
-		for _, o := range e.origins {
-			u := o.used[name]
-			if u == nil {
-				continue
-			}
-			used := u.rate(o.heard)
-			all += used
-			if o.silentFor(isolationBound, e.now) {
-				silent += used
-			}
-		}
-		if a := e.accounts[name]; a != nil {
-			all += a.used.rate(e.now)
-		}
-		if silent > all/2 && silent > 1 {
+		if a := e.accounts[name]; home.Here && a != nil && isIsolated(a.usageBySide()) {
 			list = append(list, name)
 		}
 	}
@@ -267,15 +281,15 @@
 // gives way.
 const isolationBound = 800 * time.Millisecond
 
-// silentHomes counts the homes in use, and those of them that are silent.
-func (e *Engine) silentHomes() (silent, used int) {
+// silentHomes returns the silent ones of the homes in use, and counts these.
+func (e *Engine) silentHomes() (silent []PeerAddress, used int) {
 	for _, p := range e.peers {
 		if e.now.Sub(p.used) > peerUse {
 			continue
 		}
 		used++
 		if p.lost && !p.refused {
-			silent++
+			silent = append(silent, p.address)
 		}
 	}
 	return silent, used
