Let instances claim a succession 40 ms one after the other

Ruled out: more competing claims. A claim lasts longer than all turns, so every instance that has noticed claimed before too; the store decides. Change: 40 ms a turn.

--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,6 +215,22 @@
 	require.False(t, h.usable("r2"), "it did not announce itself within three seconds")
 }
 
+// Guards against a primary that is missed for longer than its promotion takes
+// because the first instances in the order do not know that it is dead.
+func TestLastInTheOrderClaimsSoon(t *testing.T) {
+	const shortestPromotion = 600 * time.Millisecond
+	h := newHarness(t)
+	for i := range 30 {
+		node := fmt.Sprintf("n%d", i)
+		h.do(StoreChanged{Changes: []Change{{Instance: &Instance{Node: node, ID: core.InstanceID(node), Peer: node}}}, Since: h.now})
+	}
+	require.Equal(t, lastTurn, h.e.turnOf("g"))
+	h.do(FromSession{Report: session.SuspectMember{Database: "g", Member: "p"}})
+	h.do(JobDone{Job: h.lastJob(), Err: eris.Wrap(ErrRefusedConnection, "test")})
+	h.wait(shortestPromotion)
+	require.Equal(t, JobClaim, h.lastJob().Kind)
+}
+
 // Guards against two instances that promote at a time, a promotion without a
 // claim, a replica that lacks what another has, and a token that is used again
 // after it was refused.
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -39,8 +39,8 @@
 
 const (
 	// turnStep is the head start of each instance over the next in a group's
-	// order; a claim takes two calls to the store of some milliseconds.
-	turnStep = 150 * time.Millisecond
+	// order: ten answers of the store. The store decides between two claims.
+	turnStep = 40 * time.Millisecond
 	// lastTurn bounds the wait of the last instances.
 	lastTurn = 8
 	// ownTurn stands in the chart's table for the instance's own turn.
