Bound the end of the duties, so that a blocked log cannot keep a process

Cause: a planned stop waited without bound for the log duty, which waits for its output. A process whose reader has stopped was killed at the end of its grace time. Ruled out: decisions that wait for the log; lines go to a ring that drops them. Change: duty.Group.WaitFor has a bound and names what still runs, which is logged; the log duty ends last, with a bound of its own.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -33,6 +33,7 @@
 type Hosted struct {
 	settings  *settings.Hosted
 	duties    duty.Group
+	logging   duty.Group
 	telemetry *telemetry.Duty
 	callers   *linkio.Callers
 	targets   *linkio.Targets
@@ -208,7 +209,7 @@
 // Run starts every duty. A value from stop begins the planned stop; Run returns
 // when it is complete.
 func (h *Hosted) Run(stop <-chan os.Signal) {
-	h.duties.Start("telemetry", h.telemetry.Run)
+	h.logging.Start("telemetry", h.telemetry.Run)
 	h.serve("target-io", h.targets.Run)
 	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
 	h.duties.Start("session", h.sessions.run)
@@ -279,8 +280,12 @@
 	h.rpc.Send(rpc.Stop{})
 	h.closePages(h.probes)
 	h.closePages(h.metrics)
+	if running := h.duties.WaitFor(hostedEnd); len(running) > 0 {
+		h.log(logrus.WarnLevel, "duties_cut_off", "duties did not end in time", telemetry.Fields{"duties": running})
+	}
 	h.telemetry.Stop()
-	h.duties.Wait()
+	// What a blocked output has not taken is lost.
+	h.logging.WaitFor(logEnd)
 }
 
 func (h *Hosted) log(level logrus.Level, event, message string, fields telemetry.Fields) {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -38,6 +38,8 @@
 	classifyCacheEntries = 10_000
 	// instanceIDBytes is the length of the random part of an instance's ID.
 	instanceIDBytes = 6
+	// dutiesEnd bounds the end of the duties: several calls to the platform.
+	dutiesEnd = 10 * time.Second
 )
 
 // Instance is one run of the proxy.
@@ -45,6 +47,7 @@
 	settings   *settings.Settings
 	self       control.Identity
 	duties     duty.Group
+	logging    duty.Group
 	telemetry  *telemetry.Duty
 	callers    *callerio.Duty
 	targets    *targetio.Duty
@@ -119,7 +122,7 @@
 // Run starts every duty. A value from stop begins the planned stop; Run returns
 // when it is complete.
 func (i *Instance) Run(stop <-chan os.Signal) {
-	i.duties.Start("telemetry", i.telemetry.Run)
+	i.logging.Start("telemetry", i.telemetry.Run)
 	i.platform.Start(&i.duties)
 	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
 	i.serve("target-io", i.targets.Run)
@@ -178,8 +181,12 @@
 	i.controls.stop()
 	i.platform.Stop()
 	i.rpc.Send(rpc.Stop{})
+	if running := i.duties.WaitFor(dutiesEnd); len(running) > 0 {
+		i.log(logrus.WarnLevel, "duties_cut_off", "duties did not end in time", telemetry.Fields{"duties": running})
+	}
 	i.telemetry.Stop()
-	i.duties.Wait()
+	// What a blocked output has not taken is lost.
+	i.logging.WaitFor(logEnd)
 }
 
 // Stop starts the planned stop: readiness falls, callers are asked to
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -61,7 +61,7 @@
 		Instance: i.self.Instance,
 		Domain:   i.self.Domain,
 		Ready:    i.Ready(),
-		Duties:   i.duties.Names(),
+		Duties:   append(i.logging.Names(), i.duties.Names()...),
 		Rings: map[string]ring.Stats{
 			"session":        i.sessions.input.Stats(),
 			"control":        i.controls.input.Stats(),
