Read the settings again at SIGHUP and when their file changes

Cause: a hosted instance read its settings at the start only and ignored SIGHUP; limits and addresses of the platform that changed were not in force. Change: a duty of its own looks at the file each 2 s and at SIGHUP. The store's and the promotion's addresses, the memory limit, the target drain and how rates are counted are taken over; the log names what needs a restart. settings check -hosted names all that a file of the users' platform lacks.

--- a/cmd/sassafrasshunt/hosted.go
+++ b/cmd/sassafrasshunt/hosted.go
@@ -21,7 +21,7 @@
 }
 func (*hostedCommand) Usage() string {
 	return "hosted\n  Runs an instance on the users' platform. " + instance.HostedVariable +
-		" names the platform's settings file.\n  SIGTERM starts a graceful stop.\n  Exit codes: 0 stopped, 1 cannot start, 2 bad usage.\n"
+		" names the platform's settings file.\n  SIGTERM starts a graceful stop, SIGHUP reads the settings again.\n  Exit codes: 0 stopped, 1 cannot start, 2 bad usage.\n"
 }
 
 func (*hostedCommand) SetFlags(*flag.FlagSet) {}
@@ -37,8 +37,8 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	// The settings are read at start; a reload changes nothing that is in use.
-	signal.Ignore(syscall.SIGHUP)
-	h.Run(signals)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	h.Run(signals, reload)
 	return subcommands.ExitSuccess
 }
--- a/cmd/sassafrasshuntctl/local.go
+++ b/cmd/sassafrasshuntctl/local.go
@@ -8,27 +8,37 @@
 	"github.com/google/subcommands"
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/instance"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
 )
 
-type settingsCheck struct{ file string }
+type settingsCheck struct{ file, hosted string }
 
 func (*settingsCheck) Name() string     { return "check" }
 func (*settingsCheck) Synopsis() string { return "check a settings file and report every fault" }
-func (*settingsCheck) Usage() string    { return "settings check -file FILE\n" }
+func (*settingsCheck) Usage() string    { return "settings check -file FILE | -hosted FILE\n" }
 
 func (c *settingsCheck) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "file", "sassafrasshunt.toml", "settings file")
+	f.StringVar(&c.hosted, "hosted", "", "settings file of the users' platform, checked instead")
 }
 
 func (c *settingsCheck) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := settings.Load(c.file); err != nil {
+	if err := c.check(); err != nil {
 		return exit(err)
 	}
 	fmt.Println("settings are valid")
 	return subcommands.ExitSuccess
 }
 
+func (c *settingsCheck) check() error {
+	if c.hosted != "" {
+		return instance.CheckHostedSettings(c.hosted)
+	}
+	_, err := settings.Load(c.file)
+	return err
+}
+
 type settingsDescribe struct{}
 
 func (*settingsDescribe) Name() string { return "describe" }
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -13,6 +13,13 @@
 type Config struct {
 	Self   Instance
 	Bounds Bounds
+	Limits Limits
+}
+
+// Limits are given by the installation and may change while the instance runs.
+type Limits struct {
+	// TargetDrain is how long a draining target may still get work.
+	TargetDrain time.Duration
 	// RateWindow, RateOverage and RateSlack say how rates are counted: over any
 	// window of this length, with a tolerated part and number above the rate.
 	RateWindow  time.Duration
@@ -20,6 +27,8 @@
 	RateSlack   float64
 }
 
+func (Limits) fleetInput() {}
+
 // Bounds are the durations that the engine keeps to.
 type Bounds struct {
 	// BalancerNotice is how long the balancer may still send callers to an
@@ -27,8 +36,6 @@
 	BalancerNotice time.Duration
 	// Drain bounds the end of the sessions at a planned stop.
 	Drain time.Duration
-	// TargetDrain is how long a draining target may still get work.
-	TargetDrain time.Duration
 	// ReturnWait is how long members that a returning store lacks may take to
 	// announce themselves again.
 	ReturnWait time.Duration
@@ -191,6 +198,8 @@
 		}
 	case JobDone:
 		e.jobDone(&in)
+	case Limits:
+		e.limitsInForce(in)
 	case StopRequested:
 		e.out.Log(LogEvent{Event: "stop_requested", Message: "planned stop requested"})
 		e.fire(e.on.stop)
@@ -334,3 +343,11 @@
 	e.adopt(c)
 	e.publish()
 }
+
+// limitsInForce takes the limits of changed settings.
+func (e *Engine) limitsInForce(l Limits) {
+	e.config.Limits = l
+	if e.configuration != nil {
+		e.publish()
+	}
+}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -64,10 +64,10 @@
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, now: start, revision: 100}
 	config := Config{
-		Self:       Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
-		RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20,
+		Self:   Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
+		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20},
 		Bounds: Bounds{
-			BalancerNotice: 2 * time.Second, Drain: 2 * time.Second, TargetDrain: 5 * time.Second,
+			BalancerNotice: 2 * time.Second, Drain: 2 * time.Second,
 			ReturnWait: 3 * time.Second, PromotionCall: 2 * time.Second, PromotionRetry: 500 * time.Millisecond,
 			Takeover: 3 * time.Second,
 		},
@@ -215,6 +215,20 @@
 	require.False(t, h.usable("r2"), "it did not announce itself within three seconds")
 }
 
+// Guards against limits of changed settings that are not in force.
+func TestChangedLimitsAreInForce(t *testing.T) {
+	h := newHarness(t)
+	h.sessions = nil
+	h.do(Limits{TargetDrain: time.Second, RateWindow: 5 * time.Second, RateOverage: 0.5, RateSlack: 200})
+	var share session.ShareInForce
+	for _, in := range h.sessions {
+		if s, ok := in.(session.ShareInForce); ok {
+			share = s
+		}
+	}
+	require.Greater(t, share.Accounts["acct"].Rate, 20.0, "half above the rate is tolerated now")
+}
+
 // Guards against a primary that is missed for longer than its promotion takes
 // because the first instances in the order do not know that it is dead.
 func TestLastInTheOrderClaimsSoon(t *testing.T) {
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -46,7 +46,7 @@
 		// when there was none, it may be of any age.
 		m.drainingSince = e.since
 		if e.since.IsZero() {
-			m.drainingSince = e.now.Add(-e.config.Bounds.TargetDrain)
+			m.drainingSince = e.now.Add(-e.config.Limits.TargetDrain)
 		}
 		e.armSweep()
 	}
@@ -106,7 +106,7 @@
 		return e.storeBack.Add(e.config.Bounds.ReturnWait)
 	}
 	if m.Draining {
-		return m.drainingSince.Add(e.config.Bounds.TargetDrain)
+		return m.drainingSince.Add(e.config.Limits.TargetDrain)
 	}
 	return time.Time{}
 }
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -85,8 +85,8 @@
 func (s *shares) remoteShare(a *catalogue.Account) session.RateShare {
 	e := s.e
 	instances := float64(max(len(e.instances), 1))
-	window := e.config.RateWindow.Seconds()
-	tolerated := (a.Rate*window+a.Burst)*(1+e.config.RateOverage) + e.config.RateSlack
+	window := e.config.Limits.RateWindow.Seconds()
+	tolerated := (a.Rate*window+a.Burst)*(1+e.config.Limits.RateOverage) + e.config.Limits.RateSlack
 	home := a.Rate*window*(1+windowMargin) + a.Burst*homeBurst
 	left := max(tolerated-home-instances, 0) / (1 + windowMargin)
 	return session.RateShare{Rate: left / window / instances, Burst: 1}
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -32,6 +32,7 @@
 // platform. It has the same decisions as Instance and other edges.
 type Hosted struct {
 	settings  *settings.Hosted
+	reloader  *reloader
 	duties    duty.Group
 	logging   duty.Group
 	telemetry *telemetry.Duty
@@ -42,6 +43,8 @@
 	watcher   *fleet.Watcher
 	registrar *fleet.Registrar
 	worker    *fleet.Worker
+	stores    []*platform.Store
+	orders    *platform.Orders
 	rpc       *rpc.Duty
 	self      fleet.Instance
 	probe     net.Listener
@@ -152,35 +155,39 @@
 		return err
 	}
 	out := &hostedFleet{hosted: h, session: &port[session.Input]{ring: h.sessions.input}}
-	engine, err := fleet.New(fleet.Config{Self: h.self, RateWindow: h.settings.RateWindow,
-		RateOverage: h.settings.RateOverage, RateSlack: h.settings.RateSlack, Bounds: fleet.Bounds{
-			BalancerNotice: balancerNotice,
-			Drain:          h.settings.StopGrace - balancerNotice - stopReserve,
-			TargetDrain:    time.Duration(float64(h.settings.TargetDrain) * targetDrainPart),
-			ReturnWait:     returnWait,
-			PromotionCall:  promotionStep,
-			PromotionRetry: promotionRetry,
-			Takeover:       takeover,
-		}}, fleet.Charts{Instance: life, Succession: succession}, out)
+	engine, err := fleet.New(fleet.Config{Self: h.self, Limits: fleetLimits(h.settings), Bounds: fleet.Bounds{
+		BalancerNotice: balancerNotice,
+		Drain:          h.settings.StopGrace - balancerNotice - stopReserve,
+		ReturnWait:     returnWait,
+		PromotionCall:  promotionStep,
+		PromotionRetry: promotionRetry,
+		Takeover:       takeover,
+	}}, fleet.Charts{Instance: life, Succession: succession}, out)
 	if err != nil {
 		return err
 	}
 	h.fleets.engine = engine
 	h.fleets.outlets = []outlet{out.session}
-	store := platform.NewStore(h.settings.StoreAddress, h.skipped)
-	h.watcher = fleet.NewWatcher(store, fleet.WatchBounds{
+	h.watcher = fleet.NewWatcher(h.newStore(), fleet.WatchBounds{
 		Wait: storeWait, Answer: storeAnswer, Pause: storePause, Gather: storeGather,
 	}, h.deliverFleet)
-	h.registrar = fleet.NewRegistrar(platform.NewStore(h.settings.StoreAddress, h.skipped), h.self, fleet.RegistrarBounds{
+	h.registrar = fleet.NewRegistrar(h.newStore(), h.self, fleet.RegistrarBounds{
 		TTL: leaseTTL, Renew: leaseRenew, Answer: callBound, Margin: leaseMargin,
 	}, h.deliverFleet, h.fleetLog)
-	h.worker = fleet.NewWorker(platform.NewStore(h.settings.StoreAddress, h.skipped),
-		platform.NewOrders(h.settings.Name, h.settings.PromotionAddress), h.self.ID, fleet.WorkerBounds{
-			Call: callBound, Member: memberOrder, ClaimTTL: claimTTL,
-		}, h.deliverFleet)
+	h.orders = platform.NewOrders(h.settings.Name, h.settings.PromotionAddress)
+	h.worker = fleet.NewWorker(h.newStore(), h.orders, h.self.ID, fleet.WorkerBounds{
+		Call: callBound, Member: memberOrder, ClaimTTL: claimTTL,
+	}, h.deliverFleet)
 	return nil
 }
 
+// newStore returns a client of the store for one duty.
+func (h *Hosted) newStore() *platform.Store {
+	store := platform.NewStore(h.settings.StoreAddress, h.skipped)
+	h.stores = append(h.stores, store)
+	return store
+}
+
 func (h *Hosted) skipped(key string, err error) {
 	h.log(logrus.WarnLevel, "store_value_skipped", err.Error(), telemetry.Fields{"key": key})
 }
@@ -207,8 +214,8 @@
 }
 
 // Run starts every duty. A value from stop begins the planned stop; Run returns
-// when it is complete.
-func (h *Hosted) Run(stop <-chan os.Signal) {
+// when it is complete. A value from reload reads the settings again.
+func (h *Hosted) Run(stop, reload <-chan os.Signal) {
 	h.logging.Start("telemetry", h.telemetry.Run)
 	h.serve("target-io", h.targets.Run)
 	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
@@ -218,6 +225,9 @@
 	h.registrar.Start(&h.duties)
 	h.worker.Start(&h.duties)
 	h.serve("caller-io", h.callers.Run)
+	if h.reloader != nil {
+		h.duties.Start("settings", func() { h.reloader.run(reload) })
+	}
 	h.servePages("ready", h.probes, h.probe)
 	h.servePages("metrics", h.metrics, h.metricsAt)
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
@@ -270,6 +280,9 @@
 func (h *Hosted) stopDuties() {
 	h.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
 	h.stopping.Store(true)
+	if h.reloader != nil {
+		h.reloader.stop()
+	}
 	h.registrar.Stop()
 	h.watcher.Stop()
 	h.worker.Stop()
@@ -307,5 +320,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewHosted(s, output)
+	h, err := NewHosted(s, output)
+	if err != nil {
+		return nil, err
+	}
+	h.reloader = newReloader(path, h)
+	return h, nil
+}
+
+// CheckHostedSettings reads the platform's settings file as LoadHosted does. It
+// returns the errors of platform.LoadBoot.
+func CheckHostedSettings(path string) error {
+	_, err := platform.LoadBoot(path)
+	return err
+}
+
+// apply takes over what a running instance can of changed settings.
+func (h *Hosted) apply(s *settings.Hosted) {
+	for _, store := range h.stores {
+		store.Use(s.StoreAddress)
+	}
+	h.orders.Use(s.PromotionAddress)
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryFraction))
+	h.deliverFleet(fleetLimits(s))
+}
+
+func fleetLimits(s *settings.Hosted) fleet.Limits {
+	return fleet.Limits{
+		TargetDrain: time.Duration(float64(s.TargetDrain) * targetDrainPart),
+		RateWindow:  s.RateWindow, RateOverage: s.RateOverage, RateSlack: s.RateSlack,
+	}
 }
--- a/pkg/instance/hosted_test.go
+++ b/pkg/instance/hosted_test.go
@@ -41,7 +41,7 @@
 	stop := make(chan os.Signal, 1)
 	ended := make(chan struct{})
 	go func() {
-		h.Run(stop)
+		h.Run(stop, nil)
 		close(ended)
 	}()
 	started := time.Now()
