Test the whole path on the users' platform with real instances

Change: a stand-in of that platform in the end-to-end tests, written from its protocol page: a store with revisions, transactions, leases and watches, members that speak the line protocol and share a log, and the fenced promotion call. Real processes serve a calm load, two changes of primary, a planned stop, a cut from store and domains, changed settings and bad input; every answer is compared with what the members kept. Found on the way: nothing in the product.

--- /dev/null
+++ b/standin/e2e/hosted_store_test.go
@@ -0,0 +1,282 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// hostingStore is a stand-in for the store of the users' platform, as its
+// protocol page describes it: one revision, conditional transactions, leases and
+// watches. It also takes the promotion calls.
+type hostingStore struct {
+	mutex    sync.Mutex
+	revision uint64
+	items    map[string]storeItem
+	events   []storeItem
+	leases   map[uint64]*storeLease
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	down    bool
+	server  *httptest.Server
+	promote func(group, member string, token uint64) int
+}
+
+type storeItem struct {
+	Key         string `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision uint64 `json:"modRevision"`
+	Lease       uint64 `json:"lease,omitempty"`
+	Tombstone   bool   `json:"tombstone,omitempty"`
+}
+
+type storeLease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+func newHostingStore(t *testing.T) *hostingStore {
+	s := &hostingStore{revision: 1, items: map[string]storeItem{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-key", s.serve(s.getKey))
+	mux.HandleFunc("GET /v1/kv-range", s.serve(s.getRange))
+	mux.HandleFunc("GET /v1/kv-watch", s.watch)
+	mux.HandleFunc("POST /v1/kv-txn", s.serve(s.transact))
+	mux.HandleFunc("POST /v1/kv-lease", s.serve(s.grant))
+	mux.HandleFunc("POST /v1/kv-keep/{id}", s.serve(s.keep))
+	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.serve(s.endLease))
+	mux.HandleFunc("POST /promotion", s.serve(s.promotion))
+	s.server = httptest.NewServer(mux)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *hostingStore) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// setDown lets the store refuse every call, or answer again.
+func (s *hostingStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	s.broadcast()
+}
+
+func (s *hostingStore) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes as the operator and the members do; an empty value deletes.
+func (s *hostingStore) put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.write(storeItem{Key: key, Value: text})
+}
+
+func (s *hostingStore) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.write(storeItem{Key: key, Tombstone: true})
+}
+
+func (s *hostingStore) write(i storeItem) {
+	i.ModRevision = s.revision
+	if i.Tombstone {
+		delete(s.items, i.Key)
+	} else {
+		s.items[i.Key] = i
+	}
+	s.events = append(s.events, i)
+	s.broadcast()
+}
+
+// expire ends the leases that were not renewed.
+func (s *hostingStore) expire() {
+	now := time.Now()
+	for id, lease := range s.leases {
+		if now.After(lease.until) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *hostingStore) drop(id uint64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.revision++
+			s.write(storeItem{Key: key, Tombstone: true})
+		}
+	}
+}
+
+// serve runs a call under the lock; the handler returns the status and the body.
+func (s *hostingStore) serve(handler func(*http.Request) (int, any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		status, body := http.StatusServiceUnavailable, any(struct{}{})
+		if !s.down {
+			s.expire()
+			status, body = handler(r)
+		}
+		text, err := json.Marshal(body)
+		s.mutex.Unlock()
+		if err != nil {
+			panic(err)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write(text)
+	}
+}
+
+func (s *hostingStore) getKey(r *http.Request) (int, any) {
+	item, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		return http.StatusNotFound, map[string]uint64{"asOf": s.revision}
+	}
+	return http.StatusOK, struct {
+		storeItem
+		AsOf uint64 `json:"asOf"`
+	}{item, s.revision}
+}
+
+func (s *hostingStore) getRange(r *http.Request) (int, any) {
+	items := []storeItem{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b storeItem) int { return strings.Compare(a.Key, b.Key) })
+	return http.StatusOK, map[string]any{"items": items, "asOf": s.revision, "morePages": false}
+}
+
+func (s *hostingStore) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	until := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer until.Stop()
+	for over := false; ; {
+		s.mutex.Lock()
+		s.expire()
+		events := []storeItem{}
+		for _, e := range s.events {
+			if e.ModRevision > after && strings.HasPrefix(e.Key, r.URL.Query().Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		down, revision, changed := s.down, s.revision, s.changed
+		s.mutex.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(events) > 0 || over {
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *hostingStore) transact(r *http.Request) (int, any) {
+	var d struct {
+		Expected []storeItem `json:"expected"`
+		Writes   []storeItem `json:"writes"`
+		Delete   []string    `json:"delete"`
+	}
+	if json.NewDecoder(r.Body).Decode(&d) != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	for _, e := range d.Expected {
+		if s.items[e.Key].ModRevision != e.ModRevision {
+			return http.StatusPreconditionFailed, struct{}{}
+		}
+	}
+	for _, w := range d.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return http.StatusNotFound, struct{}{}
+		}
+	}
+	s.revision++
+	for _, w := range d.Writes {
+		s.write(w)
+	}
+	for _, key := range d.Delete {
+		s.write(storeItem{Key: key, Tombstone: true})
+	}
+	return http.StatusOK, map[string]uint64{"modRevision": s.revision}
+}
+
+func (s *hostingStore) grant(r *http.Request) (int, any) {
+	var d struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if json.NewDecoder(r.Body).Decode(&d) != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	s.revision++
+	ttl := time.Duration(d.TTLMs) * time.Millisecond
+	s.leases[s.revision] = &storeLease{ttl: ttl, until: time.Now().Add(ttl)}
+	return http.StatusOK, map[string]any{"lease": s.revision, "ttlMs": d.TTLMs}
+}
+
+func (s *hostingStore) lease(r *http.Request) (uint64, *storeLease) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	return id, s.leases[id]
+}
+
+func (s *hostingStore) keep(r *http.Request) (int, any) {
+	_, lease := s.lease(r)
+	if lease == nil {
+		return http.StatusNotFound, struct{}{}
+	}
+	lease.until = time.Now().Add(lease.ttl)
+	return http.StatusOK, struct{}{}
+}
+
+func (s *hostingStore) endLease(r *http.Request) (int, any) {
+	id, _ := s.lease(r)
+	s.drop(id)
+	return http.StatusOK, struct{}{}
+}
+
+func (s *hostingStore) promotion(r *http.Request) (int, any) {
+	var d struct {
+		Backend string `json:"backend"`
+		ID      string `json:"id"`
+	}
+	token, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	if err != nil || json.NewDecoder(r.Body).Decode(&d) != nil || r.Header.Get("X-Lease-Holder") == "" {
+		return http.StatusBadRequest, struct{}{}
+	}
+	return s.promote(d.Backend, d.ID, token), struct{}{}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/standin/e2e/hosted_test.go
@@ -0,0 +1,322 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// hostedFleet runs instances as the users' platform does, one in each failure
+// domain, before one database of three members.
+type hostedFleet struct {
+	t         *testing.T
+	dir       string
+	store     *hostingStore
+	group     *hostedGroup
+	instances []*hostedNode
+}
+
+type hostedNode struct {
+	*process
+	callers, ready string
+	settings       string
+}
+
+const (
+	hostedGrace = 6 * time.Second
+	// hostedRate is far above what the tests send.
+	hostedRate = 5000
+)
+
+// hostedSettings is the settings file; its fields are the number of the instance,
+// the first and last port between instances, the addresses for callers and the
+// probe, the grace time and the address of the store.
+const hostedSettings = `
+nodeName = "n%[1]d"
+ip = "127.0.0.1"
+zone = "z%[1]d"
+internalPorts = [%[2]d, %[3]d]
+[listenAddrs]
+front = %[4]q
+ready = %[5]q
+[limits]
+memoryMb = 206
+maxFds = 2940
+[bounds]
+drainMs = 7000
+graceS = %[6]d
+quotaWindowS = 5
+quotaOverage = 0.1
+quotaSlack = 20
+[platform]
+address = %[7]q
+[cloudApi]
+address = %[7]q
+`
+
+func startHostedFleet(t *testing.T, instances int) *hostedFleet {
+	takeTurn(t)
+	f := &hostedFleet{t: t, dir: keep(t.TempDir(), t.Name()), store: newHostingStore(t)}
+	require.NoError(t, os.MkdirAll(f.dir, 0o755))
+	f.group = newHostedGroup(t, f.store, "db", 3)
+	f.store.promote = func(_, member string, token uint64) int { return f.group.promoteMember(member, token) }
+	f.store.put("op/config", f.configuration(1))
+	for i := range instances {
+		f.startInstance(i)
+	}
+	for i := range instances {
+		// With a home the instances know each other and the account's whole rate.
+		require.NoError(t, eventually(startBound, func() error { return f.logged(i, "home") }))
+	}
+	return f
+}
+
+func (f *hostedFleet) configuration(version int) map[string]any {
+	return map[string]any{
+		"configVersion": version,
+		"routes":        []any{map[string]any{"database": "ledger", "backend": "db", "type": "primary", "priority": 0, "timeoutMs": 1000}},
+		"backendPools":  []any{map[string]any{"name": "db", "maxConns": 60, "syncReplicas": 1}},
+		"tenants":       []any{map[string]any{"name": "acct", "apiKeys": []string{"key-1"}, "ratePerS": hostedRate, "burst": hostedRate}},
+		"limits":        map[string]any{"txIdleMs": 5000},
+	}
+}
+
+// startInstance starts an instance. A free port may be taken by another
+// connection before it is used; then it is started again with other ports.
+func (f *hostedFleet) startInstance(i int) {
+	const attempts = 3
+	for range attempts {
+		n := f.newNode(i)
+		require.NoError(f.t, n.run())
+		f.t.Cleanup(n.kill)
+		f.instances = append(f.instances[:i], n)
+		err := eventually(startBound, func() error {
+			if !n.alive() {
+				return nil
+			}
+			return f.isReady(i)
+		})
+		if n.alive() {
+			require.NoError(f.t, err)
+			return
+		}
+		text, err := os.ReadFile(n.log)
+		require.NoError(f.t, err)
+		require.Contains(f.t, string(text), errNoPort.Error())
+	}
+	require.Fail(f.t, "no free ports")
+}
+
+func (f *hostedFleet) newNode(i int) *hostedNode {
+	n := &hostedNode{callers: freeAddress(f.t), ready: freeAddress(f.t)}
+	n.settings = filepath.Join(f.dir, fmt.Sprintf("settings-%d.toml", i))
+	_, port, err := net.SplitHostPort(freeAddress(f.t))
+	require.NoError(f.t, err)
+	first, err := strconv.Atoi(port)
+	require.NoError(f.t, err)
+	text := fmt.Sprintf(hostedSettings, i, first, first+2, n.callers, n.ready, int(hostedGrace.Seconds()), f.store.address())
+	require.NoError(f.t, os.WriteFile(n.settings, []byte(text), 0o600))
+	name := fmt.Sprintf("hosted-%d", i)
+	n.process = &process{
+		name: name, args: []string{"sassafrasshunt", "hosted"}, log: filepath.Join(f.dir, name+".log"),
+		env: []string{"SASSAFRASSHUNT_BOOT=" + n.settings},
+	}
+	return n
+}
+
+func (f *hostedFleet) isReady(i int) error {
+	response, err := http.Get("http://" + f.instances[i].ready + "/v1/ready")
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.New(response.Status)
+	}
+	return nil
+}
+
+func (f *hostedFleet) unready(i int) error {
+	if f.isReady(i) == nil {
+		return errors.New("the instance is ready")
+	}
+	return nil
+}
+
+func (f *hostedFleet) load(callers int) *hostedLoad {
+	var addresses []string
+	for _, n := range f.instances {
+		addresses = append(addresses, n.callers)
+	}
+	l := startHostedLoad(addresses, callers)
+	f.t.Cleanup(l.stop)
+	return l
+}
+
+func (f *hostedFleet) logged(i int, event string) error {
+	text, err := os.ReadFile(f.instances[i].log)
+	if err == nil && !strings.Contains(string(text), `"event":"`+event+`"`) {
+		err = fmt.Errorf("%s has not logged %s", f.instances[i].name, event)
+	}
+	return err
+}
+
+// Guards against a whole path on the users' platform that serves nothing, loses
+// or doubles a write, or reads an old value on a calm day.
+func TestHostedCalm(t *testing.T) {
+	f := startHostedFleet(t, 2)
+	l := f.load(6)
+	time.Sleep(2 * time.Second)
+	l.stop()
+	require.NoError(t, l.check(f.group))
+	require.Greater(t, len(l.acks), 100)
+	require.Zero(t, l.cutOff(f.group))
+}
+
+// Guards against a dead primary that is not replaced in time, a promotion
+// without a growing token, and writes that are lost, doubled or refused as not
+// run although they are kept.
+func TestHostedPromotion(t *testing.T) {
+	f := startHostedFleet(t, 3)
+	l := f.load(8)
+	time.Sleep(time.Second)
+	for change := range 2 {
+		f.group.primary().kill()
+		killed := time.Now()
+		require.NoError(t, eventually(failoverBound, func() error {
+			if l.acknowledgedSince(killed.Add(f.group.promoteTime)) < 20 {
+				return errors.New("writes do not go on")
+			}
+			return nil
+		}), "change %d", change)
+	}
+	l.stop()
+	require.NoError(t, l.check(f.group))
+	require.Len(t, f.group.tokens, 2, "each change is one promotion")
+	require.GreaterOrEqual(t, f.group.tokens[1], f.group.tokens[0])
+}
+
+// Guards against a planned stop that cuts a request or outlasts its grace time.
+func TestHostedPlannedStop(t *testing.T) {
+	f := startHostedFleet(t, 2)
+	l := f.load(6)
+	time.Sleep(time.Second)
+	stopped := time.Now()
+	require.NoError(t, f.instances[1].signal(syscall.SIGTERM))
+	require.NoError(t, eventually(time.Second, func() error { return f.unready(1) }))
+	select {
+	case <-f.instances[1].done:
+	case <-time.After(hostedGrace):
+		require.Fail(t, "the process would be killed")
+	}
+	ended := time.Now()
+	require.NoError(t, eventually(failoverBound, func() error {
+		if l.acknowledgedSince(ended) < 20 {
+			return errors.New("writes do not go on")
+		}
+		return nil
+	}))
+	l.stop()
+	require.NoError(t, l.check(f.group))
+	require.Zero(t, l.cutOff(f.group), "a request was cut")
+	require.Greater(t, l.acknowledgedSince(stopped), 20)
+}
+
+// Guards against an instance that keeps callers although neither the store nor
+// another failure domain answers it, against an outage of the store alone that
+// takes the instances out of service, and against one that does not come back.
+func TestHostedCutOff(t *testing.T) {
+	f := startHostedFleet(t, 2)
+	f.store.setDown(true)
+	require.NoError(t, eventually(startBound, func() error { return f.logged(0, "store_lost") }))
+	time.Sleep(2 * time.Second)
+	require.NoError(t, f.isReady(0), "the other domain answers")
+	require.NoError(t, f.instances[1].signal(syscall.SIGSTOP))
+	require.NoError(t, eventually(startBound, func() error { return f.unready(0) }))
+	require.NoError(t, f.logged(0, "cut_off"))
+	require.NoError(t, f.instances[1].signal(syscall.SIGCONT))
+	require.NoError(t, eventually(startBound, func() error { return f.isReady(0) }))
+	f.store.setDown(false)
+	l := f.load(4)
+	time.Sleep(2 * time.Second)
+	l.stop()
+	require.NoError(t, l.check(f.group))
+	require.Greater(t, len(l.acks), 50)
+}
+
+// Guards against changed settings that are not taken over, and against a file
+// that cannot be used and harms the running instance.
+func TestHostedReload(t *testing.T) {
+	f := startHostedFleet(t, 1)
+	n := f.instances[0]
+	text, err := os.ReadFile(n.settings)
+	require.NoError(t, err)
+	changed := strings.Replace(string(text), "quotaSlack = 20", "quotaSlack = 40", 1)
+	require.NoError(t, os.WriteFile(n.settings, []byte(changed), 0o600))
+	require.NoError(t, n.signal(syscall.SIGHUP))
+	require.NoError(t, eventually(startBound, func() error { return f.logged(0, "settings_reloaded") }))
+	require.NoError(t, os.WriteFile(n.settings, []byte("nothing"), 0o600))
+	require.NoError(t, eventually(startBound, func() error { return f.logged(0, "settings_rejected") }))
+	require.NoError(t, f.isReady(0))
+	c, err := openHosted(n.callers, "ledger", "key-1")
+	require.NoError(t, err)
+	defer c.conn.Close()
+	_, a, err := c.query("WRITE k v")
+	require.NoError(t, err)
+	require.Empty(t, a.code)
+}
+
+// Guards against bad input that costs more than its own connection, or that
+// gets no clear answer.
+func TestHostedBadInput(t *testing.T) {
+	f := startHostedFleet(t, 1)
+	address := f.instances[0].callers
+	healthy, err := openHosted(address, "ledger", "key-1")
+	require.NoError(t, err)
+	defer healthy.conn.Close()
+	for _, lines := range [][]string{
+		{"HELLO"},
+		{"STARTUP ledger key-1", "NONSENSE"},
+		{"STARTUP ledger key-1", "QUERY x1 DROP everything"},
+		{"STARTUP ledger key-1", "QUERY x2 WRITE k v", "QUERY x2 WRITE k v"},
+		{"STARTUP ledger wrong-key"},
+		{"STARTUP absent key-1"},
+		{"STARTUP ledger key-1", "QUERY x3 WRITE k " + strings.Repeat("v", 2<<20)},
+	} {
+		conn, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		c := &hostedCaller{conn: conn}
+		answer := c.last(lines)
+		require.Contains(t, answer, "ERROR ", "%.60q", lines)
+		conn.Close()
+		_, a, err := healthy.query("WRITE k healthy")
+		require.NoError(t, err)
+		require.Empty(t, a.code)
+	}
+}
+
+// last sends the lines and returns all that comes until the connection ends.
+func (c *hostedCaller) last(lines []string) string {
+	if err := c.conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		return err.Error()
+	}
+	var text strings.Builder
+	buffer := make([]byte, 4096)
+	for _, line := range lines {
+		// The connection may end before all is sent; its answer says why.
+		_, _ = c.conn.Write([]byte(line + "\r\n"))
+		n, _ := c.conn.Read(buffer)
+		text.Write(buffer[:n])
+	}
+	return text.String()
+}
--- a/standin/e2e/process_test.go
+++ b/standin/e2e/process_test.go
@@ -19,6 +19,8 @@
 	name string
 	args []string
 	log  string
+	// env are variables beyond those of the test.
+	env  []string
 	cmd  *exec.Cmd
 	done chan struct{}
 }
@@ -38,6 +40,7 @@
 	defer out.Close()
 	cmd := exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), p.env...)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
