--- a/standin/e2e/hosted_store_test.go
+++ b/standin/e2e/hosted_store_test.go
@@ -75,7 +75,7 @@
 	s.changed = make(chan struct{})
 }
 
-// put writes as the operator and the members do; an empty value deletes.
+// put writes as the operator and the members do.
 func (s *hostingStore) put(key string, value any) {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -87,13 +87,6 @@
 	s.write(storeItem{Key: key, Value: text})
 }
 
-func (s *hostingStore) remove(key string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.revision++
-	s.write(storeItem{Key: key, Tombstone: true})
-}
-
 func (s *hostingStore) write(i storeItem) {
 	i.ModRevision = s.revision
 	if i.Tombstone {
