Let callers wait after a start until the home of their account is known

Cause: an instance that has just started refused callers as unknown until it had a configuration, and their requests for the rate until it knew the home. Ruled out: a later readiness; with no instance in rotation the balancer uses all. Change: for up to 0.6 s from the first configuration a caller waits for the home of its account (pkg/session/arrivals.go). Without a configuration it is refused as not run, to reconnect, instead of as unknown.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -135,6 +135,7 @@
 	config.MemberConnections = firstConnections
 	config.Bounds.TransactionIdle = firstTransactionIdle
 	config.Bounds.ConnectionOpen = connectionOpen
+	config.Bounds.HomeWait = homeWait
 	config.Bounds.Drain = h.settings.StopGrace / sessionDrainPart
 	engine, err := session.New(config, out)
 	if err != nil {
--- a/pkg/instance/hostedbounds.go
+++ b/pkg/instance/hostedbounds.go
@@ -32,6 +32,9 @@
 	targetStartup = time.Second
 	// firstTransactionIdle applies until the operator's bound is known.
 	firstTransactionIdle = 10 * time.Second
+	// homeWait covers the start of all instances within 0.3 s and their claims;
+	// clients wait 2 s.
+	homeWait = 600 * time.Millisecond
 	// connectionOpen is the sum of connecting and startup, with a margin.
 	connectionOpen = 2 * time.Second
 )
--- /dev/null
+++ b/pkg/session/arrivals.go
@@ -0,0 +1,99 @@
+package session
+
+import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+
+// arrivals are callers that have come, after a start, before the configuration
+// or the home of their account is known, as when a whole fleet restarts. Admitted
+// at once, they would be refused as unknown, or for the rate, of which an
+// instance has next to nothing without the home.
+type arrivals struct {
+	waiting []CallerOpened
+	timer   timer
+	// over is set when the wait after the first configuration has ended.
+	over bool
+}
+
+// holdArrival lets a caller wait and reports whether it does.
+func (e *Engine) holdArrival(in CallerOpened) bool {
+	a := &e.arrivals
+	if e.cfg.Bounds.HomeWait == 0 || e.stopping || e.opening != nil || !e.isEarly(in) {
+		return false
+	}
+	if len(a.waiting) == 0 && e.catalogue == nil {
+		e.timers.Arm(&a.timer.item, e.now.Add(e.cfg.Bounds.HomeWait))
+	}
+	a.waiting = append(a.waiting, in)
+	return true
+}
+
+// isEarly reports a caller whose entry or home may soon be known.
+func (e *Engine) isEarly(in CallerOpened) bool {
+	if e.catalogue == nil {
+		return true
+	}
+	account := e.accountOf(in)
+	if e.arrivals.over || account == nil {
+		return false
+	}
+	_, known := e.homes[account.name]
+	return !known
+}
+
+// accountOf returns the account of a caller that has not been admitted yet; nil
+// if there is none.
+func (e *Engine) accountOf(in CallerOpened) *account {
+	entry := e.entries[in.Entry]
+	if entry == nil {
+		return nil
+	}
+	if entry.account != nil {
+		return entry.account
+	}
+	return e.accountWith(in.Key)
+}
+
+// dropArrival forgets a caller that has gone.
+func (e *Engine) dropArrival(id CallerID) {
+	a := &e.arrivals
+	for i := range a.waiting {
+		if a.waiting[i].Caller == id {
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// startArrivals bounds the wait from the first configuration on.
+func (e *Engine) startArrivals() {
+	if e.cfg.Bounds.HomeWait > 0 {
+		e.timers.Arm(&e.arrivals.timer.item, e.now.Add(e.cfg.Bounds.HomeWait))
+	}
+}
+
+// reviewArrivals admits the callers that need not wait any more.
+func (e *Engine) reviewArrivals() {
+	waiting := e.arrivals.waiting
+	e.arrivals.waiting = nil
+	for _, in := range waiting {
+		e.callerOpened(in)
+	}
+}
+
+// endArrivals admits the callers that have waited, or refuses them while there
+// is no configuration.
+func (e *Engine) endArrivals() {
+	a := &e.arrivals
+	a.over = a.over || e.catalogue != nil
+	e.timers.Disarm(&a.timer.item)
+	waiting := a.waiting
+	a.waiting = nil
+	for _, in := range waiting {
+		e.admitCaller(in)
+	}
+}
+
+// notConfigured refuses callers before the first configuration; nothing is known
+// of their entry or key.
+func notConfigured() *core.Refusal {
+	return core.NotRun(core.StateStopping, "this instance has no configuration yet, please reconnect")
+}
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -2,8 +2,15 @@
 
 import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 
-// callerOpened admits or turns away a new caller.
+// callerOpened admits or turns away a new caller, now or when the homes are
+// known.
 func (e *Engine) callerOpened(in CallerOpened) {
+	if !e.holdArrival(in) {
+		e.admitCaller(in)
+	}
+}
+
+func (e *Engine) admitCaller(in CallerOpened) {
 	c := &caller{
 		e: e, id: in.Caller, key: in.Key, trace: in.Trace,
 		state: e.charts.caller.Initial(), maxAge: -1, txStatus: txIdle,
@@ -27,6 +34,9 @@
 	if e.stopping {
 		return core.NotRun(core.StateStopping, "this instance is stopping, please reconnect")
 	}
+	if e.catalogue == nil {
+		return notConfigured()
+	}
 	c.entry = e.entries[in.Entry]
 	if c.entry == nil && in.Account == "" {
 		return core.NotRun(core.StateNoEntry, "no entry has this name")
@@ -48,11 +58,9 @@
 // resolveAccount finds the account of a caller on an entry that belongs to no
 // account by its key.
 func (e *Engine) resolveAccount(c *caller) *core.Refusal {
-	for _, a := range e.accounts {
-		if c.key != "" && a.holds(c.key) {
-			c.account = a
-			return nil
-		}
+	c.account = e.accountWith(c.key)
+	if c.account != nil {
+		return nil
 	}
 	if !c.entry.definition.Open {
 		return core.NotRun(core.StateWrongKey, "the key is not known")
@@ -62,6 +70,19 @@
 	return nil
 }
 
+// accountWith returns the account that holds the key, nil if none does.
+func (e *Engine) accountWith(key core.KeyID) *account {
+	if key == "" {
+		return nil
+	}
+	for _, a := range e.accounts {
+		if a.holds(key) {
+			return a
+		}
+	}
+	return nil
+}
+
 func (e *Engine) refuseKey(c *caller, claimed core.AccountName) *core.Refusal {
 	if claimed != c.account.name || c.key == "" {
 		return core.NotRun(core.StateWrongKey, "no such entry for this account")
@@ -82,6 +103,7 @@
 }
 
 func (e *Engine) callerClosed(in CallerClosed) {
+	e.dropArrival(in.Caller)
 	if c, ok := e.callers[in.Caller]; ok {
 		c.fire(e.charts.on.closed)
 	}
@@ -130,6 +152,7 @@
 		return
 	}
 	e.stopping = true
+	e.endArrivals()
 	e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.Drain))
 	for _, c := range e.callers {
 		c.fire(e.charts.on.drain)
--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -61,6 +61,9 @@
 	// FullBackoff is the pause before a member at its bound of connections is
 	// asked for one again.
 	FullBackoff time.Duration
+	// HomeWait is how long callers wait after a start until the homes of all
+	// accounts are known; 0 admits them at once.
+	HomeWait time.Duration
 	// OutputRetry is when reports that found a full ring are offered again.
 	OutputRetry time.Duration
 }
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -62,6 +62,7 @@
 	drained    bool
 	drainTimer timer
 	reporter   timer
+	arrivals   arrivals
 	demandFrom time.Time
 	budget     retryBudget
 	sequence   uint64
@@ -126,6 +127,8 @@
 	e.drainTimer.item.Value = &e.drainTimer
 	e.remoteSweep.run = e.forgetRemotes
 	e.remoteSweep.item.Value = &e.remoteSweep
+	e.arrivals.timer.run = e.endArrivals
+	e.arrivals.timer.item.Value = &e.arrivals.timer
 	e.reporter.run = e.report
 	e.reporter.item.Value = &e.reporter
 	return e, nil
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -146,6 +146,7 @@
 func (e *Engine) homesInForce(in HomesInForce) {
 	e.homes = in.Homes
 	e.homesChanged()
+	e.reviewArrivals()
 }
 
 func (e *Engine) peerAlive(address PeerAddress) {
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -21,6 +21,9 @@
 	if cat == nil || e.catalogue != nil && cat.Version <= e.catalogue.Version {
 		return
 	}
+	if e.catalogue == nil {
+		e.startArrivals()
+	}
 	e.catalogue = cat
 	e.configureAccounts(cat)
 	e.configureDatabases(cat)
@@ -28,6 +31,7 @@
 	for _, c := range e.callers {
 		c.reconsider()
 	}
+	e.reviewArrivals()
 }
 
 func (e *Engine) configureAccounts(cat *catalogue.Catalogue) {
