--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -44,7 +44,21 @@
 	if e.now.After(e.shareUntil) || s.c.account.bucket.rate <= 0 {
 		e.metrics.RateUnknown++
 	}
-	s.notRun(core.StateRateExceeded, "the account's rate is exceeded")
+	s.notRun(core.StateRateExceeded, s.c.account.rateReason())
+}
+
+// rateReason tells what limits the account here.
+func (a *account) rateReason() string {
+	home, known := a.e.homes[a.name]
+	switch {
+	case a.homeLost && known:
+		return "the account's home is silent, and what may be spent without it is used up"
+	case a.homeLost:
+		return "the account has no home, and what may be spent without one is used up"
+	case home.Here && a.bucket.rate < a.e.shares[a.name].Rate:
+		return "the account's rate is exceeded, a part of which is set aside for silent instances"
+	}
+	return "the account's rate is exceeded"
 }
 
 func (s *statement) refuseUnsupported() {
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -201,6 +201,7 @@
 	require.InDelta(t, 20, a.used.rate(h.now), 3)
 	h.e.peer(homeAddress).giveUp()
 	require.InDelta(t, 20*usageRoom, a.bucket.rate, 4)
+	require.Contains(t, a.rateReason(), "home is silent")
 	h.do(PeerAlive{Address: homeAddress})
 	require.InDelta(t, 0.1, a.bucket.rate, 0.01)
 }
@@ -290,6 +291,8 @@
 	require.Zero(t, a.setAside())
 	h.wait(2 * originSilence)
 	require.InDelta(t, 20*usageRoom, a.setAside(), 5)
+	a.holdBack()
+	require.Contains(t, a.rateReason(), "set aside")
 	h.do(OriginAlive{Instance: "origin-1"})
 	require.Zero(t, a.setAside())
 }
