--- a/cmd/sassafrasshuntctl/client.go
+++ b/cmd/sassafrasshuntctl/client.go
@@ -66,9 +66,24 @@
 	if err != nil {
 		return err
 	}
+	return exchange(request, result)
+}
+
+// fetch reads a page that needs no operator key.
+func fetch(ctx context.Context, url string, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, requestBound)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(errRefused, err.Error())
+	}
+	return exchange(request, result)
+}
+
+func exchange(request *http.Request, result any) error {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return transportError(method, err)
+		return transportError(request.Method, err)
 	}
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
@@ -76,7 +91,7 @@
 		return refusal(response.StatusCode, decoder)
 	}
 	if err := decoder.Decode(result); err != nil {
-		return transportError(method, err)
+		return transportError(request.Method, err)
 	}
 	return nil
 }
--- a/cmd/sassafrasshuntctl/fleet.go
+++ b/cmd/sassafrasshuntctl/fleet.go
@@ -13,15 +13,27 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/control"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/instance"
 )
 
-type status struct{ target }
+type status struct {
+	target
+	hosted string
+}
 
 func (*status) Name() string     { return "status" }
 func (*status) Synopsis() string { return "print the fleet as one instance sees it" }
-func (*status) Usage() string    { return "status [flags]\n" }
+func (*status) Usage() string    { return "status [flags] | status -hosted ADDRESS\n" }
+
+func (c *status) SetFlags(f *flag.FlagSet) {
+	c.target.SetFlags(f)
+	f.StringVar(&c.hosted, "hosted", "", "metrics address of an instance on the users' platform, IP:port, asked instead")
+}
 
 func (c *status) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.hosted != "" {
+		return c.hostedStatus(ctx)
+	}
 	var s control.Status
 	if err := c.call(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
 		return exit(err)
@@ -29,6 +41,38 @@
 	return c.print(s, func() { printStatus(&s) })
 }
 
+func (c *status) hostedStatus(ctx context.Context) subcommands.ExitStatus {
+	var s instance.HostedStatus
+	if err := fetch(ctx, "http://"+c.hosted+instance.PathStatus, &s); err != nil {
+		return exit(err)
+	}
+	return c.print(s, func() { printHosted(&s) })
+}
+
+func printHosted(s *instance.HostedStatus) {
+	fmt.Printf("instance %s in %s: %s, ready=%v, store lost=%v, lease for %.1f s\n", s.Node, s.Domain, s.State, s.Ready, s.StoreLost, s.LeaseSeconds)
+	fmt.Printf("configuration version %d; %d callers, %d connections, %d statements wait\n", s.Version, s.Callers, s.Connections, s.Queued)
+	for _, g := range s.Groups {
+		fmt.Printf("database %s: primary %s, succession %s\n", g.Group, orNone(string(g.Primary)), g.Succession)
+		for _, m := range g.Members {
+			fmt.Printf("  member %s in %s: %s, draining=%v, dead=%v, missing=%v\n", m.Member, m.Domain, m.Role, m.Draining, m.Dead, m.Missing)
+		}
+	}
+	for _, h := range s.Homes {
+		fmt.Printf("account %s: home %s, gone=%v\n", h.Account, orNone(h.Home), h.Gone)
+	}
+	for _, i := range s.Instances {
+		fmt.Printf("instance %s in %s: missing=%v\n", i.Node, i.Domain, i.Missing)
+	}
+}
+
+func orNone(name string) string {
+	if name == "" {
+		return "none"
+	}
+	return name
+}
+
 func printStatus(s *control.Status) {
 	fmt.Printf("instance %s in %s: %s, lease %s, slot %d\n", s.Instance, s.Domain, s.State, s.Lease, s.Slot)
 	fmt.Printf("catalogue version %d, share table revision %d, allocator %s\n", s.CatalogueVersion, s.TableRevision, s.Allocator)
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -198,6 +198,8 @@
 		}
 	case JobDone:
 		e.jobDone(&in)
+	case Inspect:
+		in.Reply <- e.inspect()
 	case Limits:
 		e.limitsInForce(in)
 	case StopRequested:
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -30,6 +30,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathMetrics, h.serveMetrics)
+	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
 	h.metricsAt = listener
 	h.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	return nil
--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -28,8 +29,8 @@
 
 type hostedNode struct {
 	*process
-	callers, ready string
-	settings       string
+	callers, ready, metrics string
+	settings                string
 }
 
 const (
@@ -124,6 +125,7 @@
 	require.NoError(f.t, err)
 	first, err := strconv.Atoi(port)
 	require.NoError(f.t, err)
+	n.metrics = net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1))
 	text := fmt.Sprintf(hostedSettings, i, first, first+2, n.callers, n.ready, int(hostedGrace.Seconds()), f.store.address())
 	require.NoError(f.t, os.WriteFile(n.settings, []byte(text), 0o600))
 	name := fmt.Sprintf("hosted-%d", i)
@@ -254,6 +256,20 @@
 	require.Greater(t, len(l.acks), 50)
 }
 
+// Guards against a status page that an engineer cannot read while the fleet
+// works, or that tells something else than the instance believes.
+func TestHostedStatus(t *testing.T) {
+	f := startHostedFleet(t, 2)
+	out, err := exec.Command(filepath.Join(binaries, "sassafrasshuntctl"), "status", "-hosted", f.instances[0].metrics).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	for _, line := range []string{
+		"instance n0 in z0: serving, ready=true, store lost=false", "configuration version 1",
+		"database db: primary i-db0, succession settled", "account acct: home n", "instance n1 in z1: missing=false",
+	} {
+		require.Contains(t, string(out), line)
+	}
+}
+
 // Guards against changed settings that are not taken over, and against a file
 // that cannot be used and harms the running instance.
 func TestHostedReload(t *testing.T) {
