Keep the tokens of a lost home when shares are published

Cause: each published share set the bucket twice, first to the share's own burst of 1 and then to the larger one that a lost home allows, so that every change of a member or of the configuration took what callers might spend meanwhile. Change: the bucket is settled once and limited once; the fleet's shares have no revision, which nobody reads; the two answers without a member share their end. Test: TestRenewedShareKeepsLostUsage, red before.

--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -26,8 +26,7 @@
 // shares divides rates and connections between the homes of the accounts and
 // the instances that cannot reach them.
 type shares struct {
-	e        *Engine
-	revision uint64
+	e *Engine
 }
 
 func (s *shares) init(e *Engine) {
@@ -37,9 +36,7 @@
 // publish gives session its shares.
 func (s *shares) publish() {
 	e := s.e
-	s.revision++
 	share := session.ShareInForce{
-		Revision:    s.revision,
 		Grant:       1,
 		Accounts:    map[core.AccountName]session.RateShare{},
 		Connections: map[core.DatabaseName]int{},
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -65,16 +65,21 @@
 	until time.Time
 }
 
-// set replaces the share; another grant empties the bucket.
-func (b *bucket) set(share RateShare, regranted bool, now, until time.Time) {
+// settle refills the bucket before a change of its share; another grant empties
+// it.
+func (b *bucket) settle(regranted bool, now, until time.Time) {
 	b.refill(now, until)
-	b.rate = share.Rate
-	b.burst = share.Burst
-	b.tokens = min(b.tokens, share.Burst)
+	b.at = now
 	if regranted {
 		b.tokens = 0
 	}
-	b.at = now
+}
+
+// limit puts a rate and a burst in force.
+func (b *bucket) limit(rate, burst float64) {
+	b.rate = rate
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
 }
 
 // refill adds what the rate gives up to now, but nothing for the time after
@@ -205,9 +210,9 @@
 // buckets: the tokens belonged to another holding of the slot.
 func (e *Engine) shareInForce(in ShareInForce) {
 	regranted := in.Grant != e.grant
-	for name, a := range e.accounts {
-		a.bucket.set(in.Accounts[name], regranted, e.now, e.shareUntil)
-		a.preparations.set(in.Accounts[name], regranted, e.now, e.shareUntil)
+	for _, a := range e.accounts {
+		a.bucket.settle(regranted, e.now, e.shareUntil)
+		a.preparations.settle(regranted, e.now, e.shareUntil)
 	}
 	e.grant = in.Grant
 	e.shareUntil = in.Until
--- a/pkg/session/lazybegin.go
+++ b/pkg/session/lazybegin.go
@@ -19,8 +19,7 @@
 		return false
 	}
 	c.begun = &opening{readOnly: r.Verdict.ReadOnly}
-	c.stmt.verdict = *r.Verdict
-	c.stmt.fire(c.e.charts.stmt.answeredHere)
+	c.stmt.answerWithoutMember(r.Verdict)
 	return true
 }
 
@@ -38,11 +37,15 @@
 		return false
 	}
 	c.begun = nil
-	c.stmt.verdict = *r.Verdict
-	c.stmt.fire(c.e.charts.stmt.answeredHere)
+	c.stmt.answerWithoutMember(r.Verdict)
 	return true
 }
 
+func (s *statement) answerWithoutMember(v *Verdict) {
+	s.verdict = *v
+	s.fire(s.c.e.charts.stmt.answeredHere)
+}
+
 // open makes the statement the first of the caller's transaction, if it is.
 func (s *statement) open() {
 	s.opens = s.c.begun
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -206,6 +206,29 @@
 	require.InDelta(t, 0.1, a.bucket.rate, 0.01)
 }
 
+// Guards against tokens that are lost with each share that is published while
+// the home is silent.
+func TestRenewedShareKeepsLostUsage(t *testing.T) {
+	h := newOrigin(t)
+	share := ShareInForce{
+		Accounts: map[core.AccountName]RateShare{"acct": {Rate: 0.1, Burst: 1}}, Until: h.now.Add(time.Hour),
+	}
+	h.do(share)
+	for range 100 {
+		h.order(1, "read", read)
+		h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
+		h.wait(50 * time.Millisecond)
+	}
+	h.e.peer(homeAddress).giveUp()
+	a := h.e.accounts["acct"]
+	before := a.bucket.tokens
+	require.Greater(t, before, 5.0)
+	h.do(share)
+	require.InDelta(t, before, a.bucket.tokens, 0.1)
+	h.do(PeerAlive{Address: homeAddress})
+	require.LessOrEqual(t, a.bucket.tokens, 1.0, "what was for the loss ends with it")
+}
+
 // newHome gives an engine that is the home of its account.
 func newHome(t testing.TB) *harness {
 	h := newAsyncHarness(t)
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -203,16 +203,17 @@
 // lostBurst is how long the usage of a lost home may be spent ahead, in seconds.
 const lostBurst = 0.5
 
-// applyShare sets the bucket's rate from the share in force.
+// applyShare limits the buckets by the share in force.
 func (a *account) applyShare() {
 	share := a.e.shares[a.name]
 	begins := a.bucket.until.IsZero() && !share.Until.IsZero()
-	a.bucket.rate, a.bucket.burst, a.bucket.until = share.Rate, share.Burst, share.Until
+	a.bucket.until = share.Until
+	lost := 0.0
 	if a.homeLost {
-		a.bucket.rate += a.lostUsage
-		a.bucket.burst += a.lostUsage * lostBurst
+		lost = a.lostUsage
 	}
-	a.bucket.tokens = min(a.bucket.tokens, a.bucket.burst)
+	a.bucket.limit(share.Rate+lost, share.Burst+lost*lostBurst)
+	a.preparations.limit(share.Rate, share.Burst)
 	if begins {
 		a.becomeHome()
 	}
