--- a/pkg/fairqueue/fair.go
+++ b/pkg/fairqueue/fair.go
@@ -1,8 +1,7 @@
 package fairqueue
 
 import (
-	"container/heap"
-
+	"github.com/sassafrasshunt/sassafrasshunt/lib/indexheap"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
@@ -26,7 +25,7 @@
 // level holds the waiting accounts of one class.
 type level[T any] struct {
 	flows  map[core.AccountName]*flow[T]
-	active flowHeap[T]
+	active indexheap.Heap[*flow[T]]
 	// virtual is the start tag of the item served last.
 	virtual float64
 	weights int
@@ -44,7 +43,7 @@
 	// start tags, also while the flow is empty on its way out of the heap.
 	order uint64
 	index int
-	items itemHeap[T]
+	items indexheap.Heap[*Item[T]]
 }
 
 // NewFair returns an empty fair queue; see DefaultPassBound for the bound.
@@ -85,7 +84,7 @@
 		f = &flow[T]{level: l, weight: weight, start: l.virtual}
 		l.flows[account] = f
 	}
-	if len(f.items) > 0 {
+	if f.items.Len() > 0 {
 		l.weights += weight - f.weight
 	}
 	f.weight = weight
@@ -94,13 +93,13 @@
 
 func (l *level[T]) add(item *Item[T]) {
 	f := item.flow
-	if len(f.items) == 0 {
+	if f.items.Len() == 0 {
 		f.start = max(f.start, l.virtual)
 		f.order = item.seq
 		l.weights += f.weight
-		heap.Push(&l.active, f)
+		l.active.Push(f)
 	}
-	heap.Push(&f.items, item)
+	f.items.Push(item)
 	l.length++
 }
 
@@ -112,10 +111,10 @@
 	}
 	q.countPassed(chosen)
 	l := &q.levels[chosen]
-	f := l.active[0]
+	f, _ := l.active.First()
 	l.virtual = f.start
 	f.start += 1 / float64(f.weight)
-	item := f.items[0]
+	item, _ := f.items.First()
 	q.take(item)
 	return item, true
 }
@@ -155,17 +154,17 @@
 func (q *Fair[T]) take(item *Item[T]) {
 	f := item.flow
 	l := f.level
-	heap.Remove(&f.items, item.index)
+	f.items.Remove(item.index)
 	item.queued = false
 	item.flow = nil
 	l.length--
 	q.length--
-	if len(f.items) > 0 {
-		f.order = f.items[0].seq
-		heap.Fix(&l.active, f.index)
+	if front, waits := f.items.First(); waits {
+		f.order = front.seq
+		l.active.Fix(f.index)
 		return
 	}
-	heap.Remove(&l.active, f.index)
+	l.active.Remove(f.index)
 	l.weights -= f.weight
 	if l.length == 0 {
 		l.forget()
@@ -201,8 +200,8 @@
 
 func (l *level[T]) ahead(account core.AccountName, weight int) int {
 	own, others := 0, l.weights
-	if f, ok := l.flows[account]; ok && len(f.items) > 0 {
-		own = len(f.items)
+	if f, ok := l.flows[account]; ok && f.items.Len() > 0 {
+		own = f.items.Len()
 		others -= f.weight
 	}
 	fair := own + (own+1)*others/weight
--- a/pkg/fairqueue/fifo.go
+++ b/pkg/fairqueue/fifo.go
@@ -1,15 +1,14 @@
 package fairqueue
 
 import (
-	"container/heap"
-
+	"github.com/sassafrasshunt/sassafrasshunt/lib/indexheap"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // FIFO serves items in the order of arrival, whatever their account and class.
 // It is the baseline that the fair queue is measured against.
 type FIFO[T any] struct {
-	items arrivalHeap[T]
+	items indexheap.Heap[arrival[T]]
 	seq   uint64
 }
 
@@ -23,15 +22,15 @@
 	q.seq++
 	item.seq = q.seq
 	item.queued = true
-	heap.Push(&q.items, item)
+	q.items.Push(arrival[T]{item})
 }
 
 // Pop implements Queue.
 func (q *FIFO[T]) Pop() (*Item[T], bool) {
-	if len(q.items.itemHeap) == 0 {
+	if q.items.Len() == 0 {
 		return nil, false
 	}
-	item := heap.Pop(&q.items).(*Item[T])
+	item := q.items.Pop().Item
 	item.queued = false
 	return item, true
 }
@@ -41,25 +40,16 @@
 	if !item.queued {
 		return
 	}
-	heap.Remove(&q.items, item.index)
+	q.items.Remove(item.index)
 	item.queued = false
 }
 
 // Len implements Queue.
 func (q *FIFO[T]) Len() int {
-	return len(q.items.itemHeap)
+	return q.items.Len()
 }
 
 // Ahead implements Queue.
 func (q *FIFO[T]) Ahead(core.AccountName, int, core.Class) int {
 	return q.Len()
 }
-
-// arrivalHeap orders items by arrival.
-type arrivalHeap[T any] struct {
-	itemHeap[T]
-}
-
-func (h arrivalHeap[T]) Less(i, j int) bool {
-	return h.itemHeap[i].seq < h.itemHeap[j].seq
-}
--- a/pkg/fairqueue/heaps.go
+++ b/pkg/fairqueue/heaps.go
@@ -1,63 +1,31 @@
 package fairqueue
 
-type itemHeap[T any] []*Item[T]
-
-func (h itemHeap[T]) Len() int { return len(h) }
-
-func (h itemHeap[T]) Less(i, j int) bool {
-	if !h[i].Deadline.Equal(h[j].Deadline) {
-		return h[i].Deadline.Before(h[j].Deadline)
+// Before implements indexheap.Element: items of an account go by deadline.
+func (i *Item[T]) Before(other *Item[T]) bool {
+	if !i.Deadline.Equal(other.Deadline) {
+		return i.Deadline.Before(other.Deadline)
 	}
-	return h[i].seq < h[j].seq
-}
-
-func (h itemHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
+	return i.seq < other.seq
 }
 
-func (h *itemHeap[T]) Push(x any) {
-	item := x.(*Item[T])
-	item.index = len(*h)
-	*h = append(*h, item)
-}
+// SetIndex implements indexheap.Element.
+func (i *Item[T]) SetIndex(index int) { i.index = index }
 
-func (h *itemHeap[T]) Pop() any {
-	old := *h
-	item := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return item
-}
-
-type flowHeap[T any] []*flow[T]
-
-func (h flowHeap[T]) Len() int { return len(h) }
-
-func (h flowHeap[T]) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
+// Before implements indexheap.Element: accounts go by their start tags.
+func (f *flow[T]) Before(other *flow[T]) bool {
+	if f.start != other.start {
+		return f.start < other.start
 	}
-	return h[i].order < h[j].order
+	return f.order < other.order
 }
 
-func (h flowHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
+// SetIndex implements indexheap.Element.
+func (f *flow[T]) SetIndex(index int) { f.index = index }
 
-func (h *flowHeap[T]) Push(x any) {
-	f := x.(*flow[T])
-	f.index = len(*h)
-	*h = append(*h, f)
+// arrival is an item that goes by its arrival.
+type arrival[T any] struct {
+	*Item[T]
 }
 
-func (h *flowHeap[T]) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return f
-}
+// Before implements indexheap.Element.
+func (a arrival[T]) Before(other arrival[T]) bool { return a.seq < other.seq }
