Let a silent home be replaced for a while only

Cause: an account whose home had been silent everywhere stayed free to claim until its record changed, so that an instance which a cut had separated for less than the store takes to notice took it from a living home afterwards (found while reading). Change: the verdict holds for 4 s, longer than all turns; a refused connection still counts for good. Test: TestSilentHomeIsReplaced.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -199,7 +199,7 @@
 			e.out.AskConfiguration(r.Address)
 		}
 	case session.PeerRefused:
-		e.homes.holderGone(r.Address, "the home's host refuses connections")
+		e.homes.holderGone(r.Address, "the home's host refuses connections", endedFor)
 	case session.SuspectMember:
 		e.suspect(r.Member)
 	}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -448,6 +448,10 @@
 	h.wait(5 * time.Second)
 	require.NotEmpty(t, h.claims, "nobody hears the home")
 	require.Equal(t, Revision(300), h.claims[0].Replaces)
+	h.wait(unheardFor)
+	h.claims = nil
+	h.wait(10 * time.Second)
+	require.Empty(t, h.claims, "the home may have been heard again")
 
 	h = atA()
 	h.wait(opinionWait)
--- a/pkg/fleet/examination.go
+++ b/pkg/fleet/examination.go
@@ -183,7 +183,7 @@
 		if v.unheard() {
 			// More than half of the instances asked are reached from here.
 			e.homes.barredUntil = time.Time{}
-			e.homes.holderGone(address, "no instance hears the home")
+			e.homes.holderGone(address, "no instance hears the home", unheardFor)
 		}
 	}
 	x.begin(homeDoubt)
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -73,9 +73,9 @@
 	asked time.Time
 	// held is set once the account has had a home.
 	held bool
-	// gone is set with the proof that the holder's process has ended, or that no
-	// instance hears it.
-	gone bool
+	// goneUntil is until when the holder counts as gone: without end for a process
+	// that has ended, for a while for one that no instance heard.
+	goneUntil time.Time
 }
 
 func (h *homes) init(e *Engine) {
@@ -107,7 +107,7 @@
 			"account": account, "home": record.Node, "revision": record.Revision,
 		}})
 	}
-	s.record, s.gone = record, false
+	s.record, s.goneUntil = record, time.Time{}
 	s.held = s.held || record != nil
 }
 
@@ -131,10 +131,15 @@
 	return s != nil && s.record != nil && s.record.Instance == h.e.config.Self.ID && h.e.now.Before(h.leaseUntil)
 }
 
+// isGone reports a holder that has ended or that no instance hears.
+func (h *homes) isGone(s *homeState) bool {
+	return h.e.now.Before(s.goneUntil)
+}
+
 // heldAt reports whether accounts are at home at the address.
 func (h *homes) heldAt(address session.PeerAddress) bool {
 	for _, s := range h.records {
-		if s.record != nil && !s.gone && h.holds(s.record, address) {
+		if s.record != nil && !h.isGone(s) && h.holds(s.record, address) {
 			return true
 		}
 	}
@@ -147,14 +152,22 @@
 	return holder != nil && holder.Peer == string(address) && holder.ID == record.Instance
 }
 
-// holderGone lets the accounts of a home be claimed that has ended or that no
-// instance hears.
-func (h *homes) holderGone(address session.PeerAddress, reason string) {
+const (
+	// unheardFor is how long a silent home may be replaced after an examination. It
+	// outlasts the turns of all instances; a home that is heard again later keeps
+	// its accounts.
+	unheardFor = 4 * time.Second
+	// endedFor is longer than any run.
+	endedFor = 10 * 365 * 24 * time.Hour
+)
+
+// holderGone lets the accounts of a home be claimed for the given time.
+func (h *homes) holderGone(address session.PeerAddress, reason string, during time.Duration) {
 	for account, s := range h.records {
-		if s.record == nil || s.gone || !h.holds(s.record, address) {
+		if s.record == nil || h.isGone(s) || !h.holds(s.record, address) {
 			continue
 		}
-		s.gone = true
+		s.goneUntil = h.e.now.Add(during)
 		s.vacant = h.e.now
 		h.e.out.Log(LogEvent{Warning: true, Event: "home_gone", Message: reason,
 			Fields: map[string]any{"account": account, "home": s.record.Node}})
@@ -218,7 +231,7 @@
 	case s.record != nil && s.record.Node == own:
 		// The holder was an earlier run of this process.
 		return retry, true
-	case s.record != nil && !s.gone:
+	case s.record != nil && !h.isGone(s):
 		return time.Time{}, false
 	}
 	turn := min(slices.Index(homing.Order(account, nodes), own)+1, maxHomeTurns)
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -112,7 +112,7 @@
 func (h *homes) status(account core.AccountName) HomeStatus {
 	status := HomeStatus{Account: account}
 	if s := h.records[account]; s != nil && s.record != nil {
-		status.Home, status.Gone = s.record.Node, s.gone
+		status.Home, status.Gone = s.record.Node, h.isGone(s)
 	}
 	return status
 }
