Leave an overloaded store alone

Ruled out for now: fewer registrations to read; that needs another record of homes. Change: a store that answers in part or with 429 is read again after a pause that doubles up to 1.6 s, spread at random, with twice the time for the answer each time. A store that is down or silent is tried as before.

--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -13,6 +13,9 @@
 var (
 	// ErrUnavailable means that the call was certainly not carried out.
 	ErrUnavailable = eris.New("the store did not take the call")
+	// ErrOverloaded means that the store takes calls, but not this one or not in
+	// time; the call was certainly not carried out.
+	ErrOverloaded = eris.New("the store takes too many calls")
 	// ErrUnknownOutcome means that the call may have been or may still be
 	// carried out.
 	ErrUnknownOutcome = eris.New("the outcome of the call is not known")
@@ -27,11 +30,12 @@
 // Source reads the store.
 type Source interface {
 	// Snapshot returns everything of interest. It returns ErrUnavailable,
-	// wrapped, when the store cannot be read.
+	// wrapped, when the store cannot be read, and ErrOverloaded when a part could
+	// be read only.
 	Snapshot(ctx context.Context) (*Snapshot, error)
 	// Watch waits up to the given time for changes after a revision and returns
-	// them with the revision to go on from. It returns ErrCompacted or
-	// ErrUnavailable, wrapped.
+	// them with the revision to go on from. It returns ErrCompacted,
+	// ErrOverloaded or ErrUnavailable, wrapped.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,8 @@
 	// endWait ends the call under way; checking is set when Check has ended it.
 	endWait  atomic.Pointer[context.CancelFunc]
 	checking atomic.Bool
+	// strain counts the failures in a row that showed an overloaded store.
+	strain int
 	// current is when the store was last known to have nothing newer.
 	current time.Time
 }
@@ -76,13 +79,36 @@
 		}
 		if !w.checking.Swap(false) && !eris.Is(err, ErrCompacted) {
 			w.deliver(StoreLost{Reason: err.Error()})
-			w.pause(w.bounds.Pause)
+			w.noteStrain(err)
+			w.pause(w.retryPause())
 		}
 	}
 }
 
+// noteStrain counts failures of an overloaded store, which many instances that
+// read everything again would keep so.
+func (w *Watcher) noteStrain(err error) {
+	w.strain = min(w.strain+1, maxStrain)
+	if !eris.Is(err, ErrOverloaded) {
+		w.strain = 0
+	}
+}
+
+// maxStrain bounds the doublings of the pause and of the time for an answer.
+const maxStrain = 4
+
+// retryPause doubles with the strain. Instances that failed together do not try
+// again together.
+func (w *Watcher) retryPause() time.Duration {
+	pause := w.bounds.Pause << w.strain
+	if w.strain == 0 {
+		return pause
+	}
+	return pause/2 + rand.N(pause)
+}
+
 func (w *Watcher) read() (Revision, error) {
-	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Answer)
+	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Answer<<w.strain)
 	defer cancel()
 	asked := clock.Now()
 	snapshot, err := w.source.Snapshot(ctx)
@@ -91,6 +117,7 @@
 	}
 	w.deliver(StoreSeen{Snapshot: snapshot, Since: w.current})
 	w.current = asked
+	w.strain = 0
 	return snapshot.Revision, nil
 }
 
