Name refusals by reason and give them their codes in each front end

Cause: pkg/core and pkg/session named refusals by PostgreSQL's SQLSTATE, which the line protocol of the users' platform then mapped to its own codes. A member's refusal of a write as read-only is a field of the answer that pkg/targetio sets.

--- a/pkg/callerio/answer.go
+++ b/pkg/callerio/answer.go
@@ -19,18 +19,18 @@
 )
 
 // hints tell what a caller can do about an error of the proxy.
-var hints = map[string]string{
-	core.StateUncertain:       "Check whether the statement took effect before repeating it.",
-	core.StateRateExceeded:    "Send fewer statements, or retry after a pause.",
-	core.StateDeadline:        "Retry later, or raise the deadline of the entry.",
-	core.StateNoPrimary:       "Retry after a few seconds.",
-	core.StateNoMember:        "Retry after a few seconds.",
-	core.StateOverloaded:      "Retry after a pause.",
-	core.StateDatabaseLeaving: "The database is being removed; use another entry.",
-	core.StateStopping:        "Reconnect; another instance takes the connection.",
-	core.StateKeyRevoked:      "Connect with a key that is still valid.",
-	core.StateNotSupported:    "Use INSERT and SELECT statements instead.",
-	core.StateReadOnlyRoute:   "Use an entry that allows writes.",
+var hints = map[core.Reason]string{
+	core.ReasonUncertain:       "Check whether the statement took effect before repeating it.",
+	core.ReasonRateExceeded:    "Send fewer statements, or retry after a pause.",
+	core.ReasonDeadline:        "Retry later, or raise the deadline of the entry.",
+	core.ReasonNoPrimary:       "Retry after a few seconds.",
+	core.ReasonNoMember:        "Retry after a few seconds.",
+	core.ReasonOverloaded:      "Retry after a pause.",
+	core.ReasonDatabaseLeaving: "The database is being removed; use another entry.",
+	core.ReasonStopping:        "Reconnect; another instance takes the connection.",
+	core.ReasonKeyRevoked:      "Connect with a key that is still valid.",
+	core.ReasonNotSupported:    "Use INSERT and SELECT statements instead.",
+	core.ReasonReadOnlyEntry:   "Use an entry that allows writes.",
 }
 
 func outcomeDetail(o core.Outcome) string {
@@ -38,7 +38,7 @@
 }
 
 func failureOf(r *core.Refusal, severity string) wire.Failure {
-	f := wire.Failure{Severity: severity, SQLState: r.SQLState, Message: r.Message, Hint: hints[r.SQLState]}
+	f := wire.Failure{Severity: severity, SQLState: SQLState(r.Reason), Message: r.Message, Hint: hints[r.Reason]}
 	if r.Outcome != "" {
 		f.Detail = outcomeDetail(r.Outcome)
 	}
--- a/pkg/callerio/bench_test.go
+++ b/pkg/callerio/bench_test.go
@@ -49,7 +49,7 @@
 			input = input[n:]
 			if event, ok := events.Pop(); ok {
 				checkPayload(t, event.(session.CallerRequest).Request)
-				c.duty.command(session.CallerFail{Caller: c.id, Refusal: core.NotRun(core.StateOverloaded, "busy"), TxStatus: 'T'})
+				c.duty.command(session.CallerFail{Caller: c.id, Refusal: core.NotRun(core.ReasonOverloaded, "busy"), TxStatus: 'T'})
 			}
 		}
 	})
--- a/pkg/callerio/caller.go
+++ b/pkg/callerio/caller.go
@@ -206,7 +206,7 @@
 	c.unread = true
 	c.fault = wire.Failure{
 		Severity: wire.SeverityFatal,
-		SQLState: core.StateProtocolViolation,
+		SQLState: SQLState(core.ReasonProtocolViolation),
 		Message:  reason,
 	}
 	if c.serving() {
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -89,10 +89,10 @@
 	}
 	out := wire.AppendFailure(nil, wire.Failure{
 		Severity: wire.SeverityError,
-		SQLState: core.StateNotSupported,
+		SQLState: SQLState(core.ReasonNotSupported),
 		Message:  "the function call protocol is not supported",
 		Detail:   outcomeDetail(core.OutcomeNotRun),
-		Hint:     hints[core.StateNotSupported],
+		Hint:     hints[core.ReasonNotSupported],
 	})
 	c.write(wire.Append(out, &pgproto3.ReadyForQuery{TxStatus: c.txStatus}))
 	return true
--- a/pkg/callerio/request_test.go
+++ b/pkg/callerio/request_test.go
@@ -206,7 +206,7 @@
 	expect[session.CallerRequest](h)
 	h.send(session.CallerFail{Caller: p.id, Refusal: core.Uncertain("no confirmation"), TxStatus: 'E'})
 	failed := receive[*pgproto3.ErrorResponse](p)
-	require.Equal(t, core.StateUncertain, failed.Code)
+	require.Equal(t, SQLState(core.ReasonUncertain), failed.Code)
 	require.Equal(t, "outcome: uncertain", failed.Detail)
 	require.Equal(t, byte('E'), receive[*pgproto3.ReadyForQuery](p).TxStatus)
 
@@ -230,7 +230,7 @@
 	receive[*pgproto3.ReadyForQuery](p)
 
 	p.write(&pgproto3.FunctionCall{Function: 1})
-	require.Equal(t, core.StateNotSupported, receive[*pgproto3.ErrorResponse](p).Code)
+	require.Equal(t, SQLState(core.ReasonNotSupported), receive[*pgproto3.ErrorResponse](p).Code)
 	receive[*pgproto3.ReadyForQuery](p)
 }
 
@@ -253,7 +253,7 @@
 		_, err := p.conn.Write(input)
 		require.NoError(t, err)
 		refused := receive[*pgproto3.ErrorResponse](p)
-		require.Equal(t, core.StateProtocolViolation, refused.Code)
+		require.Equal(t, SQLState(core.ReasonProtocolViolation), refused.Code)
 		require.Equal(t, "FATAL", refused.Severity)
 		p.conn.Close()
 		require.Equal(t, p.id, expect[session.CallerClosed](h).Caller)
--- a/pkg/callerio/startup.go
+++ b/pkg/callerio/startup.go
@@ -283,7 +283,7 @@
 func (c *caller) sendRefusal() {
 	c.fault = wire.Failure{
 		Severity: wire.SeverityFatal,
-		SQLState: core.StateWrongKey,
+		SQLState: SQLState(core.ReasonWrongKey),
 		Message:  "authentication failed",
 		Detail:   outcomeDetail(core.OutcomeNotRun),
 	}
@@ -294,10 +294,10 @@
 	c.duty.report(c, NoteNoCapacity, "")
 	c.fault = wire.Failure{
 		Severity: wire.SeverityFatal,
-		SQLState: core.StateOverloaded,
+		SQLState: SQLState(core.ReasonOverloaded),
 		Message:  "the instance could not admit the connection in time",
 		Detail:   outcomeDetail(core.OutcomeNotRun),
-		Hint:     hints[core.StateOverloaded],
+		Hint:     hints[core.ReasonOverloaded],
 	}
 	c.sendFault()
 }
--- a/pkg/callerio/startup_test.go
+++ b/pkg/callerio/startup_test.go
@@ -52,7 +52,7 @@
 		refused := p.authenticate(c.key)
 		require.NotNil(t, refused, "%+v", c)
 		require.Equal(t, "FATAL", refused.Severity)
-		require.Equal(t, core.StateWrongKey, refused.Code)
+		require.Equal(t, SQLState(core.ReasonWrongKey), refused.Code)
 		require.Equal(t, "authentication failed", refused.Message)
 		require.Equal(t, "outcome: not run", refused.Detail)
 	}
@@ -79,7 +79,7 @@
 	require.True(t, h.duty.Ring().TryPush(Input{Control: Publish{Catalogue: revoked}}))
 	require.Eventually(t, func() bool { return h.duty.Ring().Len() == 0 }, testWait, time.Millisecond)
 	p.write(&pgproto3.SASLResponse{Data: []byte(final)})
-	require.Equal(t, core.StateWrongKey, receive[*pgproto3.ErrorResponse](p).Code)
+	require.Equal(t, SQLState(core.ReasonWrongKey), receive[*pgproto3.ErrorResponse](p).Code)
 }
 
 // Guards against a delay without bound, and one that hits other addresses.
@@ -101,8 +101,8 @@
 func TestInvalidStartup(t *testing.T) {
 	h := start(t, Config{}, 64)
 	cases := map[string][]byte{
-		core.StateProtocolViolation: {0, 0, 0, 9, 0, 9, 0, 0, 0},
-		stateInvalidParameter:       wire.Append(nil, startupMessage("roads", "public", "sassafrasshunt.position", "x")),
+		SQLState(core.ReasonProtocolViolation): {0, 0, 0, 9, 0, 9, 0, 0, 0},
+		stateInvalidParameter:                  wire.Append(nil, startupMessage("roads", "public", "sassafrasshunt.position", "x")),
 	}
 	for state, packet := range cases {
 		p := h.dial()
@@ -115,7 +115,7 @@
 	receive[*pgproto3.AuthenticationSASL](clear)
 	clear.write(&pgproto3.PasswordMessage{Password: "first"})
 	refused := receive[*pgproto3.ErrorResponse](clear)
-	require.Equal(t, core.StateProtocolViolation, refused.Code)
+	require.Equal(t, SQLState(core.ReasonProtocolViolation), refused.Code)
 	require.NotContains(t, refused.Message, "first")
 	h.open()
 }
@@ -160,9 +160,9 @@
 	p := h.dial()
 	p.write(startupMessage("roads", "public"))
 	id := expect[session.CallerOpened](h).Caller
-	h.send(session.CallerClose{Caller: id, Refusal: core.NotRun(core.StateStopping, "stopping")})
+	h.send(session.CallerClose{Caller: id, Refusal: core.NotRun(core.ReasonStopping, "stopping")})
 	refused := receive[*pgproto3.ErrorResponse](p)
-	require.Equal(t, core.StateStopping, refused.Code)
+	require.Equal(t, SQLState(core.ReasonStopping), refused.Code)
 	require.NotEmpty(t, refused.Hint)
 	require.Equal(t, id, expect[session.CallerClosed](h).Caller)
 }
--- a/pkg/core/refusal.go
+++ b/pkg/core/refusal.go
@@ -11,45 +11,51 @@
 	OutcomeUncertain Outcome = "uncertain"
 )
 
+// Reason is why the proxy refuses. Each front end has its own code for it.
+type Reason string
+
+// Reasons of refusals. docs/errors.md explains each one.
+const (
+	ReasonUncertain          Reason = "uncertain"
+	ReasonRateExceeded       Reason = "rate exceeded"
+	ReasonDeadline           Reason = "deadline"
+	ReasonNoPrimary          Reason = "no primary"
+	ReasonNoMember           Reason = "no member"
+	ReasonOverloaded         Reason = "overloaded"
+	ReasonDatabaseLeaving    Reason = "database leaving"
+	ReasonStopping           Reason = "stopping"
+	ReasonKeyRevoked         Reason = "key revoked"
+	ReasonWrongKey           Reason = "wrong key"
+	ReasonNoEntry            Reason = "no entry"
+	ReasonProtocolViolation  Reason = "protocol violation"
+	ReasonNotSupported       Reason = "not supported"
+	ReasonReadOnlyEntry      Reason = "read-only entry"
+	ReasonTransactionAborted Reason = "transaction aborted"
+	ReasonCancelled          Reason = "cancelled"
+	ReasonInvalidParameter   Reason = "invalid parameter"
+	ReasonUnknownParameter   Reason = "unknown parameter"
+	ReasonActiveTransaction  Reason = "active transaction"
+)
+
 // Refusal is an error that the proxy itself answers. It never holds a key.
 type Refusal struct {
-	// SQLState is the five-character code that the caller sees.
-	SQLState string
-	Outcome  Outcome
-	Message  string
+	Reason  Reason
+	Outcome Outcome
+	Message string
 	// Fatal closes the caller's connection after the answer.
 	Fatal bool
 }
 
 func (r *Refusal) Error() string {
-	return r.Message + " (" + string(r.Outcome) + ", SQLSTATE " + r.SQLState + ")"
+	return r.Message + " (" + string(r.Outcome) + ", " + string(r.Reason) + ")"
 }
 
-// SQLSTATEs that the proxy makes. docs/errors.md explains each one.
-const (
-	StateUncertain          = "40003"
-	StateRateExceeded       = "SH001"
-	StateDeadline           = "SH002"
-	StateNoPrimary          = "SH003"
-	StateNoMember           = "SH004"
-	StateOverloaded         = "SH005"
-	StateDatabaseLeaving    = "SH006"
-	StateStopping           = "SH007"
-	StateKeyRevoked         = "SH008"
-	StateWrongKey           = "28P01"
-	StateNoEntry            = "3D000"
-	StateProtocolViolation  = "08P01"
-	StateNotSupported       = "0A000"
-	StateReadOnlyRoute      = "25006"
-	StateTransactionAborted = "40000"
-)
-
 // NotRun returns a refusal with the outcome "not run".
-func NotRun(state, message string) *Refusal {
-	return &Refusal{SQLState: state, Outcome: OutcomeNotRun, Message: message}
+func NotRun(reason Reason, message string) *Refusal {
+	return &Refusal{Reason: reason, Outcome: OutcomeNotRun, Message: message}
 }
 
 // Uncertain returns a refusal with the outcome "uncertain".
 func Uncertain(message string) *Refusal {
-	return &Refusal{SQLState: StateUncertain, Outcome: OutcomeUncertain, Message: message}
+	return &Refusal{Reason: ReasonUncertain, Outcome: OutcomeUncertain, Message: message}
 }
--- a/pkg/instance/decisions.go
+++ b/pkg/instance/decisions.go
@@ -26,7 +26,7 @@
 		"waited_ms": d.Waited.Milliseconds(),
 	}
 	if d.Refusal != nil {
-		fields["state"] = d.Refusal.SQLState
+		fields["reason"] = string(d.Refusal.Reason)
 		fields["outcome"] = string(d.Refusal.Outcome)
 	}
 	if d.MemberError != "" {
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -99,8 +99,8 @@
 	for _, name := range sorted(counters) {
 		p.add("sassafrasshunt_"+name, "", counters[name])
 	}
-	for _, state := range sorted(i.Refusals) {
-		p.add("sassafrasshunt_refusals_total", label("state", state), float64(i.Refusals[state]))
+	for _, reason := range sorted(i.Refusals) {
+		p.add("sassafrasshunt_refusals_total", label("reason", string(reason)), float64(i.Refusals[reason]))
 	}
 	for _, account := range sorted(i.Accounts) {
 		p.account(account, i.Accounts[account])
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -8,18 +8,9 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
-// SQLSTATEs of PostgreSQL that the proxy answers for its own parameters and
-// for a cancelled statement that was not sent.
-const (
-	stateQueryCanceled    = "57014"
-	stateInvalidParameter = "22023"
-	stateUnknownParameter = "42704"
-	stateActiveBlock      = "25001"
-)
-
 // refuse answers the statement with an error of the proxy.
 func (s *statement) refuse(refusal *core.Refusal) {
-	s.outcome = refusal.SQLState
+	s.outcome = string(refusal.Reason)
 	s.refusal = refusal
 	s.c.account.metrics.Refused++
 	s.c.e.fail(s.c, refusal)
@@ -27,24 +18,24 @@
 
 // notRun refuses the statement, unless a part of an earlier attempt may have
 // run: the outcome is then uncertain.
-func (s *statement) notRun(state, message string) {
+func (s *statement) notRun(reason core.Reason, message string) {
 	if s.mayHaveRun {
 		s.answerUncertain()
 		return
 	}
-	s.refuse(core.NotRun(state, message))
+	s.refuse(core.NotRun(reason, message))
 }
 
 func (s *statement) refuseRate() {
 	e := s.c.e
 	if !e.keyTrusted(s.c) {
-		s.notRun(core.StateKeyRevoked, "it cannot be checked at present whether the key was revoked")
+		s.notRun(core.ReasonKeyRevoked, "it cannot be checked at present whether the key was revoked")
 		return
 	}
 	if e.now.After(e.shareUntil) || s.c.account.bucket.rate <= 0 {
 		e.metrics.RateUnknown++
 	}
-	s.notRun(core.StateRateExceeded, s.c.account.rateReason())
+	s.notRun(core.ReasonRateExceeded, s.c.account.rateReason())
 }
 
 // rateReason tells what limits the account here.
@@ -62,39 +53,39 @@
 }
 
 func (s *statement) refuseUnsupported() {
-	s.notRun(core.StateNotSupported, "not supported by the proxy: "+s.verdict.Reason)
+	s.notRun(core.ReasonNotSupported, "not supported by the proxy: "+s.verdict.Reason)
 }
 
 func (s *statement) refuseReadOnly() {
-	s.notRun(core.StateReadOnlyRoute, "the entry is read-only")
+	s.notRun(core.ReasonReadOnlyEntry, "the entry is read-only")
 }
 
 func (s *statement) refuseLeaving() {
-	s.notRun(core.StateDatabaseLeaving, "the database is leaving")
+	s.notRun(core.ReasonDatabaseLeaving, "the database is leaving")
 }
 
 func (s *statement) refuseOverloaded() {
-	s.notRun(core.StateOverloaded, "this instance is overloaded")
+	s.notRun(core.ReasonOverloaded, "this instance is overloaded")
 }
 
 func (s *statement) refuseDeadline() {
 	if s.member != nil && s.member.queue.Len() >= s.c.e.cfg.QueueLimit {
-		s.notRun(core.StateOverloaded, "the queue of the member is full")
+		s.notRun(core.ReasonOverloaded, "the queue of the member is full")
 		return
 	}
-	s.notRun(core.StateDeadline, "the statement cannot be served before its deadline")
+	s.notRun(core.ReasonDeadline, "the statement cannot be served before its deadline")
 }
 
 func (s *statement) refuseNoMember() {
-	s.notRun(core.StateNoMember, "no member can serve this read: "+s.reason)
+	s.notRun(core.ReasonNoMember, "no member can serve this read: "+s.reason)
 }
 
 func (s *statement) refuseNoPrimary() {
-	s.notRun(core.StateNoPrimary, "the database has no primary")
+	s.notRun(core.ReasonNoPrimary, "the database has no primary")
 }
 
 func (s *statement) refuseCancelled() {
-	s.notRun(stateQueryCanceled, "cancelled before it was sent to a target")
+	s.notRun(core.ReasonCancelled, "cancelled before it was sent to a target")
 }
 
 // answerUncertain reports that the statement may or may not have run. Results
@@ -157,7 +148,7 @@
 	}
 	millis, err := strconv.ParseUint(s.verdict.Value, 10, 31)
 	if err != nil {
-		s.notRun(stateInvalidParameter, "invalid value for "+ownMaxAge)
+		s.notRun(core.ReasonInvalidParameter, "invalid value for "+ownMaxAge)
 		return
 	}
 	s.c.maxAge = time.Duration(millis) * time.Millisecond
@@ -178,5 +169,5 @@
 }
 
 func (s *statement) unknownParameter() {
-	s.notRun(stateUnknownParameter, "unrecognized configuration parameter "+strconv.Quote(s.verdict.Name))
+	s.notRun(core.ReasonUnknownParameter, "unrecognized configuration parameter "+strconv.Quote(s.verdict.Name))
 }
--- a/pkg/session/arrivals.go
+++ b/pkg/session/arrivals.go
@@ -95,5 +95,5 @@
 // notConfigured refuses callers before the first configuration; nothing is known
 // of their entry or key.
 func notConfigured() *core.Refusal {
-	return core.NotRun(core.StateStopping, "this instance has no configuration yet, please reconnect")
+	return core.NotRun(core.ReasonStopping, "this instance has no configuration yet, please reconnect")
 }
--- a/pkg/session/arrivals_test.go
+++ b/pkg/session/arrivals_test.go
@@ -57,11 +57,11 @@
 	h = newStarting(t)
 	h.open(1, core.Position{})
 	h.wait(testHomeWait)
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 
 	h = newStarting(t)
 	h.open(1, core.Position{})
 	h.do(Drain{})
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 	require.Contains(t, h.control, Drained{})
 }
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -89,7 +89,7 @@
 	sent := h.countSent()
 	h.order(1, "write", write)
 	require.Equal(t, sent, h.countSent(), "the transaction's connection went with the replaced primary")
-	h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun)
 }
 
 // Guards against a read by a member that may lack a commit acknowledged before
@@ -212,7 +212,7 @@
 	h.answer(target, 'T', term(1, 100))
 	h.do(TargetClosed{Target: target, Unsent: true})
 	h.order(1, "write", write)
-	require.EqualValues(t, TxIdle, h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.EqualValues(t, TxIdle, h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun))
 }
 
 // Guards against an answer that is cut off because its key was revoked.
@@ -225,7 +225,7 @@
 	h.answer(s.Target, TxIdle, term(1, 101))
 	require.Len(t, h.callers, 3)
 	require.IsType(t, CallerWrite{}, h.callers[1])
-	h.closedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+	h.closedWith(core.ReasonKeyRevoked, core.OutcomeNotRun)
 }
 
 // Guards against a connection that is held while its caller has not asked for
@@ -275,7 +275,7 @@
 	require.IsType(t, CallerReply{}, h.last())
 	h.order(1, "write", write)
 	h.answer(h.sent().Target, TxIdle, term(1, 100))
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 }
 
 // Guards against a member that is taken for silent although it refuses
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -192,7 +192,7 @@
 	if !c.e.stopping {
 		reason = "this instance is cut off, please reconnect"
 	}
-	c.close(core.NotRun(core.StateStopping, reason))
+	c.close(core.NotRun(core.ReasonStopping, reason))
 }
 
 func (c *caller) tellEnded() {
@@ -200,19 +200,19 @@
 }
 
 func (c *caller) tellIdleTooLong() {
-	c.close(core.NotRun(core.StateStopping, "the session was idle for too long"))
+	c.close(core.NotRun(core.ReasonStopping, "the session was idle for too long"))
 }
 
 func (c *caller) noteViolation() {
-	c.ending = core.NotRun(core.StateProtocolViolation, "a request arrived before the last one was answered")
+	c.ending = core.NotRun(core.ReasonProtocolViolation, "a request arrived before the last one was answered")
 }
 
 func (c *caller) close(refusal *core.Refusal) {
 	refusal.Fatal = true
-	c.e.metrics.Refusals[refusal.SQLState]++
+	c.e.metrics.Refusals[refusal.Reason]++
 	c.e.toCaller(c.id, CallerClose{Caller: c.id, Refusal: refusal})
 }
 
 func rolledBack(message string) *core.Refusal {
-	return core.NotRun(core.StateTransactionAborted, "transaction rolled back: "+message)
+	return core.NotRun(core.ReasonTransactionAborted, "transaction rolled back: "+message)
 }
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -32,17 +32,17 @@
 // refuseOpening resolves the caller's route, or returns why there is none.
 func (e *Engine) refuseOpening(c *caller, in CallerOpened) *core.Refusal {
 	if e.stopping {
-		return core.NotRun(core.StateStopping, "this instance is stopping, please reconnect")
+		return core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect")
 	}
 	if e.catalogue == nil {
 		return notConfigured()
 	}
 	c.entry = e.entries[in.Entry]
 	if c.entry == nil && in.Account == "" {
-		return core.NotRun(core.StateNoEntry, "no entry has this name")
+		return core.NotRun(core.ReasonNoEntry, "no entry has this name")
 	}
 	if c.entry == nil {
-		return core.NotRun(core.StateWrongKey, "no such entry for this account")
+		return core.NotRun(core.ReasonWrongKey, "no such entry for this account")
 	}
 	c.account = c.entry.account
 	c.db = c.entry.db
@@ -63,7 +63,7 @@
 		return nil
 	}
 	if !c.entry.definition.Open {
-		return core.NotRun(core.StateWrongKey, "the key is not known")
+		return core.NotRun(core.ReasonWrongKey, "the key is not known")
 	}
 	c.key = ""
 	c.account = e.anonymous
@@ -85,10 +85,10 @@
 
 func (e *Engine) refuseKey(c *caller, claimed core.AccountName) *core.Refusal {
 	if claimed != c.account.name || c.key == "" {
-		return core.NotRun(core.StateWrongKey, "no such entry for this account")
+		return core.NotRun(core.ReasonWrongKey, "no such entry for this account")
 	}
 	if !c.account.holds(c.key) {
-		return core.NotRun(core.StateKeyRevoked, "the key is revoked")
+		return core.NotRun(core.ReasonKeyRevoked, "the key is revoked")
 	}
 	return nil
 }
@@ -138,7 +138,7 @@
 
 // fail answers the caller's request with an error.
 func (e *Engine) fail(c *caller, refusal *core.Refusal) {
-	e.metrics.Refusals[refusal.SQLState]++
+	e.metrics.Refusals[refusal.Reason]++
 	if e.cfg.AsyncReplication && c.inTransaction() {
 		// A refusal says that nothing is kept, so the transaction ends with it.
 		c.abandonTarget()
@@ -168,7 +168,7 @@
 // cutOff ends the callers that are left when the bound of the stop has passed.
 func (e *Engine) cutOff() {
 	for _, c := range e.callers {
-		c.end(core.NotRun(core.StateStopping, "this instance is stopping, please reconnect"))
+		c.end(core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect"))
 	}
 }
 
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -28,20 +28,20 @@
 	h.do(CallerOpened{Caller: 3, Account: "acct", Entry: "entry", Key: "k2"})
 	before := len(h.callers)
 	h.changed(func(c *catalogue.Catalogue) { c.Accounts[0].Keys[0].Revoked = true })
-	states := map[CallerID]string{}
+	states := map[CallerID]core.Reason{}
 	for _, c := range h.callers[before:] {
 		closed := c.(CallerClose)
-		states[closed.Caller] = closed.Refusal.SQLState
+		states[closed.Caller] = closed.Refusal.Reason
 	}
-	require.Equal(t, map[CallerID]string{1: core.StateKeyRevoked, 2: core.StateUncertain}, states)
+	require.Equal(t, map[CallerID]core.Reason{1: core.ReasonKeyRevoked, 2: core.ReasonUncertain}, states)
 	require.Contains(t, h.targets, TargetClose{Target: s.Target})
 	h.open(4, at100)
-	h.closedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+	h.closedWith(core.ReasonKeyRevoked, core.OutcomeNotRun)
 	h.do(CallerOpened{Caller: 5, Account: "other", Entry: "entry", Key: "k2"})
-	h.closedWith(core.StateWrongKey, core.OutcomeNotRun)
+	h.closedWith(core.ReasonWrongKey, core.OutcomeNotRun)
 	h.do(KeysTrusted{Until: h.now.Add(-time.Second)})
 	h.ask(3, "read", read)
-	h.refusedWith(core.StateKeyRevoked, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonKeyRevoked, core.OutcomeNotRun)
 }
 
 // Guards against a graceful stop that cuts off a request or transaction, or
@@ -54,13 +54,13 @@
 	s := h.run(2, "begin", begin)
 	h.ready(s.Target, 'T', core.Position{})
 	h.do(Drain{})
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 	s = h.run(2, "read", read)
 	h.ready(s.Target, 'T', core.Position{})
 	s = h.run(2, "commit", commit)
 	h.ready(s.Target, 'I', core.Position{})
 	require.Contains(t, h.callers, CallerWrite{Caller: 2, Frames: []byte("ready"), Done: true, TxStatus: txIdle})
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 	require.Contains(t, h.control, Drained{})
 
 	h = newHarness(t, nil)
@@ -71,7 +71,7 @@
 	h.e.cfg.Bounds.Deadline = time.Hour
 	h.now = h.now.Add(h.e.cfg.Bounds.Drain)
 	h.e.cutOff()
-	h.closedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.closedWith(core.ReasonUncertain, core.OutcomeUncertain)
 	h.wait(time.Second)
 	require.Contains(t, h.control, Drained{})
 }
@@ -87,7 +87,7 @@
 	h.ready(s.Target, 'T', core.Position{})
 	running := h.run(3, "read", read)
 	h.do(ReleaseIdle{})
-	h.closedWith(core.StateStopping, core.OutcomeNotRun)
+	h.closedWith(core.ReasonStopping, core.OutcomeNotRun)
 	require.Len(t, h.e.callers, 2)
 	h.ready(running.Target, 'I', core.Position{})
 	s = h.run(2, "commit", commit)
@@ -109,15 +109,15 @@
 	h.ready(s.Target, 'T', core.Position{})
 	h.ask(2, "read", read)
 	h.changed(func(c *catalogue.Catalogue) { c.Databases[0].State = catalogue.DatabaseLeaving })
-	h.refusedWith(core.StateDatabaseLeaving, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonDatabaseLeaving, core.OutcomeNotRun)
 	s = h.run(1, "write", write)
 	h.ready(s.Target, 'T', core.Position{})
 	h.wait(h.e.cfg.Bounds.Leaving + time.Millisecond)
 	h.ask(1, "write", write)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun))
 	require.Contains(t, h.targets, TargetClose{Target: s.Target})
 	h.ask(2, "write", write)
-	h.refusedWith(core.StateDatabaseLeaving, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonDatabaseLeaving, core.OutcomeNotRun)
 }
 
 // Guards against settings of one session that another one meets on the same
@@ -172,7 +172,7 @@
 	s = h.run(1, "read", read)
 	h.do(TargetData{Target: s.Target, Frames: []byte("row")})
 	h.wait(h.e.cfg.Bounds.StreamStall)
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 }
 
 // Guards against a cancel request that hits another caller's statement, and
@@ -203,7 +203,7 @@
 	h.ready(s.Target, 'I', core.Position{})
 	h.do(CallerRequest{Caller: 1, Request: &Request{Texts: []string{"read"}, Arrived: h.now.Add(-4 * time.Second)}})
 	h.do(ClassifyResult{Caller: 1, Sequence: h.e.sequence, Verdict: Verdict{Hints: Hints{MaxAge: -1}}})
-	h.refusedWith(core.StateDeadline, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonDeadline, core.OutcomeNotRun)
 	require.Equal(t, 1, h.countSent())
 }
 
@@ -221,7 +221,7 @@
 	require.Equal(t, 1, h.countSent())
 	h.now = h.now.Add(100 * time.Millisecond)
 	h.ask(2, "read", read)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun))
 	h.wait(time.Millisecond)
 	h.do(ClassifyResult{Caller: 1, Sequence: h.classify[len(h.classify)-1].Sequence, Verdict: write})
 	require.Equal(t, 2, h.countSent())
@@ -229,7 +229,7 @@
 	bucket.rate = 0
 	h.ask(1, "write", write)
 	h.wait(3 * time.Second)
-	require.Equal(t, byte('T'), h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun))
+	require.Equal(t, byte('T'), h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun))
 }
 
 // Guards against work that is queued although it cannot be served in time.
@@ -246,7 +246,7 @@
 	for id := CallerID(1); id <= 20; id++ {
 		h.ask(id, "read", read)
 		if fail, ok := h.last().(CallerFail); ok && fail.Caller == id {
-			h.refusedWith(core.StateDeadline, core.OutcomeNotRun)
+			h.refusedWith(core.ReasonDeadline, core.OutcomeNotRun)
 			refused++
 		}
 	}
@@ -265,7 +265,7 @@
 	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target), "no staleness is accepted")
 	h.ready(s.Target, 'I', core.Position{})
 	h.ask(1, "", Verdict{Kind: KindOwnSet, Name: ownMaxAge, Value: "x"})
-	h.refusedWith("22023", core.OutcomeNotRun)
+	h.refusedWith(core.ReasonInvalidParameter, core.OutcomeNotRun)
 	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
 	require.Equal(t, core.MemberID("m0"), h.memberOf(s.Target))
 	answers := len(h.callers)
@@ -280,7 +280,7 @@
 	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
 	h.ready(s.Target, 'I', core.Position{})
 	h.view(2, "m1", 200, 200, 200)
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 	s = h.run(1, "begin", begin)
 	h.ready(s.Target, 'T', core.Position{})
 	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus, Value: "u"})
--- a/pkg/session/fenced_test.go
+++ b/pkg/session/fenced_test.go
@@ -9,7 +9,7 @@
 )
 
 func (h *harness) refuseReadOnly(target TargetID) {
-	h.do(TargetReady{Target: target, Frames: []byte("25006"), TxStatus: 'I', ErrorState: core.StateReadOnlyRoute})
+	h.do(TargetReady{Target: target, Frames: []byte("25006"), TxStatus: 'I', ErrorState: "25006", ReadOnly: true})
 }
 
 // Guards against a change of primary that a caller sees as a refused write,
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -166,18 +166,18 @@
 }
 
 // refusedWith checks the newest answer and returns its transaction status.
-func (h *harness) refusedWith(state string, outcome core.Outcome) byte {
+func (h *harness) refusedWith(reason core.Reason, outcome core.Outcome) byte {
 	fail, ok := h.last().(CallerFail)
 	require.True(h.t, ok, "%#v", h.last())
-	require.Equal(h.t, state, fail.Refusal.SQLState, fail.Refusal.Message)
+	require.Equal(h.t, reason, fail.Refusal.Reason, fail.Refusal.Message)
 	require.Equal(h.t, outcome, fail.Refusal.Outcome)
 	return fail.TxStatus
 }
 
-func (h *harness) closedWith(state string, outcome core.Outcome) {
+func (h *harness) closedWith(reason core.Reason, outcome core.Outcome) {
 	c, ok := h.last().(CallerClose)
 	require.True(h.t, ok, "%#v", h.last())
-	require.Equal(h.t, state, c.Refusal.SQLState)
+	require.Equal(h.t, reason, c.Refusal.Reason)
 	require.Equal(h.t, outcome, c.Refusal.Outcome)
 	require.True(h.t, c.Refusal.Fatal)
 }
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -131,8 +131,10 @@
 	TxStatus byte
 	// Position is the log position reported with this answer, zero if none.
 	Position core.Position
-	// ErrorState is the SQLSTATE of an error in the answer, empty if none.
+	// ErrorState is the member's code for an error in the answer, empty if none.
 	ErrorState string
+	// ReadOnly is set when the error says that the member takes no writes.
+	ReadOnly bool
 	// Denial is set when the member said that the request did not run.
 	Denial Denial
 	// LogEnd is the end of the member's log, zero if not reported.
--- a/pkg/session/inspect.go
+++ b/pkg/session/inspect.go
@@ -23,7 +23,7 @@
 	PrimaryReads       uint64                                 `json:"primary_reads"`
 	WritesAcknowledged uint64                                 `json:"writes_acknowledged"`
 	WritesUncertain    uint64                                 `json:"writes_uncertain"`
-	Refusals           map[string]uint64                      `json:"refusals"`
+	Refusals           map[core.Reason]uint64                 `json:"refusals"`
 	RateUnknown        uint64                                 `json:"rate_refusals_without_share"`
 	Retries            uint64                                 `json:"retries"`
 	Requeued           uint64                                 `json:"requeued"`
@@ -86,14 +86,14 @@
 	answer := Inspection{
 		ReplicaReads: m.ReplicaReads, PrimaryReads: m.PrimaryReads,
 		WritesAcknowledged: m.WritesAcknowledged, WritesUncertain: m.WritesUncertain,
-		Refusals: make(map[string]uint64, len(m.Refusals)), RateUnknown: m.RateUnknown,
+		Refusals: make(map[core.Reason]uint64, len(m.Refusals)), RateUnknown: m.RateUnknown,
 		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost,
 		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
 		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
 		Transitions: e.charts.taken(),
 	}
-	for state, n := range m.Refusals {
-		answer.Refusals[state] = n
+	for reason, n := range m.Refusals {
+		answer.Refusals[reason] = n
 	}
 	for name, a := range m.Accounts {
 		answer.Accounts[name] = AccountInspection{
--- a/pkg/session/metrics.go
+++ b/pkg/session/metrics.go
@@ -22,10 +22,10 @@
 	PrimaryReads uint64
 	// WritesAcknowledged were confirmed by a majority.
 	WritesAcknowledged uint64
-	// WritesUncertain were answered with 40003.
+	// WritesUncertain were answered as uncertain.
 	WritesUncertain uint64
-	// Refusals counts the answers of the proxy itself by SQLSTATE.
-	Refusals map[string]uint64
+	// Refusals counts the answers of the proxy itself by reason.
+	Refusals map[core.Reason]uint64
 	// RateUnknown counts rate refusals while no share was in force here, so
 	// that it is not known whether the account was within its rate.
 	RateUnknown uint64
@@ -52,7 +52,7 @@
 
 func newMetrics() Metrics {
 	return Metrics{
-		Refusals: map[string]uint64{},
+		Refusals: map[core.Reason]uint64{},
 		Accounts: map[core.AccountName]*AccountMetrics{},
 	}
 }
--- a/pkg/session/overload_test.go
+++ b/pkg/session/overload_test.go
@@ -155,7 +155,7 @@
 		require.Zero(t, after.refused[account], account)
 		require.Greater(t, baseline.p99(account), 10*serviceTime, account)
 	}
-	require.NotContains(t, after.e.Metrics().Refusals, core.StateUncertain)
+	require.NotContains(t, after.e.Metrics().Refusals, core.ReasonUncertain)
 	require.Positive(t, after.refused["a"], "work that cannot be served in time is refused")
 }
 
--- a/pkg/session/prepare_test.go
+++ b/pkg/session/prepare_test.go
@@ -25,7 +25,7 @@
 		Payload: &Payload{Frames: []byte("select 1")}, Arrived: d.now,
 	}})
 	if len(d.classify) == classified {
-		d.refusedWith(core.StateRateExceeded, core.OutcomeNotRun)
+		d.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun)
 		return false
 	}
 	d.do(ClassifyResult{Caller: 1, Sequence: d.classify[classified].Sequence, Verdict: read})
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -258,7 +258,7 @@
 	s.errorState = a.ErrorState
 	c.e.toCaller(c.id, CallerWrite{Caller: c.id, Frames: a.Frames, Done: true, TxStatus: c.txStatus})
 	if a.Closing {
-		c.ending = core.NotRun(core.StateStopping, "the account's home ended the session")
+		c.ending = core.NotRun(core.ReasonStopping, "the account's home ended the session")
 	}
 }
 
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -111,14 +111,14 @@
 	v := h.relayed()
 	h.do(RelayLost{ID: v.ID, Address: v.Address})
 	require.Zero(t, h.countSent())
-	h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun)
 	h = newOrigin(t)
 	h.order(1, "begin", begin)
 	h.order(1, "commit", commit)
 	v = h.relayed()
 	require.True(t, v.Opens, "only a member's answer says that a commit succeeded")
 	h.do(RelayLost{ID: v.ID, Address: v.Address})
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 }
 
 // Guards against callers that wait for a silent home until their deadline, and
@@ -276,7 +276,7 @@
 	sent := h.countSent()
 	h.remoteAsks(3, 99, false, "write", write)
 	require.Equal(t, sent, h.countSent())
-	require.Equal(t, core.StateTransactionAborted, h.relayAnswer().Refusal.SQLState)
+	require.Equal(t, core.ReasonTransactionAborted, h.relayAnswer().Refusal.Reason)
 	peers := len(h.peers)
 	h.remoteAsks(2, 1, false, "read", read)
 	require.Equal(t, sent, h.countSent(), "a late request")
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -137,16 +137,16 @@
 // reconsider applies a new catalogue to a connected caller.
 func (c *caller) reconsider() {
 	if c.key != "" && !c.account.holds(c.key) {
-		c.loseKey(core.NotRun(core.StateKeyRevoked, "the key is revoked"))
+		c.loseKey(core.NotRun(core.ReasonKeyRevoked, "the key is revoked"))
 		return
 	}
 	now := c.e.entries[c.entry.definition.Name]
 	if now == nil || now.db != c.db || now.account != nil && now.account != c.account {
-		c.endAtBoundary(core.NotRun(core.StateDatabaseLeaving, "the entry was changed, please reconnect"))
+		c.endAtBoundary(core.NotRun(core.ReasonDatabaseLeaving, "the entry was changed, please reconnect"))
 		return
 	}
 	if !now.definition.Open && c.key == "" {
-		c.end(core.NotRun(core.StateWrongKey, "the entry now needs a key"))
+		c.end(core.NotRun(core.ReasonWrongKey, "the entry now needs a key"))
 		return
 	}
 	c.entry = now
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -18,7 +18,7 @@
 	h.ask(1, "read", read)
 	require.Contains(t, h.control, NeedApplied{Database: "db", Position: core.Position{Term: 2, LSN: 100}})
 	h.wait(h.e.cfg.Bounds.ReplicaWait)
-	h.refusedWith(core.StateNoMember, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonNoMember, core.OutcomeNotRun)
 	require.Zero(t, h.countSent())
 }
 
@@ -83,7 +83,7 @@
 		s := h.run(1, "write", write)
 		h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 110})
 		newer(h)
-		h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+		h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 		require.Equal(t, uint64(1), h.e.Metrics().WritesUncertain)
 	}
 }
@@ -110,7 +110,7 @@
 	s = h.run(1, "write", write)
 	h.ready(s.Target, 'I', core.Position{Term: 1, LSN: 120})
 	h.wait(h.e.cfg.Bounds.Confirm)
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 }
 
 // Guards against a false "not run" for a COMMIT, and against a transaction that
@@ -130,11 +130,11 @@
 		return h
 	}
 	h := lose([]string{"begin", "commit"}, []Verdict{begin, commit}, false)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateUncertain, core.OutcomeUncertain))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain))
 	h = lose([]string{"begin", "commit"}, []Verdict{begin, commit}, true)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun))
 	h = lose([]string{"begin", "write"}, []Verdict{begin, write}, false)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun))
 
 	h = newHarness(t, nil)
 	h.open(1, at100)
@@ -142,7 +142,7 @@
 	h.ready(s.Target, 'T', core.Position{})
 	h.do(TargetClosed{Target: s.Target})
 	h.ask(1, "commit", commit)
-	require.Equal(t, byte('I'), h.refusedWith(core.StateTransactionAborted, core.OutcomeNotRun))
+	require.Equal(t, byte('I'), h.refusedWith(core.ReasonTransactionAborted, core.OutcomeNotRun))
 	h.ask(1, "rollback", Verdict{Kind: KindEnd, Name: "rollback"})
 	require.Equal(t, CallerReply{Caller: 1, Tag: "ROLLBACK", TxStatus: 'I'}, h.last())
 }
@@ -162,13 +162,13 @@
 	require.Equal(t, 3, h.countSent())
 	h.view(1, "", 100, 100, 100)
 	h.view(2, "m1", 100, 100, 100)
-	states := map[CallerID]string{}
+	states := map[CallerID]core.Reason{}
 	for _, c := range h.callers {
 		if fail, ok := c.(CallerFail); ok {
-			states[fail.Caller] = fail.Refusal.SQLState
+			states[fail.Caller] = fail.Refusal.Reason
 		}
 	}
-	want := map[CallerID]string{1: core.StateTransactionAborted, 2: core.StateUncertain}
+	want := map[CallerID]core.Reason{1: core.ReasonTransactionAborted, 2: core.ReasonUncertain}
 	require.Equal(t, want, states)
 	s = h.run(1, "status", Verdict{Kind: KindOwnShow, Name: ownWriteStatus})
 	h.view(3, "m2", 100, 100, 100)
@@ -189,7 +189,7 @@
 	require.Equal(t, 2, h.countSent())
 	h.do(TargetData{Target: h.sent().Target, Frames: []byte("row")})
 	h.do(TargetClosed{Target: h.sent().Target})
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 	s = h.run(1, "write", Verdict{Kind: KindWrite, Hints: Hints{Idempotent: true}})
 	h.do(TargetClosed{Target: s.Target})
 	h.connect()
@@ -197,7 +197,7 @@
 	h.do(TargetClosed{Target: h.sent().Target, Unsent: true})
 	h.view(1, "", 100, 100, 100)
 	h.wait(4 * time.Second)
-	h.refusedWith(core.StateUncertain, core.OutcomeUncertain)
+	h.refusedWith(core.ReasonUncertain, core.OutcomeUncertain)
 }
 
 // Guards against a write that is refused at once, or waits for ever, while its
@@ -216,7 +216,7 @@
 	h.open(3, at100)
 	h.ask(3, "write", write)
 	h.wait(3 * time.Second)
-	require.Contains(t, h.e.Metrics().Refusals, core.StateNoPrimary)
+	require.Contains(t, h.e.Metrics().Refusals, core.ReasonNoPrimary)
 }
 
 // Guards against a member of unknown age that counts as fresh because the sum
@@ -274,11 +274,11 @@
 	bucket.tokens = 0
 	h.wait(time.Minute)
 	h.ask(1, "read", read)
-	h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun)
 	require.Equal(t, uint64(1), h.e.Metrics().RateUnknown)
 	bucket.tokens = 10
 	h.ask(1, "read", read)
-	h.refusedWith(core.StateRateExceeded, core.OutcomeNotRun)
+	h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun)
 	bucket.tokens = 0
 	h.share(6)
 	require.Zero(t, bucket.tokens, "nothing is earned for the time without a share")
--- a/pkg/session/settings.go
+++ b/pkg/session/settings.go
@@ -98,5 +98,5 @@
 }
 
 func (s *statement) refuseSettings() {
-	s.notRun(core.StateOverloaded, "the session has too many settings")
+	s.notRun(core.ReasonOverloaded, "the session has too many settings")
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -59,7 +59,9 @@
 	// position is the log position reported with the answer.
 	position   core.Position
 	errorState string
-	txStatus   byte
+	// memberReadOnly is set when the member answered that it takes no writes.
+	memberReadOnly bool
+	txStatus       byte
 	// confirming is set while the statement waits for a majority.
 	confirming bool
 	readyAt    time.Time
@@ -104,7 +106,7 @@
 	s.denial = DenialNone
 	s.opens = nil
 	s.inside = s.c.inTransaction()
-	s.position, s.errorState, s.txStatus = core.Position{}, "", txIdle
+	s.position, s.errorState, s.memberReadOnly, s.txStatus = core.Position{}, "", false, txIdle
 	s.outcome = ""
 	s.refusal = nil
 	s.relayAnswer = RelayAnswer{}
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -196,7 +196,7 @@
 	s.repeats++
 	s.sent = false
 	s.chunk, s.held = nil, nil
-	s.errorState = ""
+	s.errorState, s.memberReadOnly = "", false
 	s.c.e.metrics.Requeued++
 	if s.denial != DenialNone {
 		s.denial = DenialNone
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // Names of the proxy's own parameters.
@@ -149,7 +147,7 @@
 // the member was the primary when the write was sent and is fenced now. The
 // write certainly did not run and waits for the new primary.
 func (s *statement) refusedByFencedMember() bool {
-	if s.errorState != core.StateReadOnlyRoute || s.verdict.Kind != KindWrite || s.repeats >= fencedRepeats {
+	if !s.memberReadOnly || s.verdict.Kind != KindWrite || s.repeats >= fencedRepeats {
 		return false
 	}
 	return s.position.IsZero() && !s.c.entry.definition.ReadOnly && !s.inside && !s.c.inTransaction()
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -186,6 +186,7 @@
 	s.chunk = in.Frames
 	s.position = in.Position
 	s.errorState = in.ErrorState
+	s.memberReadOnly = in.ReadOnly
 	s.denial = in.Denial
 	asked := s.sentAt
 	t.member.noteDenial(in.Denial)
--- a/pkg/session/world_outputs_test.go
+++ b/pkg/session/world_outputs_test.go
@@ -58,7 +58,7 @@
 		return
 	}
 	w.notRun++
-	if r.SQLState == core.StateTransactionAborted {
+	if r.Reason == core.ReasonTransactionAborted {
 		w.check(!m.commitSent, "a transaction whose COMMIT was sent is reported as not run")
 		return
 	}
--- a/pkg/targetio/exchange.go
+++ b/pkg/targetio/exchange.go
@@ -19,6 +19,8 @@
 	// stateNotSupported is what PostgreSQL raises for "cached plan must not
 	// change result type".
 	stateNotSupported = "0A000"
+	// stateReadOnly is what a fenced member answers to a write.
+	stateReadOnly = "25006"
 )
 
 // exchange is one request on a connection.
@@ -294,6 +296,7 @@
 		TxStatus:   f.Body[0],
 		Position:   e.position,
 		ErrorState: e.state,
+		ReadOnly:   e.state == stateReadOnly,
 	})
 	return false
 }
--- a/standin/cmd/measure/fairness.go
+++ b/standin/cmd/measure/fairness.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"slices"
 
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/standin/load"
 )
@@ -74,7 +75,7 @@
 		}
 		p99s = append(p99s, float64(r.P99)/1000)
 		served = min(served, percent(uint64(max(good, 0)), uint64(r.Statements)))
-		refused += float64(r.Errors[core.StateRateExceeded])
+		refused += float64(r.Errors[callerio.SQLState(core.ReasonRateExceeded)])
 	}
 	slices.Sort(p99s)
 	f.worstP99 = append(f.worstP99, p99s[len(p99s)-1])
--- a/standin/cmd/measure/main.go
+++ b/standin/cmd/measure/main.go
@@ -70,7 +70,7 @@
 }
 
 func sum(addresses []string) (session.Inspection, error) {
-	total := session.Inspection{Refusals: map[string]uint64{}}
+	total := session.Inspection{Refusals: map[core.Reason]uint64{}}
 	for _, address := range addresses {
 		page, err := readPage(address)
 		if err != nil {
@@ -80,8 +80,8 @@
 		total.PrimaryReads += page.PrimaryReads
 		total.WritesAcknowledged += page.WritesAcknowledged
 		total.WritesUncertain += page.WritesUncertain
-		for state, n := range page.Refusals {
-			total.Refusals[state] += n
+		for reason, n := range page.Refusals {
+			total.Refusals[reason] += n
 		}
 	}
 	return total, nil
@@ -110,7 +110,7 @@
 		report.LongestWriteGapMS, total.WritesAcknowledged, total.WritesUncertain)
 	name, served, p99 := worst(report)
 	fmt.Printf("worst-served account: %s, %.1f %% of its statements served, p99 %.1f ms\n", name, served, float64(p99)/1000)
-	fmt.Printf("refused although within the rate: %d\n", total.Refusals[core.StateRateExceeded])
+	fmt.Printf("refused although within the rate: %d\n", total.Refusals[core.ReasonRateExceeded])
 }
 
 func percent(part, whole uint64) float64 {
