--- a/pkg/instance/hostedstatus.go
+++ b/pkg/instance/hostedstatus.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -44,16 +43,5 @@
 
 // inspectFleet asks the fleet duty for what it believes.
 func (h *Hosted) inspectFleet() (fleet.Status, bool) {
-	reply := make(chan fleet.Status, 1)
-	if !h.fleets.input.TryPush(fleet.Inspect{Reply: reply}) {
-		return fleet.Status{}, false
-	}
-	bound := time.NewTimer(inspectBound)
-	defer bound.Stop()
-	select {
-	case status := <-reply:
-		return status, true
-	case <-bound.C:
-		return fleet.Status{}, false
-	}
+	return inspect(h.fleets.input, func(reply chan<- fleet.Status) fleet.Input { return fleet.Inspect{Reply: reply} })
 }
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -10,7 +10,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// inspectBound is how long a page waits for the session duty.
+// inspectBound is how long a page waits for a duty.
 const inspectBound = time.Second
 
 // Ask hands an operator's request to the control duty.
@@ -32,17 +32,26 @@
 // inspectSession asks the session duty for a copy of its counters, with the
 // explanations of one account; empty for none.
 func inspectSession(input *ring.Ring[session.Input], account core.AccountName) (session.Inspection, bool) {
-	reply := make(chan session.Inspection, 1)
-	if !input.TryPush(session.Inspect{Account: account, Reply: reply}) {
-		return session.Inspection{}, false
+	return inspect(input, func(reply chan<- session.Inspection) session.Input {
+		return session.Inspect{Account: account, Reply: reply}
+	})
+}
+
+// inspect puts a question with room for its answer into the ring of a duty, and
+// reports false when there is no answer within inspectBound.
+func inspect[I, A any](input *ring.Ring[I], question func(reply chan<- A) I) (A, bool) {
+	var none A
+	reply := make(chan A, 1)
+	if !input.TryPush(question(reply)) {
+		return none, false
 	}
 	bound := time.NewTimer(inspectBound)
 	defer bound.Stop()
 	select {
-	case inspection := <-reply:
-		return inspection, true
+	case answer := <-reply:
+		return answer, true
 	case <-bound.C:
-		return session.Inspection{}, false
+		return none, false
 	}
 }
 
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -10,6 +10,7 @@
 	}
 }
 
+// admitCaller opens the caller's session or tells why not.
 func (e *Engine) admitCaller(in CallerOpened) {
 	c := &caller{
 		e: e, id: in.Caller, key: in.Key, trace: in.Trace,
@@ -159,6 +160,8 @@
 	}
 }
 
+// releaseIdle ends the sessions that are outside a transaction and have no
+// request. Callers that come later are admitted.
 func (e *Engine) releaseIdle() {
 	for _, c := range e.callers {
 		c.fire(e.charts.on.drain)
