Share pieces of the hosted path that stood twice, and drop dead ones

Found when reading the whole change again; behaviour stays. - pkg/fleet keeps the members by group instead of filtering all members in five places for each group and publication, and works out who is to claim which account only if one is vacant.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -61,7 +61,9 @@
 
 	configuration *Configuration
 	members       map[core.MemberID]*member
-	instances     map[string]*instance
+	// groups holds the members by their group, in the order of their identities.
+	groups    map[core.DatabaseName][]*member
+	instances map[string]*instance
 	// storeLost is set while the store cannot be read, storeBack when it could
 	// be read again.
 	storeLost bool
@@ -98,6 +100,7 @@
 		config:    config,
 		out:       out,
 		members:   map[core.MemberID]*member{},
+		groups:    map[core.DatabaseName][]*member{},
 		instances: map[string]*instance{},
 
 		successions:  map[core.DatabaseName]*succession{},
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
@@ -146,10 +147,20 @@
 	return false
 }
 
+// holder returns the instance that the record names, nil unless that run is
+// registered.
+func (h *homes) holder(record *Home) *instance {
+	i := h.e.instances[record.Node]
+	if i == nil || i.ID != record.Instance {
+		return nil
+	}
+	return i
+}
+
 // holds reports whether the record's holder is the instance at the address.
 func (h *homes) holds(record *Home, address session.PeerAddress) bool {
-	holder := h.e.instances[record.Node]
-	return holder != nil && holder.Peer == string(address) && holder.ID == record.Instance
+	holder := h.holder(record)
+	return holder != nil && holder.Peer == string(address)
 }
 
 const (
@@ -184,11 +195,11 @@
 		}
 		return
 	}
-	nodes := e.liveNodes()
-	assigned := homing.Assign(e.homingAccounts(), nodes)
+	// Most of the time every account is held, and no order is needed.
+	order := sync.OnceValue(e.claimOrder)
 	next := e.now.Add(idleLife)
 	for _, a := range e.configuration.Accounts {
-		due, wanted := h.due(a.Name, assigned[a.Name], nodes)
+		due, wanted := h.due(a.Name, order)
 		if !wanted {
 			continue
 		}
@@ -218,9 +229,28 @@
 	return registered && !barred && !e.storeLost && e.state == e.servingState
 }
 
+// claimOrder says which instances are to claim which accounts.
+type claimOrder struct {
+	nodes    []string
+	assigned map[core.AccountName]string
+}
+
+func (e *Engine) claimOrder() claimOrder {
+	nodes := e.liveNodes()
+	return claimOrder{nodes: nodes, assigned: homing.Assign(e.homingAccounts(), nodes)}
+}
+
+// turn is the place of a node in the order of an account.
+func (o claimOrder) turn(account core.AccountName, node string) int {
+	if o.assigned[account] == node {
+		return 0
+	}
+	return min(slices.Index(homing.Order(account, o.nodes), node)+1, maxHomeTurns)
+}
+
 // due returns when this instance is to claim the account, and false if it is
 // held.
-func (h *homes) due(account core.AccountName, assigned string, nodes []string) (time.Time, bool) {
+func (h *homes) due(account core.AccountName, order func() claimOrder) (time.Time, bool) {
 	e := h.e
 	s := h.of(account)
 	retry := s.asked.Add(homeRetry)
@@ -234,10 +264,7 @@
 	case s.record != nil && !h.isGone(s):
 		return time.Time{}, false
 	}
-	turn := min(slices.Index(homing.Order(account, nodes), own)+1, maxHomeTurns)
-	if assigned == own {
-		turn = 0
-	}
+	turn := order().turn(account, own)
 	at := s.vacant
 	if !s.held {
 		at = later(at, h.appeared.Add(homeSettle))
@@ -317,8 +344,8 @@
 			in.Homes[account] = session.Home{Here: true}
 			continue
 		}
-		holder := e.instances[s.record.Node]
-		if holder == nil || s.record.Instance == e.config.Self.ID || holder.ID != s.record.Instance {
+		holder := h.holder(s.record)
+		if holder == nil || s.record.Instance == e.config.Self.ID {
 			continue
 		}
 		in.Homes[account] = session.Home{Address: session.PeerAddress(holder.Peer)}
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -31,7 +31,7 @@
 	if i == nil {
 		return
 	}
-	if e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
+	if e.now.Before(e.returnEnds()) {
 		i.missing = true
 		e.armSweep()
 		return
@@ -41,7 +41,7 @@
 
 // forgetInstances removes those that did not register again in time.
 func (e *Engine) forgetInstances() {
-	if e.storeLost || e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
+	if e.storeLost || e.now.Before(e.returnEnds()) {
 		return
 	}
 	for node, i := range e.instances {
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -35,7 +37,14 @@
 		}})
 	}
 	m.dead = m.dead && a.Revision == m.Revision
+	moved := m.Group != a.Group
+	if moved {
+		e.leaveGroup(m)
+	}
 	m.Announcement = *a
+	if moved {
+		e.joinGroup(m)
+	}
 	m.missing = false
 	if !a.Draining {
 		m.drainingSince = time.Time{}
@@ -59,7 +68,7 @@
 	if m == nil {
 		return
 	}
-	if e.now.Before(e.storeBack.Add(e.config.Bounds.ReturnWait)) {
+	if e.now.Before(e.returnEnds()) {
 		m.missing = true
 		e.armSweep()
 		return
@@ -67,8 +76,26 @@
 	e.forget(m)
 }
 
+// returnEnds is until when entries that the store lacks may come back after its
+// last return.
+func (e *Engine) returnEnds() time.Time {
+	return e.storeBack.Add(e.config.Bounds.ReturnWait)
+}
+
+// joinGroup adds the member to the group that it announces.
+func (e *Engine) joinGroup(m *member) {
+	list := append(e.groups[m.Group], m)
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.Member, b.Member) })
+	e.groups[m.Group] = list
+}
+
+func (e *Engine) leaveGroup(m *member) {
+	e.groups[m.Group] = slices.DeleteFunc(e.groups[m.Group], func(other *member) bool { return other == m })
+}
+
 func (e *Engine) forget(m *member) {
 	delete(e.members, m.Member)
+	e.leaveGroup(m)
 	e.out.Log(LogEvent{Event: "member_gone", Message: "member is gone", Fields: map[string]any{
 		"member": m.Member, "group": m.Group,
 	}})
@@ -82,7 +109,7 @@
 	}
 	for _, i := range e.instances {
 		if i.missing {
-			next = sooner(next, e.storeBack.Add(e.config.Bounds.ReturnWait), e.now)
+			next = sooner(next, e.returnEnds(), e.now)
 		}
 	}
 	if !next.IsZero() {
@@ -103,7 +130,7 @@
 // for others.
 func (e *Engine) unusableAt(m *member) time.Time {
 	if m.missing {
-		return e.storeBack.Add(e.config.Bounds.ReturnWait)
+		return e.returnEnds()
 	}
 	if m.Draining {
 		return m.drainingSince.Add(e.config.Limits.TargetDrain)
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -74,7 +74,7 @@
 	AskOpinion(node string, address session.PeerAddress, subject session.Subject)
 	// ProbeInstance asks another instance for a sign of life; the answer is an
 	// InstanceHeard.
-	ProbeInstance(node string, address session.PeerAddress)
+	ProbeInstance(address session.PeerAddress)
 	// AskConfiguration asks another instance for its configuration, and
 	// GiveConfiguration answers such a question.
 	AskConfiguration(session.PeerAddress)
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -1,9 +1,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -46,23 +43,13 @@
 		Entries:         e.configuration.Entries,
 	}
 	for _, g := range e.configuration.Groups {
-		c.Databases = append(c.Databases, catalogue.Database{
-			Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive, Members: e.membersOf(g.Name),
-		})
-	}
-	return c
-}
-
-func (e *Engine) membersOf(group core.DatabaseName) []catalogue.Member {
-	var list []catalogue.Member
-	for _, m := range e.members {
-		if m.Group != group {
-			continue
+		db := catalogue.Database{Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive}
+		for _, m := range e.groups[g.Name] {
+			db.Members = append(db.Members, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
 		}
-		list = append(list, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
+		c.Databases = append(c.Databases, db)
 	}
-	slices.SortFunc(list, func(a, b catalogue.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return list
+	return c
 }
 
 func (e *Engine) view(db *catalogue.Database) session.GroupView {
--- a/pkg/fleet/reach.go
+++ b/pkg/fleet/reach.go
@@ -8,9 +8,7 @@
 )
 
 // InstanceHeard reports that another instance has answered a probe.
-type InstanceHeard struct {
-	Node string
-}
+type InstanceHeard struct{}
 
 func (InstanceHeard) fleetInput() {}
 
@@ -99,7 +97,7 @@
 	r.waiting = true
 	for i := range min(len(others), reachAsked) {
 		other := others[(r.offset+i)%len(others)]
-		r.e.out.ProbeInstance(other.Node, session.PeerAddress(other.Peer))
+		r.e.out.ProbeInstance(session.PeerAddress(other.Peer))
 	}
 	r.offset += reachAsked
 	r.e.timers.Arm(&r.timer, r.e.now.Add(opinionWait))
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -97,15 +95,11 @@
 	if primary, _ := e.leadersOf(name); primary != nil {
 		g.Primary = primary.Member
 	}
-	for _, m := range e.members {
-		if m.Group != name {
-			continue
-		}
+	for _, m := range e.groups[name] {
 		g.Members = append(g.Members, MemberStatus{
 			Member: m.Member, Domain: m.Domain, Role: m.Role, Draining: m.Draining, Dead: m.dead, Missing: m.missing,
 		})
 	}
-	slices.SortFunc(g.Members, func(a, b MemberStatus) int { return cmp.Compare(a.Member, b.Member) })
 	return g
 }
 
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -65,6 +65,4 @@
 	// Claim takes the group's claim if nobody holds it. It returns the claim in
 	// force, which is another instance's if Holder says so.
 	Claim(ctx context.Context, group core.DatabaseName, holder core.InstanceID, lease Lease) (Claim, error)
-	// Release gives the claim up.
-	Release(ctx context.Context, claim Claim) error
 }
--- a/pkg/fleet/succession.go
+++ b/pkg/fleet/succession.go
@@ -156,8 +156,8 @@
 // leadersOf returns the group's announced primary that is not known to be dead,
 // one that stays before one that drains, and the number of ready replicas.
 func (e *Engine) leadersOf(group core.DatabaseName) (primary *member, replicas int) {
-	for _, m := range e.members {
-		if m.Group != group || m.dead {
+	for _, m := range e.groups[group] {
+		if m.dead {
 			continue
 		}
 		if m.Role != core.RolePrimary {
@@ -172,8 +172,8 @@
 }
 
 func (e *Engine) lastDead(group core.DatabaseName) core.MemberID {
-	for _, m := range e.members {
-		if m.Group == group && m.dead {
+	for _, m := range e.groups[group] {
+		if m.dead {
 			return m.Member
 		}
 	}
@@ -216,8 +216,8 @@
 // ones.
 func (e *Engine) replicas(group core.DatabaseName) []Target {
 	var ready, draining []Target
-	for _, m := range e.members {
-		if m.Group != group || m.dead || m.Role == core.RolePrimary {
+	for _, m := range e.groups[group] {
+		if m.dead || m.Role == core.RolePrimary {
 			continue
 		}
 		if m.Draining {
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -88,10 +88,11 @@
 // noteStrain counts failures of an overloaded store, which many instances that
 // read everything again would keep so.
 func (w *Watcher) noteStrain(err error) {
-	w.strain = min(w.strain+1, maxStrain)
 	if !eris.Is(err, ErrOverloaded) {
 		w.strain = 0
+		return
 	}
+	w.strain = min(w.strain+1, maxStrain)
 }
 
 // maxStrain bounds the doublings of the pause and of the time for an answer.
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -8,7 +8,6 @@
 	"os"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
-	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
@@ -30,11 +28,9 @@
 // Hosted is an instance whose addresses and bounds are given by the users'
 // platform. It has the same decisions as Instance and other edges.
 type Hosted struct {
+	runner
 	settings  *settings.Hosted
 	reloader  *reloader
-	duties    duty.Group
-	logging   duty.Group
-	telemetry *telemetry.Duty
 	callers   *linkio.Callers
 	targets   *linkio.Targets
 	sessions  *decisionDuty[session.Input]
@@ -51,8 +47,6 @@
 	metricsAt net.Listener
 	metrics   *http.Server
 	ready     atomic.Bool
-	stopped   chan struct{}
-	finish    sync.Once
 	stopping  atomic.Bool
 }
 
@@ -60,7 +54,7 @@
 // wrapped, when an address or chart cannot be used.
 func NewHosted(s *settings.Hosted, output io.Writer) (*Hosted, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryFraction))
-	h := &Hosted{settings: s, stopped: make(chan struct{})}
+	h := &Hosted{settings: s, runner: runner{stopped: make(chan struct{})}}
 	h.sessions = newDecisionDuty[session.Input](hostedRing)
 	h.sessions.now = clock.Now
 	h.fleets = newDecisionDuty[fleet.Input](hostedRing)
@@ -99,7 +93,7 @@
 // Run starts every duty. A value from stop begins the planned stop; Run returns
 // when it is complete. A value from reload reads the settings again.
 func (h *Hosted) Run(stop, reload <-chan os.Signal) {
-	h.logging.Start("telemetry", h.telemetry.Run)
+	h.startLog()
 	h.serve("target-io", h.targets.Run)
 	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
 	h.duties.Start("session", h.sessions.run)
@@ -116,30 +110,10 @@
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": h.settings.CallerAddress, "store": h.settings.StoreAddress, "domain": string(h.settings.Domain),
 	})
-	h.awaitStop(stop)
+	h.awaitStop(stop, func() { h.deliverFleet(fleet.StopRequested{}) })
 	h.stopDuties()
 }
 
-func (h *Hosted) awaitStop(stop <-chan os.Signal) {
-	for {
-		select {
-		case <-stop:
-			h.deliverFleet(fleet.StopRequested{})
-		case <-h.stopped:
-			return
-		}
-	}
-}
-
-func (h *Hosted) serve(name string, run func() error) {
-	h.duties.Start(name, func() {
-		if err := run(); err != nil {
-			h.log(logrus.ErrorLevel, "duty_failed", err.Error(), telemetry.Fields{"duty": name})
-			h.finished()
-		}
-	})
-}
-
 // servePages starts a duty that serves HTTP; net/http runs a goroutine for each
 // request.
 func (h *Hosted) servePages(name string, server *http.Server, listener net.Listener) {
@@ -156,10 +130,6 @@
 	}
 }
 
-func (h *Hosted) finished() {
-	h.finish.Do(func() { close(h.stopped) })
-}
-
 func (h *Hosted) stopDuties() {
 	h.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
 	h.stopping.Store(true)
@@ -176,16 +146,7 @@
 	h.rpc.Send(rpc.Stop{})
 	h.closePages(h.probes)
 	h.closePages(h.metrics)
-	if running := h.duties.WaitFor(hostedEnd); len(running) > 0 {
-		h.log(logrus.WarnLevel, "duties_cut_off", "duties did not end in time", telemetry.Fields{"duties": running})
-	}
-	h.telemetry.Stop()
-	// What a blocked output has not taken is lost.
-	h.logging.WaitFor(logEnd)
-}
-
-func (h *Hosted) log(level logrus.Level, event, message string, fields telemetry.Fields) {
-	h.telemetry.Log(level, event, message, fields)
+	h.end(hostedEnd)
 }
 
 func (h *Hosted) fleetLog(l fleet.LogEvent) {
--- a/pkg/instance/hostedbounds.go
+++ b/pkg/instance/hostedbounds.go
@@ -47,10 +47,9 @@
 	// stopReserve is the part of the grace time for the end of the duties, whose
 	// calls to the store take up to a second.
 	stopReserve = 1700 * time.Millisecond
-	// hostedEnd and logEnd bound the end of the duties within stopReserve: one call
-	// to the store, and the last lines of the log.
+	// hostedEnd bounds the end of the duties: one call to the store. With logEnd it
+	// is within stopReserve.
 	hostedEnd = 1200 * time.Millisecond
-	logEnd    = 300 * time.Millisecond
 	// sessionDrainPart is the part of the grace time that an open transaction has.
 	sessionDrainPart = 2
 	// targetDrainPart of the time that a draining target may get work is used; the
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -53,7 +53,7 @@
 
 func (h *Hosted) buildSession() error {
 	out := &hostedSession{
-		callers: &port[linkio.CallerInput]{ring: h.callers.Commands},
+		callers: &port[session.CallerCommand]{ring: h.callers.Commands},
 		targets: &port[session.TargetCommand]{ring: h.targets.Commands},
 		fleet:   h.fleets.input,
 		peers:   &port[rpc.Command]{ring: h.rpc.Commands()},
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -5,7 +5,6 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -13,7 +12,7 @@
 
 // hostedSession puts the outputs of the session engine into rings.
 type hostedSession struct {
-	callers *port[linkio.CallerInput]
+	callers *port[session.CallerCommand]
 	targets *port[session.TargetCommand]
 	fleet   *ring.Ring[fleet.Input]
 	peers   *port[rpc.Command]
@@ -21,7 +20,7 @@
 }
 
 func (o *hostedSession) Caller(c session.CallerCommand) bool {
-	o.callers.send(linkio.CallerInput{Command: c})
+	o.callers.send(c)
 	return true
 }
 
@@ -66,11 +65,8 @@
 	})
 }
 
-func (o *hostedFleet) ProbeInstance(node string, address session.PeerAddress) {
-	o.hosted.rpc.Send(rpc.Call{
-		Tag: reachTag{node: node}, Address: string(address),
-		Method: relay.MethodPing, Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall,
-	})
+func (o *hostedFleet) ProbeInstance(address session.PeerAddress) {
+	o.hosted.rpc.Send(o.hosted.ping(reachTag{}, address))
 }
 
 func (o *hostedFleet) GiveConfiguration(reply any, c *fleet.Configuration) {
@@ -88,6 +84,6 @@
 
 func (o *hostedFleet) Ready(ready bool) { o.hosted.ready.Store(ready) }
 
-func (o *hostedFleet) Finish() { o.hosted.finished() }
+func (o *hostedFleet) Finish() { o.hosted.finish() }
 
 func (o *hostedFleet) Log(l fleet.LogEvent) { o.hosted.fleetLog(l) }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -9,14 +9,12 @@
 	"io"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/admin"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/callerio"
@@ -44,27 +42,23 @@
 
 // Instance is one run of the proxy.
 type Instance struct {
-	settings   *settings.Settings
-	self       control.Identity
-	duties     duty.Group
-	logging    duty.Group
-	telemetry  *telemetry.Duty
-	callers    *callerio.Duty
-	targets    *targetio.Duty
-	sessions   *decisionDuty[session.Input]
-	engine     *session.Engine
-	classify   *classifyDuty
-	controls   *decisionDuty[control.Input]
-	control    *control.Engine
-	rpc        *rpc.Duty
-	peers      netip.AddrPort
-	platform   *store.Duty
-	callRoom   *ring.Signal
-	watchRoom  *ring.Signal
-	ready      atomic.Bool
-	stopped    chan struct{}
-	finishOnce sync.Once
-	admin      *admin.Server
+	runner
+	settings  *settings.Settings
+	self      control.Identity
+	callers   *callerio.Duty
+	targets   *targetio.Duty
+	sessions  *decisionDuty[session.Input]
+	engine    *session.Engine
+	classify  *classifyDuty
+	controls  *decisionDuty[control.Input]
+	control   *control.Engine
+	rpc       *rpc.Duty
+	peers     netip.AddrPort
+	platform  *store.Duty
+	callRoom  *ring.Signal
+	watchRoom *ring.Signal
+	ready     atomic.Bool
+	admin     *admin.Server
 }
 
 // New builds an instance and binds its addresses. It returns ErrStart,
@@ -75,7 +69,7 @@
 		self:      control.Identity{Instance: newInstanceID(string(s.Domain)), Domain: s.Domain, PeerAddress: s.PeerAddress},
 		callRoom:  ring.NewSignal(),
 		watchRoom: ring.NewSignal(),
-		stopped:   make(chan struct{}),
+		runner:    runner{stopped: make(chan struct{})},
 	}
 	i.sessions = newDecisionDuty[session.Input](s.RingCapacity)
 	i.controls = newDecisionDuty[control.Input](s.RingCapacity)
@@ -122,7 +116,7 @@
 // Run starts every duty. A value from stop begins the planned stop; Run returns
 // when it is complete.
 func (i *Instance) Run(stop <-chan os.Signal) {
-	i.logging.Start("telemetry", i.telemetry.Run)
+	i.startLog()
 	i.platform.Start(&i.duties)
 	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
 	i.serve("target-io", i.targets.Run)
@@ -138,37 +132,10 @@
 	i.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": i.callers.Address().String(), "peers": i.settings.PeerAddress, "admin": i.settings.AdminAddress,
 	})
-	i.awaitStop(stop)
+	i.awaitStop(stop, i.Stop)
 	i.stopDuties()
 }
 
-func (i *Instance) awaitStop(stop <-chan os.Signal) {
-	for {
-		select {
-		case <-stop:
-			i.Stop()
-		case <-i.stopped:
-			return
-		}
-	}
-}
-
-// serve starts a duty that can fail. The instance cannot work without it, so
-// a failure ends the run and the platform replaces the instance.
-func (i *Instance) serve(name string, run func() error) {
-	i.duties.Start(name, func() {
-		if err := run(); err != nil {
-			i.log(logrus.ErrorLevel, "duty_failed", err.Error(), telemetry.Fields{"duty": name})
-			i.finish()
-		}
-	})
-}
-
-// finish lets Run end.
-func (i *Instance) finish() {
-	i.finishOnce.Do(func() { close(i.stopped) })
-}
-
 // stopDuties ends the duties from the callers inward, so that the last answers
 // are still sent.
 func (i *Instance) stopDuties() {
@@ -181,12 +148,7 @@
 	i.controls.stop()
 	i.platform.Stop()
 	i.rpc.Send(rpc.Stop{})
-	if running := i.duties.WaitFor(dutiesEnd); len(running) > 0 {
-		i.log(logrus.WarnLevel, "duties_cut_off", "duties did not end in time", telemetry.Fields{"duties": running})
-	}
-	i.telemetry.Stop()
-	// What a blocked output has not taken is lost.
-	i.logging.WaitFor(logEnd)
+	i.end(dutiesEnd)
 }
 
 // Stop starts the planned stop: readiness falls, callers are asked to
@@ -203,7 +165,3 @@
 func (i *Instance) Ready() bool {
 	return i.ready.Load()
 }
-
-func (i *Instance) log(level logrus.Level, event, message string, fields telemetry.Fields) {
-	i.telemetry.Log(level, event, message, fields)
-}
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -27,7 +27,7 @@
 		node    string
 	}
 	pingTag  struct{ address session.PeerAddress }
-	reachTag struct{ node string }
+	reachTag struct{}
 	leaveTag struct{}
 )
 
@@ -51,8 +51,7 @@
 		params := relay.Leave{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
 		o.peers.send(rpc.Call{Tag: leaveTag{}, Address: string(m.Address), Method: relay.MethodLeave, Params: params, Timeout: shortCall})
 	case session.PeerProbe:
-		o.peers.send(rpc.Call{Tag: pingTag{address: m.Address}, Address: string(m.Address), Method: relay.MethodPing,
-			Params: relay.Ping{Instance: o.hosted.self.ID}, Timeout: shortCall})
+		o.peers.send(o.hosted.ping(pingTag{address: m.Address}, m.Address))
 	case session.Heard:
 		if to, ok := m.Reply.(replyTo); ok {
 			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.HeardAnswer{
@@ -67,6 +66,13 @@
 	return true
 }
 
+// ping asks another instance for a sign of life.
+func (h *Hosted) ping(tag any, address session.PeerAddress) rpc.Call {
+	return rpc.Call{
+		Tag: tag, Address: string(address), Method: relay.MethodPing, Params: relay.Ping{Instance: h.self.ID}, Timeout: shortCall,
+	}
+}
+
 // deliverPeer decodes an event of the rpc duty for session.
 func (h *Hosted) deliverPeer(event rpc.Event) bool {
 	in := h.peerInput(event)
@@ -85,7 +91,7 @@
 			h.takeOpinion(tag, e)
 		case reachTag:
 			if e.Err == nil {
-				h.fleets.input.TryPush(fleet.InstanceHeard{Node: tag.node})
+				h.fleets.input.TryPush(fleet.InstanceHeard{})
 			}
 		case configurationTag:
 			h.takeConfiguration(e)
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -33,15 +33,9 @@
 	NewCodec func() CallerCodec
 }
 
-// CallerInput is an item of the duty's ring; one field is set.
-type CallerInput struct {
-	Command       session.CallerCommand
-	StopAccepting bool
-}
-
 // Callers owns the caller sockets. Run and everything below it work on one thread.
 type Callers struct {
-	*reactor.Reactor[CallerInput]
+	*reactor.Reactor[session.CallerCommand]
 	config  CallerConfig
 	address netip.AddrPort
 	chart   *chart.Table[*callerLink]
@@ -141,12 +135,8 @@
 }
 
 // take carries out one command. A command for a caller that is gone is dropped.
-func (d *Callers) take(in CallerInput) {
-	if in.StopAccepting {
-		d.Loop.CloseListeners()
-		return
-	}
-	switch m := in.Command.(type) {
+func (d *Callers) take(command session.CallerCommand) {
+	switch m := command.(type) {
 	case session.CallerAdmitted:
 		d.with(m.Caller, func(l *callerLink) {
 			l.fire(d.on.admitted)
@@ -177,7 +167,6 @@
 	id       session.CallerID
 	codec    CallerCodec
 	txStatus byte
-	stalled  bool
 	// message, violation and refusal are what the next event is about.
 	message   CallerMessage
 	violation *ViolationError
@@ -206,7 +195,7 @@
 func (l *callerLink) process() {
 	for !l.gone && l.takesInput() {
 		if l.duty.Outbox.Blocked() {
-			l.stall()
+			l.stall(l.conn, l.duty.Stall, l.process)
 			return
 		}
 		if !l.next() {
@@ -262,24 +251,6 @@
 	l.fire(l.duty.on.violated)
 }
 
-func (l *callerLink) stall() {
-	if l.stalled {
-		return
-	}
-	l.stalled = true
-	l.conn.PauseRead()
-	l.duty.Stall(l.resume)
-}
-
-func (l *callerLink) resume() {
-	l.stalled = false
-	if l.gone {
-		return
-	}
-	l.conn.ResumeRead()
-	l.process()
-}
-
 func (l *callerLink) announce() {
 	m := l.message.(Startup)
 	l.duty.Outbox.Push(session.CallerOpened{Caller: l.id, Entry: m.Entry, Key: m.Key})
--- a/pkg/linkio/life.go
+++ b/pkg/linkio/life.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
 
@@ -13,8 +14,10 @@
 	timers  *timerq.Queue[func()]
 	state   chart.State
 	timer   timerq.Item[func()]
-	// gone is set once the socket is closed.
-	gone bool
+	// gone is set once the socket is closed, stalled while it is not read because
+	// the session ring is full.
+	gone    bool
+	stalled bool
 }
 
 // enter begins the life in its initial state; timedOut is called at the deadline
@@ -58,3 +61,21 @@
 func (l *life[S]) end() {
 	l.timers.Disarm(&l.timer)
 }
+
+// stall stops reading the connection until wait, which takes what to do when the
+// session ring has room, calls back; process then goes on.
+func (l *life[S]) stall(conn *netloop.Conn, wait func(again func()), process func()) {
+	if l.stalled {
+		return
+	}
+	l.stalled = true
+	conn.PauseRead()
+	wait(func() {
+		l.stalled = false
+		if l.gone {
+			return
+		}
+		conn.ResumeRead()
+		process()
+	})
+}
--- a/pkg/linkio/targets.go
+++ b/pkg/linkio/targets.go
@@ -126,7 +126,6 @@
 	// have reached the member.
 	accepted bool
 	sent     bool
-	stalled  bool
 	full     bool
 	// reason is why the connection ends, for logs.
 	reason string
@@ -199,7 +198,7 @@
 func (l *targetLink) process() {
 	for !l.gone {
 		if l.duty.Outbox.Blocked() {
-			l.stall()
+			l.stall(l.conn, l.duty.Stall, l.process)
 			return
 		}
 		message, n, err := l.codec.Decode(l.conn.Buffered())
@@ -236,22 +235,4 @@
 	}
 }
 
-func (l *targetLink) stall() {
-	if l.stalled {
-		return
-	}
-	l.stalled = true
-	l.conn.PauseRead()
-	l.duty.Stall(l.resume)
-}
-
-func (l *targetLink) resume() {
-	l.stalled = false
-	if l.gone {
-		return
-	}
-	l.conn.ResumeRead()
-	l.process()
-}
-
 var _ netloop.Handler = (*targetLink)(nil)
