Spare callers a second search for their account, and small repetitions

After the start, each new caller was searched for among the keys of all accounts twice; the wait for homes is now checked first. A drain releases idle callers with releaseIdle, the code of an invalid parameter stands once, and tests share how a home is used and how long writes may take to go on.

--- a/pkg/callerio/caller.go
+++ b/pkg/callerio/caller.go
@@ -22,12 +22,11 @@
 
 // SQLSTATEs of PostgreSQL that only this package raises.
 const (
-	stateTooMany          = "53300"
-	stateCannotConnect    = "57P03"
-	stateInvalidParameter = "22023"
-	stateNoStatement      = "26000"
-	stateNoPortal         = "34000"
-	stateLimit            = "54000"
+	stateTooMany       = "53300"
+	stateCannotConnect = "57P03"
+	stateNoStatement   = "26000"
+	stateNoPortal      = "34000"
+	stateLimit         = "54000"
 )
 
 // caller is one caller connection.
--- a/pkg/callerio/startup.go
+++ b/pkg/callerio/startup.go
@@ -164,7 +164,7 @@
 	}
 	position, err := core.ParsePosition(carried)
 	if err != nil {
-		c.failStartup(stateInvalidParameter, err.Error())
+		c.failStartup(SQLState(core.ReasonInvalidParameter), err.Error())
 		return false
 	}
 	c.carried = position
--- a/pkg/callerio/startup_test.go
+++ b/pkg/callerio/startup_test.go
@@ -102,7 +102,7 @@
 	h := start(t, Config{}, 64)
 	cases := map[string][]byte{
 		SQLState(core.ReasonProtocolViolation): {0, 0, 0, 9, 0, 9, 0, 0, 0},
-		stateInvalidParameter:                  wire.Append(nil, startupMessage("roads", "public", "sassafrasshunt.position", "x")),
+		"22023":                                wire.Append(nil, startupMessage("roads", "public", "sassafrasshunt.position", "x")),
 	}
 	for state, packet := range cases {
 		p := h.dial()
--- a/pkg/session/arrivals.go
+++ b/pkg/session/arrivals.go
@@ -1,6 +1,10 @@
 package session
 
-import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+import (
+	"slices"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
 
 // arrivals are callers that have come, after a start, before the configuration
 // or the home of their account is known, as when a whole fleet restarts. Admitted
@@ -31,8 +35,11 @@
 	if e.catalogue == nil {
 		return true
 	}
+	if e.arrivals.over {
+		return false
+	}
 	account := e.accountOf(in)
-	if e.arrivals.over || account == nil {
+	if account == nil {
 		return false
 	}
 	_, known := e.homes[account.name]
@@ -55,12 +62,7 @@
 // dropArrival forgets a caller that has gone.
 func (e *Engine) dropArrival(id CallerID) {
 	a := &e.arrivals
-	for i := range a.waiting {
-		if a.waiting[i].Caller == id {
-			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
-			return
-		}
-	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(in CallerOpened) bool { return in.Caller == id })
 }
 
 // startArrivals bounds the wait from the first configuration on.
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -155,9 +155,7 @@
 	e.stopping = true
 	e.endArrivals()
 	e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.Drain))
-	for _, c := range e.callers {
-		c.fire(e.charts.on.drain)
-	}
+	e.releaseIdle()
 }
 
 // releaseIdle ends the sessions that are outside a transaction and have no
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -30,7 +30,7 @@
 	// that are some.
 	homes map[core.AccountName]Home
 	peers map[PeerAddress]*homePeer
-	// fronts are the instances whose callers' requests run here.
+	// origins are the instances whose callers' requests run here.
 	origins map[core.InstanceID]*origin
 	// instances are the registered runs of instances, with the time at which each
 	// was first seen.
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -187,16 +187,21 @@
 	require.True(t, h.e.peer(homeAddress).lost)
 }
 
-// Guards against refusals of what an account used before its home was lost, and
-// against more than that.
-func TestLostHomeSpendsItsUsage(t *testing.T) {
-	h := newOrigin(t)
-	h.e.shares["acct"] = RateShare{Rate: 0.1, Burst: 1}
+// useHome lets caller 1 use its home with 20 requests a second for 5 s.
+func (h *harness) useHome() {
 	for range 100 {
 		h.order(1, "read", read)
 		h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
 		h.wait(50 * time.Millisecond)
 	}
+}
+
+// Guards against refusals of what an account used before its home was lost, and
+// against more than that.
+func TestLostHomeSpendsItsUsage(t *testing.T) {
+	h := newOrigin(t)
+	h.e.shares["acct"] = RateShare{Rate: 0.1, Burst: 1}
+	h.useHome()
 	a := h.e.accounts["acct"]
 	require.InDelta(t, 20, a.used.rate(h.now), 3)
 	h.e.peer(homeAddress).giveUp()
@@ -214,11 +219,7 @@
 		Accounts: map[core.AccountName]RateShare{"acct": {Rate: 0.1, Burst: 1}}, Until: h.now.Add(time.Hour),
 	}
 	h.do(share)
-	for range 100 {
-		h.order(1, "read", read)
-		h.homeAnswers(h.relayed(), RelayAnswer{TxStatus: TxIdle})
-		h.wait(50 * time.Millisecond)
-	}
+	h.useHome()
 	h.e.peer(homeAddress).giveUp()
 	a := h.e.accounts["acct"]
 	before := a.bucket.tokens
@@ -301,15 +302,21 @@
 	require.Contains(t, h.control, NewerVersion{Version: 12})
 }
 
-// Guards against a rate that a home spends although a cut-off instance spends a
-// part of it.
-func TestHomeSetsSilentUsageAside(t *testing.T) {
-	h := newHome(t)
+// beUsedByOrigin lets a caller of another instance use this home with 20 requests
+// a second for 5 s.
+func (h *harness) beUsedByOrigin() {
 	for i := range uint64(100) {
 		h.remoteAsks(i+1, 0, true, "read", read)
 		h.answer(h.sent().Target, TxIdle, term(1, 100))
 		h.wait(50 * time.Millisecond)
 	}
+}
+
+// Guards against a rate that a home spends although a cut-off instance spends a
+// part of it.
+func TestHomeSetsSilentUsageAside(t *testing.T) {
+	h := newHome(t)
+	h.beUsedByOrigin()
 	a := h.e.accounts["acct"]
 	require.Zero(t, a.setAside())
 	h.wait(2 * originSilence)
@@ -324,11 +331,7 @@
 // of its callers, and by the instance that they have made the home instead.
 func TestIsolatedHomeSpendsItsSideOnly(t *testing.T) {
 	h := newHome(t)
-	for i := range uint64(100) {
-		h.remoteAsks(i+1, 0, true, "read", read)
-		h.answer(h.sent().Target, TxIdle, term(1, 100))
-		h.wait(50 * time.Millisecond)
-	}
+	h.beUsedByOrigin()
 	a := h.e.accounts["acct"]
 	a.used = a.e.origins["origin-1"].used["acct"].scaled(0.25)
 	before := a.bucket.rate
--- a/standin/e2e/hosted_caller_test.go
+++ b/standin/e2e/hosted_caller_test.go
@@ -270,3 +270,14 @@
 	}
 	return n
 }
+
+// goesOn waits, up to the bound of a change of primary, for writes that were
+// acknowledged after a time.
+func (l *hostedLoad) goesOn(since time.Time) error {
+	return eventually(failoverBound, func() error {
+		if l.acknowledgedSince(since) < 20 {
+			return errors.New("writes do not go on")
+		}
+		return nil
+	})
+}
--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -195,12 +195,7 @@
 	for change := range 2 {
 		f.group.primary().kill()
 		killed := time.Now()
-		require.NoError(t, eventually(failoverBound, func() error {
-			if l.acknowledgedSince(killed.Add(f.group.promoteTime)) < 20 {
-				return errors.New("writes do not go on")
-			}
-			return nil
-		}), "change %d", change)
+		require.NoError(t, l.goesOn(killed.Add(f.group.promoteTime)), "change %d", change)
 	}
 	l.stop()
 	require.NoError(t, l.check(f.group))
@@ -222,12 +217,7 @@
 		require.Fail(t, "the process would be killed")
 	}
 	ended := time.Now()
-	require.NoError(t, eventually(failoverBound, func() error {
-		if l.acknowledgedSince(ended) < 20 {
-			return errors.New("writes do not go on")
-		}
-		return nil
-	}))
+	require.NoError(t, l.goesOn(ended))
 	l.stop()
 	require.NoError(t, l.check(f.group))
 	require.Zero(t, l.cutOff(f.group), "a request was cut")
