Let accounts share the connections to members that take fewer than there are accounts

Ruled out: slots (two of each member were mostly free). Change: pkg/homing divides the connections; where there are more accounts than connections, unused ones are closed after a rest that keeps as many open on average as the member takes, with every account at its rate. Where every account can have one, the sum over the homes stays within the bound.

--- a/lib/clock/clock.go
+++ b/lib/clock/clock.go
@@ -21,3 +21,19 @@
 	}
 	return time.Unix(t.Sec, t.Nsec)
 }
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -105,7 +106,7 @@
 		if !armed || at.After(end) {
 			break
 		}
-		h.now = later(h.now, at)
+		h.now = clock.Later(h.now, at)
 		h.e.Tick(h.now)
 	}
 	h.now = end
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/homing"
@@ -204,22 +205,15 @@
 			continue
 		}
 		if due.After(e.now) {
-			next = earlier(next, due)
+			next = clock.Earlier(next, due)
 			continue
 		}
 		h.claim(a.Name)
-		next = earlier(next, e.now.Add(homeRetry))
+		next = clock.Earlier(next, e.now.Add(homeRetry))
 	}
 	e.timers.Arm(&h.timer, next)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // mayClaim reports whether this instance is registered and does not stop.
 func (h *homes) mayClaim() bool {
 	e := h.e
@@ -267,18 +261,10 @@
 	turn := order().turn(account, own)
 	at := s.vacant
 	if !s.held {
-		at = later(at, h.appeared.Add(homeSettle))
+		at = clock.Later(at, h.appeared.Add(homeSettle))
 	}
-	return later(at.Add(time.Duration(turn)*homeTurn), retry), true
+	return clock.Later(at.Add(time.Duration(turn)*homeTurn), retry), true
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (h *homes) claim(account core.AccountName) {
 	s := h.of(account)
 	s.asked = h.e.now
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/homing"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -40,42 +41,38 @@
 		Grant:       1,
 		Accounts:    map[core.AccountName]session.RateShare{},
 		Connections: map[core.DatabaseName]int{},
+		Rest:        map[core.DatabaseName]time.Duration{},
 		Until:       e.now.Add(shareValid),
 		Instances:   map[core.InstanceID]bool{},
 	}
 	for _, i := range e.instances {
 		share.Instances[i.ID] = true
 	}
-	sum := 0.0
-	for _, a := range e.configuration.Accounts {
-		sum += a.Rate
-	}
-	part := 0.0
+	var homed []float64
 	for i := range e.configuration.Accounts {
 		a := &e.configuration.Accounts[i]
 		share.Accounts[a.Name] = s.remoteShare(a)
 		if e.homes.here(a.Name) {
 			share.Accounts[a.Name] = session.RateShare{Rate: a.Rate, Burst: max(a.Burst*homeBurst, 1), Until: e.homes.leaseUntil}
-			part += connectionWeight(a.Rate, sum, len(e.configuration.Accounts))
+			homed = append(homed, a.Rate)
 		}
 	}
+	divisions := map[int]homing.Division{}
 	for _, g := range e.configuration.Groups {
-		homed := int(float64(g.MemberConnections) * (1 - spareConnections) * part)
-		share.Connections[g.Name] = max(homed, 1)
+		division, known := divisions[g.MemberConnections]
+		if !known {
+			limit := float64(g.MemberConnections) * (1 - spareConnections)
+			division = homing.Divide(limit, e.homingAccounts(), len(e.configuration.Groups))
+			divisions[g.MemberConnections] = division
+		}
+		share.Connections[g.Name] = division.Connections(homed)
+		if division.Shared {
+			share.Rest[g.Name] = division.Rest
+		}
 	}
 	e.out.Session(share)
 }
 
-// connectionWeight is the part of the connections for an account: half of them
-// are divided evenly, half by the rates.
-func connectionWeight(rate, sum float64, accounts int) float64 {
-	even := 1 / float64(accounts)
-	if sum <= 0 {
-		return even
-	}
-	return (even + rate/sum) / 2
-}
-
 // remoteShare is what an instance may spend of an account that is at home
 // elsewhere. All instances together, with the home, stay within what the
 // counting window tolerates.
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -223,9 +223,10 @@
 	}
 	e.forgetOrigins(in.Instances)
 	for name, db := range e.databases {
+		db.setRest(in.Rest[name])
 		db.setBound(in.Connections[name])
 	}
-	e.connections = in.Connections
+	e.connections, e.rests = in.Connections, in.Rest
 	e.shareRevision = in.Revision
 	e.reportShare()
 }
--- a/pkg/session/accountpool.go
+++ b/pkg/session/accountpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
@@ -142,3 +143,16 @@
 	}
 	db.wantDispatch()
 }
+
+// setRest applies the time after which unused connections are closed.
+func (db *database) setRest(rest time.Duration) {
+	if db.rest == rest {
+		return
+	}
+	db.rest = rest
+	for _, t := range db.targets {
+		if t.isIdle() {
+			t.arm()
+		}
+	}
+}
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -308,3 +308,30 @@
 	require.IsType(t, CallerClose{}, h.last())
 	require.Contains(t, h.targets, TargetClose{Target: h.sent().Target})
 }
+
+// Guards against connections that stay open unused while the accounts of other
+// instances find no room at the member; the engine's own probes are no use of
+// one.
+func TestSharedConnectionClosesAfterItsRest(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.do(ShareInForce{
+		Accounts:    map[core.AccountName]RateShare{"acct": {Rate: 1000, Burst: 1000}},
+		Connections: map[core.DatabaseName]int{"db": 3},
+		Rest:        map[core.DatabaseName]time.Duration{"db": 400 * time.Millisecond},
+		Until:       h.now.Add(time.Hour),
+	})
+	h.open(1, core.Position{})
+	h.order(1, "write", write)
+	used := h.sent().Target
+	h.wait(time.Second)
+	require.NotContains(t, h.targets, TargetClose{Target: used}, "a request runs")
+	h.answer(used, TxIdle, term(1, 100))
+	h.wait(200 * time.Millisecond)
+	h.wait(100 * time.Millisecond)
+	require.Contains(t, h.targets, TargetProbe{Target: used})
+	h.answer(used, TxIdle, term(1, 100))
+	h.wait(80 * time.Millisecond)
+	require.NotContains(t, h.targets, TargetClose{Target: used})
+	h.wait(30 * time.Millisecond)
+	require.Contains(t, h.targets, TargetClose{Target: used})
+}
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -41,6 +41,9 @@
 	bound   int
 	// memberBound bounds the connections to one member with AsyncReplication.
 	memberBound int
+	// rest is after how long unused connections are closed; 0 for the bound of
+	// the chart alone.
+	rest time.Duration
 	// log is what is known of the primary's log over time.
 	log freshness.Log
 	// probe is the timer of probePrimary, usedAt the last statement.
@@ -62,6 +65,7 @@
 		name:     name,
 		targets:  map[TargetID]*target{},
 		bound:    e.connections[name],
+		rest:     e.rests[name],
 		openTime: e.cfg.OpenTime,
 	}
 	db.check.run = db.checkMembers
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -48,6 +48,7 @@
 	anonymous   *account
 	shares      map[core.AccountName]RateShare
 	connections map[core.DatabaseName]int
+	rests       map[core.DatabaseName]time.Duration
 	shareUntil  time.Time
 	// grant and shareRevision identify the share in force.
 	grant         uint64
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -236,6 +236,9 @@
 	Accounts map[core.AccountName]RateShare
 	// Connections bounds the target connections of this instance.
 	Connections map[core.DatabaseName]int
+	// Rest is after how long unused target connections are closed, where that is
+	// sooner than Bounds.ConnectionIdle.
+	Rest map[core.DatabaseName]time.Duration
 	// Until is the time after which nothing of the share may be spent.
 	Until time.Time
 	// Instances are the registered runs of instances.
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
@@ -29,6 +30,9 @@
 	// idleIndex is the place among the member's idle connections.
 	idleIndex int
 	idleSince time.Time
+	// usedAt is when a request last ended on it, or when it was opened; a probe is
+	// no use.
+	usedAt time.Time
 }
 
 func targetRegistry(b *Bounds) chart.Registry[*target] {
@@ -72,9 +76,18 @@
 		e.timers.Disarm(&t.item)
 		return
 	}
-	e.timers.Arm(&t.item, e.now.Add(e.charts.target.Timeout(t.state)))
+	e.timers.Arm(&t.item, t.stateEnds())
 }
 
+// stateEnds returns when the present state times out.
+func (t *target) stateEnds() time.Time {
+	e := t.engine()
+	ends := e.now.Add(e.charts.target.Timeout(t.state))
+	if rest := t.member.db.rest; rest > 0 && t.isIdle() {
+		return clock.Earlier(ends, t.usedAt.Add(rest))
+	}
+	return ends
+}
 func (t *target) timeOut() {
 	before := t.state
 	t.fire(t.engine().charts.conn.timedOut)
@@ -90,7 +103,7 @@
 // noteOpened learns how long it takes to open a connection.
 func (t *target) noteOpened() {
 	e := t.engine()
-	t.opened = e.now
+	t.opened, t.usedAt = e.now, e.now
 	t.member.failures = 0
 	t.member.db.openTime = smooth(t.member.db.openTime, e.now.Sub(t.asked))
 	e.wantDispatch(t.member)
@@ -233,6 +246,7 @@
 		return
 	}
 	t.follow(false)
+	t.usedAt = t.engine().now
 	c.unpin()
 	t.fire(conn.readyIdle)
 }
