Gather callers without an account at one instance of each failure domain; ask homes for room

Cause: on the grown road site 566 of 829 connections to the busiest primary belonged to callers without an account (open entries), whom each of the 143 instances served on connections of its own; the member takes 67, and homes that it refused tried again every 100 ms. Ruled out: the slots (1.1 s of work in each second of two slots), the rest of the accounts' connections (shorter ones opened more), positions asked of the primary. Change: where a member takes fewer connections than there are accounts and instances, one instance of each failure domain runs the requests of callers without an account, chosen by rendezvous hashing without a record. A home that a full member refuses asks two other homes to close a connection they do not use, and tries again after 25 ms, then after twice as long each time.

--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -321,7 +321,7 @@
 // publish tells session where the accounts are at home.
 func (h *homes) publish() {
 	e := h.e
-	in := session.HomesInForce{Homes: map[core.AccountName]session.Home{}}
+	in := session.HomesInForce{Homes: map[core.AccountName]session.Home{}, Open: e.openHomes()}
 	for account, s := range h.records {
 		if s.record == nil {
 			continue
--- /dev/null
+++ b/pkg/fleet/openhomes.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/homing"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// Callers of open entries may come without a key and then have no account, no
+// rate and no home. Where every instance and every account cannot have a
+// connection to a member, one instance of each failure domain runs their
+// requests before a database. It needs no record in the store: all instances of
+// the domain choose the same one, and a second one for a while does no harm.
+
+// isCrowded reports a group whose members take fewer connections than there are
+// accounts and instances.
+func (e *Engine) isCrowded(g *Group) bool {
+	limit := float64(g.MemberConnections) * (1 - spareConnections)
+	return float64(len(e.configuration.Accounts)+len(e.instances)) > limit
+}
+
+// openHomes returns where callers without an account are served before each
+// crowded group.
+func (e *Engine) openHomes() map[core.DatabaseName]session.Home {
+	if e.configuration == nil {
+		return nil
+	}
+	nodes := e.domainNodes()
+	if len(nodes) == 0 {
+		return nil
+	}
+	homes := map[core.DatabaseName]session.Home{}
+	for i := range e.configuration.Groups {
+		g := &e.configuration.Groups[i]
+		if !e.isCrowded(g) {
+			continue
+		}
+		node := homing.First(string(g.Name), nodes)
+		if node == e.config.Self.Node {
+			homes[g.Name] = session.Home{Here: true}
+			continue
+		}
+		homes[g.Name] = session.Home{Address: session.PeerAddress(e.instances[node].Peer)}
+	}
+	return homes
+}
+
+// domainNodes returns the registered nodes of this failure domain in order.
+func (e *Engine) domainNodes() []string {
+	var nodes []string
+	for _, node := range e.liveNodes() {
+		if e.instances[node].Domain == e.config.Self.Domain {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// openConnections is what the home of callers without an account may use
+// besides: its failure domain's part of the spare connections.
+func (e *Engine) openConnections(g *Group) int {
+	if !e.isCrowded(g) {
+		return 0
+	}
+	nodes := e.domainNodes()
+	if len(nodes) == 0 || homing.First(string(g.Name), nodes) != e.config.Self.Node {
+		return 0
+	}
+	domains := map[core.Domain]bool{}
+	for _, i := range e.instances {
+		domains[i.Domain] = true
+	}
+	return max(int(float64(g.MemberConnections)*spareConnections)/len(domains), 1)
+}
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -65,7 +65,7 @@
 			division = homing.Divide(limit, e.homingAccounts(), len(e.configuration.Groups))
 			divisions[g.MemberConnections] = division
 		}
-		share.Connections[g.Name] = division.Connections(homed)
+		share.Connections[g.Name] = division.Connections(homed) + e.openConnections(&g)
 		if division.Shared {
 			share.Rest[g.Name] = division.Rest
 		}
--- a/pkg/homing/connections.go
+++ b/pkg/homing/connections.go
@@ -31,6 +31,10 @@
 	// member 12 to 27 ms.
 	longestRest  = time.Minute
 	shortestRest = 100 * time.Millisecond
+	// memberPart is the part of a group's requests that one member gets: reads
+	// are spread over three members. A member that gets more is full at times,
+	// and homes ask each other for room.
+	memberPart = 1.0 / 3
 )
 
 // Divide divides the limit of a member's connections among the accounts, of
@@ -96,7 +100,8 @@
 	open := func(rest time.Duration) float64 {
 		sum := 0.0
 		for _, a := range accounts {
-			sum += 1 - math.Exp(-a.Rate/float64(max(groups, 1))*rest.Seconds())
+			rate := a.Rate * memberPart / float64(max(groups, 1))
+			sum += 1 - math.Exp(-rate*rest.Seconds())
 		}
 		return sum
 	}
--- a/pkg/homing/homing.go
+++ b/pkg/homing/homing.go
@@ -47,6 +47,22 @@
 	return homes
 }
 
+// First returns the node that is to take the named work; nodes must not be
+// empty. A change of the nodes moves the work of those that left only.
+func First(name string, nodes []string) string {
+	best, most := nodes[0], uint64(0)
+	for _, node := range nodes {
+		if score := scoreOf(name, node); score > most {
+			best, most = node, score
+		}
+	}
+	return best
+}
+
+func scoreOf(name, node string) uint64 {
+	return xxhash.Sum64String(name + "/" + node)
+}
+
 // Order returns the nodes in the order in which they are to take the account.
 func Order(account core.AccountName, nodes []string) []string {
 	type scored struct {
@@ -55,7 +71,7 @@
 	}
 	list := make([]scored, len(nodes))
 	for i, node := range nodes {
-		list[i] = scored{node, xxhash.Sum64String(string(account) + "/" + node)}
+		list[i] = scored{node, scoreOf(string(account), node)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -29,6 +29,7 @@
 	pingTag  struct{ address session.PeerAddress }
 	reachTag struct{}
 	leaveTag struct{}
+	roomTag  struct{}
 )
 
 const (
@@ -50,6 +51,10 @@
 	case session.RelayEnd:
 		params := relay.Leave{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
 		o.peers.send(rpc.Call{Tag: leaveTag{}, Address: string(m.Address), Method: relay.MethodLeave, Params: params, Timeout: shortCall})
+	case session.RoomRequest:
+		o.peers.send(rpc.Call{
+			Tag: roomTag{}, Address: string(m.Address), Method: relay.MethodRoom, Params: relay.Room{Member: m.Member}, Timeout: shortCall,
+		})
 	case session.PeerProbe:
 		o.peers.send(o.hosted.ping(pingTag{address: m.Address}, m.Address))
 	case session.Heard:
@@ -113,6 +118,13 @@
 		}
 		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.OriginAlive{Instance: ping.Instance}
+	case relay.MethodRoom:
+		var room relay.Room
+		if !h.decodePeer(r, &room) {
+			return nil
+		}
+		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
+		return session.RoomAsked{Member: room.Member}
 	case relay.MethodHeard:
 		var question relay.HeardQuestion
 		if !h.decodePeer(r, &question) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -21,6 +21,8 @@
 	// MethodHeard asks what the instance has heard of a member or of a home:
 	// HeardQuestion -> HeardAnswer.
 	MethodHeard = "heard"
+	// MethodRoom asks to close an unused connection to a full member: Room -> {}.
+	MethodRoom = "room"
 	// MethodPing asks for a sign of life: Ping -> {}.
 	MethodPing = "ping"
 )
@@ -74,6 +76,11 @@
 	Closing        bool          `json:"c,omitempty"`
 }
 
+// Room names a member that takes no more connections.
+type Room struct {
+	Member core.MemberID `json:"m"`
+}
+
 // HeardQuestion names a member or the address of a home.
 type HeardQuestion struct {
 	Member core.MemberID       `json:"member,omitempty"`
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -49,7 +49,10 @@
 	shares      map[core.AccountName]RateShare
 	connections map[core.DatabaseName]int
 	rests       map[core.DatabaseName]time.Duration
-	shareUntil  time.Time
+	openHomes   map[core.DatabaseName]Home
+	// homeAddresses are the other instances that are homes, in order.
+	homeAddresses []PeerAddress
+	shareUntil    time.Time
 	// grant and shareRevision identify the share in force.
 	grant         uint64
 	shareRevision uint64
@@ -189,6 +192,8 @@
 		e.relayResult(in)
 	case RelayLost:
 		e.relayLost(in)
+	case RoomAsked:
+		e.roomAsked(in.Member)
 	case PeerAlive:
 		e.peerAlive(in.Address)
 	case HeardAsked:
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -144,7 +144,8 @@
 
 // homesInForce replaces the homes. Relayed requests under way go on where they are.
 func (e *Engine) homesInForce(in HomesInForce) {
-	e.homes = in.Homes
+	e.homes, e.openHomes = in.Homes, in.Open
+	e.listHomes()
 	e.homesChanged()
 	e.reviewArrivals()
 }
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -48,6 +48,8 @@
 	laggingUntil  time.Time
 	busyUntil     time.Time
 	fullUntil     time.Time
+	// refusals counts the connections in a row that the member's bound refused.
+	refusals uint
 	// heardAt is the last answer of the member; owesSince is the oldest request
 	// since then that it has not answered, zero if there is none.
 	heardAt   time.Time
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -25,6 +25,9 @@
 // served by every instance from its own share.
 type HomesInForce struct {
 	Homes map[core.AccountName]Home
+	// Open are the homes of callers without an account, by the database of their
+	// entry. Callers of other databases are served by every instance.
+	Open map[core.DatabaseName]Home
 }
 
 // RelayID pairs a request to a home with its answer.
@@ -129,8 +132,8 @@
 	if r.Verdict.Kind == KindEnd && c.stmt.opens == nil {
 		return false
 	}
-	home, known := c.e.homes[c.account.name]
-	if !known || home.Here || c.entry.definition.Open && c.key == "" {
+	home, known := c.home()
+	if !known || home.Here {
 		return false
 	}
 	p := c.e.peer(home.Address)
@@ -142,6 +145,17 @@
 	return true
 }
 
+// home returns where the caller's requests are to run, and false if every
+// instance runs them.
+func (c *caller) home() (Home, bool) {
+	if c.account.unlimited {
+		home, known := c.e.openHomes[c.db.name]
+		return home, known
+	}
+	home, known := c.e.homes[c.account.name]
+	return home, known
+}
+
 // sendRelay hands the request to the home.
 func (s *statement) sendRelay() {
 	c := s.c
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -353,3 +353,23 @@
 	s.count *= part
 	return s
 }
+
+// Guards against callers without an account that are served by every instance
+// where the members have no room for that, and against a home that sends them on.
+func TestCallerWithoutAccountRunsAtTheOpenHome(t *testing.T) {
+	h := newAsyncHarness(t)
+	e := h.e.entries["entry"]
+	e.definition.Open, e.account = true, nil
+	h.do(HomesInForce{Open: map[core.DatabaseName]Home{"db": {Address: homeAddress}}})
+	h.do(CallerOpened{Caller: 1, Entry: "entry"})
+	h.order(1, "read", read)
+	v := h.relayed()
+	require.Equal(t, homeAddress, v.Address)
+	require.Empty(t, v.Key)
+	h.do(RemoteRequest{
+		Caller: RemoteID{Instance: "other", Caller: 3}, From: "10.0.0.9:1", Reply: "reply", Entry: "entry", Sequence: 1, Begins: true,
+		Request: &Request{Verdict: &Verdict{Kind: KindRead, Hints: Hints{MaxAge: -1}}, Payload: &Payload{ID: "r"}, Arrived: h.now},
+	})
+	h.connect()
+	require.Equal(t, 1, h.countSent(), "a remote caller's request runs here")
+}
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -116,7 +116,7 @@
 			return
 		}
 	}
-	if in.Begins && !e.homes[c.account.name].Here {
+	if in.Begins && !c.account.unlimited && !e.homes[c.account.name].Here {
 		e.box.out.Peer(RelayAnswer{Reply: in.Reply, Elsewhere: true})
 		return
 	}
--- /dev/null
+++ b/pkg/session/room_test.go
@@ -0,0 +1,98 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// newSharing gives an engine whose members take fewer connections than there
+// are accounts; two other instances are homes.
+func newSharing(t testing.TB) *harness {
+	h := newAsyncHarness(t)
+	h.do(ShareInForce{
+		Accounts:    map[core.AccountName]RateShare{"acct": {Rate: 1000, Burst: 1000}},
+		Connections: map[core.DatabaseName]int{"db": 3},
+		Rest:        map[core.DatabaseName]time.Duration{"db": time.Second},
+		Until:       h.now.Add(time.Hour),
+	})
+	h.do(HomesInForce{Homes: map[core.AccountName]Home{
+		"acct": {Here: true}, "b": {Address: "10.0.0.2:1"}, "c": {Address: "10.0.0.3:1"}, "d": {Address: "10.0.0.3:1"},
+	}})
+	h.open(1, core.Position{})
+	return h
+}
+
+// opened returns the newest connection that was asked for.
+func (h *harness) opened() TargetOpen {
+	for i := len(h.targets) - 1; i >= 0; i-- {
+		if o, ok := h.targets[i].(TargetOpen); ok {
+			return o
+		}
+	}
+	require.Fail(h.t, "no connection was asked for")
+	return TargetOpen{}
+}
+
+// askUnconnected sends a request and leaves the connection that it needs opening.
+func (h *harness) askUnconnected(id CallerID, text string, v Verdict) {
+	v.Hints.MaxAge = -1
+	h.do(CallerRequest{Caller: id, Request: &Request{Verdict: &v, Payload: &Payload{ID: text}, Arrived: h.now}})
+}
+
+// Guards against a storm of refused connections: 87 homes tried a member that
+// takes 67 every 100 ms and were refused 10,688 times in 34 s, while others kept
+// connections that they did not use.
+func TestFullMemberIsAskedAfterOthersGaveRoom(t *testing.T) {
+	h := newSharing(t)
+	h.askUnconnected(1, "write", write)
+	first := h.opened()
+	h.do(TargetClosed{Target: first.Target, Full: true})
+	require.Equal(t, []PeerCommand{
+		RoomRequest{Address: "10.0.0.2:1", Member: "m0"}, RoomRequest{Address: "10.0.0.3:1", Member: "m0"},
+	}, sortedRequests(h.peers), "every other home once")
+	attempts := 0
+	for at := time.Duration(0); at < 1500*time.Millisecond; at += 5 * time.Millisecond {
+		h.wait(5 * time.Millisecond)
+		if o := h.opened(); o.Target != first.Target {
+			first = o
+			attempts++
+			h.do(TargetClosed{Target: o.Target, Full: true})
+		}
+	}
+	require.LessOrEqual(t, attempts, 7, "25, 50, 100, 200 and 400 ms after each other")
+	require.GreaterOrEqual(t, attempts, 5)
+}
+
+func sortedRequests(list []PeerCommand) []PeerCommand {
+	var requests []PeerCommand
+	for _, c := range list {
+		if r, ok := c.(RoomRequest); ok {
+			requests = append(requests, r)
+		}
+	}
+	if len(requests) == 2 && requests[0].(RoomRequest).Address > requests[1].(RoomRequest).Address {
+		requests[0], requests[1] = requests[1], requests[0]
+	}
+	return requests
+}
+
+// Guards against a home that closes a connection which it needs itself.
+func TestUnusedConnectionGivesRoom(t *testing.T) {
+	h := newSharing(t)
+	h.order(1, "write", write)
+	used := h.sent().Target
+	h.do(RoomAsked{Member: "m0"})
+	require.NotContains(t, h.targets, TargetClose{Target: used}, "a request runs")
+	h.answer(used, TxIdle, term(1, 100))
+	h.do(RoomAsked{Member: "m0"})
+	require.NotContains(t, h.targets, TargetClose{Target: used}, "it was used just now")
+	h.wait(100 * time.Millisecond)
+	h.do(RoomAsked{Member: "m1"})
+	require.NotContains(t, h.targets, TargetClose{Target: used}, "another member is full")
+	h.do(RoomAsked{Member: "m0"})
+	require.Contains(t, h.targets, TargetClose{Target: used})
+}
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -104,15 +104,14 @@
 func (t *target) noteOpened() {
 	e := t.engine()
 	t.opened, t.usedAt = e.now, e.now
-	t.member.failures = 0
+	t.member.failures, t.member.refusals = 0, 0
 	t.member.db.openTime = smooth(t.member.db.openTime, e.now.Sub(t.asked))
 	e.wantDispatch(t.member)
 }
 
 func (t *target) noteOpenFailed() {
 	if t.full {
-		m := t.member
-		m.fullUntil = t.engine().now.Add(t.engine().cfg.Bounds.FullBackoff)
+		t.member.noteFull()
 		return
 	}
 	t.member.suspect()
