Let a few instances of a large failure domain watch the store and feed the others

Ruled out: a longer wait of each watch (spares a fifth of the calls and finds a silent watch later); a separate prefix for the configuration (two watches for each instance). Change: in a failure domain of more than 8 instances the feeders, about one for twelve, watch the store with a wait of 1 s; the others ask them for the changes after their revision (pkg/fleet feed.go, news.go, chart news). Revisions are the store's, so a follower goes on at the store where its feeder ended, when that is silent for 1.3 s, has lost the store or has old news. Fleets like the standard sites read the store as before.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -74,6 +74,8 @@
 	published uint64
 	shares    shares
 	reach     reach
+	feed      feed
+	news      news
 	homes     homes
 
 	// steadyState and servingState are states that decisions ask for.
@@ -91,6 +93,7 @@
 type Charts struct {
 	Instance   *chart.Definition
 	Succession *chart.Definition
+	News       *chart.Definition
 }
 
 // New returns an engine. It returns the errors of the chart loader for a chart
@@ -125,6 +128,10 @@
 	e.sweep.Value = e.sweepMembers
 	e.shares.init(e)
 	e.reach.init(e)
+	e.feed.init(e)
+	if err := e.news.load(e, charts.News); err != nil {
+		return nil, err
+	}
 	e.homes.init(e)
 	return e, nil
 }
@@ -136,9 +143,19 @@
 	case StoreSeen:
 		e.since = in.Since
 		e.storeSeen(in.Snapshot)
+		e.feed.restart(in.Snapshot.Revision, in.Current)
+		e.news.review()
 	case StoreChanged:
 		e.since = in.Since
 		e.storeChanged(in.Changes)
+		e.feed.add(in.Changes, in.Next, in.Current)
+		if len(in.Changes) > 0 {
+			e.news.review()
+		}
+	case FeedAsked:
+		e.feed.asked(in)
+	case FeedFailed:
+		e.news.failedFeeder(in)
 	case StoreLost:
 		e.loseStore(in.Reason)
 	case FromSession:
@@ -213,6 +230,7 @@
 		return
 	}
 	e.storeLost = true
+	e.feed.lost()
 	e.out.Log(LogEvent{Warning: true, Event: "store_lost", Message: "the store cannot be read",
 		Fields: map[string]any{"reason": reason}})
 	e.reach.storeLost()
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -29,6 +29,8 @@
 	asked    []string
 	probed   []string
 	checks   int
+	news     []NewsFrom
+	fed      map[any]FeedAnswer
 	ready    bool
 	left     bool
 	finished bool
@@ -52,6 +54,10 @@
 
 func (h *harness) CheckStore() { h.checks++ }
 
+func (h *harness) News(from NewsFrom) { h.news = append(h.news, from) }
+
+func (h *harness) GiveFeed(reply any, a FeedAnswer) { h.fed[reply] = a }
+
 func load(t *testing.T, name string) *chart.Definition {
 	d, err := charts.Load(name)
 	require.NoError(t, err)
@@ -61,7 +67,7 @@
 // newHarness gives a serving instance "self" among "a" and "b", before one group
 // with the primary p and the replicas r1 and r2.
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, now: start, revision: 100}
+	h := &harness{t: t, now: start, revision: 100, fed: map[any]FeedAnswer{}}
 	config := Config{
 		Self:   Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20},
@@ -71,7 +77,7 @@
 			Takeover: 3 * time.Second,
 		},
 	}
-	e, err := New(config, Charts{Instance: load(t, "hosted_instance"), Succession: load(t, "succession")}, h)
+	e, err := New(config, Charts{Instance: load(t, "hosted_instance"), Succession: load(t, "succession"), News: load(t, "news")}, h)
 	require.NoError(t, err)
 	h.e = e
 	h.do(StoreSeen{Snapshot: &Snapshot{
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -19,8 +19,8 @@
 	// Node and Instance name the holder and its run.
 	Node     string          `json:"node"`
 	Instance core.InstanceID `json:"instance"`
-	// Revision is that of the record.
-	Revision Revision `json:"-"`
+	// Revision is that of the record, which does not hold it.
+	Revision Revision `json:"revision,omitempty"`
 }
 
 // HomeClaim asks to make this instance the home of an account.
@@ -239,7 +239,7 @@
 	if o.assigned[account] == node {
 		return 0
 	}
-	return min(slices.Index(homing.Order(account, o.nodes), node)+1, maxHomeTurns)
+	return min(slices.Index(homing.Order(string(account), o.nodes), node)+1, maxHomeTurns)
 }
 
 // due returns when this instance is to claim the account, and false if it is
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -49,4 +49,5 @@
 			delete(e.instances, node)
 		}
 	}
+	e.news.review()
 }
--- a/pkg/fleet/life.go
+++ b/pkg/fleet/life.go
@@ -40,6 +40,9 @@
 	if e.state == before && event != e.on.timedOut {
 		return
 	}
+	if e.state != before {
+		e.news.review()
+	}
 	if e.life.Final(e.state) {
 		e.timers.Disarm(&e.lifeTimer)
 		return
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -14,14 +14,21 @@
 // StoreSeen reports everything that the store holds, after a start or a gap.
 type StoreSeen struct {
 	Snapshot *Snapshot
+	// Current is when the store had nothing newer than the snapshot.
+	Current time.Time
 	// Since is a time at which the store had no newer news than those that were
 	// delivered before; zero at the start.
 	Since time.Time
 }
 
-// StoreChanged reports changes in their order.
+// StoreChanged reports changes in their order. An instance that feeds others
+// has it without changes as well, as a sign that there are none.
 type StoreChanged struct {
 	Changes []Change
+	// Next is the revision up to which they go, Current a time at which the store
+	// had nothing newer.
+	Next    Revision
+	Current time.Time
 	// Since is as in StoreSeen.
 	Since time.Time
 }
@@ -79,6 +86,10 @@
 	// GiveConfiguration answers such a question.
 	AskConfiguration(session.PeerAddress)
 	GiveConfiguration(reply any, c *Configuration)
+	// News tells the watcher where to have the news from, and GiveFeed answers a
+	// follower.
+	News(NewsFrom)
+	GiveFeed(reply any, a FeedAnswer)
 	// CheckStore lets the store be read at once, which tells whether it can be.
 	CheckStore()
 	// Leave gives the registration and the homes up.
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -63,16 +63,19 @@
 	Peer string `json:"peer"`
 }
 
-// Change is one change of the store; exactly one field is set.
+// Change is one change of the store; exactly one field besides the revision is
+// set.
 type Change struct {
-	Configuration *Configuration
-	Member        *Announcement
-	GoneMember    core.MemberID
-	Instance      *Instance
+	// Revision is that of the changed record.
+	Revision      Revision       `json:"revision"`
+	Configuration *Configuration `json:"configuration,omitempty"`
+	Member        *Announcement  `json:"member,omitempty"`
+	GoneMember    core.MemberID  `json:"gone_member,omitempty"`
+	Instance      *Instance      `json:"instance,omitempty"`
 	// GoneInstance is a node's name.
-	GoneInstance string
-	Home         *Home
-	GoneHome     core.AccountName
+	GoneInstance string           `json:"gone_instance,omitempty"`
+	Home         *Home            `json:"home,omitempty"`
+	GoneHome     core.AccountName `json:"gone_home,omitempty"`
 }
 
 // Snapshot is everything that the store holds of interest.
--- a/pkg/homing/homing.go
+++ b/pkg/homing/homing.go
@@ -36,7 +36,7 @@
 	taken := make(map[string]int, len(nodes))
 	homes := make(map[core.AccountName]string, len(accounts))
 	for _, a := range sorted {
-		for _, node := range Order(a.Name, nodes) {
+		for _, node := range Order(string(a.Name), nodes) {
 			if taken[node] < bound {
 				taken[node]++
 				homes[a.Name] = node
@@ -63,15 +63,15 @@
 	return xxhash.Sum64String(name + "/" + node)
 }
 
-// Order returns the nodes in the order in which they are to take the account.
-func Order(account core.AccountName, nodes []string) []string {
+// Order returns the nodes in the order in which they are to take the named work.
+func Order(name string, nodes []string) []string {
 	type scored struct {
 		node  string
 		score uint64
 	}
 	list := make([]scored, len(nodes))
 	for i, node := range nodes {
-		list[i] = scored{node, scoreOf(string(account), node)}
+		list[i] = scored{node, scoreOf(name, node)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -41,6 +41,7 @@
 	stores    []*platform.Store
 	orders    *platform.Orders
 	rpc       *rpc.Duty
+	feedCalls *feedCalls
 	self      fleet.Instance
 	probe     net.Listener
 	probes    *http.Server
--- a/pkg/instance/hostedbounds.go
+++ b/pkg/instance/hostedbounds.go
@@ -67,6 +67,13 @@
 	// storeWait with storeAnswer is the time after which a silent watch is noticed,
 	// within the bound of a configuration (3 s).
 	storeWait = 2500 * time.Millisecond
+	// feedWait with storeAnswer is the time after which a feeder notices a silent
+	// store; with the follower's own question to the store it is within the bound
+	// of a configuration (3 s).
+	feedWait = time.Second
+	// feedAnswer is the time of an answer between instances beyond the wait, a
+	// hundred round trips.
+	feedAnswer = 300 * time.Millisecond
 	// storePause is the time between two attempts while the store fails.
 	storePause = 100 * time.Millisecond
 	// storeGather puts changes together that nobody waits for.
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -88,6 +88,10 @@
 	if err != nil {
 		return err
 	}
+	news, err := charts.Load("news")
+	if err != nil {
+		return err
+	}
 	out := &hostedFleet{hosted: h, session: &port[session.Input]{ring: h.sessions.input}}
 	engine, err := fleet.New(fleet.Config{Self: h.self, Limits: fleetLimits(h.settings), Bounds: fleet.Bounds{
 		BalancerNotice: balancerNotice,
@@ -96,14 +100,15 @@
 		PromotionCall:  promotionStep,
 		PromotionRetry: promotionRetry,
 		Takeover:       takeover,
-	}}, fleet.Charts{Instance: life, Succession: succession}, out)
+	}}, fleet.Charts{Instance: life, Succession: succession, News: news}, out)
 	if err != nil {
 		return err
 	}
 	h.fleets.engine = engine
 	h.fleets.outlets = []outlet{out.session}
-	h.watcher = fleet.NewWatcher(h.newStore(), fleet.WatchBounds{
-		Wait: storeWait, Answer: storeAnswer, Pause: storePause, Gather: storeGather,
+	h.feedCalls = newFeedCalls(h.rpc)
+	h.watcher = fleet.NewWatcher(h.newStore(), h.feedCalls, fleet.WatchBounds{
+		Wait: storeWait, Feed: feedWait, Answer: storeAnswer, Pause: storePause, Gather: storeGather,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(h.newStore(), h.self, fleet.RegistrarBounds{
 		TTL: leaseTTL, Renew: leaseRenew, Answer: callBound, Margin: leaseMargin,
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// News is dropped if the watcher has not taken the orders before; they are
+// repeated with the next change of the instances.
+func (o *hostedFleet) News(from fleet.NewsFrom) { o.hosted.watcher.Follow(from) }
+
+func (o *hostedFleet) GiveFeed(reply any, a fleet.FeedAnswer) {
+	if to, ok := reply.(replyTo); ok {
+		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: a})
+	}
+}
+
 func (o *hostedFleet) CheckStore() { o.hosted.watcher.Check() }
 
 func (o *hostedFleet) Leave() { o.hosted.registrar.Leave() }
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -100,6 +100,8 @@
 			}
 		case configurationTag:
 			h.takeConfiguration(e)
+		case feedTag:
+			h.feedCalls.take(tag, e)
 		case pingTag:
 			if e.Err == nil {
 				return session.PeerAlive{Address: tag.address}
@@ -133,6 +135,9 @@
 		return session.HeardAsked{
 			Reply: replyTo{conn: r.Conn, id: r.ID}, Subject: session.Subject{Member: question.Member, Home: question.Home},
 		}
+	case relay.MethodFeed:
+		h.askFeed(r)
+		return nil
 	case relay.MethodConfiguration:
 		if !h.fleets.input.TryPush(fleet.ConfigurationAsked{Reply: replyTo{conn: r.Conn, id: r.ID}}) {
 			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,9 @@
 	// MethodConfiguration asks for the configuration in force: {} ->
 	// fleet.Configuration.
 	MethodConfiguration = "configuration"
+	// MethodFeed asks a feeder for the store's changes: FeedQuestion ->
+	// fleet.FeedAnswer.
+	MethodFeed = "feed"
 	// MethodHeard asks what the instance has heard of a member or of a home:
 	// HeardQuestion -> HeardAnswer.
 	MethodHeard = "heard"
@@ -76,6 +79,13 @@
 	Closing        bool          `json:"c,omitempty"`
 }
 
+// FeedQuestion asks for the changes after a revision of the store, and bounds the
+// wait for them.
+type FeedQuestion struct {
+	After      uint64 `json:"after"`
+	WaitMillis int64  `json:"wait_ms"`
+}
+
 // Room names a member that takes no more connections.
 type Room struct {
 	Member core.MemberID `json:"m"`
