Spend from one token bucket in the simulation of shares and in instances

Change: pkg/tokens holds the one bucket; the simulation sets it as the session duty does. Incoming connections of other instances and callers of a hosted instance are bounded by parts of the descriptors (256 incoming ones were too few for 300 instances).

--- a/pkg/instance/hostedbounds.go
+++ b/pkg/instance/hostedbounds.go
@@ -7,8 +7,11 @@
 	// hostedRing is the capacity of its rings, in items: one input of every caller
 	// that the descriptors allow.
 	hostedRing = 4096
-	// reservedDescriptors are kept for files, the store, peers and targets.
-	reservedDescriptors = 600
+	// callerDescriptors and peerDescriptors are the parts of the descriptors for
+	// callers and for connections from other instances, each of which may have one;
+	// the rest is for files, the store, targets and connections to other instances.
+	callerDescriptors = 2
+	peerDescriptors   = 4
 	// memoryFraction is the part of the memory limit that the heap may use; the
 	// rest is for stacks, the program and unread input.
 	memoryFraction = 0.7
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -22,7 +22,7 @@
 	}
 	h.callers, err = linkio.NewCallers(linkio.CallerConfig{
 		Address: h.settings.CallerAddress, RingCapacity: hostedRing,
-		MaxCallers: max(h.settings.Descriptors-reservedDescriptors, 1), MaxInput: maxCallerInput,
+		MaxCallers: max(h.settings.Descriptors/callerDescriptors, 1), MaxInput: maxCallerInput,
 		Startup: callerStartup, Admission: callerAdmission, Linger: callerLinger,
 		NewCodec: platform.NewCallerCodec,
 	}, definition, h.sessions.input)
@@ -42,7 +42,9 @@
 }
 
 func (h *Hosted) buildPeers() error {
-	duty, err := rpc.New(rpc.DefaultConfig())
+	config := rpc.DefaultConfig()
+	config.MaxIncoming = max(config.MaxIncoming, h.settings.Descriptors/peerDescriptors)
+	duty, err := rpc.New(config)
 	if err != nil {
 		return err
 	}
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/tokens"
 )
 
 // account is a client account as this instance sees it.
@@ -17,11 +18,11 @@
 	weight    int
 	keys      map[core.KeyID]bool
 	// bucket holds the tokens of requests that execute statements.
-	bucket bucket
+	bucket tokens.Bucket
 	// preparations is a bucket of the same share for requests that execute
 	// nothing. A driver prepares a refused statement again before it repeats it;
 	// in a common bucket the preparations take nearly every token.
-	preparations bucket
+	preparations tokens.Bucket
 	waiters      []tokenWaiter
 	item         timerq.Item[timed]
 	// used is what callers of this instance use at the account's home; while
@@ -54,57 +55,6 @@
 	return a.keys[key]
 }
 
-// bucket is a token bucket. It starts empty and a larger share adds nothing to
-// it, so that capacity moved between instances is never spent twice.
-type bucket struct {
-	rate   float64
-	burst  float64
-	tokens float64
-	at     time.Time
-	// until is the time after which nothing may be spent; zero for none.
-	until time.Time
-}
-
-// settle refills the bucket before a change of its share; another grant empties
-// it.
-func (b *bucket) settle(regranted bool, now, until time.Time) {
-	b.refill(now, until)
-	b.at = now
-	if regranted {
-		b.tokens = 0
-	}
-}
-
-// limit puts a rate and a burst in force.
-func (b *bucket) limit(rate, burst float64) {
-	b.rate = rate
-	b.burst = burst
-	b.tokens = min(b.tokens, burst)
-}
-
-// refill adds what the rate gives up to now, but nothing for the time after
-// the share may no longer be spent.
-func (b *bucket) refill(now, until time.Time) {
-	if now.After(until) {
-		now = until
-	}
-	elapsed := now.Sub(b.at)
-	if elapsed <= 0 {
-		return
-	}
-	b.at = now
-	b.tokens = min(b.tokens+elapsed.Seconds()*b.rate, b.burst)
-}
-
-// wait returns how long a token takes, and false if none will come.
-func (b *bucket) wait() (time.Duration, bool) {
-	if b.rate <= 0 || b.burst < 1 {
-		return 0, false
-	}
-	missing := max(1-b.tokens, 0)
-	return time.Duration(missing/b.rate*float64(time.Second)) + time.Microsecond, true
-}
-
 // admits counts a new request of the caller against its account's rate. A
 // request does not overtake those that already wait for a token.
 func (e *Engine) admits(c *caller) bool {
@@ -116,19 +66,11 @@
 	if s.c.account.unlimited {
 		return true
 	}
-	if e.now.After(e.shareUntil) {
-		return false
-	}
 	s.c.account.holdBack()
 	b := s.bucket()
-	if !b.until.IsZero() && e.now.After(b.until) {
-		return false
-	}
-	b.refill(e.now, e.shareUntil)
-	if b.tokens < 1 {
+	if !b.Take(e.now, e.shareUntil) {
 		return false
 	}
-	b.tokens--
 	if s.c.remote == nil && b == &s.c.account.bucket {
 		s.c.account.used.add(e.now)
 	}
@@ -136,7 +78,7 @@
 }
 
 // bucket returns the bucket that the statement's token comes from.
-func (s *statement) bucket() *bucket {
+func (s *statement) bucket() *tokens.Bucket {
 	if s.request.PreparesOnly {
 		return &s.c.account.preparations
 	}
@@ -179,8 +121,8 @@
 		return
 	}
 	b := a.waiters[0].s.bucket()
-	b.refill(e.now, e.shareUntil)
-	after, ok := b.wait()
+	b.Refill(e.now, e.shareUntil)
+	after, ok := b.Wait()
 	if !ok || e.now.After(e.shareUntil) {
 		e.timers.Disarm(&a.item)
 		return
@@ -211,8 +153,8 @@
 func (e *Engine) shareInForce(in ShareInForce) {
 	regranted := in.Grant != e.grant
 	for _, a := range e.accounts {
-		a.bucket.settle(regranted, e.now, e.shareUntil)
-		a.preparations.settle(regranted, e.now, e.shareUntil)
+		a.bucket.Settle(regranted, e.now, e.shareUntil)
+		a.preparations.Settle(regranted, e.now, e.shareUntil)
 	}
 	e.grant = in.Grant
 	e.shareUntil = in.Until
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -32,7 +32,7 @@
 		s.notRun(core.ReasonKeyRevoked, "it cannot be checked at present whether the key was revoked")
 		return
 	}
-	if e.now.After(e.shareUntil) || s.c.account.bucket.rate <= 0 {
+	if e.now.After(e.shareUntil) || s.c.account.bucket.Rate <= 0 {
 		e.metrics.RateUnknown++
 	}
 	s.notRun(core.ReasonRateExceeded, s.c.account.rateReason())
@@ -46,7 +46,7 @@
 		return "the account's home is silent, and what may be spent without it is used up"
 	case a.homeLost:
 		return "the account has no home, and what may be spent without one is used up"
-	case home.Here && a.bucket.rate < a.e.shares[a.name].Rate:
+	case home.Here && a.bucket.Rate < a.e.shares[a.name].Rate:
 		return "the account's rate is exceeded, a part of which is set aside for silent instances"
 	}
 	return "the account's rate is exceeded"
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -216,7 +216,7 @@
 	s := h.run(1, "begin", begin)
 	h.ready(s.Target, 'T', core.Position{})
 	bucket := &h.e.accounts["acct"].bucket
-	bucket.tokens, bucket.rate = 0, 10
+	bucket.Tokens, bucket.Rate = 0, 10
 	h.ask(1, "write", write)
 	require.Equal(t, 1, h.countSent())
 	h.now = h.now.Add(100 * time.Millisecond)
@@ -226,7 +226,7 @@
 	h.do(ClassifyResult{Caller: 1, Sequence: h.classify[len(h.classify)-1].Sequence, Verdict: write})
 	require.Equal(t, 2, h.countSent())
 	h.ready(s.Target, 'T', core.Position{})
-	bucket.rate = 0
+	bucket.Rate = 0
 	h.ask(1, "write", write)
 	h.wait(3 * time.Second)
 	require.Equal(t, byte('T'), h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun))
@@ -351,7 +351,7 @@
 	h.ready(s.Target, 'I', core.Position{})
 	request := &Request{Texts: []string{"read"}, Payload: &Payload{}, Arrived: h.now}
 	h.e.box.out = &sink{}
-	h.e.accounts["acct"].bucket.tokens = 1e12
+	h.e.accounts["acct"].bucket.Tokens = 1e12
 	verdict := Verdict{Kind: KindRead, Hints: Hints{MaxAge: -1}}
 	frames := []byte("row")
 	b.ReportAllocs()
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -205,10 +205,10 @@
 	a := h.e.accounts["acct"]
 	require.InDelta(t, 20, a.used.rate(h.now), 3)
 	h.e.peer(homeAddress).giveUp()
-	require.InDelta(t, 20*usageRoom, a.bucket.rate, 4)
+	require.InDelta(t, 20*usageRoom, a.bucket.Rate, 4)
 	require.Contains(t, a.rateReason(), "home is silent")
 	h.do(PeerAlive{Address: homeAddress})
-	require.InDelta(t, 0.1, a.bucket.rate, 0.01)
+	require.InDelta(t, 0.1, a.bucket.Rate, 0.01)
 }
 
 // Guards against tokens that are lost with each share that is published while
@@ -222,12 +222,12 @@
 	h.useHome()
 	h.e.peer(homeAddress).giveUp()
 	a := h.e.accounts["acct"]
-	before := a.bucket.tokens
+	before := a.bucket.Tokens
 	require.Greater(t, before, 5.0)
 	h.do(share)
-	require.InDelta(t, before, a.bucket.tokens, 0.1)
+	require.InDelta(t, before, a.bucket.Tokens, 0.1)
 	h.do(PeerAlive{Address: homeAddress})
-	require.LessOrEqual(t, a.bucket.tokens, 1.0, "what was for the loss ends with it")
+	require.LessOrEqual(t, a.bucket.Tokens, 1.0, "what was for the loss ends with it")
 }
 
 // newHome gives an engine that is the home of its account.
@@ -334,17 +334,17 @@
 	h.beUsedByOrigin()
 	a := h.e.accounts["acct"]
 	a.used = a.e.origins["origin-1"].used["acct"].scaled(0.25)
-	before := a.bucket.rate
+	before := a.bucket.Rate
 	h.wait(isolationBound - 2*holdBackEvery)
 	a.holdBack()
-	require.Greater(t, a.bucket.rate, before/2, "the other side may only be late")
+	require.Greater(t, a.bucket.Rate, before/2, "the other side may only be late")
 	h.wait(2 * holdBackEvery)
 	a.holdBack()
-	require.InDelta(t, 5*usageRoom+isolatedRate, a.bucket.rate, 2)
+	require.InDelta(t, 5*usageRoom+isolatedRate, a.bucket.Rate, 2)
 	h.do(OriginAlive{Instance: "origin-1"})
 	h.wait(holdBackEvery)
 	a.holdBack()
-	require.InDelta(t, before, a.bucket.rate, 0.1)
+	require.InDelta(t, before, a.bucket.Rate, 0.1)
 }
 
 // scaled returns a usage of a part of the rate.
--- a/pkg/session/routes.go
+++ b/pkg/session/routes.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/tokens"
 )
 
 // entry is a catalogue entry with what it refers to.
@@ -57,7 +58,7 @@
 
 func (e *Engine) newAccount(name core.AccountName) *account {
 	share := e.shares[name]
-	empty := bucket{rate: share.Rate, burst: share.Burst, at: e.now}
+	empty := tokens.Bucket{Rate: share.Rate, Burst: share.Burst, At: e.now}
 	a := &account{
 		e:            e,
 		name:         name,
--- a/pkg/session/session_test.go
+++ b/pkg/session/session_test.go
@@ -271,17 +271,17 @@
 	s := h.run(1, "read", read)
 	h.ready(s.Target, 'I', core.Position{})
 	bucket := &h.e.accounts["acct"].bucket
-	bucket.tokens = 0
+	bucket.Tokens = 0
 	h.wait(time.Minute)
 	h.ask(1, "read", read)
 	h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun)
 	require.Equal(t, uint64(1), h.e.Metrics().RateUnknown)
-	bucket.tokens = 10
+	bucket.Tokens = 10
 	h.ask(1, "read", read)
 	h.refusedWith(core.ReasonRateExceeded, core.OutcomeNotRun)
-	bucket.tokens = 0
+	bucket.Tokens = 0
 	h.share(6)
-	require.Zero(t, bucket.tokens, "nothing is earned for the time without a share")
+	require.Zero(t, bucket.Tokens, "nothing is earned for the time without a share")
 	h.wait(10 * time.Millisecond)
 	h.view(1, "m0", 100, 100, 100)
 	h.run(1, "read", read)
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -150,7 +150,7 @@
 	e := a.e
 	a.homeSince = e.now
 	// The home before it has not spent its burst to the end.
-	a.bucket.tokens = max(a.bucket.tokens, e.shares[a.name].Rate*firstTokens)
+	a.bucket.Tokens = max(a.bucket.Tokens, e.shares[a.name].Rate*firstTokens)
 }
 
 // firstTokens is the time for which a new home may admit at once, in seconds.
@@ -184,10 +184,10 @@
 	}
 	a.homeLost = true
 	a.lostUsage = a.used.rate(e.now) * usageRoom
-	a.bucket.refill(e.now, e.shareUntil)
+	a.bucket.Refill(e.now, e.shareUntil)
 	a.applyShare()
 	// What waited for the home comes here at once.
-	a.bucket.tokens = max(a.bucket.tokens, a.lostUsage*lostBurst)
+	a.bucket.Tokens = max(a.bucket.Tokens, a.lostUsage*lostBurst)
 }
 
 // regainHome ends what loseHome began.
@@ -196,7 +196,7 @@
 		return
 	}
 	a.homeLost = false
-	a.bucket.refill(a.e.now, a.e.shareUntil)
+	a.bucket.Refill(a.e.now, a.e.shareUntil)
 	a.applyShare()
 }
 
@@ -206,14 +206,14 @@
 // applyShare limits the buckets by the share in force.
 func (a *account) applyShare() {
 	share := a.e.shares[a.name]
-	begins := a.bucket.until.IsZero() && !share.Until.IsZero()
-	a.bucket.until = share.Until
+	begins := a.bucket.Until.IsZero() && !share.Until.IsZero()
+	a.bucket.Until = share.Until
 	lost := 0.0
 	if a.homeLost {
 		lost = a.lostUsage
 	}
-	a.bucket.limit(share.Rate+lost, share.Burst+lost*lostBurst)
-	a.preparations.limit(share.Rate, share.Burst)
+	a.bucket.Limit(share.Rate+lost, share.Burst+lost*lostBurst)
+	a.preparations.Limit(share.Rate, share.Burst)
 	if begins {
 		a.becomeHome()
 	}
@@ -227,11 +227,11 @@
 		return
 	}
 	a.heldBackAt = e.now
-	a.bucket.refill(e.now, e.shareUntil)
-	a.bucket.rate = max(e.shares[a.name].Rate-a.setAside(), 0)
+	a.bucket.Refill(e.now, e.shareUntil)
+	a.bucket.Rate = max(e.shares[a.name].Rate-a.setAside(), 0)
 	if heard, silent := a.usageBySide(); isIsolated(heard, silent) {
 		// The other side may have made another instance the home.
-		a.bucket.rate = min(a.bucket.rate, heard*usageRoom+isolatedRate)
+		a.bucket.Rate = min(a.bucket.Rate, heard*usageRoom+isolatedRate)
 	}
 }
 
--- a/pkg/share/bench_test.go
+++ b/pkg/share/bench_test.go
@@ -40,7 +40,7 @@
 type benchHolder struct {
 	holder  *Holder
 	id      core.InstanceID
-	buckets []Bucket
+	buckets []holderBucket
 	// rates is the offered rate of each account.
 	rates  []float64
 	counts []float64
@@ -84,7 +84,7 @@
 		h := &benchHolder{
 			holder:  NewHolder(Identity{Instance: id, PeerAddress: address}, settings),
 			id:      id,
-			buckets: make([]Bucket, len(benchAccountRates)),
+			buckets: make([]holderBucket, len(benchAccountRates)),
 			rates:   make([]float64, len(benchAccountRates)),
 			counts:  make([]float64, len(benchAccountRates)),
 		}
@@ -118,7 +118,7 @@
 		}
 		spendable := h.holder.Spendable(f.now)
 		for a := range h.buckets {
-			h.buckets[a].Set(spendable.Accounts[f.limits.Accounts[a].Name], spendable.Grant, spendable.Until, f.now)
+			h.buckets[a].set(spendable.Accounts[f.limits.Accounts[a].Name], spendable.Grant, spendable.Until, f.now)
 		}
 		h.holder.Applied(spendable.Revision, nil)
 		f.report(h)
@@ -170,15 +170,15 @@
 // refusals offers the load and returns the share of the requests within the
 // account's rate that the holders refuse.
 func (f *benchFleet) refusals(shifting, static bool) float64 {
-	reference := make([]Bucket, len(f.limits.Accounts))
+	reference := make([]holderBucket, len(f.limits.Accounts))
 	forever := f.now.Add(time.Hour)
 	for a := range reference {
 		account := &f.limits.Accounts[a]
 		whole := Rate{Rate: Milli(account.Rate * MilliPerUnit), Burst: Milli(account.Burst * MilliPerUnit)}
-		reference[a].Set(whole, 0, forever, f.now)
+		reference[a].set(whole, 0, forever, f.now)
 		part := Rate{Rate: whole.Rate / Milli(len(f.holders)), Burst: whole.Burst / Milli(len(f.holders))}
 		for _, h := range f.holders {
-			h.buckets[a].Set(part, 0, forever, f.now)
+			h.buckets[a].set(part, 0, forever, f.now)
 		}
 	}
 	f.drawDemand()
@@ -203,14 +203,14 @@
 	return 100 * float64(refused) / float64(within)
 }
 
-func (f *benchFleet) offer(reference []Bucket) (within, refused int) {
+func (f *benchFleet) offer(reference []holderBucket) (within, refused int) {
 	for a := range reference {
 		for _, h := range f.holders {
 			n := f.poisson(h.rates[a] / benchTicks)
 			h.counts[a] += float64(n)
 			for range n {
-				admitted := h.buckets[a].Take(f.now)
-				if !reference[a].Take(f.now) {
+				admitted := h.buckets[a].take(f.now)
+				if !reference[a].take(f.now) {
 					continue
 				}
 				within++
--- a/pkg/share/sim_test.go
+++ b/pkg/share/sim_test.go
@@ -47,7 +47,7 @@
 	identity     Identity
 	lease        LeaseID
 	holder       *Holder
-	bucket       Bucket
+	bucket       holderBucket
 	until        time.Time
 	demand       float64
 	wanted       int
@@ -199,7 +199,7 @@
 // apply brings the holder's limits into force, as the session duty does.
 func (s *sim) apply(i *simInstance) {
 	spendable := i.holder.Spendable(s.now)
-	i.bucket.Set(spendable.Accounts[simAccount], spendable.Grant, spendable.Until, s.now)
+	i.bucket.set(spendable.Accounts[simAccount], spendable.Grant, spendable.Until, s.now)
 	i.until = spendable.Until
 	limit := spendable.Connections[simDatabase]
 	if i.open > limit && (spendable.Slot < 0 || s.chance(70, "connections close")) {
@@ -221,7 +221,7 @@
 	if i.dead || i.paused || !s.chance(80, "spends") {
 		return
 	}
-	for i.bucket.Take(s.now) {
+	for i.bucket.take(s.now) {
 		s.spent++
 		s.reference--
 	}
--- /dev/null
+++ b/pkg/tokens/bucket_test.go
@@ -0,0 +1,46 @@
+package tokens
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(100, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards against tokens that a share brings with it, that a lapsed share earns, or
+// that are spent after its end.
+func TestBucketKeepsToItsShare(t *testing.T) {
+	end := after(2 * time.Second)
+	b := Bucket{At: start}
+	b.Limit(10, 5)
+	require.False(t, b.Take(start, end), "a share brings no tokens")
+	require.True(t, b.Take(after(100*time.Millisecond), end))
+	require.False(t, b.Take(after(150*time.Millisecond), end))
+	b.Refill(after(time.Second), end)
+	require.InDelta(t, 5, b.Tokens, 0.001, "the burst bounds what is saved")
+	require.False(t, b.Take(after(3*time.Second), end), "the share has ended")
+	b.Tokens = 0
+	b.Settle(false, after(4*time.Second), end)
+	require.InDelta(t, 5, b.Tokens, 0.001, "earned until the end of the share, not after")
+	b.Settle(true, after(5*time.Second), end)
+	require.Zero(t, b.Tokens, "they belonged to another grant")
+	b.Until = after(6 * time.Second)
+	b.Tokens = 5
+	require.False(t, b.Take(after(7*time.Second), after(time.Hour)), "the bucket's own end")
+}
+
+// Guards against a waiter that is woken before its token or never.
+func TestBucketSaysWhenATokenComes(t *testing.T) {
+	b := Bucket{At: start, Rate: 10, Burst: 5, Tokens: 0.5}
+	wait, comes := b.Wait()
+	require.True(t, comes)
+	require.InDelta(t, 0.05, wait.Seconds(), 0.001)
+	require.True(t, b.Take(after(wait), after(time.Hour)))
+	b.Limit(0, 5)
+	_, comes = b.Wait()
+	require.False(t, comes)
+}
