Work out once what follows from the registered instances

Cause: the feeders, the homes of callers without an account and the lists of nodes were worked out with each change of the store, for each group. Change: pkg/fleet roster.go keeps them until an instance comes or goes.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -64,6 +64,7 @@
 	// groups holds the members by their group, in the order of their identities.
 	groups    map[core.DatabaseName][]*member
 	instances map[string]*instance
+	roster    roster
 	// storeLost is set while the store cannot be read, storeBack when it could
 	// be read again.
 	storeLost bool
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -58,7 +58,7 @@
 
 func (h *harness) GiveFeed(reply any, a FeedAnswer) { h.fed[reply] = a }
 
-func load(t *testing.T, name string) *chart.Definition {
+func load(t testing.TB, name string) *chart.Definition {
 	d, err := charts.Load(name)
 	require.NoError(t, err)
 	return d
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -230,7 +230,7 @@
 }
 
 func (e *Engine) claimOrder() claimOrder {
-	nodes := e.liveNodes()
+	nodes := e.names().nodes
 	return claimOrder{nodes: nodes, assigned: homing.Assign(e.homingAccounts(), nodes)}
 }
 
@@ -339,16 +339,6 @@
 	e.out.Session(in)
 }
 
-// liveNodes returns the names of the registered nodes in order.
-func (e *Engine) liveNodes() []string {
-	nodes := make([]string, 0, len(e.instances))
-	for node := range e.instances {
-		nodes = append(nodes, node)
-	}
-	slices.Sort(nodes)
-	return nodes
-}
-
 func (e *Engine) homingAccounts() []homing.Account {
 	list := make([]homing.Account, len(e.configuration.Accounts))
 	for i, a := range e.configuration.Accounts {
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -24,6 +24,7 @@
 		e.homes.appeared = e.now
 	}
 	e.instances[i.Node] = &instance{Instance: i}
+	e.roster.reset()
 }
 
 func (e *Engine) instanceGone(node string) {
@@ -37,6 +38,7 @@
 		return
 	}
 	delete(e.instances, node)
+	e.roster.reset()
 }
 
 // forgetInstances removes those that did not register again in time.
@@ -47,6 +49,7 @@
 	for node, i := range e.instances {
 		if i.missing {
 			delete(e.instances, node)
+			e.roster.reset()
 		}
 	}
 	e.news.review()
--- a/pkg/fleet/news.go
+++ b/pkg/fleet/news.go
@@ -105,7 +105,7 @@
 
 // review chooses the source again after a change of the instances.
 func (n *news) review() {
-	feeders := n.e.feeders()
+	feeders := n.e.names().feeders
 	own := n.e.config.Self.Node
 	switch {
 	case len(feeders) == 0 || n.e.state != n.e.servingState:
@@ -127,10 +127,9 @@
 	n.fire(n.failed)
 }
 
-// feeders returns the nodes of this failure domain that feed the others, none
+// chooseFeeders returns which of the failure domain's nodes feed the others, none
 // where each reads the store.
-func (e *Engine) feeders() []string {
-	nodes := e.domainNodes()
+func chooseFeeders(nodes []string) []string {
 	if len(nodes) <= fewInstances {
 		return nil
 	}
--- a/pkg/fleet/news_test.go
+++ b/pkg/fleet/news_test.go
@@ -9,7 +9,7 @@
 
 // grow registers instances until the failure domain has the given number.
 func (h *harness) grow(count int) {
-	for i := len(h.e.domainNodes()); i < count; i++ {
+	for i := len(h.e.names().domain); i < count; i++ {
 		h.do(StoreChanged{Changes: []Change{instanceOf(fmt.Sprintf("n%03d", i))}})
 	}
 }
@@ -30,7 +30,7 @@
 	require.Zero(t, h.newsFrom(), "few instances read the store")
 	const instances = 100
 	h.grow(instances)
-	feeders := h.e.feeders()
+	feeders := h.e.names().feeders
 	require.Len(t, feeders, 8, "each serves about twelve")
 	from := h.newsFrom()
 	if from.Feeding {
--- a/pkg/fleet/openhomes.go
+++ b/pkg/fleet/openhomes.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/homing"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -25,17 +24,16 @@
 	if e.configuration == nil {
 		return nil
 	}
-	nodes := e.domainNodes()
-	if len(nodes) == 0 {
-		return nil
-	}
 	homes := map[core.DatabaseName]session.Home{}
 	for i := range e.configuration.Groups {
 		g := &e.configuration.Groups[i]
 		if !e.isCrowded(g) {
 			continue
 		}
-		node := homing.First(string(g.Name), nodes)
+		node, known := e.names().firstFor(string(g.Name))
+		if !known {
+			continue
+		}
 		if node == e.config.Self.Node {
 			homes[g.Name] = session.Home{Here: true}
 			continue
@@ -45,30 +43,15 @@
 	return homes
 }
 
-// domainNodes returns the registered nodes of this failure domain in order.
-func (e *Engine) domainNodes() []string {
-	var nodes []string
-	for _, node := range e.liveNodes() {
-		if e.instances[node].Domain == e.config.Self.Domain {
-			nodes = append(nodes, node)
-		}
-	}
-	return nodes
-}
-
 // openConnections is what the home of callers without an account may use
 // besides: its failure domain's part of the spare connections.
 func (e *Engine) openConnections(g *Group) int {
 	if !e.isCrowded(g) {
 		return 0
 	}
-	nodes := e.domainNodes()
-	if len(nodes) == 0 || homing.First(string(g.Name), nodes) != e.config.Self.Node {
+	node, known := e.names().firstFor(string(g.Name))
+	if !known || node != e.config.Self.Node {
 		return 0
 	}
-	domains := map[core.Domain]bool{}
-	for _, i := range e.instances {
-		domains[i.Domain] = true
-	}
-	return max(int(float64(g.MemberConnections)*spareConnections)/len(domains), 1)
+	return max(int(float64(g.MemberConnections)*spareConnections)/e.names().domains, 1)
 }
--- a/pkg/fleet/reach.go
+++ b/pkg/fleet/reach.go
@@ -106,7 +106,7 @@
 // otherDomains returns the instances of other failure domains in order.
 func (r *reach) otherDomains() []Instance {
 	var list []Instance
-	for _, node := range r.e.liveNodes() {
+	for _, node := range r.e.names().nodes {
 		if i := r.e.instances[node]; i.Domain != r.e.config.Self.Domain {
 			list = append(list, i.Instance)
 		}
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -73,7 +73,7 @@
 		Node: e.config.Self.Node, Domain: e.config.Self.Domain, State: e.life.StateName(e.state), StoreLost: e.storeLost,
 		LeaseSeconds: max(e.homes.leaseUntil.Sub(e.now), 0).Round(time.Millisecond).Seconds(),
 	}
-	for _, node := range e.liveNodes() {
+	for _, node := range e.names().nodes {
 		i := e.instances[node]
 		s.Instances = append(s.Instances, InstanceStatus{Node: node, Domain: i.Domain, Missing: i.missing})
 	}
