Count refused and given connections; show the source of news; keep lapsed entries after a feeder failed

Cause: a feeder may lose the store for so short a time that its followers do not notice, and entries that lapsed meanwhile counted as gone at once. Change: the report of a failed feeder grants them the same time as a store that is back. One function acknowledges messages of other instances that have no other answer.

--- a/cmd/sassafrasshuntctl/fleet.go
+++ b/cmd/sassafrasshuntctl/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -52,6 +53,7 @@
 func printHosted(s *instance.HostedStatus) {
 	fmt.Printf("instance %s in %s: %s, ready=%v, store lost=%v, lease for %.1f s\n", s.Node, s.Domain, s.State, s.Ready, s.StoreLost, s.LeaseSeconds)
 	fmt.Printf("configuration version %d; %d callers, %d connections, %d statements wait\n", s.Version, s.Callers, s.Connections, s.Queued)
+	fmt.Printf("news of the store from %s, feeding others=%v\n", cmp.Or(string(s.Feeder), "the store"), s.Feeding)
 	for _, g := range s.Groups {
 		fmt.Printf("database %s: primary %s, succession %s\n", g.Group, orNone(string(g.Primary)), g.Succession)
 		for _, m := range g.Members {
--- a/pkg/fleet/news.go
+++ b/pkg/fleet/news.go
@@ -123,6 +123,9 @@
 	if in.Feeder != n.assigned.Feeder {
 		return
 	}
+	// The feeder may have lost the store without this instance noticing, and
+	// entries may have lapsed meanwhile.
+	n.e.storeBack = n.e.now
 	n.e.out.Log(LogEvent{Warning: true, Event: "feeder_failed", Message: in.Reason, Fields: map[string]any{"feeder": in.Feeder}})
 	n.fire(n.failed)
 }
--- a/pkg/fleet/news_test.go
+++ b/pkg/fleet/news_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // grow registers instances until the failure domain has the given number.
@@ -79,3 +81,16 @@
 	require.Zero(t, h.newsFrom())
 	require.False(t, h.e.feed.serving)
 }
+
+// Guards against members that count as gone because their entries lapsed in an
+// outage that only the feeder noticed: living ones are back within two seconds.
+func TestLapsedEntryAfterAFeederFailed(t *testing.T) {
+	h := newHarness(t)
+	h.grow(30)
+	h.wait(h.e.config.Bounds.ReturnWait * 2)
+	h.do(FeedFailed{Feeder: h.newsFrom().Feeder, Reason: "the feeder has not got the changes"})
+	h.do(StoreChanged{Changes: []Change{{GoneMember: "r1"}}})
+	require.Contains(t, h.e.members, core.MemberID("r1"))
+	h.wait(h.e.config.Bounds.ReturnWait)
+	require.NotContains(t, h.e.members, core.MemberID("r1"))
+}
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
 // Inspect asks for a copy of what the engine believes. The reply channel has
@@ -24,6 +25,10 @@
 	Version uint64 `json:"version"`
 	// StoreLost is set while the store cannot be read.
 	StoreLost bool `json:"store_lost"`
+	// Feeder is the instance that passes the store's news on to this one, empty if
+	// it reads the store; Feeding is set while others follow it.
+	Feeder  session.PeerAddress `json:"feeder"`
+	Feeding bool                `json:"feeding"`
 	// LeaseSeconds is how long the registration certainly lasts.
 	LeaseSeconds float64          `json:"lease_seconds"`
 	Instances    []InstanceStatus `json:"instances"`
@@ -71,6 +76,7 @@
 func (e *Engine) inspect() Status {
 	s := Status{
 		Node: e.config.Self.Node, Domain: e.config.Self.Domain, State: e.life.StateName(e.state), StoreLost: e.storeLost,
+		Feeder: e.news.assigned.Feeder, Feeding: e.news.assigned.Feeding,
 		LeaseSeconds: max(e.homes.leaseUntil.Sub(e.now), 0).Round(time.Millisecond).Seconds(),
 	}
 	for _, node := range e.names().nodes {
--- a/pkg/instance/relaybridge.go
+++ b/pkg/instance/relaybridge.go
@@ -115,17 +115,15 @@
 	switch r.Method {
 	case relay.MethodPing:
 		var ping relay.Ping
-		if !h.decodePeer(r, &ping) {
+		if !h.acknowledge(r, &ping) {
 			return nil
 		}
-		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.OriginAlive{Instance: ping.Instance}
 	case relay.MethodRoom:
 		var room relay.Room
-		if !h.decodePeer(r, &room) {
+		if !h.acknowledge(r, &room) {
 			return nil
 		}
-		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.RoomAsked{Member: room.Member}
 	case relay.MethodHeard:
 		var question relay.HeardQuestion
@@ -145,10 +143,9 @@
 		return nil
 	case relay.MethodLeave:
 		var leave relay.Leave
-		if !h.decodePeer(r, &leave) {
+		if !h.acknowledge(r, &leave) {
 			return nil
 		}
-		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
 		return session.RemoteGone{Caller: session.RemoteID{Instance: leave.Instance, Caller: session.CallerID(leave.Caller)}}
 	case relay.MethodRelay:
 		var request relay.Request
@@ -200,6 +197,15 @@
 	return false
 }
 
+// acknowledge decodes a request whose answer says only that it has arrived.
+func (h *Hosted) acknowledge(r rpc.Request, params any) bool {
+	if !h.decodePeer(r, params) {
+		return false
+	}
+	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
+	return true
+}
+
 func (h *Hosted) refusePeer(r rpc.Request, err error) {
 	h.log(logrus.WarnLevel, "peer_request_invalid", err.Error(), telemetry.Fields{"method": r.Method})
 	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: err.Error()}})
--- a/pkg/session/inspect.go
+++ b/pkg/session/inspect.go
@@ -28,6 +28,8 @@
 	Retries            uint64                                 `json:"retries"`
 	Requeued           uint64                                 `json:"requeued"`
 	HomesLost          uint64                                 `json:"homes_lost"`
+	RefusedFull        uint64                                 `json:"refused_full"`
+	RoomGiven          uint64                                 `json:"room_given"`
 	Callers            int                                    `json:"callers"`
 	Connections        int                                    `json:"connections"`
 	Queued             int                                    `json:"queued"`
@@ -87,7 +89,7 @@
 		ReplicaReads: m.ReplicaReads, PrimaryReads: m.PrimaryReads,
 		WritesAcknowledged: m.WritesAcknowledged, WritesUncertain: m.WritesUncertain,
 		Refusals: make(map[core.Reason]uint64, len(m.Refusals)), RateUnknown: m.RateUnknown,
-		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost,
+		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost, RefusedFull: m.RefusedFull, RoomGiven: m.RoomGiven,
 		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
 		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
 		Transitions: e.charts.taken(),
--- a/pkg/session/metrics.go
+++ b/pkg/session/metrics.go
@@ -35,6 +35,10 @@
 	Requeued uint64
 	// HomesLost counts how often the home of an account was given up as silent.
 	HomesLost uint64
+	// RefusedFull counts connections that a member refused for its bound, RoomGiven
+	// unused ones that were closed because another instance asked for room.
+	RefusedFull uint64
+	RoomGiven   uint64
 	// Callers, Connections and Queued are current numbers.
 	Callers     int
 	Connections int
--- a/pkg/session/room.go
+++ b/pkg/session/room.go
@@ -42,6 +42,7 @@
 // bound.
 func (m *member) noteFull() {
 	e := m.db.e
+	e.metrics.RefusedFull++
 	if m.db.rest <= 0 {
 		m.fullUntil = e.now.Add(e.cfg.Bounds.FullBackoff)
 		return
@@ -94,6 +95,7 @@
 			}
 		}
 		if oldest != nil && e.now.Sub(oldest.usedAt) > db.openTime {
+			e.metrics.RoomGiven++
 			oldest.fire(e.charts.conn.retire)
 		}
 	}
