--- /dev/null
+++ b/standin/e2e/hosted_feed_test.go
@@ -0,0 +1,93 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// feedStatus is the part of the status page that tells the source of news.
+type feedStatus struct {
+	Version uint64 `json:"version"`
+	Feeder  string `json:"feeder"`
+	Feeding bool   `json:"feeding"`
+}
+
+func (f *hostedFleet) feedStatus(i int) (feedStatus, error) {
+	var s feedStatus
+	response, err := http.Get("http://" + f.instances[i].metrics + "/status")
+	if err != nil {
+		return s, err
+	}
+	defer response.Body.Close()
+	return s, json.NewDecoder(response.Body).Decode(&s)
+}
+
+// sources returns which instances feed, once every other one follows.
+func (f *hostedFleet) sources() ([]int, error) {
+	var feeding []int
+	for i := range f.instances {
+		s, err := f.feedStatus(i)
+		switch {
+		case err != nil:
+			return nil, err
+		case s.Feeding:
+			feeding = append(feeding, i)
+		case s.Feeder == "":
+			return nil, fmt.Errorf("instance %d follows nobody", i)
+		}
+	}
+	return feeding, nil
+}
+
+// inForce returns nil once the instances have the configuration.
+func (f *hostedFleet) inForce(version uint64, instances []int) error {
+	for _, i := range instances {
+		s, err := f.feedStatus(i)
+		if err != nil {
+			return err
+		}
+		if s.Version != version {
+			return fmt.Errorf("instance %d has version %d", i, s.Version)
+		}
+	}
+	return nil
+}
+
+// Guards against a large failure domain that misses a configuration: its
+// instances have the news from feeders, and when those stand still they find it
+// at the store within the bound of the platform's pages.
+func TestHostedFeeders(t *testing.T) {
+	const configurationBound = 3 * time.Second
+	f := startHostedFleetIn(t, 10, "one")
+	var feeding []int
+	require.NoError(t, eventually(startBound, func() (err error) {
+		feeding, err = f.sources()
+		return err
+	}))
+	require.Len(t, feeding, 2)
+	all := make([]int, len(f.instances))
+	var followers []int
+	for i := range all {
+		all[i] = i
+		if i != feeding[0] && i != feeding[1] {
+			followers = append(followers, i)
+		}
+	}
+	f.store.put("op/config", f.configuration(2))
+	require.NoError(t, eventually(configurationBound, func() error { return f.inForce(2, all) }))
+	for _, i := range feeding {
+		require.NoError(t, f.instances[i].signal(syscall.SIGSTOP))
+	}
+	f.store.put("op/config", f.configuration(3))
+	require.NoError(t, eventually(configurationBound, func() error { return f.inForce(3, followers) }))
+	for _, i := range feeding {
+		require.NoError(t, f.instances[i].signal(syscall.SIGCONT))
+	}
+	require.NoError(t, eventually(configurationBound, func() error { return f.inForce(3, all) }))
+}
--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -20,7 +21,9 @@
 // hostedFleet runs instances as the users' platform does, one in each failure
 // domain, before one database of three members.
 type hostedFleet struct {
-	t         *testing.T
+	t *testing.T
+	// domain is that of all instances; empty for one of its own for each.
+	domain    string
 	dir       string
 	store     *hostingStore
 	group     *hostedGroup
@@ -41,11 +44,11 @@
 
 // hostedSettings is the settings file; its fields are the number of the instance,
 // the first and last port between instances, the addresses for callers and the
-// probe, the grace time and the address of the store.
+// probe, the grace time, the address of the store and the failure domain.
 const hostedSettings = `
 nodeName = "n%[1]d"
 ip = "127.0.0.1"
-zone = "z%[1]d"
+zone = %[8]q
 internalPorts = [%[2]d, %[3]d]
 [listenAddrs]
 front = %[4]q
@@ -66,8 +69,12 @@
 `
 
 func startHostedFleet(t *testing.T, instances int) *hostedFleet {
+	return startHostedFleetIn(t, instances, "")
+}
+
+func startHostedFleetIn(t *testing.T, instances int, domain string) *hostedFleet {
 	takeTurn(t)
-	f := &hostedFleet{t: t, dir: keep(t.TempDir(), t.Name()), store: newHostingStore(t)}
+	f := &hostedFleet{t: t, domain: domain, dir: keep(t.TempDir(), t.Name()), store: newHostingStore(t)}
 	require.NoError(t, os.MkdirAll(f.dir, 0o755))
 	f.group = newHostedGroup(t, f.store, "db", 3)
 	f.store.promote = func(_, member string, token uint64) int { return f.group.promoteMember(member, token) }
@@ -126,7 +133,7 @@
 	first, err := strconv.Atoi(port)
 	require.NoError(f.t, err)
 	n.metrics = net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1))
-	text := fmt.Sprintf(hostedSettings, i, first, first+2, n.callers, n.ready, int(hostedGrace.Seconds()), f.store.address())
+	text := fmt.Sprintf(hostedSettings, i, first, first+2, n.callers, n.ready, int(hostedGrace.Seconds()), f.store.address(), cmp.Or(f.domain, fmt.Sprintf("z%d", i)))
 	require.NoError(f.t, os.WriteFile(n.settings, []byte(text), 0o600))
 	name := fmt.Sprintf("hosted-%d", i)
 	n.process = &process{
