--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -32,7 +32,10 @@
 	instances int
 	// proxied puts the paths between instances and members through the fault
 	// proxy; the paths to the platform always go through it.
-	proxied     bool
+	proxied bool
+	// replication is the time until replicas have received a commit, lag the time
+	// until they then apply it.
+	replication time.Duration
 	lag         time.Duration
 	service     time.Duration
 	slots       int
@@ -44,7 +47,7 @@
 
 func defaults() options {
 	return options{
-		instances: 3, lag: 5 * time.Millisecond, service: time.Millisecond,
+		instances: 3, replication: 2 * time.Millisecond, lag: 5 * time.Millisecond, service: time.Millisecond,
 		slots: 2, connections: 35, rate: 4000, burst: 4000,
 	}
 }
@@ -205,7 +208,7 @@
 		"-member", m.id, "-listen", m.sql, "-status", m.status, "-peers", peers,
 		"-slots", fmt.Sprint(f.options.slots), "-service-time", f.options.service.String(),
 		"-connect-delay", "12ms", "-max-connections", fmt.Sprint(f.options.connections),
-		"-apply-lag", f.options.lag.String(), "-record", m.records, "-data", filepath.Join(f.dir, m.id+".data"),
+		"-receive-delay", f.options.replication.String(), "-apply-lag", f.options.lag.String(), "-record", m.records, "-data", filepath.Join(f.dir, m.id+".data"),
 	}
 	if i == 0 {
 		args = append(args, "-role", "primary")
--- a/standin/e2e/script_test.go
+++ b/standin/e2e/script_test.go
@@ -85,6 +85,7 @@
 	flags := flag.NewFlagSet("fleet", flag.ContinueOnError)
 	flags.BoolVar(&o.proxied, "proxied", false, "members behind the fault proxy")
 	flags.IntVar(&o.instances, "instances", o.instances, "instances")
+	flags.DurationVar(&o.replication, "replication", o.replication, "time until replicas have received a commit")
 	flags.DurationVar(&o.lag, "lag", o.lag, "lag of replicas")
 	flags.DurationVar(&o.service, "service", o.service, "time that a statement holds its slot")
 	flags.IntVar(&o.connections, "connections", o.connections, "connections to the database")
