--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -265,6 +265,7 @@
 	}
 	return clock.Later(at.Add(time.Duration(turn)*homeTurn), retry), true
 }
+
 func (h *homes) claim(account core.AccountName) {
 	s := h.of(account)
 	s.asked = h.e.now
--- a/pkg/fleet/openhomes.go
+++ b/pkg/fleet/openhomes.go
@@ -18,6 +18,15 @@
 	return float64(len(e.configuration.Accounts)+len(e.instances)) > limit
 }
 
+// openHome returns the node that serves callers without an account before the
+// group, and false if every instance does.
+func (e *Engine) openHome(g *Group) (string, bool) {
+	if !e.isCrowded(g) {
+		return "", false
+	}
+	return e.names().firstFor(string(g.Name))
+}
+
 // openHomes returns where callers without an account are served before each
 // crowded group.
 func (e *Engine) openHomes() map[core.DatabaseName]session.Home {
@@ -27,18 +36,14 @@
 	homes := map[core.DatabaseName]session.Home{}
 	for i := range e.configuration.Groups {
 		g := &e.configuration.Groups[i]
-		if !e.isCrowded(g) {
-			continue
-		}
-		node, known := e.names().firstFor(string(g.Name))
-		if !known {
-			continue
-		}
-		if node == e.config.Self.Node {
+		node, gathered := e.openHome(g)
+		switch {
+		case !gathered:
+		case node == e.config.Self.Node:
 			homes[g.Name] = session.Home{Here: true}
-			continue
+		default:
+			homes[g.Name] = session.Home{Address: session.PeerAddress(e.instances[node].Peer)}
 		}
-		homes[g.Name] = session.Home{Address: session.PeerAddress(e.instances[node].Peer)}
 	}
 	return homes
 }
@@ -46,11 +51,7 @@
 // openConnections is what the home of callers without an account may use
 // besides: its failure domain's part of the spare connections.
 func (e *Engine) openConnections(g *Group) int {
-	if !e.isCrowded(g) {
-		return 0
-	}
-	node, known := e.names().firstFor(string(g.Name))
-	if !known || node != e.config.Self.Node {
+	if node, gathered := e.openHome(g); !gathered || node != e.config.Self.Node {
 		return 0
 	}
 	return max(int(float64(g.MemberConnections)*spareConnections)/e.names().domains, 1)
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -57,12 +57,13 @@
 			homed = append(homed, a.Rate)
 		}
 	}
+	accounts := e.homingAccounts()
 	divisions := map[int]homing.Division{}
 	for _, g := range e.configuration.Groups {
 		division, known := divisions[g.MemberConnections]
 		if !known {
 			limit := float64(g.MemberConnections) * (1 - spareConnections)
-			division = homing.Divide(limit, e.homingAccounts(), len(e.configuration.Groups))
+			division = homing.Divide(limit, accounts, len(e.configuration.Groups))
 			divisions[g.MemberConnections] = division
 		}
 		share.Connections[g.Name] = division.Connections(homed) + e.openConnections(&g)
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -81,16 +82,23 @@
 	return nil
 }
 
-func (h *Hosted) buildFleet() error {
-	life, err := charts.Load("hosted_instance")
-	if err != nil {
-		return err
+// fleetCharts loads the charts of the fleet duty.
+func fleetCharts() (fleet.Charts, error) {
+	var c fleet.Charts
+	for name, definition := range map[string]**chart.Definition{
+		"hosted_instance": &c.Instance, "succession": &c.Succession, "news": &c.News,
+	} {
+		loaded, err := charts.Load(name)
+		if err != nil {
+			return fleet.Charts{}, err
+		}
+		*definition = loaded
 	}
-	succession, err := charts.Load("succession")
-	if err != nil {
-		return err
-	}
-	news, err := charts.Load("news")
+	return c, nil
+}
+
+func (h *Hosted) buildFleet() error {
+	definitions, err := fleetCharts()
 	if err != nil {
 		return err
 	}
@@ -102,7 +110,7 @@
 		PromotionCall:  promotionStep,
 		PromotionRetry: promotionRetry,
 		Takeover:       takeover,
-	}}, fleet.Charts{Instance: life, Succession: succession, News: news}, out)
+	}}, definitions, out)
 	if err != nil {
 		return err
 	}
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// News is dropped if the watcher has not taken the orders before; they are
-// repeated with the next change of the instances.
+// News has room as long as the watcher takes its orders, which it does after each
+// call; an order for which there is none is not repeated.
 func (o *hostedFleet) News(from fleet.NewsFrom) { o.hosted.watcher.Follow(from) }
 
 func (o *hostedFleet) GiveFeed(reply any, a fleet.FeedAnswer) {
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
 
@@ -76,14 +77,7 @@
 // quietSince is the last time before which both sides had a sign of life, but
 // not before the last probe, which may be on its way.
 func (p *homePeer) quietSince() time.Time {
-	since := p.heard
-	if p.sent.Before(since) {
-		since = p.sent
-	}
-	if since.Before(p.probed) {
-		since = p.probed
-	}
-	return since
+	return clock.Later(clock.Earlier(p.heard, p.sent), p.probed)
 }
 
 // timeOut probes a quiet home and gives up on a silent one.
--- a/pkg/session/proof_test.go
+++ b/pkg/session/proof_test.go
@@ -9,18 +9,24 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
-// Guards against homes that open a connection to a primary only to learn its
-// position: 87 homes did so before members that take 67 connections, and 137
-// reads of 8 s waited there until their deadline.
-func TestProofOfAHomeServesReadsElsewhere(t *testing.T) {
-	h := newAsyncHarness(t)
+// proofAfter gives a home whose newest proof came with the answer to a request of
+// the given time ago.
+func proofAfter(h *harness, ago time.Duration, p Proof) {
 	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Address: homeAddress}}})
 	h.open(1, core.Position{})
 	h.order(1, "read", read)
 	v := h.relayed()
-	h.wait(50 * time.Millisecond)
-	h.homeAnswers(v, RelayAnswer{TxStatus: TxIdle, Proof: Proof{Position: term(1, 120), Age: 30 * time.Millisecond}})
+	h.wait(ago)
+	h.homeAnswers(v, RelayAnswer{TxStatus: TxIdle, Proof: p})
 	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Here: true}}})
+}
+
+// Guards against homes that open a connection to a primary only to learn its
+// position: 87 homes did so before members that take 67 connections, and 137
+// reads of 8 s waited there until their deadline.
+func TestProofOfAHomeServesReadsElsewhere(t *testing.T) {
+	h := newAsyncHarness(t)
+	proofAfter(h, 50*time.Millisecond, Proof{Position: term(1, 120), Age: 30 * time.Millisecond})
 	h.order(1, "read", read)
 	s := h.sent()
 	require.NotEqual(t, core.MemberID("m0"), h.memberOf(s.Target))
@@ -32,13 +38,7 @@
 func TestProofCountsFromTheRequest(t *testing.T) {
 	h := newAsyncHarness(t)
 	h.e.entries["entry"].definition.MaxAgeMillis = 500
-	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Address: homeAddress}}})
-	h.open(1, core.Position{})
-	h.order(1, "read", read)
-	v := h.relayed()
-	h.wait(300 * time.Millisecond)
-	h.homeAnswers(v, RelayAnswer{TxStatus: TxIdle, Proof: Proof{Position: term(1, 120), Age: 150 * time.Millisecond}})
-	h.do(HomesInForce{Homes: map[core.AccountName]Home{"acct": {Here: true}}})
+	proofAfter(h, 300*time.Millisecond, Proof{Position: term(1, 120), Age: 150 * time.Millisecond})
 	h.wait(60 * time.Millisecond)
 	h.order(1, "read", read)
 	require.True(t, h.sent().LeaderOnly, "the primary was asked 510 ms before the read")
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -88,6 +88,7 @@
 	}
 	return ends
 }
+
 func (t *target) timeOut() {
 	before := t.state
 	t.fire(t.engine().charts.conn.timedOut)
