Refuse connections beyond the limit before they have a handler; let classify take requests while its results wait

Cause 1: linkio closed a connection beyond MaxCallers inside accept, before netloop had set its handler, and the close then called a nil handler (SIGSEGV, the whole process). netloop's accept now returns nil to refuse a connection and the loop closes it; linkio and rpc use it, and rpc's list of connections to close after the poll is gone. Cause 2: the classify duty waited for space in the session ring without taking its next request while the session duty waited for space in the classify ring. The classify duty now goes on taking requests; the results that wait are bounded by the callers, each of which has one request at most.

--- a/lib/netloop/loop.go
+++ b/lib/netloop/loop.go
@@ -167,9 +167,11 @@
 	l.closedConns = l.closedConns[:0]
 }
 
-// Listen accepts connections on address (IP:port); accept returns the handler of a
-// new connection. Listen returns the bound address, or an *OpError when the address
-// is invalid or in use.
+// Listen accepts connections on address (IP:port). accept returns the handler of a
+// new connection, or nil to refuse it; the loop then closes the connection. accept
+// must not close it itself, because there is no handler yet that Closed could be
+// reported to. Listen returns the bound address, or an *OpError when the address is
+// invalid or in use.
 func (l *Loop) Listen(address string, accept func(*Conn) Handler) (netip.AddrPort, error) {
 	bound, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -240,10 +242,29 @@
 			unix.Close(fd)
 			return
 		}
-		c.handler = accept(c)
+		l.attach(c, accept(c))
 	}
 }
 
+// attach sets the handler of an accepted connection. Without a handler the
+// connection is closed.
+func (l *Loop) attach(c *Conn, h Handler) {
+	if h == nil {
+		c.handler = noHandler{}
+		c.Close()
+		return
+	}
+	c.handler = h
+}
+
+// noHandler is the handler of connections that their listener refused.
+type noHandler struct{}
+
+func (noHandler) Opened(*Conn)        {}
+func (noHandler) Data(*Conn)          {}
+func (noHandler) Flushed(*Conn)       {}
+func (noHandler) Closed(*Conn, error) {}
+
 // refuseConnection accepts and closes a connection when no descriptor is left. In
 // the accept queue it would keep the listener readable and make the thread spin.
 func (l *Loop) refuseConnection(listener int) {
--- a/pkg/instance/classify.go
+++ b/pkg/instance/classify.go
@@ -18,8 +18,10 @@
 	input      *ring.Ring[session.ClassifyRequest]
 	signal     *ring.Signal
 	classifier classifier
-	output     *ring.Ring[session.Input]
-	stopping   atomic.Bool
+	// output holds the results that the session ring has no space for. A caller has
+	// at most one request, so there are at most as many results as callers.
+	output   ringWriter[session.Input]
+	stopping atomic.Bool
 }
 
 // newClassifyDuty returns a duty that is not running yet. capacity is that of its
@@ -30,22 +32,21 @@
 		input:      ring.New[session.ClassifyRequest](capacity, signal),
 		signal:     signal,
 		classifier: c,
-		output:     output,
+		output:     ringWriter[session.Input]{ring: output},
 	}
 }
 
-// run classifies requests until stop is called.
+// run classifies requests until stop is called. It takes requests also while results
+// wait for space in the session ring: the session duty may be waiting for space in the
+// request ring.
 func (d *classifyDuty) run() {
 	for !d.stopping.Load() {
-		request, ok := d.input.Pop()
-		if ok {
+		d.output.flush()
+		if request, ok := d.input.Pop(); ok {
 			d.answer(request)
 			continue
 		}
-		if d.input.Park() {
-			d.signal.Wait(-1)
-			d.input.Unpark()
-		}
+		d.park()
 	}
 }
 
@@ -54,17 +55,23 @@
 	d.signal.Wake()
 }
 
-// answer classifies a request and pushes the result, waiting while the output
-// ring is full.
+// park waits for a request, or for space for the results that wait.
+func (d *classifyDuty) park() {
+	if !d.input.Park() {
+		return
+	}
+	defer d.input.Unpark()
+	if d.output.pending() && !d.output.notifySpace(d.signal) {
+		return
+	}
+	d.signal.Wait(-1)
+}
+
+// answer classifies a request and sends the result.
 func (d *classifyDuty) answer(request session.ClassifyRequest) {
-	result := session.ClassifyResult{
+	d.output.send(session.ClassifyResult{
 		Caller:         request.Caller,
 		Sequence:       request.Sequence,
 		Classification: d.classifier.Classify(request.Texts),
-	}
-	for !d.output.TryPush(result) && !d.stopping.Load() {
-		if d.output.NotifySpace(d.signal) {
-			d.signal.Wait(-1)
-		}
-	}
+	})
 }
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -48,6 +48,7 @@
 	}
 	page.add("sassafrasshunt_ready", "", boolToFloat(h.ready.Load()))
 	page.add("sassafrasshunt_callers_open", "", float64(h.callers.Open()))
+	page.add("sassafrasshunt_callers_refused_total", "", float64(h.callers.Refused()))
 	page.add("sassafrasshunt_targets_open", "", float64(h.targets.Open()))
 	page.add("sassafrasshunt_targets_opened_total", "", float64(h.targets.Opened()))
 	page.rings(map[string]ring.Stats{
--- a/pkg/instance/ringwriter.go
+++ b/pkg/instance/ringwriter.go
@@ -2,10 +2,9 @@
 
 import "github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 
-// ringWriter writes the outputs of a decision duty to the ring of another duty.
-// Outputs that do not fit go to a backlog, and the duty handles no further input
-// until the backlog is empty. The backlog is therefore bounded by the outputs of
-// one input.
+// ringWriter writes the outputs of a duty to the ring of another duty. Outputs that do
+// not fit go to a backlog. A decision duty handles no further input until the backlog
+// is empty, which bounds it by the outputs of one input.
 type ringWriter[T any] struct {
 	ring    *ring.Ring[T]
 	backlog []T
@@ -24,10 +23,16 @@
 	for sent < len(w.backlog) && w.ring.TryPush(w.backlog[sent]) {
 		sent++
 	}
+	if sent == 0 {
+		return len(w.backlog) == 0
+	}
 	w.backlog = append(w.backlog[:0], w.backlog[sent:]...)
 	return len(w.backlog) == 0
 }
 
+// pending reports whether outputs wait for space in the ring.
+func (w *ringWriter[T]) pending() bool { return len(w.backlog) > 0 }
+
 // notifySpace requests a wake-up of waker when the ring has free space. It reports whether
 // the duty has to wait: the backlog is not empty and the ring is still full.
 func (w *ringWriter[T]) notifySpace(waker ring.Waker) bool {
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -49,6 +49,7 @@
 	conns        map[session.CallerID]*callerConn
 	nextID       session.CallerID
 	open         atomic.Int64
+	refused      atomic.Uint64
 }
 
 // callerEvents holds the compiled events of the chart.
@@ -113,6 +114,10 @@
 // Open returns the number of open connections. It is safe for concurrent use.
 func (d *Callers) Open() int64 { return d.open.Load() }
 
+// Refused returns how many connections were refused because there were MaxCallers
+// already. It is safe for concurrent use.
+func (d *Callers) Refused() uint64 { return d.refused.Load() }
+
 // outputPending reports whether any connection has unsent output.
 func (d *Callers) outputPending() bool {
 	for _, c := range d.conns {
@@ -123,8 +128,12 @@
 	return false
 }
 
-// accept registers a new connection, and closes it when there are more than MaxCallers.
+// accept registers a new connection, or refuses it when there are MaxCallers already.
 func (d *Callers) accept(socket *netloop.Conn) netloop.Handler {
+	if len(d.conns) >= d.config.MaxCallers {
+		d.refused.Add(1)
+		return nil
+	}
 	d.nextID++
 	c := &callerConn{
 		duty: d, socket: socket, id: d.nextID, codec: d.config.NewCodec(), txStatus: session.TxIdle,
@@ -132,10 +141,6 @@
 	c.start(c, d.chart, &d.Timers, func() { c.fireTimeout(d.events.timedOut) })
 	d.conns[c.id] = c
 	d.open.Add(1)
-	if len(d.conns) > d.config.MaxCallers {
-		socket.Close()
-		return c
-	}
 	c.armTimer()
 	return c
 }
--- a/pkg/rpc/duty.go
+++ b/pkg/rpc/duty.go
@@ -64,9 +64,6 @@
 	inConns    map[ConnID]*inConn
 	lastConnID ConnID
 	lastCallID int64
-	// excess holds incoming connections beyond MaxIncoming, which are closed after
-	// the poll.
-	excess []*netloop.Conn
 	// pending holds the events that the consumer has not accepted yet. While there
 	// are any, no socket is read.
 	pending      []Event
@@ -145,7 +142,6 @@
 		if d.finished() || d.poll() != nil {
 			return
 		}
-		d.closeExcess()
 	}
 }
 
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -17,29 +17,19 @@
 	openRequests int
 }
 
-// accept registers an incoming connection, or marks it for closing when there are
-// MaxIncoming already.
+// accept registers an incoming connection, or refuses it when there are MaxIncoming
+// already.
 func (d *Duty) accept(c *netloop.Conn) netloop.Handler {
-	d.lastConnID++
-	in := &inConn{duty: d, id: d.lastConnID, conn: c}
 	if len(d.inConns) >= d.config.MaxIncoming {
-		d.excess = append(d.excess, c)
-		return in
+		return nil
 	}
+	d.lastConnID++
+	in := &inConn{duty: d, id: d.lastConnID, conn: c}
 	d.inConns[in.id] = in
 	d.addConn(in)
 	return in
 }
 
-// closeExcess closes the connections beyond MaxIncoming. It runs after the poll,
-// because a connection cannot be closed before its handler is set.
-func (d *Duty) closeExcess() {
-	for _, c := range d.excess {
-		c.Close()
-	}
-	d.excess = nil
-}
-
 func (in *inConn) socket() *netloop.Conn {
 	return in.conn
 }
