Stop the use of an old primary before another member is promoted, where the platform does not

Cause: with requireFencing = false an old primary goes on committing after a promotion, until it can reach the new one.

Change: the setting PromotionsFenced says whether the platform stops a replaced primary. Where it does not, (1) each instance uses primaries under a lease of 1 s that contact with the store or with another failure domain renews; at its end running statements on the primary are answered without its response and new ones are refused at once; (2) a change of primary makes the old one step down first; if it does not respond, every other instance is asked to stop using it, and the promotion waits for all confirmations or the end of the leases. A replaced primary that renews its record no longer counts as newer than its successor. Ruled out: fencing by the platform's token (not checked there).

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -48,6 +48,9 @@
 	PromotionStepTimeout time.Duration
 	PromotionRetryDelay  time.Duration
 	TakeoverTimeout      time.Duration
+	// PrimaryLease is how long an instance uses primaries after its last contact. It is
+	// zero where the platform stops a replaced primary.
+	PrimaryLease time.Duration
 }
 
 // Engine holds the state of the fleet duty. It performs no I/O, reads no clock, and
@@ -82,6 +85,7 @@
 	publishedVersion uint64
 	shares           shares
 	isolation        isolationDetector
+	primaryLease     primaryLease
 	feed             feed
 	sourceSelector   sourceSelector
 	homes            homes
@@ -93,6 +97,9 @@
 	primaryChangeTable  *chart.Table[*primaryChange]
 	primaryChangeEvents primaryChangeEvents
 	primaryChanges      map[core.DatabaseName]*primaryChange
+	// lastPrimaries holds the member that last announced itself as the primary of each
+	// group. Its record may have ended since.
+	lastPrimaries map[core.DatabaseName]Target
 	// polls are the liveness polls in progress.
 	polls map[session.LivenessSubject]*livenessPoll
 }
@@ -115,6 +122,7 @@
 		instances: map[string]*instance{},
 
 		primaryChanges: map[core.DatabaseName]*primaryChange{},
+		lastPrimaries:  map[core.DatabaseName]Target{},
 		polls:          map[session.LivenessSubject]*livenessPoll{},
 	}
 	if err := e.loadPrimaryChange(charts.Succession); err != nil {
@@ -136,6 +144,7 @@
 	e.sweepTimer.Value = e.sweep
 	e.shares.init(e)
 	e.isolation.init(e)
+	e.primaryLease.init(e)
 	e.feed.init(e)
 	if err := e.sourceSelector.load(e, charts.News); err != nil {
 		return nil, err
@@ -153,6 +162,7 @@
 		e.applySnapshot(in.Snapshot)
 		e.feed.reset(in.Snapshot.Revision, in.AsOf)
 		e.sourceSelector.reselect()
+		e.primaryLease.storeRead(in.AsOf)
 	case StoreChanges:
 		e.changesSince = in.Since
 		e.applyChanges(in.Changes)
@@ -160,6 +170,7 @@
 		if len(in.Changes) > 0 {
 			e.sourceSelector.reselect()
 		}
+		e.primaryLease.storeRead(in.AsOf)
 	case FeedRequest:
 		e.feed.handleRequest(in)
 	case FeederFailed:
@@ -170,6 +181,9 @@
 		e.handleSessionReport(in.Report)
 	case ProbeResponse:
 		e.isolation.responses++
+		e.primaryLease.instanceResponded(in.SentAt)
+	case RevocationConfirmed:
+		e.revocationConfirmed(in)
 	case LivenessReport:
 		e.handleLivenessReport(in)
 	case ConfigurationRequest:
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -30,6 +30,7 @@
 	// the nodes to which a liveness query was sent.
 	requested     []string
 	probed        []string
+	revoked       []string
 	storeChecks   int
 	sources       []ChangeSource
 	feedResponses map[any]FeedResponse
@@ -49,6 +50,9 @@
 func (h *harness) RequestConfiguration(a session.PeerAddress) {
 	h.requested = append(h.requested, string(a))
 }
+func (h *harness) RevokePrimary(node string, _ session.PeerAddress, _ core.DatabaseName, member core.MemberID) {
+	h.revoked = append(h.revoked, node+" "+string(member))
+}
 func (h *harness) SendConfiguration(any, *Configuration) {}
 func (h *harness) RequestLiveness(node string, _ session.PeerAddress, _ session.LivenessSubject) {
 	h.requested = append(h.requested, node)
@@ -70,7 +74,10 @@
 
 // newHarness returns a serving instance "self" in a fleet with the instances "a"
 // and "b" and one group with the primary p and the replicas r1 and r2.
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T) *harness { return newHarnessWithLease(t, 0) }
+
+// newHarnessWithLease returns the instance of newHarness with leases on primaries.
+func newHarnessWithLease(t *testing.T, lease time.Duration) *harness {
 	h := &harness{t: t, now: startTime, revision: 100, feedResponses: map[any]FeedResponse{}}
 	config := Config{
 		Self:   Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
@@ -78,13 +85,13 @@
 		Bounds: Bounds{
 			BalancerNotice: 2 * time.Second, DrainTimeout: 2 * time.Second,
 			ReregistrationGrace: 3 * time.Second, PromotionStepTimeout: 2 * time.Second, PromotionRetryDelay: 500 * time.Millisecond,
-			TakeoverTimeout: 3 * time.Second,
+			TakeoverTimeout: 3 * time.Second, PrimaryLease: lease,
 		},
 	}
 	e, err := New(config, Charts{Instance: load(t, "hosted_instance"), Succession: load(t, "succession"), News: load(t, "news")}, h)
 	require.NoError(t, err)
 	h.e = e
-	h.handle(StoreSnapshot{Snapshot: &Snapshot{
+	h.handle(StoreSnapshot{AsOf: h.now, Snapshot: &Snapshot{
 		Configuration: configuration(1),
 		Members:       []Announcement{h.announce("p", core.RolePrimary), h.announce("r1", core.RoleReplica), h.announce("r2", core.RoleReplica)},
 		Instances: []Instance{
--- a/pkg/fleet/isolation.go
+++ b/pkg/fleet/isolation.go
@@ -7,8 +7,11 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// ProbeResponse reports that another instance responded to a probe.
-type ProbeResponse struct{}
+// ProbeResponse reports that another instance responded to a probe that was sent at
+// SentAt.
+type ProbeResponse struct {
+	SentAt time.Time
+}
 
 func (ProbeResponse) fleetInput() {}
 
@@ -93,7 +96,7 @@
 // probe begins a round. Without instances in other failure domains probing stops,
 // and the instance does not count as isolated.
 func (d *isolationDetector) probe() {
-	others := d.instancesInOtherDomains()
+	others := d.e.instancesOfOtherDomains()
 	if len(others) == 0 {
 		d.probing = false
 		d.confirmReachable()
@@ -108,18 +111,6 @@
 	d.e.timers.Arm(&d.timer, d.e.now.Add(pollTimeout))
 }
 
-// instancesInOtherDomains returns the instances of other failure domains, sorted by
-// node name.
-func (d *isolationDetector) instancesInOtherDomains() []Instance {
-	var list []Instance
-	for _, node := range d.e.currentTopology().nodes {
-		if i := d.e.instances[node]; i.Domain != d.e.config.Self.Domain {
-			list = append(list, i.Instance)
-		}
-	}
-	return list
-}
-
 // endRound evaluates the responses of a round.
 func (d *isolationDetector) endRound() {
 	e := d.e
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -11,6 +11,10 @@
 // member holds the known state of one member.
 type member struct {
 	Announcement
+	// roleRevision is the revision with which the member first announced its present
+	// role. A replaced primary that renews its record does not count as newer than its
+	// successor.
+	roleRevision Revision
 	// drainingSince is the earliest time at which the member may have begun to
 	// drain, zero if it is not draining.
 	drainingSince time.Time
@@ -40,6 +44,9 @@
 		}})
 	}
 	m.dead = m.dead && a.Revision == m.Revision
+	if m.Role != a.Role || m.roleRevision == 0 {
+		m.roleRevision = a.Revision
+	}
 	moved := m.Group != a.Group
 	if moved {
 		e.leaveGroup(m)
@@ -49,6 +56,9 @@
 		e.joinGroup(m)
 	}
 	m.missing = false
+	if a.Role == core.RolePrimary {
+		e.lastPrimaries[a.Group] = m.target()
+	}
 	if !a.Draining {
 		m.drainingSince = time.Time{}
 		return
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -85,6 +86,9 @@
 	// ProbeInstance pings another instance. A response is delivered as a
 	// ProbeResponse.
 	ProbeInstance(address session.PeerAddress)
+	// RevokePrimary asks another instance to stop using a primary. The response is
+	// delivered as a RevocationConfirmed.
+	RevokePrimary(node string, address session.PeerAddress, group core.DatabaseName, member core.MemberID)
 	// RequestConfiguration requests another instance's configuration.
 	// SendConfiguration responds to such a request.
 	RequestConfiguration(session.PeerAddress)
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -29,6 +29,9 @@
 	// respondedReplicas counts the replicas that responded to the last survey.
 	respondedReplicas int
 	term              core.Term
+	// unconfirmed holds the nodes that have not confirmed yet that they no longer use
+	// the member that is replaced.
+	unconfirmed map[string]bool
 	// neededAt is the time at which the change became necessary, the other times
 	// are those at which its steps were completed. They are logged when the
 	// change is completed.
@@ -39,6 +42,7 @@
 type primaryChangeEvents struct {
 	needed, settled, claimed, claimFailed, surveyed, surveyFailed chart.Event
 	ordered, orderFailed, fenced, timedOut                        chart.Event
+	demoted, demoteFailed, revoked                                chart.Event
 }
 
 const (
@@ -58,13 +62,17 @@
 func primaryChangeRegistry(b *Bounds) chart.Registry[*primaryChange] {
 	return chart.Registry[*primaryChange]{
 		Guards: map[string]func(*primaryChange) bool{
-			"has_candidate": func(p *primaryChange) bool { return p.candidate.Member != "" },
-			"planned":       func(p *primaryChange) bool { return p.planned && p.old != "" },
+			"has_candidate":       func(p *primaryChange) bool { return p.candidate.Member != "" },
+			"old_unresponsive":    (*primaryChange).oldIsUnresponsive,
+			"stopped_by_platform": func(p *primaryChange) bool { return p.e.config.Bounds.PrimaryLease == 0 },
+			"planned":             func(p *primaryChange) bool { return p.planned && p.old != "" },
 		},
 		Actions: map[string]func(*primaryChange){
 			"request_claim":      func(p *primaryChange) { p.submit(Job{Kind: JobClaim, Group: p.group}) },
 			"request_survey":     (*primaryChange).requestSurvey,
 			"request_promotion":  (*primaryChange).requestPromotion,
+			"request_demotion":   (*primaryChange).requestDemotion,
+			"request_revocation": (*primaryChange).requestRevocation,
 			"request_step_down":  (*primaryChange).requestStepDown,
 			"clear_claim":        func(p *primaryChange) { p.claim = Claim{} },
 			"log_primary_change": (*primaryChange).logPrimaryChange,
@@ -75,6 +83,7 @@
 			"call":       b.PromotionStepTimeout,
 			"retry":      b.PromotionRetryDelay,
 			"takeover":   b.TakeoverTimeout,
+			"leases":     b.PrimaryLease + leaseEndMargin,
 		},
 	}
 }
@@ -93,6 +102,7 @@
 		claimFailed: event("claim_failed"), surveyed: event("surveyed"), surveyFailed: event("survey_failed"),
 		ordered: event("ordered"), orderFailed: event("order_failed"), fenced: event("fenced"),
 		timedOut: event(chart.TimeoutEvent),
+		demoted:  event("demoted"), demoteFailed: event("demote_failed"), revoked: event("revoked"),
 	}
 	return nil
 }
@@ -303,6 +313,8 @@
 		p.surveyDone(d)
 	case JobPromote:
 		p.promotionDone(d)
+	case JobStepDown:
+		p.demotionDone(d)
 	}
 }
 
--- /dev/null
+++ b/pkg/fleet/primary_revocation.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// Before a member is promoted, the old primary must take no more writes that are
+// acknowledged. Where the platform does not ensure that, the old primary steps down
+// first. If it does not respond, every instance stops using it.
+
+// RevocationConfirmed reports that the instance Node no longer uses the member as a
+// primary.
+type RevocationConfirmed struct {
+	Node   string
+	Member core.MemberID
+}
+
+func (RevocationConfirmed) fleetInput() {}
+
+// replaced returns the member that the change replaces, the zero value if it is not
+// known.
+func (p *primaryChange) replaced() Target {
+	if m := p.e.members[p.old]; m != nil && p.old != "" {
+		return m.target()
+	}
+	return p.e.lastPrimaries[p.group]
+}
+
+// oldIsUnresponsive reports whether the member that is replaced was found to be
+// unresponsive, so that it need not be waited for.
+func (p *primaryChange) oldIsUnresponsive() bool {
+	m := p.e.members[p.old]
+	return m != nil && m.dead
+}
+
+// requestDemotion makes the old primary step down. Without a known one, any member of
+// the group may be it.
+func (p *primaryChange) requestDemotion() {
+	targets := []Target{p.replaced()}
+	if targets[0].Member == "" {
+		targets = p.e.promotionCandidates(p.group)
+	}
+	p.submit(Job{Kind: JobStepDown, Group: p.group, Targets: targets})
+}
+
+// demotionDone handles the old primary's response. A refused connection means that its
+// process has ended.
+func (p *primaryChange) demotionDone(d *JobDone) {
+	events := &p.e.primaryChangeEvents
+	steppedDown := d.Err == nil && len(d.States) > 0
+	for _, state := range d.States {
+		steppedDown = steppedDown && state.Role == core.RoleReplica
+	}
+	if steppedDown || eris.Is(d.Err, ErrConnectionRefused) {
+		p.fire(events.demoted)
+		return
+	}
+	p.fire(events.demoteFailed)
+}
+
+// requestRevocation stops the use of the old primary here and asks all other instances
+// to do the same.
+func (p *primaryChange) requestRevocation() {
+	e := p.e
+	old := p.replaced()
+	p.unconfirmed = map[string]bool{}
+	e.out.Session(session.PrimaryRevoked{Database: p.group, Member: old.Member})
+	for node, i := range e.instances {
+		if node == e.config.Self.Node {
+			continue
+		}
+		p.unconfirmed[node] = true
+		e.out.RevokePrimary(node, session.PeerAddress(i.Peer), p.group, old.Member)
+	}
+	e.out.Log(LogEvent{Warning: true, Event: "primary_revoked", Message: "the old primary does not respond; all instances are asked to stop using it",
+		Fields: map[string]any{"group": p.group, "member": old.Member, "asked": len(p.unconfirmed)}})
+	p.checkConfirmations()
+}
+
+// revocationConfirmed records the confirmation of one instance.
+func (e *Engine) revocationConfirmed(in RevocationConfirmed) {
+	for _, p := range e.primaryChanges {
+		if p.unconfirmed[in.Node] && p.replaced().Member == in.Member {
+			delete(p.unconfirmed, in.Node)
+			p.checkConfirmations()
+		}
+	}
+}
+
+// checkConfirmations continues the change once every instance has confirmed.
+func (p *primaryChange) checkConfirmations() {
+	if len(p.unconfirmed) == 0 {
+		p.fire(p.e.primaryChangeEvents.revoked)
+	}
+}
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -62,7 +62,7 @@
 		view.Members = append(view.Members, session.MemberView{
 			Status:      core.MemberStatus{Member: m.Member, Role: m.effectiveRole()},
 			Reachable:   e.usable(m),
-			Announced:   uint64(m.Revision),
+			Announced:   uint64(m.roleRevision),
 			RespondedAt: e.now,
 		})
 	}
--- a/pkg/fleet/topology.go
+++ b/pkg/fleet/topology.go
@@ -49,6 +49,33 @@
 	return t
 }
 
+// instancesOfOtherDomains returns the instances of other failure domains, sorted by node
+// name.
+func (e *Engine) instancesOfOtherDomains() []Instance {
+	var list []Instance
+	for _, node := range e.currentTopology().nodes {
+		if i := e.instances[node]; i.Domain != e.config.Self.Domain {
+			list = append(list, i.Instance)
+		}
+	}
+	return list
+}
+
+// otherInstances returns the instances of other failure domains, or all other instances
+// if there is one domain only.
+func (e *Engine) otherInstances() []Instance {
+	if list := e.instancesOfOtherDomains(); len(list) > 0 {
+		return list
+	}
+	var list []Instance
+	for _, node := range e.currentTopology().nodes {
+		if node != e.config.Self.Node {
+			list = append(list, e.instances[node].Instance)
+		}
+	}
+	return list
+}
+
 // ownerOf returns the node of this failure domain that is responsible for a name,
 // and false if the domain has no registered node.
 func (t *topology) ownerOf(name string) (string, bool) {
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -19,7 +19,7 @@
 	Claim Claim
 	// Targets are the replicas to survey, or the one member to command.
 	Targets []Target
-	// Term is used by JobStepDown, and by JobSurvey if the replicas have to stop
+	// Term is used by JobStepDown, where 0 stands for the term after the member's, and by JobSurvey if the replicas have to stop
 	// receiving first.
 	Term core.Term
 }
@@ -135,7 +135,7 @@
 		done.Err = w.promote(j)
 	case JobStepDown:
 		done.States, done.Err = w.callMembers(j.Targets, func(ctx context.Context, t Target) (MemberState, error) {
-			return w.memberControl.StepDown(ctx, t, j.Term)
+			return w.stepDown(ctx, t, j.Term)
 		})
 	case JobMemberStatus:
 		done.States, done.Err = w.callMembers(j.Targets, w.memberControl.Status)
@@ -143,6 +143,19 @@
 	return done
 }
 
+// stepDown makes a primary of a lower term a replica. Without a term it asks the member
+// for its own first.
+func (w *Worker) stepDown(ctx context.Context, t Target, term core.Term) (MemberState, error) {
+	if term > 0 {
+		return w.memberControl.StepDown(ctx, t, term)
+	}
+	state, err := w.memberControl.Status(ctx, t)
+	if err != nil || state.Role != core.RolePrimary {
+		return state, err
+	}
+	return w.memberControl.StepDown(ctx, t, state.Term+1)
+}
+
 func (w *Worker) claim(group core.DatabaseName) (Claim, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Call)
 	defer cancel()
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
 	"github.com/sassafrasshunt/sassafrasshunt/platform"
 )
 
@@ -114,6 +115,7 @@
 		PromotionStepTimeout: promotionStepTimeout,
 		PromotionRetryDelay:  promotionRetryDelay,
 		TakeoverTimeout:      takeoverTimeout,
+		PrimaryLease:         primaryLeaseDuration(h.settings),
 	}}, definitions, out)
 	if err != nil {
 		return err
@@ -134,6 +136,15 @@
 	return nil
 }
 
+// primaryLeaseDuration returns the duration of the leases on primaries, 0 where the
+// platform stops a replaced primary.
+func primaryLeaseDuration(s *settings.Hosted) time.Duration {
+	if s.PromotionsFenced {
+		return 0
+	}
+	return primaryLeaseTime
+}
+
 // newStore returns a store client for one duty; a changed store address reaches
 // all of them.
 func (h *Hosted) newStore() *platform.Store {
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -110,6 +110,10 @@
 	promotionStepTimeout = 2 * time.Second
 	// promotionRetryDelay is the delay before another promotion attempt.
 	promotionRetryDelay = 500 * time.Millisecond
+	// primaryLeaseTime is how long an instance uses primaries after its last contact with
+	// the store or another failure domain. It covers three lost contacts; a change of
+	// primary waits as long for an instance that it cannot reach.
+	primaryLeaseTime = time.Second
 	// takeoverTimeout bounds the wait for the new primary: three times the platform's
 	// time for a promotion (0.6 to 1 s).
 	takeoverTimeout = 3 * time.Second
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -81,7 +83,17 @@
 
 // ProbeInstance pings another instance to find out whether this one can reach it.
 func (o *hostedFleetOutputs) ProbeInstance(address session.PeerAddress) {
-	o.hosted.rpc.Send(o.hosted.ping(instanceProbeTag{}, address))
+	o.hosted.rpc.Send(o.hosted.ping(instanceProbeTag{sentAt: clock.Now()}, address))
+}
+
+// RevokePrimary asks another instance to stop using a primary. The request is dropped
+// when the rpc ring is full; the fleet engine then waits for the other instance's lease
+// to end.
+func (o *hostedFleetOutputs) RevokePrimary(node string, address session.PeerAddress, group core.DatabaseName, member core.MemberID) {
+	o.hosted.rpc.Send(rpc.Call{
+		Tag: revocationTag{node: node, member: member}, Address: string(address),
+		Method: relay.MethodRevokePrimary, Params: relay.RevokePrimary{Group: group, Member: member}, Timeout: shortCallTimeout,
+	})
 }
 
 // SendConfiguration answers another instance's request for the configuration.
--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
@@ -26,8 +27,12 @@
 		subject session.LivenessSubject
 		node    string
 	}
-	pingTag              struct{ address session.PeerAddress }
-	instanceProbeTag     struct{}
+	pingTag          struct{ address session.PeerAddress }
+	instanceProbeTag struct{ sentAt time.Time }
+	revocationTag    struct {
+		node   string
+		member core.MemberID
+	}
 	endSessionTag        struct{}
 	releaseConnectionTag struct{}
 )
@@ -65,6 +70,10 @@
 				Known: m.Known, UnresponsiveMillis: m.UnresponsiveFor.Milliseconds(), SinceContactMillis: m.SinceContact.Milliseconds(),
 			}})
 		}
+	case session.RevocationConfirmed:
+		if to, ok := m.ReplyTo.(replyHandle); ok {
+			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: struct{}{}})
+		}
 	case session.RelayResponse:
 		if to, ok := m.ReplyTo.(replyHandle); ok {
 			o.peers.send(rpc.Reply{Conn: to.conn, ID: to.id, Result: relay.NewResponse(m)})
@@ -102,7 +111,11 @@
 			h.handleLivenessReport(tag, e)
 		case instanceProbeTag:
 			if e.Err == nil {
-				h.fleetDuty.input.TryPush(fleet.ProbeResponse{})
+				h.fleetDuty.input.TryPush(fleet.ProbeResponse{SentAt: tag.sentAt})
+			}
+		case revocationTag:
+			if e.Err == nil {
+				h.fleetDuty.input.TryPush(fleet.RevocationConfirmed{Node: tag.node, Member: tag.member})
 			}
 		case configurationTag:
 			h.handleConfiguration(e)
@@ -141,6 +154,12 @@
 		return session.LivenessQuery{
 			ReplyTo: replyHandle{conn: r.Conn, id: r.ID}, Subject: session.LivenessSubject{Member: query.Member, Home: query.Home},
 		}
+	case relay.MethodRevokePrimary:
+		var revoke relay.RevokePrimary
+		if !h.decodeOrReject(r, &revoke) {
+			return nil
+		}
+		return session.PrimaryRevoked{ReplyTo: replyHandle{conn: r.Conn, id: r.ID}, Database: revoke.Group, Member: revoke.Member}
 	case relay.MethodFeed:
 		h.handleFeedRequest(r)
 		return nil
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -29,6 +29,9 @@
 	// MethodReleaseConnection requests the release of an unused connection to a
 	// member at its connection limit: ReleaseConnection -> {}.
 	MethodReleaseConnection = "room"
+	// MethodRevokePrimary ends the use of a primary that is about to be replaced:
+	// RevokePrimary -> {}, sent once the receiver no longer uses it.
+	MethodRevokePrimary = "revoke_primary"
 	// MethodPing tells the receiver that the sender is alive, and checks that the
 	// receiver is: Ping -> {}.
 	MethodPing = "ping"
@@ -119,6 +122,12 @@
 	Instance core.InstanceID `json:"instance"`
 }
 
+// RevokePrimary ends the use of a group's primary that is about to be replaced.
+type RevokePrimary struct {
+	Group  core.DatabaseName `json:"group"`
+	Member core.MemberID     `json:"member"`
+}
+
 // EndSession ends a relayed session or transaction.
 type EndSession struct {
 	Instance core.InstanceID `json:"instance"`
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -68,6 +68,7 @@
 	stopping          bool
 	drained           bool
 	drainTimer        timer
+	primaryLease      primaryLease
 	demandTimer       timer
 	pendingAdmissions pendingAdmissions
 	demandSince       time.Time
@@ -137,6 +138,8 @@
 	e.remoteSweepTimer.item.Value = &e.remoteSweepTimer
 	e.pendingAdmissions.timer.run = e.endAdmissionWait
 	e.pendingAdmissions.timer.item.Value = &e.pendingAdmissions.timer
+	e.primaryLease.timer.run = e.checkPrimaryLease
+	e.primaryLease.timer.item.Value = &e.primaryLease.timer
 	e.demandTimer.run = e.reportDemand
 	e.demandTimer.item.Value = &e.demandTimer
 	return e, nil
@@ -160,6 +163,7 @@
 	if e.demandSince.IsZero() {
 		e.startDemandReports()
 	}
+	e.checkPrimaryLease()
 	e.handle(in)
 	e.runDispatch()
 	e.finishStop()
@@ -235,6 +239,10 @@
 		e.keysRevoked(in.Keys)
 	case KeysValidUntil:
 		e.keysValidUntil = in.Time
+	case PrimaryLease:
+		e.renewPrimaryLease(in)
+	case PrimaryRevoked:
+		e.revokePrimary(in)
 	case ReleaseIdle:
 		e.releaseIdle()
 	case Drain:
@@ -246,6 +254,7 @@
 // full ring.
 func (e *Engine) Tick(now time.Time) {
 	e.now = now
+	e.checkPrimaryLease()
 	e.Flush()
 	for {
 		item, ok := e.timers.PopDue(now)
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -19,8 +19,9 @@
 		return
 	}
 	m.logEnd = in.LogEnd
+	m.observeTermWhileRevoked(in.LogEnd.Term)
 	db.updateTerm(m, in)
-	if in.VerifiedPrimary {
+	if in.VerifiedPrimary && m.usableAsPrimary() {
 		db.primaryHistory.Observe(sentAt, in.LogEnd)
 	}
 }
@@ -36,7 +37,7 @@
 	}
 	primary := db.primary
 	switch {
-	case in.VerifiedPrimary:
+	case in.VerifiedPrimary && m.usableAsPrimary():
 		primary = m
 	case in.LogEnd.Term > db.term && primary != nil && primary.logEnd.Term < in.LogEnd.Term:
 		primary.markNotPrimary()
@@ -88,7 +89,7 @@
 // announcesPrimary reports whether the member announces itself as the primary
 // and may be believed.
 func (m *member) announcesPrimary() bool {
-	if m.removed || !m.hasView || m.db.e.now.Before(m.notPrimaryUntil) {
+	if m.removed || !m.hasView || m.db.e.now.Before(m.notPrimaryUntil) || !m.usableAsPrimary() {
 		return false
 	}
 	return m.view.Status.Role == core.RolePrimary
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -219,6 +219,7 @@
 			"needs_floor":              (*statement).needsFloor,
 			"placeable":                (*statement).placeable,
 			"cannot_finish_in_time":    (*statement).cannotFinishInTime,
+			"lacks_primary_access":     (*statement).lacksPrimaryAccess,
 			"may_use_replica":          (*statement).mayUseReplica,
 			"falls_back_to_primary":    (*statement).fallsBackToPrimary,
 			"from_replaced_primary":    (*statement).fromReplacedPrimary,
--- a/pkg/settings/hosted.go
+++ b/pkg/settings/hosted.go
@@ -46,6 +46,9 @@
 	RateWindow  time.Duration
 	RateOverage float64
 	RateSlack   float64
+	// PromotionsFenced is set if the platform checks the fencing tokens of promotions and
+	// a replaced primary takes no more writes. Otherwise the instances ensure both.
+	PromotionsFenced bool `start:"only"`
 }
 
 // Check returns ErrHosted, wrapped, with the names of all settings that are missing or
