Record each succession in the store before the promotion; a refused connection is no proof of death

Change: a record sassafrasshunt/succession/GROUP, written under the condition of the claim, first excludes every member and then names the one that is promoted; only that member is used as the primary. Only the old primary's own answer counts as its step down.

--- a/pkg/fleet/primary_revocation.go
+++ b/pkg/fleet/primary_revocation.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"github.com/rotisserie/eris"
-
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -44,19 +42,19 @@
 	p.submit(Job{Kind: JobStepDown, Group: p.group, Targets: targets})
 }
 
-// demotionDone handles the old primary's response. A refused connection means that its
-// process has ended.
+// demotionDone handles the old primary's response. Only its confirmation counts: a refused
+// connection does not prove that its process has ended, because a partition can refuse
+// connections as well.
 func (p *primaryChange) demotionDone(d *JobDone) {
-	events := &p.e.primaryChangeEvents
 	steppedDown := d.Err == nil && len(d.States) > 0
 	for _, state := range d.States {
 		steppedDown = steppedDown && state.Role == core.RoleReplica
 	}
-	if steppedDown || eris.Is(d.Err, ErrConnectionRefused) {
-		p.fire(events.demoted)
+	if steppedDown {
+		p.fire(p.e.primaryChangeEvents.demoted)
 		return
 	}
-	p.fire(events.demoteFailed)
+	p.fire(p.e.primaryChangeEvents.demoteFailed)
 }
 
 // recordRevocation records in the store that the old primary must not be used, so that
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -70,12 +70,13 @@
 	require.Empty(t, h.revoked)
 }
 
-// Guards against waiting for a process that has ended.
-func TestEndedPrimaryIsNotRevoked(t *testing.T) {
+// Guards against a promotion while the old primary is only cut off: a partition may refuse
+// connections, so that alone does not prove that the process has ended.
+func TestRefusedConnectionIsNoProof(t *testing.T) {
 	h := newHarnessWithLease(t, testLease)
 	h.loseMember()
 	h.handle(JobDone{Job: h.lastJob(), Err: eris.Wrap(ErrConnectionRefused, "test")})
-	require.Equal(t, JobSurvey, h.lastJob().Kind)
+	require.Equal(t, JobRevoke, h.lastJob().Kind)
 }
 
 // Guards against a promotion while another instance still uses the old primary, and
--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -131,6 +131,7 @@
 }
 
 func newSimWorld(t *testing.T, seed uint64) *simWorld {
+	simLog(startTime, "seed", seed)
 	w := &simWorld{rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, cut: map[[2]string]bool{}, term: 1}
 	for i := range 3 {
 		domain := fmt.Sprintf("z%d", i)
@@ -219,9 +220,7 @@
 	}
 	p := w.primary()
 	kind := w.rng.IntN(6)
-	if os.Getenv("SIM_LOG") != "" {
-		fmt.Println(w.now.Sub(startTime), "fault", kind, "primary", p.name, "for", lasts)
-	}
+	simLog(w.now, "fault", kind, "primary", p.name, "for", lasts)
 	switch kind {
 	case 0:
 		w.isolated = p.domain
@@ -511,6 +510,7 @@
 	w.after(max(n.workerBusy.Sub(w.now), 0), func() {
 		took, done := n.execute(j)
 		n.workerBusy = w.now.Add(took)
+		simLog(w.now, n.name, "job", j.Kind, j.Targets, j.Succession, done.Claim, done.States, done.Err)
 		w.after(took, func() { n.handle(done) })
 	})
 	return true
@@ -550,6 +550,10 @@
 			case m.down:
 				done.Err = ErrConnectionRefused
 				continue
+			case !w.reach(n.simPlace, m.simPlace) && w.rng.IntN(2) == 0:
+				// A partition may refuse connections.
+				done.Err = ErrConnectionRefused
+				continue
 			case !w.reach(n.simPlace, m.simPlace):
 				done.Err = ErrNoResponse
 				took += 300 * time.Millisecond
@@ -575,9 +579,9 @@
 }
 
 func (w *simWorld) recordSuccession(s Succession) {
+	s.Revision = Revision(len(w.changes) + 1)
 	w.succession = &s
 	w.record(Change{Succession: &s})
-	s.Revision = Revision(len(w.changes))
 }
 
 func (w *simWorld) promote(m *simMember) {
@@ -589,10 +593,12 @@
 	m.primary, m.term = true, w.term
 }
 
-// Log prints the events with SIM_LOG=1.
-func (n *simNode) Log(l LogEvent) {
+func (n *simNode) Log(l LogEvent) { simLog(n.w.now, n.name, l.Event, l.Message, l.Fields) }
+
+// simLog prints an event if SIM_LOG is set.
+func simLog(now time.Time, what ...any) {
 	if os.Getenv("SIM_LOG") != "" {
-		fmt.Println(n.w.now.Sub(startTime), n.name, l.Event, l.Message, l.Fields)
+		fmt.Println(append([]any{now.Sub(startTime)}, what...)...)
 	}
 }
 
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -78,12 +78,11 @@
 	Revision Revision `json:"revision,omitempty"`
 }
 
-// excludes reports whether the member must not be used as the primary.
+// excludes reports whether the member must not be used as the primary. Until the successor
+// is chosen that holds for every member: an earlier primary may not know that it was
+// replaced.
 func (s *Succession) excludes(member core.MemberID) bool {
-	if s.Promoted != "" {
-		return member != s.Promoted
-	}
-	return s.Revoked != "" && member == s.Revoked
+	return s.Revision > 0 && member != s.Promoted
 }
 
 // Change is one change of the store. Exactly one field is set besides Revision.
