Revoke an unknown primary everywhere; keep the lease of a failed registration; reroute parked statements

It now asks every instance to stop using the primary that it uses. Cause 2 (from reading): each retry of a failed registration was granted a lease of its own. Cause 3 (from reading): reroute skipped members with parked statements only, and did not record the deposition of a primary whose queue was empty; Switchover skipped endInput on an error.

--- a/pkg/failover/promote.go
+++ b/pkg/failover/promote.go
@@ -236,13 +236,13 @@
 // position. It returns a *SwitchoverError if the change cannot start now.
 func (g *Group) Switchover(now time.Time, to core.MemberID) error {
 	g.beginInput(now)
+	defer g.endInput()
 	if err := g.checkSwitchover(to); err != nil {
 		return err
 	}
 	g.preferred = to
 	g.reason = ReasonPlanned
 	g.fire(g.rules.groupEvents.planned)
-	g.endInput()
 	return nil
 }
 
--- a/pkg/fleet/primary_revocation.go
+++ b/pkg/fleet/primary_revocation.go
@@ -32,25 +32,20 @@
 	return m != nil && m.dead
 }
 
-// requestDemotion makes the old primary step down. Without a known one, any member of
-// the group may be it.
+// oldIsUnknown reports whether this instance has not known a primary of the group since it
+// started. The group may have one whose record has ended.
+func (p *primaryChange) oldIsUnknown() bool { return p.replaced().Member == "" }
+
+// requestDemotion makes the old primary step down.
 func (p *primaryChange) requestDemotion() {
-	targets := []Target{p.replaced()}
-	if targets[0].Member == "" {
-		targets = p.e.promotionCandidates(p.group)
-	}
-	p.submit(Job{Kind: JobStepDown, Group: p.group, Targets: targets})
+	p.submit(Job{Kind: JobStepDown, Group: p.group, Targets: []Target{p.replaced()}})
 }
 
 // demotionDone handles the old primary's response. Only its confirmation counts: a refused
 // connection does not prove that its process has ended, because a partition can refuse
 // connections as well.
 func (p *primaryChange) demotionDone(d *JobDone) {
-	steppedDown := d.Err == nil && len(d.States) > 0
-	for _, state := range d.States {
-		steppedDown = steppedDown && state.Role == core.RoleReplica
-	}
-	if steppedDown {
+	if d.Err == nil && len(d.States) > 0 && d.States[0].Role == core.RoleReplica {
 		p.fire(p.e.primaryChangeEvents.demoted)
 		return
 	}
@@ -85,7 +80,7 @@
 }
 
 // requestRevocation stops the use of the old primary here and asks all other instances
-// to do the same.
+// to do the same. If it is not known, each stops using the one that it uses.
 func (p *primaryChange) requestRevocation() {
 	e := p.e
 	old := p.replaced()
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -57,6 +57,22 @@
 	require.Greater(t, lease, revoked, "the lease is renewed last")
 }
 
+// Guards against a promotion by an instance that has just started while others use a primary
+// that it does not know.
+func TestUnknownPrimaryIsRevokedEverywhere(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.e.lastPrimaries = map[core.DatabaseName]Target{}
+	h.e.dropMember(h.e.members["p"])
+	h.advance(4 * time.Second)
+	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	require.Equal(t, JobRevoke, h.lastJob().Kind)
+	h.handle(JobDone{Job: h.lastJob()})
+	require.ElementsMatch(t, []string{"a ", "b "}, h.revoked)
+	h.handle(RevocationConfirmed{Node: "a"})
+	h.handle(RevocationConfirmed{Node: "b"})
+	require.Equal(t, JobSurvey, h.lastJob().Kind)
+}
+
 // Guards against a promotion while the old primary, which is alive but has lost its
 // record, still commits writes: it has to step down first.
 func TestOldPrimaryStepsDownBeforeThePromotion(t *testing.T) {
--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -54,6 +54,7 @@
 	simPlace
 	w           *simWorld
 	e           *Engine
+	t           *testing.T
 	pausedUntil time.Time
 	seen        Revision
 	storeLost   bool
@@ -68,6 +69,7 @@
 	// epoch grows when the statements that run are given up.
 	epoch        int
 	dueSince     time.Time
+	lastPrimary  core.MemberID
 	lastResponse map[core.MemberID]time.Time
 }
 
@@ -92,6 +94,7 @@
 	claimToken   uint64
 	succession   *Succession
 	ignoreLeases bool
+	storeDown    bool
 	promotions   int
 	acknowledged int
 	violations   []string
@@ -106,6 +109,9 @@
 }
 
 func (w *simWorld) reach(a, b simPlace) bool {
+	if w.storeDown && (a == simStore || b == simStore) {
+		return false
+	}
 	if w.cut[[2]string{a.name, b.name}] || w.cut[[2]string{b.name, a.name}] {
 		return false
 	}
@@ -146,16 +152,25 @@
 		m.heartbeat(w)
 	}
 	for _, n := range w.nodes {
+		n.storeLost = false
 		n.readSnapshot()
 	}
 	return w
 }
 
 func newSimNode(t *testing.T, w *simWorld, place simPlace) *simNode {
-	n := &simNode{
-		simPlace: place, w: w, storeAt: w.now, views: map[core.MemberID]session.MemberView{}, terms: map[core.MemberID]core.Term{},
-		revoked: map[core.MemberID]time.Time{}, lastResponse: map[core.MemberID]time.Time{},
-	}
+	n := &simNode{simPlace: place, w: w, t: t}
+	n.start()
+	return n
+}
+
+// start gives the node a new engine that knows nothing.
+func (n *simNode) start() {
+	place := n.simPlace
+	n.storeAt, n.storeLost, n.leaseUntil, n.dueSince, n.lastPrimary = n.w.now, true, time.Time{}, time.Time{}, ""
+	n.views, n.terms = map[core.MemberID]session.MemberView{}, map[core.MemberID]core.Term{}
+	n.revoked, n.lastResponse = map[core.MemberID]time.Time{}, map[core.MemberID]time.Time{}
+	n.epoch++
 	config := Config{
 		Self:   Instance{Node: place.name, ID: core.InstanceID(place.name), Domain: core.Domain(place.domain), Peer: place.name},
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second},
@@ -166,9 +181,15 @@
 		},
 	}
 	var err error
-	n.e, err = New(config, Charts{Instance: load(t, "hosted_instance"), Succession: load(t, "succession"), News: load(t, "news")}, n)
-	require.NoError(t, err)
-	return n
+	n.e, err = New(config, Charts{Instance: load(n.t, "hosted_instance"), Succession: load(n.t, "succession"), News: load(n.t, "news")}, n)
+	require.NoError(n.t, err)
+}
+
+// restart ends the process and starts it again after a short while. What was under way for
+// the old process is lost.
+func (n *simNode) restart() {
+	n.start()
+	n.pausedUntil = n.w.now.Add(300 * time.Millisecond)
 }
 
 // run plays the simulation with faults.
@@ -219,7 +240,7 @@
 		w.after(lasts, func() { delete(w.cut, pair) })
 	}
 	p := w.primary()
-	kind := w.rng.IntN(6)
+	kind := w.rng.IntN(8)
 	simLog(w.now, "fault", kind, "primary", p.name, "for", lasts)
 	switch kind {
 	case 0:
@@ -242,6 +263,11 @@
 	case 4:
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
 		n.pausedUntil = w.now.Add(lasts)
+	case 6:
+		w.storeDown = true
+		w.after(lasts, func() { w.storeDown = false })
+	case 7:
+		w.nodes[w.rng.IntN(len(w.nodes))].restart()
 	case 5:
 		p.down = true
 		w.after(lasts, func() {
@@ -311,7 +337,15 @@
 	run()
 }
 
-func (n *simNode) handle(in Input) { n.deliver(func() { n.e.Handle(n.w.now, in) }) }
+// handle passes an input to the engine that runs at present.
+func (n *simNode) handle(in Input) {
+	e := n.e
+	n.deliver(func() {
+		if n.e == e {
+			e.Handle(n.w.now, in)
+		}
+	})
+}
 
 // call lets run execute at the other node and reply at this one, if they reach each other.
 func (n *simNode) call(to *simNode, run func() Input) {
@@ -418,6 +452,7 @@
 		return
 	}
 	id, epoch := core.MemberID(m.name), n.epoch
+	n.lastPrimary = id
 	if n.dueSince.IsZero() {
 		n.dueSince = w.now
 	}
@@ -476,6 +511,9 @@
 }
 
 func (n *simNode) revoke(id core.MemberID) {
+	if id == "" {
+		id = n.lastPrimary
+	}
 	n.epoch++
 	n.revoked[id] = n.w.now.Add(5 * time.Second)
 }
--- a/pkg/fleet/registrar.go
+++ b/pkg/fleet/registrar.go
@@ -27,9 +27,10 @@
 	renewAt time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// lease is the lease of the registration and of the homes, valid if leaseHeld
-	// is set.
+	// lease is the lease of the registration and of the homes. granted is set once it
+	// exists, leaseHeld once the instance is registered under it.
 	lease     Lease
+	granted   bool
 	leaseHeld bool
 }
 
@@ -119,7 +120,7 @@
 	if r.leaseHeld {
 		err := r.registry.RenewLease(ctx, r.lease)
 		if eris.Is(err, ErrLeaseEnded) {
-			r.leaseHeld = false
+			r.leaseHeld, r.granted = false, false
 			r.deliver(LeaseUpdated{})
 			r.renewAt = sentAt
 		}
@@ -128,18 +129,35 @@
 		}
 		return err
 	}
-	lease, err := r.registry.GrantLease(ctx, r.bounds.TTL)
-	if err != nil {
-		return err
-	}
-	if err := r.registry.Register(ctx, r.self, lease); err != nil {
+	if err := r.register(ctx); err != nil {
 		return err
 	}
-	r.lease, r.leaseHeld = lease, true
+	r.leaseHeld = true
 	r.reportLease(sentAt)
 	return nil
 }
 
+// register publishes the instance under a new lease. If only the publication failed, the
+// next attempt uses the lease that was granted, after a renewal: it may be about to end.
+func (r *Registrar) register(ctx context.Context) error {
+	if r.granted {
+		err := r.registry.RenewLease(ctx, r.lease)
+		if eris.Is(err, ErrLeaseEnded) {
+			r.granted = false
+		}
+		if err != nil {
+			return err
+		}
+		return r.registry.Register(ctx, r.self, r.lease)
+	}
+	lease, err := r.registry.GrantLease(ctx, r.bounds.TTL)
+	if err != nil {
+		return err
+	}
+	r.lease, r.granted = lease, true
+	return r.registry.Register(ctx, r.self, lease)
+}
+
 // reportLease delivers the time until which the lease may be relied on.
 func (r *Registrar) reportLease(sentAt time.Time) {
 	r.deliver(LeaseUpdated{Until: sentAt.Add(r.bounds.TTL - r.bounds.Margin)})
@@ -163,7 +181,7 @@
 	if !r.leaseHeld {
 		return
 	}
-	r.leaseHeld = false
+	r.leaseHeld, r.granted = false, false
 	ctx, cancel := context.WithTimeout(context.Background(), r.bounds.ResponseTimeout)
 	defer cancel()
 	if err := r.registry.RevokeLease(ctx, r.lease); err != nil {
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -76,7 +76,8 @@
 // on their member.
 func (db *database) reroute() {
 	for _, m := range db.members {
-		if m.queue.Len() > 0 && (!m.reachable() || m.wasDeposed()) {
+		deposed := m.wasDeposed()
+		if m.waiting() > 0 && (deposed || !m.reachable()) {
 			m.reroute()
 		}
 	}
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -159,6 +159,10 @@
 	m.reroute()
 }
 
+// waiting returns the number of statements that wait for the member outside a
+// transaction.
+func (m *member) waiting() int { return m.queue.Len() + len(m.parked) }
+
 // reroute places the queued statements again. Statements of open transactions
 // stay with their connection.
 func (m *member) reroute() {
--- a/pkg/session/primarylease.go
+++ b/pkg/session/primarylease.go
@@ -23,7 +23,8 @@
 	Until time.Time
 }
 
-// PrimaryRevoked ends the use of a primary that is about to be replaced.
+// PrimaryRevoked ends the use of a primary that is about to be replaced: of Member, or of
+// the member that is used at present if Member is empty.
 type PrimaryRevoked struct {
 	// ReplyTo identifies the request; RevocationConfirmed returns it. It is nil if no
 	// confirmation is needed.
@@ -111,7 +112,7 @@
 // it.
 func (e *Engine) revokePrimary(in PrimaryRevoked) {
 	if db := e.databases[in.Database]; db != nil {
-		if m := db.member(in.Member); m != nil {
+		if m := db.revokedMember(in.Member); m != nil {
 			m.revoke()
 		}
 	}
@@ -120,6 +121,18 @@
 	}
 }
 
+// revokedMember returns the member that a revocation names. Without a name that is the
+// primary, or the last one if there is none.
+func (db *database) revokedMember(id core.MemberID) *member {
+	switch {
+	case id != "":
+		return db.member(id)
+	case db.primary != nil:
+		return db.primary
+	}
+	return db.lastPrimary
+}
+
 // revoke stops using the member as the primary for revocationPeriod.
 func (m *member) revoke() {
 	m.revokedUntil = m.db.e.now.Add(revocationPeriod)
--- a/pkg/session/primarylease_test.go
+++ b/pkg/session/primarylease_test.go
@@ -78,6 +78,16 @@
 	require.Equal(t, core.MemberID("m1"), h.memberOf(h.lastSent().Target), "the write waited for the new primary")
 }
 
+// Guards against a primary that stays in use because the instance that replaces it has just
+// started and does not know it.
+func TestUnnamedRevocationEndsThePresentPrimary(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.do(PrimaryRevoked{Database: "db"})
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	require.Zero(t, h.countSent())
+}
+
 // Guards against a group that stays without a primary after a change that was given up.
 func TestRevocationEnds(t *testing.T) {
 	h := newAsyncHarness(t)
