--- a/pkg/instance/ringwriter.go
+++ b/pkg/instance/ringwriter.go
@@ -43,6 +43,7 @@
 type outputWriter interface {
 	flush() bool
 	notifySpace(ring.Waker) bool
+	destination() any
 }
 
 // pushOrNotify pushes v into r. It returns false when r is full; r then wakes waker once
@@ -55,3 +56,6 @@
 	}
 	return true
 }
+
+// destination identifies the ring that the writer fills.
+func (w *ringWriter[T]) destination() any { return w.ring }
