Move usage counter, retry budget and replayed settings out of the flat pkg/session

Three parts of pkg/session that need none of its state are packages of their own with their tests: usage (how many requests an account uses), retry (the budget of repetitions) and replay (SET statements for another connection). The test of the isolated home builds its counter from requests instead of scaling another one's.

--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/tokens"
 )
 
@@ -28,7 +29,7 @@
 	// homeUsage measures what callers of this instance use at the account's
 	// home. While homeLost is set, lostHomeRate of it, in requests per second,
 	// may be used locally.
-	homeUsage    usage
+	homeUsage    usage.Counter
 	homeLost     bool
 	lostHomeRate float64
 	// homeSince is when this instance became the account's home.
@@ -77,7 +78,7 @@
 		return false
 	}
 	if s.c.remote == nil && b == &s.c.account.bucket {
-		s.c.account.homeUsage.add(e.now)
+		s.c.account.homeUsage.Add(e.now)
 	}
 	return true
 }
@@ -190,28 +191,6 @@
 	e.outbox.out.Control(ShareApplied{Revision: e.shareRevision, Open: open})
 }
 
-// retryBudget limits retries to a fraction of the requests.
-type retryBudget struct {
-	fraction float64
-	limit    float64
-	balance  float64
-}
-
-// deposit credits one request.
-func (b *retryBudget) deposit() {
-	b.balance = min(b.balance+b.fraction, b.limit)
-}
-
-// available reports whether the budget allows another retry.
-func (b *retryBudget) available() bool {
-	return b.balance >= 1
-}
-
-// withdraw charges one retry.
-func (b *retryBudget) withdraw() {
-	b.balance--
-}
-
 // startDemandReports begins the interval of the first demand report.
 func (e *Engine) startDemandReports() {
 	e.demandSince = e.now
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/replay"
 )
 
 // refuse answers the statement with an error of the proxy and ends it as
@@ -114,7 +115,7 @@
 // ALL, which only concerns the settings that the proxy keeps.
 func (s *statement) answerLocally() {
 	if s.classification.Kind == KindSessionSet {
-		s.c.settings = settings{}
+		s.c.settings = replay.Settings{}
 		s.c.maxAge = -1
 	}
 	s.reply(strings.ToUpper(s.classification.Name), "", "")
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -6,6 +6,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/replay"
 )
 
 // TxIdle is the transaction status outside a transaction.
@@ -38,9 +39,9 @@
 
 	// maxAge is the session's own staleness bound, negative when not set.
 	maxAge   time.Duration
-	settings settings
+	settings replay.Settings
 	// txSettings collects the settings of the open transaction.
-	txSettings settings
+	txSettings replay.Settings
 
 	// target is the connection that runs the statement or is pinned by the open
 	// transaction.
@@ -179,7 +180,7 @@
 func (c *caller) endTransaction() {
 	c.txStatus = txIdle
 	c.deferredBegin = nil
-	c.txSettings = settings{}
+	c.txSettings = replay.Settings{}
 }
 
 // abortStatement ends the running statement without an answer and closes its
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -7,6 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/route"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/retry"
 )
 
 // Engine holds the state of the session duty. It has no I/O and no clock: the
@@ -72,7 +73,7 @@
 	demandTimer       timer
 	pendingAdmissions pendingAdmissions
 	demandSince       time.Time
-	retryBudget       retryBudget
+	retryBudget       retry.Budget
 	sequence          uint64
 	// answerCount counts answers, for sampling the decisions that are logged.
 	answerCount uint64
@@ -126,7 +127,7 @@
 
 		transactionIdle: cfg.Bounds.TransactionIdle,
 
-		retryBudget: retryBudget{fraction: cfg.RetryFraction, limit: cfg.RetryBurst},
+		retryBudget: retry.NewBudget(cfg.RetryFraction, cfg.RetryBurst),
 		policy:      newPolicy(&cfg),
 		metrics:     newMetrics(),
 	}
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -68,7 +68,7 @@
 // serve sends the next statement, unless its wait has made it too late or the
 // member unfit for it.
 func (m *member) serve(s *statement) {
-	m.serveOn(s, m.idleWith(s.c.settings.replaySQL))
+	m.serveOn(s, m.idleWith(s.c.settings.SQL()))
 }
 
 // serveOn sends the statement on the given connection, refuses it as late or
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -275,7 +275,7 @@
 	c := s.c
 	response := &s.relayResponse
 	if !s.startedInTx {
-		c.account.homeUsage.add(c.e.now)
+		c.account.homeUsage.Add(c.e.now)
 	}
 	c.applyRelayTxStatus(response.TxStatus)
 	if response.Position.After(c.floor) {
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 )
 
 const homeAddress PeerAddress = "10.0.0.2:1"
@@ -204,7 +205,7 @@
 	h.e.shares["acct"] = RateShare{Rate: 0.1, Burst: 1}
 	h.useHomeFor5s()
 	a := h.e.accounts["acct"]
-	require.InDelta(t, 20, a.homeUsage.rate(h.now), 3)
+	require.InDelta(t, 20, a.homeUsage.Rate(h.now), 3)
 	h.e.peer(homeAddress).markLost()
 	require.InDelta(t, 20*usageHeadroom, a.bucket.Rate, 4)
 	require.Contains(t, a.rateReason(), "home is silent")
@@ -334,7 +335,10 @@
 	h := newHomeHarness(t)
 	h.useFromOriginFor5s()
 	a := h.e.accounts["acct"]
-	a.homeUsage = a.e.origins["origin-1"].usage["acct"].scaled(0.25)
+	a.homeUsage = usage.Counter{}
+	for age := 5 * time.Second; age > 0; age -= 200 * time.Millisecond {
+		a.homeUsage.Add(h.now.Add(-age))
+	}
 	before := a.bucket.Rate
 	h.wait(isolationTimeout - 2*reserveInterval)
 	a.updateReserve()
@@ -348,13 +352,6 @@
 	require.InDelta(t, before, a.bucket.Rate, 0.1)
 }
 
-// scaled returns the usage multiplied by a factor.
-func (u *usage) scaled(part float64) usage {
-	s := *u
-	s.count *= part
-	return s
-}
-
 // Guards against anonymous callers that every instance serves where the members
 // do not accept enough connections, and against their home relaying them
 // further.
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -53,7 +53,7 @@
 	if s.c.remote != nil && !s.startedInTx {
 		e.countOriginUsage(s.c)
 	}
-	e.retryBudget.deposit()
+	e.retryBudget.Deposit()
 	if s.request.Classification != nil {
 		s.classification = *s.request.Classification
 		s.fire(e.charts.onStatement.classified)
@@ -120,7 +120,7 @@
 	prelude := ""
 	if !c.inTransaction() {
 		prelude = c.preludeFor(t)
-		t.appliedSettings = c.settings.replaySQL
+		t.appliedSettings = c.settings.SQL()
 	}
 	s.sent = true
 	s.sentAt = c.e.now
@@ -231,6 +231,6 @@
 		return
 	}
 	s.mayHaveRun = true
-	e.retryBudget.withdraw()
+	e.retryBudget.Withdraw()
 	e.metrics.Retries++
 }
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/replay"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 	if s.classification.Kind == KindEnd {
 		return s.classification.Name != "" && s.deferredBegin == nil
 	}
-	return s.classification.Kind == KindSessionSet && s.classification.Name == discardAll
+	return s.classification.Kind == KindSessionSet && s.classification.Name == replay.DiscardAll
 }
 
 // readsNoData reports whether the result does not depend on the log.
@@ -237,7 +238,7 @@
 	if !s.changesNothing() && !s.idempotent() {
 		return false
 	}
-	return s.c.e.retryBudget.available()
+	return s.c.e.retryBudget.Available()
 }
 
 // idempotent reports whether the statement's hint or its entry marks it as safe
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -246,7 +246,7 @@
 		c.recordSetting(s)
 	}
 	if status == txIdle {
-		t.appliedSettings = c.settings.replaySQL
+		t.appliedSettings = c.settings.SQL()
 		c.endTransaction()
 	}
 }
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -1,10 +1,10 @@
 package session
 
 import (
-	"math"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 )
 
 // While a home and the instance of a caller can reach each other, the home
@@ -13,56 +13,16 @@
 // the home reserves the same amount. Together they stay within the account's
 // rate, although neither knows what the other does.
 
-// usageWindow is the time over which usage is averaged.
-const usageWindow = 4 * time.Second
-
 // usageHeadroom is the factor by which usage may grow after the loss of a home,
 // so that random variation does not cause refusals.
 const usageHeadroom = 1.2
 
-// usage is an exponentially decaying count of admitted requests.
-type usage struct {
-	count float64
-	at    time.Time
-	// firstAt is the time of the first request; nothing could be counted
-	// before.
-	firstAt time.Time
-}
-
-// add counts one request.
-func (u *usage) add(now time.Time) {
-	if u.count == 0 {
-		u.firstAt = now
-	}
-	u.count = u.decayed(now) + 1
-	u.at = now
-}
-
-// decayed returns the count with its decay up to now.
-func (u *usage) decayed(now time.Time) float64 {
-	if u.count == 0 {
-		return 0
-	}
-	return u.count * math.Exp(-now.Sub(u.at).Seconds()/usageWindow.Seconds())
-}
-
-// rate returns the average in requests per second over usageWindow, or over the
-// time since the first request where that is shorter.
-func (u *usage) rate(now time.Time) float64 {
-	observed := max(now.Sub(u.firstAt), minUsageWindow).Seconds()
-	weight := usageWindow.Seconds() * (1 - math.Exp(-observed/usageWindow.Seconds()))
-	return u.decayed(now) / weight
-}
-
-// minUsageWindow is the shortest time over which usage is averaged.
-const minUsageWindow = 500 * time.Millisecond
-
 // origin is another instance whose callers' requests run on this one.
 type origin struct {
 	lastContact time.Time
 	// lastRequest is the time of its last request.
 	lastRequest time.Time
-	usage       map[core.AccountName]*usage
+	usage       map[core.AccountName]*usage.Counter
 }
 
 // originTimeout is the time without a message after which the usage of an
@@ -81,7 +41,7 @@
 func (e *Engine) originHeartbeat(id core.InstanceID) *origin {
 	o := e.origins[id]
 	if o == nil {
-		o = &origin{usage: map[core.AccountName]*usage{}}
+		o = &origin{usage: map[core.AccountName]*usage.Counter{}}
 		e.origins[id] = o
 	}
 	o.lastContact = e.now
@@ -94,10 +54,10 @@
 	o := e.originHeartbeat(c.remote.id.Instance)
 	u := o.usage[c.account.name]
 	if u == nil {
-		u = &usage{}
+		u = &usage.Counter{}
 		o.usage[c.account.name] = u
 	}
-	u.add(e.now)
+	u.Add(e.now)
 	o.lastRequest = e.now
 }
 
@@ -115,7 +75,7 @@
 	sum := 0.0
 	for _, o := range e.origins {
 		if u := o.usage[a.name]; u != nil && o.unresponsiveFor(originTimeout, e.now) {
-			sum += u.rate(o.lastContact) * usageHeadroom
+			sum += u.Rate(o.lastContact) * usageHeadroom
 		}
 	}
 	return sum + a.reservedForUnknown()
@@ -191,7 +151,7 @@
 		return
 	}
 	a.homeLost = true
-	a.lostHomeRate = a.homeUsage.rate(e.now) * usageHeadroom
+	a.lostHomeRate = a.homeUsage.Rate(e.now) * usageHeadroom
 	a.bucket.Refill(e.now, e.shareValidUntil)
 	a.applyShare()
 	// Requests that waited for the home arrive here at once.
@@ -257,15 +217,15 @@
 // this instance and the responsive ones, and through unresponsive instances.
 func (a *account) usageByReachability() (responsive, unresponsive float64) {
 	e := a.e
-	responsive = a.homeUsage.rate(e.now)
+	responsive = a.homeUsage.Rate(e.now)
 	for _, o := range e.origins {
 		u := o.usage[a.name]
 		switch {
 		case u == nil:
 		case o.unresponsiveFor(isolationTimeout, e.now):
-			unresponsive += u.rate(o.lastContact)
+			unresponsive += u.Rate(o.lastContact)
 		default:
-			responsive += u.rate(o.lastContact)
+			responsive += u.Rate(o.lastContact)
 		}
 	}
 	return responsive, unresponsive
