--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -21,8 +21,8 @@
 	Succession Succession
 	// Targets are the replicas to survey, or the one member to command.
 	Targets []Target
-	// Term is used by JobStepDown, where 0 stands for the term after the member's, and by JobSurvey if the replicas have to stop
-	// receiving first.
+	// Term is used by JobStepDown, where 0 stands for the term after the member's, and
+	// by JobSurvey if the replicas have to stop receiving first.
 	Term core.Term
 }
 
