--- a/pkg/fleet/primary_revocation.go
+++ b/pkg/fleet/primary_revocation.go
@@ -67,8 +67,8 @@
 	p.fire(p.e.primaryChangeEvents.recorded)
 }
 
-// applySuccession records a change of primary, unless a newer one is known, and stops the
-// use of the old primary.
+// applySuccession records a change of primary, unless a newer one is known, stops the use
+// of the old primary and allows that of its successor.
 func (e *Engine) applySuccession(s *Succession) {
 	if s.Revision < e.successions[s.Group].Revision {
 		return
@@ -77,6 +77,9 @@
 	if s.Revoked != "" {
 		e.out.Session(session.PrimaryRevoked{Database: s.Group, Member: s.Revoked})
 	}
+	if s.Promoted != "" {
+		e.out.Session(session.PrimaryPromoted{Database: s.Group, Member: s.Promoted})
+	}
 }
 
 // requestRevocation stops the use of the old primary here and asks all other instances
--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -507,6 +507,8 @@
 		n.leaseUntil = in.Until
 	case session.PrimaryRevoked:
 		n.revoke(in.Member)
+	case session.PrimaryPromoted:
+		delete(n.revoked, in.Member)
 	}
 }
 
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -244,6 +244,8 @@
 		e.renewPrimaryLease(in)
 	case PrimaryRevoked:
 		e.revokePrimary(in)
+	case PrimaryPromoted:
+		e.primaryPromoted(in)
 	case ReleaseIdle:
 		e.releaseIdle()
 	case Drain:
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -53,10 +53,8 @@
 	// limitRefusals counts the consecutive connections that the member refused
 	// for its connection limit.
 	limitRefusals uint
-	// revokedUntil is the time until which the member is not used as the primary,
-	// unless it proves a newer term than revokedTerm.
+	// revokedUntil is the time until which the member is not used as the primary.
 	revokedUntil time.Time
-	revokedTerm  core.Term
 	// lastResponse is the time of the member's last response. responseDueSince
 	// is the time of the oldest request since then without a response, zero if
 	// there is none.
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -19,7 +19,6 @@
 		return
 	}
 	m.logEnd = in.LogEnd
-	m.observeTermWhileRevoked(in.LogEnd.Term)
 	db.updateTerm(m, in)
 	if in.VerifiedPrimary && m.usableAsPrimary() {
 		db.primaryHistory.Observe(sentAt, in.LogEnd)
--- a/pkg/session/primarylease.go
+++ b/pkg/session/primarylease.go
@@ -42,10 +42,20 @@
 
 func (PrimaryRevoked) sessionInput() {}
 
+func (PrimaryPromoted) sessionInput() {}
+
 func (RevocationConfirmed) peerCommand() {}
 
-// revocationPeriod is how long a revoked primary is not used unless it proves a newer
-// term. An instance that still wants to replace it revokes it again before that.
+// PrimaryPromoted reports that the member was chosen as the new primary, which ends an
+// earlier revocation of it.
+type PrimaryPromoted struct {
+	Database core.DatabaseName
+	Member   core.MemberID
+}
+
+// revocationPeriod is how long a revoked primary is not used. Its own answers do not end
+// that: a term that this instance has not seen yet may be the one that is ending. An
+// instance that still wants to replace it revokes it again before that.
 const revocationPeriod = 5 * time.Second
 
 // primaryLease is the state of the instance's lease on primaries.
@@ -136,7 +146,6 @@
 // revoke stops using the member as the primary for revocationPeriod.
 func (m *member) revoke() {
 	m.revokedUntil = m.db.e.now.Add(revocationPeriod)
-	m.revokedTerm = m.logEnd.Term
 	m.db.armCheck(m.revokedUntil)
 	if m.db.primary == m {
 		m.db.stopUsingPrimary()
@@ -150,14 +159,17 @@
 	if !e.mayUsePrimaries() {
 		return false
 	}
-	return !e.now.Before(m.revokedUntil) || m.logEnd.Term > m.revokedTerm
+	return !e.now.Before(m.revokedUntil)
 }
 
-// observeTermWhileRevoked records the term of a revoked member that had not reported
-// one before, so that its term of that time does not count as a newer one.
-func (m *member) observeTermWhileRevoked(term core.Term) {
-	if m.revokedTerm == 0 && m.db.e.now.Before(m.revokedUntil) {
-		m.revokedTerm = term
+// primaryPromoted ends the revocation of a member that was chosen as the new primary.
+func (e *Engine) primaryPromoted(in PrimaryPromoted) {
+	db := e.databases[in.Database]
+	if db == nil {
+		return
+	}
+	if m := db.member(in.Member); m != nil {
+		m.revokedUntil = time.Time{}
 	}
 }
 
--- a/pkg/session/primarylease_test.go
+++ b/pkg/session/primarylease_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against a confirmation while statements still run on the revoked primary, and
-// against its use until it proves a newer term.
+// against its use while another one is promoted.
 func TestRevokedPrimaryIsNotUsed(t *testing.T) {
 	h := newAsyncHarness(t)
 	h.lease(time.Hour)
@@ -73,6 +73,9 @@
 	h.announce(2, "m0")
 	h.sendClassified(1, "write", write)
 	require.Equal(t, sent, h.countSent(), "its renewed announcement is no proof")
+	h.e.databases["db"].member("m0").observeLogEnd(h.now, &TargetReady{LogEnd: position(2, 300), VerifiedPrimary: true})
+	h.e.runDispatch()
+	require.Equal(t, sent, h.countSent(), "a term that was not seen before may be the one that ends")
 	h.announce(3, "m1")
 	h.connect()
 	require.Equal(t, core.MemberID("m1"), h.memberOf(h.lastSent().Target), "the write waited for the new primary")
@@ -88,6 +91,17 @@
 	require.Zero(t, h.countSent())
 }
 
+// Guards against a member that cannot be used after it was promoted again.
+func TestPromotionEndsARevocation(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.do(PrimaryRevoked{Database: "db", Member: "m0"})
+	h.do(PrimaryPromoted{Database: "db", Member: "m0"})
+	h.announce(2, "m0")
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	require.Equal(t, core.MemberID("m0"), h.memberOf(h.lastSent().Target))
+}
+
 // Guards against a group that stays without a primary after a change that was given up.
 func TestRevocationEnds(t *testing.T) {
 	h := newAsyncHarness(t)
