--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -21,12 +21,12 @@
 // committed before a newer term began.
 
 const (
-	simStep       = 5 * time.Millisecond
-	simDuration   = 14 * time.Second
-	simPromotion  = 300 * time.Millisecond
-	simRecordTTL  = 3 * time.Second
-	simStoreLost  = time.Second
-	simLeaseOfSim = time.Second
+	simStep      = 5 * time.Millisecond
+	simDuration  = 14 * time.Second
+	simPromotion = 300 * time.Millisecond
+	simRecordTTL = 3 * time.Second
+	simStoreLost = time.Second
+	simLease     = time.Second
 )
 
 // simPlace is a process of the simulation or the store, in a failure domain.
@@ -177,7 +177,7 @@
 		Bounds: Bounds{
 			BalancerNotice: 2 * time.Second, DrainTimeout: 2 * time.Second, ReregistrationGrace: 3 * time.Second,
 			PromotionStepTimeout: 2 * time.Second, PromotionRetryDelay: 500 * time.Millisecond, TakeoverTimeout: 3 * time.Second,
-			PrimaryLease: simLeaseOfSim,
+			PrimaryLease: simLease,
 		},
 	}
 	var err error
