--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -274,6 +274,10 @@
 	e.storeLost = false
 	e.storeRestoredAt = e.now
 	e.isolation.confirmReachable()
+	// The successions say which of the members may be primaries.
+	for i := range s.Successions {
+		e.applySuccession(&s.Successions[i])
+	}
 	seen := map[core.MemberID]bool{}
 	for i := range s.Members {
 		seen[s.Members[i].Member] = true
@@ -286,9 +290,6 @@
 	e.homes.replaceAll(s.Homes)
 	e.adoptConfiguration(s.Configuration)
 	e.armSweep()
-	for i := range s.Successions {
-		e.applySuccession(&s.Successions[i])
-	}
 	e.publish()
 }
 
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -155,6 +155,20 @@
 	require.Equal(t, []core.MemberID{"r1"}, h.primaries(), "an older record is ignored")
 }
 
+// Guards against a change that makes the wrong member step down: an instance that learns of
+// a succession and of the new primary from the same read has to replace the new primary.
+func TestSnapshotNamesTheNewPrimary(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.handle(StoreChanges{Changes: []Change{{Succession: &Succession{Group: "g", Promoted: "p", Revision: 150}}}, AsOf: h.now})
+	h.handle(StoreSnapshot{AsOf: h.now, Snapshot: &Snapshot{
+		Configuration: configuration(1),
+		Members:       []Announcement{h.announce("p", core.RoleReplica), h.announce("r1", core.RolePrimary), h.announce("r2", core.RoleReplica)},
+		Successions:   []Succession{{Group: "g", Revoked: "p", Promoted: "r1", Revision: 200}},
+	}})
+	require.Equal(t, []core.MemberID{"r1"}, h.primaries())
+	require.Equal(t, core.MemberID("r1"), h.e.lastPrimaries["g"].Member)
+}
+
 // primaries returns the members that the last view names as primaries.
 func (h *harness) primaries() []core.MemberID {
 	var list []core.MemberID
--- a/pkg/fleet/primary_sim_node_test.go
+++ b/pkg/fleet/primary_sim_node_test.go
@@ -83,8 +83,10 @@
 }
 
 // handle passes an input to the engine that runs at present.
-func (n *simNode) handle(in Input) {
-	e := n.e
+func (n *simNode) handle(in Input) { n.handleIn(n.e, in) }
+
+// handleIn passes an input to the engine, unless its process has ended.
+func (n *simNode) handleIn(e *Engine, in Input) {
 	n.deliver(func() {
 		if n.e == e {
 			e.Handle(n.w.now, in)
@@ -291,12 +293,15 @@
 
 // SubmitJob carries out a worker's job; a process that does not respond costs a timeout.
 func (n *simNode) SubmitJob(j Job) bool {
-	w := n.w
+	w, e := n.w, n.e
 	w.after(max(n.workerBusy.Sub(w.now), 0), func() {
+		if n.e != e {
+			return
+		}
 		took, done := n.execute(j)
 		n.workerBusy = w.now.Add(took)
 		simLog(w.now, n.name, "job", j.Kind, j.Targets, j.Succession, done.Claim, done.States, done.Err)
-		w.after(took, func() { n.handle(done) })
+		w.after(took, func() { n.handleIn(e, done) })
 	})
 	return true
 }
