Close the gap between the end of a lease and its notice; repeat revocations; retry an unrecorded promotion soon

Cause 1: the end of a lease on primaries was noticed by a timer of 250 ms. A response of another instance within that time revived the lease without a read of the store. Cause 2: a revocation was sent once. A partition shorter than the lease kept it from an instance whose contact then renewed the lease; it is repeated every 100 ms until confirmed. Cause 3: a promotion whose record failed because the claim had ended was waited for like one that was requested (3 s). TestEndedLeaseIsNotRevivedBeforeItIsNoticed, TestRevocationIsRepeated and TestPromotionWithoutItsRecordIsRetriedSoon were red on the code before, green after it.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -90,9 +90,10 @@
 	sourceSelector   sourceSelector
 	homes            homes
 
-	// settledState and servingState are chart states that the code compares with.
-	settledState chart.State
-	servingState chart.State
+	// These chart states are compared with in code.
+	settledState  chart.State
+	revokingState chart.State
+	servingState  chart.State
 
 	primaryChangeTable  *chart.Table[*primaryChange]
 	primaryChangeEvents primaryChangeEvents
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -32,6 +32,7 @@
 	// unconfirmed holds the nodes that have not confirmed yet that they no longer use
 	// the member that is replaced.
 	unconfirmed map[string]bool
+	retryTimer  timerq.Item[func()]
 	// neededAt is the time at which the change became necessary, the other times
 	// are those at which its steps were completed. They are logged when the
 	// change is completed.
@@ -98,7 +99,7 @@
 	}
 	event := table.Event
 	e.primaryChangeTable = table
-	e.settledState = table.StateID("settled")
+	e.settledState, e.revokingState = table.StateID("settled"), table.StateID("revoking")
 	e.primaryChangeEvents = primaryChangeEvents{
 		needed: event("needed"), settled: event("settled"), claimed: event("claimed"),
 		claimFailed: event("claim_failed"), surveyed: event("surveyed"), surveyFailed: event("survey_failed"),
@@ -117,6 +118,7 @@
 	if p == nil {
 		p = &primaryChange{e: e, group: group, state: e.primaryChangeTable.Initial()}
 		p.timer.Value = func() { p.fire(e.primaryChangeEvents.timedOut) }
+		p.retryTimer.Value = p.sendRevocations
 		e.primaryChanges[group] = p
 	}
 	return p
@@ -386,7 +388,8 @@
 	switch {
 	case d.Err == nil:
 		p.fire(p.e.primaryChangeEvents.ordered)
-	case eris.Is(d.Err, ErrFenced):
+	case eris.Is(d.Err, ErrFenced), eris.Is(d.Err, ErrConflict):
+		// The promotion was refused, or not requested because the claim had ended.
 		p.fire(p.e.primaryChangeEvents.fenced)
 	default:
 		p.fire(p.e.primaryChangeEvents.orderFailed)
--- a/pkg/fleet/primary_revocation.go
+++ b/pkg/fleet/primary_revocation.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -9,6 +11,10 @@
 // acknowledged. Where the platform does not ensure that, the old primary steps down
 // first. If it does not respond, every instance stops using it.
 
+// revocationRetryInterval is the time between two requests to an instance that has not
+// confirmed; a round trip between failure domains takes a few milliseconds.
+const revocationRetryInterval = 100 * time.Millisecond
+
 // RevocationConfirmed reports that the instance Node no longer uses the member as a
 // primary.
 type RevocationConfirmed struct {
@@ -89,18 +95,33 @@
 	old := p.replaced()
 	p.unconfirmed = map[string]bool{}
 	e.out.Session(session.PrimaryRevoked{Database: p.group, Member: old.Member})
-	for node, i := range e.instances {
-		if node == e.config.Self.Node {
-			continue
+	for node := range e.instances {
+		if node != e.config.Self.Node {
+			p.unconfirmed[node] = true
 		}
-		p.unconfirmed[node] = true
-		e.out.RevokePrimary(node, session.PeerAddress(i.Peer), p.group, old.Member)
 	}
 	e.out.Log(LogEvent{Warning: true, Event: "primary_revoked", Message: "the old primary does not respond; all instances are asked to stop using it",
 		Fields: map[string]any{"group": p.group, "member": old.Member, "asked": len(p.unconfirmed)}})
+	p.sendRevocations()
 	p.checkConfirmations()
 }
 
+// sendRevocations asks the instances that have not confirmed yet, again until the state
+// ends: a partition that ends before the lease of an instance has kept the first request
+// from it.
+func (p *primaryChange) sendRevocations() {
+	e := p.e
+	if p.state != e.revokingState {
+		return
+	}
+	for node := range p.unconfirmed {
+		if i := e.instances[node]; i != nil {
+			e.out.RevokePrimary(node, session.PeerAddress(i.Peer), p.group, p.replaced().Member)
+		}
+	}
+	e.timers.Arm(&p.retryTimer, e.now.Add(revocationRetryInterval))
+}
+
 // revocationConfirmed records the confirmation of one instance.
 func (e *Engine) revocationConfirmed(in RevocationConfirmed) {
 	for _, p := range e.primaryChanges {
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -225,3 +225,45 @@
 	require.Zero(t, h.lease())
 	require.Empty(t, h.probed)
 }
+
+// Guards against a lease that another instance's response revives after its end, before the
+// timer has noticed the end: only a store read shows which primaries were replaced meanwhile.
+func TestEndedLeaseIsNotRevivedBeforeItIsNoticed(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.advance(100 * time.Millisecond)
+	h.handle(ProbeResponse{SentAt: h.now})
+	ended := h.lease()
+	h.now = ended.Add(time.Millisecond)
+	h.handle(ProbeResponse{SentAt: h.now})
+	require.Equal(t, ended, h.lease())
+	h.handle(StoreChanges{AsOf: h.now})
+	require.Equal(t, h.now.Add(testLease), h.lease(), "a read after the end renews it")
+}
+
+// Guards against an instance that a short partition kept from hearing of the revocation, and
+// whose lease does not end because its contact returns in time.
+func TestRevocationIsRepeated(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.loseMember()
+	h.demotionFails()
+	h.handle(RevocationConfirmed{Node: "a", Member: "p"})
+	h.revoked = nil
+	h.advance(revocationRetryInterval)
+	require.Equal(t, []string{"b p"}, h.revoked)
+	h.handle(RevocationConfirmed{Node: "b", Member: "p"})
+	h.revoked = nil
+	h.advance(testLease)
+	require.Empty(t, h.revoked)
+}
+
+// Guards against waiting for the takeover of a promotion that was never requested, because
+// the claim had ended when its succession was to be recorded.
+func TestPromotionWithoutItsRecordIsRetriedSoon(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.loseMember()
+	h.handle(JobDone{Job: h.lastJob(), States: []MemberState{{Member: "p", Role: core.RoleReplica, Term: 1}}})
+	h.handle(JobDone{Job: h.lastJob(), States: []MemberState{{Member: "r1", Term: 1, Received: core.Position{Term: 1, LSN: 10}}}})
+	h.handle(JobDone{Job: h.lastJob(), Err: eris.Wrap(ErrConflict, "test")})
+	h.advance(600 * time.Millisecond)
+	require.Equal(t, JobClaim, h.lastJob().Kind)
+}
--- a/pkg/fleet/primarylease.go
+++ b/pkg/fleet/primarylease.go
@@ -21,9 +21,9 @@
 // primaryLease decides how long this instance may use primaries, where nothing else
 // stops the writes to a primary that another instance replaces. A response of the store
 // or of an instance in another failure domain (of any other one, if there is a single
-// domain) renews the lease, counted from the sending
-// of the request. Once it has ended, only a newer read of the store renews it: the
-// primaries that this instance knows may have been replaced meanwhile.
+// domain) renews the lease, counted from the sending of the request. Once it has ended,
+// only a newer read of the store renews it: the primaries that this instance knows may have
+// been replaced meanwhile.
 type primaryLease struct {
 	e     *Engine
 	timer timerq.Item[func()]
@@ -53,6 +53,7 @@
 		return
 	}
 	first := l.contactAt.IsZero()
+	l.noticeEnd()
 	if at.After(l.endedAt) {
 		l.endedAt = time.Time{}
 	}
@@ -64,7 +65,11 @@
 
 // instanceResponded records the response of an instance to a probe.
 func (l *primaryLease) instanceResponded(sentAt time.Time) {
-	if l.required() && l.endedAt.IsZero() && !l.contactAt.IsZero() && sentAt.After(l.contactAt) {
+	if !l.required() || l.contactAt.IsZero() || !sentAt.After(l.contactAt) {
+		return
+	}
+	l.noticeEnd()
+	if l.endedAt.IsZero() {
 		l.extend(sentAt)
 	}
 }
@@ -107,10 +112,10 @@
 // time until which it lasts, has stopped on its own.
 func (l *primaryLease) noticeEnd() {
 	e := l.e
-	if !l.endedAt.IsZero() || e.now.Before(l.end()) {
+	if l.contactAt.IsZero() || !l.endedAt.IsZero() || e.now.Before(l.end()) {
 		return
 	}
-	l.endedAt = e.now
+	l.endedAt = l.end()
 	e.out.Log(LogEvent{Warning: true, Event: "primary_lease_ended",
 		Message: "neither the store nor another failure domain responds; primaries are not used until the store is read again",
 		Fields:  map[string]any{"last_contact_ms": e.now.Sub(l.contactAt).Milliseconds()}})
