--- a/pkg/fleet/primary_sim_world_test.go
+++ b/pkg/fleet/primary_sim_world_test.go
@@ -38,8 +38,9 @@
 	primary, down bool
 	term          core.Term
 	lsn           core.LSN
-	// announced is the role in its record; recordAt is the last renewal, zero without a
-	// record. sawNewerAt is since when the old primary reaches its successor.
+	// announced is the role in the member's record. recordAt is the time of its last
+	// renewal, zero without a record. sawNewerAt is the time at which a replaced primary
+	// reached its successor, zero while it does not.
 	announced  core.Role
 	recordAt   time.Time
 	sawNewerAt time.Time
--- a/pkg/instance/oddinput_test.go
+++ b/pkg/instance/oddinput_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -25,7 +23,7 @@
 }
 
 // Guards against a record of the store, or a message of another instance, that is decoded
-// but makes no sense and ends the process.
+// but makes no sense and ends the process. The test fails by a panic.
 func TestOddRecordsEndNothing(t *testing.T) {
 	account := catalogue.Account{Name: "a", Rate: 10, Burst: 10}
 	entry := catalogue.Entry{Name: "e", Database: "g", DeadlineMillis: 1000}
@@ -67,7 +65,6 @@
 				h.sessionDuty.engine.Handle(clock.Now(), in)
 			}
 			h.sessionDuty.engine.Tick(clock.Now().Add(time.Minute))
-			require.NotNil(t, h)
 		})
 	}
 }
