Claim a change of primary only with a store that was read; replace the member that was promoted last

An instance was cut off after it had promoted m1, with the answer lost, and went on claiming. Its claim succeeded right after the cut, before it had read the store; it made m0 step down, the primary of the time before, and promoted m2 while another instance used m1. Change: no claim while the store is lost or the lease on primaries has ended; the member that steps down is the one that the last succession promoted, also if it was not seen to announce itself. TestNoClaimBeforeTheStoreIsReadAgain, TestChangeReplacesThePromotedMember and TestSeedsThatFailedOnce (seed 7591) were red before and are green now. Two tests let the instance read the store before it acts, as it has to now.

--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -64,6 +64,7 @@
 	return chart.Registry[*primaryChange]{
 		Guards: map[string]func(*primaryChange) bool{
 			"has_candidate":       func(p *primaryChange) bool { return p.candidate.Member != "" },
+			"knows_too_little":    (*primaryChange).knowsTooLittle,
 			"old_unknown":         (*primaryChange).oldIsUnknown,
 			"old_unresponsive":    (*primaryChange).oldIsUnresponsive,
 			"stopped_by_platform": (*primaryChange).stoppedByPlatform,
--- a/pkg/fleet/primary_revocation.go
+++ b/pkg/fleet/primary_revocation.go
@@ -25,8 +25,25 @@
 func (RevocationConfirmed) fleetInput() {}
 
 // replaced returns the member that the change replaces, the zero value if it is not
-// known.
-func (p *primaryChange) replaced() Target { return p.e.lastPrimaries[p.group] }
+// known: the one that the last succession promoted, which may not have been seen to
+// announce itself, or else the one that announced itself last.
+func (p *primaryChange) replaced() Target {
+	promoted := p.e.successions[p.group].Promoted
+	last := p.e.lastPrimaries[p.group]
+	if promoted == "" || promoted == last.Member {
+		return last
+	}
+	if m := p.e.members[promoted]; m != nil {
+		return m.target()
+	}
+	return Target{Group: p.group, Member: promoted}
+}
+
+// knowsTooLittle reports whether the instance has been cut off and has not read the store
+// since: what it knows of the group may be outdated.
+func (p *primaryChange) knowsTooLittle() bool {
+	return !p.stoppedByPlatform() && (p.e.storeLost || !p.e.primaryLease.endedAt.IsZero())
+}
 
 // stoppedByPlatform reports whether the platform stops the old primary at a promotion.
 func (p *primaryChange) stoppedByPlatform() bool { return p.e.config.Bounds.PrimaryLease == 0 }
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -64,6 +64,8 @@
 	h.e.lastPrimaries = map[core.DatabaseName]Target{}
 	h.e.dropMember(h.e.members["p"])
 	h.advance(4 * time.Second)
+	h.handle(StoreChanges{AsOf: h.now})
+	h.advance(600 * time.Millisecond)
 	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
 	require.Equal(t, JobRevoke, h.lastJob().Kind)
 	h.handle(JobDone{Job: h.lastJob()})
@@ -127,6 +129,7 @@
 func TestDeadPrimaryIsRevokedAtOnce(t *testing.T) {
 	h := newHarnessWithLease(t, testLease)
 	h.advance(4 * time.Second)
+	h.handle(StoreChanges{AsOf: h.now})
 	h.e.declareDead(h.e.members["p"], "test")
 	h.advance(400 * time.Millisecond)
 	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
@@ -169,6 +172,39 @@
 	require.Equal(t, core.MemberID("r1"), h.e.lastPrimaries["g"].Member)
 }
 
+// Guards against a change that an instance continues with what it knew before it was cut
+// off: its claim succeeds before it has read the store, and it makes the primary of that
+// time step down while others use the successor.
+func TestNoClaimBeforeTheStoreIsReadAgain(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.advance(4 * time.Second)
+	h.handle(StoreChanges{Changes: []Change{{RemovedMember: "p"}}, Since: h.now, AsOf: h.now})
+	h.advance(400 * time.Millisecond)
+	claim := h.lastJob()
+	require.Equal(t, JobClaim, claim.Kind)
+	h.handle(JobDone{Job: claim, Err: eris.Wrap(ErrUnavailable, "test")})
+	h.handle(StoreUnavailable{Reason: "test"})
+	jobs := len(h.jobs)
+	h.advance(5 * time.Second)
+	require.Len(t, h.jobs, jobs)
+	h.handle(StoreSnapshot{AsOf: h.now, Snapshot: &Snapshot{
+		Configuration: configuration(1), Members: []Announcement{h.announce("r1", core.RoleReplica), h.announce("r2", core.RoleReplica)},
+	}})
+	h.advance(600 * time.Millisecond)
+	require.Equal(t, JobClaim, h.lastJob().Kind)
+}
+
+// Guards against a change that makes an earlier primary step down: the member that the
+// last succession promoted may be in use although it was not seen to announce itself.
+func TestChangeReplacesThePromotedMember(t *testing.T) {
+	h := newHarnessWithLease(t, testLease)
+	h.handle(StoreChanges{AsOf: h.now, Changes: []Change{{Succession: &Succession{Group: "g", Revoked: "p", Promoted: "r1", Revision: 200}}}})
+	h.advance(400 * time.Millisecond)
+	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	require.Equal(t, JobStepDown, h.lastJob().Kind)
+	require.Equal(t, []Target{{Group: "g", Member: "r1", Address: "r1:1"}}, h.lastJob().Targets)
+}
+
 // primaries returns the members that the last view names as primaries.
 func (h *harness) primaries() []core.MemberID {
 	var list []core.MemberID
--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -37,6 +37,16 @@
 	return n
 }
 
+// Guards against the return of faults that single seeds have shown.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	// 7591: an instance that was cut off claimed the change before it had read the store.
+	for _, seed := range []uint64{7591} {
+		w := newSimWorld(t, seed)
+		w.run()
+		require.Empty(t, w.violations, "seed %d", seed)
+	}
+}
+
 // Guards against a simulation that would not notice the fault: without leases, instances
 // that are cut off together with the primary acknowledge its writes after a promotion.
 func TestSimulationNoticesWritesWithoutALease(t *testing.T) {
