Do not promote a member whose log ends in an older term

Cause: the survey before a promotion left out a replica that answered BUSY, and nothing compared the best log that was left with the term that the group had reached.

Change: a busy replica counts with the position of its startup answer, and the survey is repeated up to three times for its whole position. Instances keep the newest term of each group, from the sessions' answers and from a record that the promoting instance writes; an older log is promoted only after 10 s without a better one, the target for a change of primary.

With both decisions replaced by "return false", TestReplicaOfAnOlderTermIsNotPromoted, TestSnapshotHoldsTheTermsOfGroups, TestOutdatedReplicaIsPromotedInTheEnd and TestBusyReplicaIsSurveyedAgain fail.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -102,6 +102,8 @@
 	lastPrimaries map[core.DatabaseName]Target
 	// successions holds the recorded changes of primary.
 	successions map[core.DatabaseName]Succession
+	// terms holds the newest term that each group is known to have reached.
+	terms map[core.DatabaseName]core.Term
 	// polls are the liveness polls in progress.
 	polls map[session.LivenessSubject]*livenessPoll
 }
@@ -126,6 +128,7 @@
 		primaryChanges: map[core.DatabaseName]*primaryChange{},
 		lastPrimaries:  map[core.DatabaseName]Target{},
 		successions:    map[core.DatabaseName]Succession{},
+		terms:          map[core.DatabaseName]core.Term{},
 		polls:          map[session.LivenessSubject]*livenessPoll{},
 	}
 	if err := e.loadPrimaryChange(charts.Succession); err != nil {
@@ -249,6 +252,8 @@
 		e.homes.allowReplacement(r.Address, "the home's host refuses connections", endedReplaceWindow)
 	case session.MemberSuspected:
 		e.checkSuspect(r.Member)
+	case session.TermObserved:
+		e.observeTerm(r.Database, r.Term)
 	}
 }
 
@@ -279,6 +284,9 @@
 	for i := range s.Successions {
 		e.applySuccession(&s.Successions[i])
 	}
+	for _, t := range s.Terms {
+		e.observeTerm(t.Group, t.Term)
+	}
 	seen := map[core.MemberID]bool{}
 	for i := range s.Members {
 		seen[s.Members[i].Member] = true
@@ -341,6 +349,8 @@
 		e.homes.set(c.RemovedHome, nil)
 	case c.Succession != nil:
 		e.applySuccession(c.Succession)
+	case c.Term != nil:
+		e.observeTerm(c.Term.Group, c.Term.Term)
 	}
 }
 
--- /dev/null
+++ b/pkg/fleet/groupterm.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// A replica that was cut off keeps commits of an older term that the group has rolled
+// back. If it is promoted, these commits return and those of the newer terms are lost.
+// So every instance keeps the newest term that the group has reached, and a replica
+// whose log ends in an older one is promoted only if no other one appears in time.
+
+// outdatedLogWait is how long a group without a primary waits for a replica whose log
+// reaches the group's newest term. It is the target for the length of a change of
+// primary.
+const outdatedLogWait = 10 * time.Second
+
+// GroupTerm is the store record of the newest term of a group that an instance has seen
+// a primary lead.
+type GroupTerm struct {
+	Group core.DatabaseName `json:"group"`
+	Term  core.Term         `json:"term"`
+}
+
+// observeTerm records that the group has reached the term.
+func (e *Engine) observeTerm(group core.DatabaseName, term core.Term) {
+	e.terms[group] = max(e.terms[group], term)
+}
+
+// recordTerm asks the new primary for its term and records it in the store, for
+// instances that have no connection to the group.
+func (p *primaryChange) recordTerm() {
+	primary, _ := p.e.primaryAndReplicas(p.group)
+	if primary == nil {
+		return
+	}
+	p.submit(Job{Kind: JobRecordTerm, Group: p.group, Targets: []Target{primary.target()}})
+}
+
+// candidateOutdated reports whether the candidate's log ends in an older term than the
+// group has reached, and a replica with a newer log may still respond or return.
+func (p *primaryChange) candidateOutdated() bool {
+	if p.candidate.Member == "" || p.e.now.Sub(p.neededAt) >= outdatedLogWait {
+		return false
+	}
+	return p.candidate.Received.Term < p.e.terms[p.group]
+}
+
+// logOutdatedCandidate logs that the change waits for a replica with a newer log.
+func (p *primaryChange) logOutdatedCandidate() {
+	p.e.out.Log(LogEvent{Warning: true, Event: "promotion_waits", Message: "the replicas that responded lack the group's newest term", Fields: map[string]any{
+		"group": p.group, "candidate": p.candidate.Member, "position": p.candidate.Received.String(),
+		"term": p.e.terms[p.group], "answered": len(p.surveyed), "waiting_ms": stepMillis(p.neededAt, p.e.now),
+	}})
+}
+
+// surveyIncomplete reports whether a busy replica may have a more advanced log than the
+// candidate: of such a replica only a lower bound of its position is known.
+func (p *primaryChange) surveyIncomplete() bool {
+	if p.repeatedSurveys >= maxRepeatedSurveys {
+		return false
+	}
+	for _, state := range p.surveyed {
+		if state.Busy && state.Member != p.candidate.Member {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// maxRepeatedSurveys limits how often the survey of a claim is repeated for busy
+	// replicas.
+	maxRepeatedSurveys = 3
+	// resurveyDelay is the delay before a survey is repeated; slots are freed within
+	// some tens of milliseconds.
+	resurveyDelay = 20 * time.Millisecond
+)
+
+// repeatSurvey repeats the survey.
+func (p *primaryChange) repeatSurvey() {
+	p.repeatedSurveys++
+	p.requestSurvey()
+}
--- /dev/null
+++ b/pkg/fleet/groupterm_test.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+)
+
+// replicaAt returns the state of a replica whose log ends at the position.
+func replicaAt(member core.MemberID, term, lsn uint64) MemberState {
+	position := core.Position{Term: core.Term(term), LSN: core.LSN(lsn)}
+	return MemberState{Member: member, Role: core.RoleReplica, Term: position.Term, Received: position}
+}
+
+// busyAt returns the state of a replica without a free slot that has applied the position.
+func busyAt(member core.MemberID, term, lsn uint64) MemberState {
+	state := replicaAt(member, term, lsn)
+	state.Busy = true
+	return state
+}
+
+// survey lets the group lose its primary and returns the survey of its replicas.
+func (h *harness) survey() Job {
+	h.advance(4 * time.Second)
+	h.handle(StoreChanges{Changes: []Change{{RemovedMember: "p"}}, Since: h.now})
+	h.advance(time.Second)
+	h.claim()
+	require.Equal(h.t, JobSurvey, h.lastJob().Kind)
+	return h.lastJob()
+}
+
+// claim grants the claim that the engine has requested.
+func (h *harness) claim() {
+	require.Equal(h.t, JobClaim, h.lastJob().Kind)
+	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+}
+
+// Guards against a promotion that brings back rolled-back commits and loses those of the
+// newer term: the only replica that responds was cut off when the group changed its
+// primary.
+func TestReplicaOfAnOlderTermIsNotPromoted(t *testing.T) {
+	sources := map[string]Input{
+		"a session":                  SessionReport{Report: session.TermObserved{Database: "g", Term: 2}},
+		"the store":                  StoreChanges{Changes: []Change{{Term: &GroupTerm{Group: "g", Term: 2}}}},
+		"a response to this process": JobDone{Job: Job{Kind: JobRecordTerm, Group: "g"}, States: []MemberState{replicaAt("p", 2, 50)}},
+	}
+	for source, learnt := range sources {
+		t.Run(source, func(t *testing.T) {
+			h := newHarness(t)
+			h.handle(learnt)
+			h.handle(JobDone{Job: h.survey(), States: []MemberState{replicaAt("r1", 1, 900)}})
+			require.NotEqual(t, JobPromote, h.lastJob().Kind)
+			h.advance(600 * time.Millisecond)
+			h.claim()
+			h.handle(JobDone{Job: h.lastJob(), States: []MemberState{replicaAt("r1", 1, 900), replicaAt("r2", 2, 40)}})
+			require.Equal(t, JobPromote, h.lastJob().Kind)
+			require.Equal(t, core.MemberID("r2"), h.lastJob().Targets[0].Member)
+		})
+	}
+}
+
+// Guards against the same fault at an instance that has just started and knows the term
+// only from the store.
+func TestSnapshotHoldsTheTermsOfGroups(t *testing.T) {
+	h := newHarness(t)
+	h.handle(StoreSnapshot{AsOf: h.now, Snapshot: &Snapshot{
+		Configuration: configuration(1), Terms: []GroupTerm{{Group: "g", Term: 2}},
+		Members:   []Announcement{h.announce("p", core.RolePrimary), h.announce("r1", core.RoleReplica), h.announce("r2", core.RoleReplica)},
+		Instances: []Instance{h.e.config.Self},
+	}})
+	h.handle(JobDone{Job: h.survey(), States: []MemberState{replicaAt("r1", 1, 900)}})
+	require.NotEqual(t, JobPromote, h.lastJob().Kind)
+}
+
+// Guards against a group that stays without a primary because every member with the
+// newest term is lost for good.
+func TestOutdatedReplicaIsPromotedInTheEnd(t *testing.T) {
+	h := newHarness(t)
+	h.handle(SessionReport{Report: session.TermObserved{Database: "g", Term: 2}})
+	survey := h.survey()
+	began := h.now
+	for h.now.Sub(began) < 2*outdatedLogWait && h.lastJob().Kind != JobPromote {
+		h.handle(JobDone{Job: survey, States: []MemberState{replicaAt("r1", 1, 900)}})
+		if h.lastJob().Kind == JobSurvey {
+			h.advance(600 * time.Millisecond)
+			h.claim()
+			survey = h.lastJob()
+		}
+	}
+	require.Equal(t, JobPromote, h.lastJob().Kind)
+	require.LessOrEqual(t, h.now.Sub(began), outdatedLogWait)
+	require.Greater(t, h.now.Sub(began), outdatedLogWait/2)
+}
+
+// Guards against ignoring a replica that has no free slot for the survey although it has
+// the most advanced log.
+func TestBusyReplicaIsSurveyedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.handle(JobDone{Job: h.survey(), States: []MemberState{replicaAt("r1", 1, 50), busyAt("r2", 1, 40)}})
+	require.Equal(t, JobSurvey, h.lastJob().Kind)
+	h.advance(resurveyDelay)
+	require.Equal(t, JobSurvey, h.lastJob().Kind)
+	h.handle(JobDone{Job: h.lastJob(), States: []MemberState{replicaAt("r1", 1, 50), replicaAt("r2", 1, 70)}})
+	require.Equal(t, JobPromote, h.lastJob().Kind)
+	require.Equal(t, core.MemberID("r2"), h.lastJob().Targets[0].Member)
+}
+
+// Guards against a change of primary that never ends because a replica stays busy.
+func TestSurveyIsRepeatedAFewTimes(t *testing.T) {
+	h := newHarness(t)
+	states := []MemberState{replicaAt("r1", 1, 50), busyAt("r2", 1, 40)}
+	h.handle(JobDone{Job: h.survey(), States: states})
+	for range maxRepeatedSurveys {
+		h.advance(resurveyDelay)
+		h.handle(JobDone{Job: h.lastJob(), States: states})
+	}
+	require.Equal(t, JobPromote, h.lastJob().Kind)
+	require.Equal(t, core.MemberID("r1"), h.lastJob().Targets[0].Member)
+}
+
+// Guards against an instance without connections to the group that does not know its
+// newest term: the one that promoted the primary records it.
+func TestTermOfANewPrimaryIsRecorded(t *testing.T) {
+	h := newHarness(t)
+	h.handle(JobDone{Job: h.survey(), States: []MemberState{replicaAt("r1", 1, 50)}})
+	h.handle(JobDone{Job: h.lastJob()})
+	h.announceMember(h.announce("r1", core.RolePrimary))
+	record := h.lastJob()
+	require.Equal(t, JobRecordTerm, record.Kind)
+	require.Equal(t, core.MemberID("r1"), record.Targets[0].Member)
+}
+
+// busyControl is a MemberControl whose members have no free slot.
+type busyControl struct {
+	MemberControl
+	applied core.Position
+}
+
+func (c *busyControl) Status(context.Context, Target) (MemberState, error) {
+	return MemberState{}, eris.Wrap(&BusyError{Applied: c.applied}, "test")
+}
+
+// Guards against a busy replica that counts as one that does not respond, and against a
+// busy primary that counts as one that has stepped down.
+func TestWorkerReportsBusyMembers(t *testing.T) {
+	applied := core.Position{Term: 2, LSN: 7}
+	w := NewWorker(&leaseRegistry{}, &busyControl{applied: applied}, "self-1", WorkerBounds{Call: time.Second, Member: time.Second}, nil)
+	target := []Target{{Group: "g", Member: "r1"}}
+	survey := w.execute(Job{Kind: JobSurvey, Group: "g", Targets: target})
+	require.NoError(t, survey.Err)
+	require.Equal(t, []MemberState{{Member: "r1", Role: core.RoleReplica, Term: 2, Received: applied, Busy: true}}, survey.States)
+	require.ErrorIs(t, w.execute(Job{Kind: JobMemberStatus, Targets: target}).Err, ErrRejected)
+	require.Error(t, w.execute(Job{Kind: JobStepDown, Targets: target}).Err)
+	require.NoError(t, w.execute(Job{Kind: JobRecordTerm, Group: "g", Targets: target}).Err)
+}
--- a/pkg/fleet/membercontrol.go
+++ b/pkg/fleet/membercontrol.go
@@ -28,8 +28,25 @@
 	Term   core.Term
 	// Received is the end of the member's log.
 	Received core.Position
+	// Busy is set if the member had no free slot to report its state. Received is then
+	// the position that it has applied, and its log may be longer.
+	Busy bool
 }
 
+// BusyError means that the member had no free slot for the command. It wraps
+// ErrRejected.
+type BusyError struct {
+	// Applied is the position that the member has applied.
+	Applied core.Position
+}
+
+func (e *BusyError) Error() string {
+	return "the member has no free slot, it has applied " + e.Applied.String()
+}
+
+// Unwrap implements the interface of errors.Is.
+func (e *BusyError) Unwrap() error { return ErrRejected }
+
 // Target identifies a member and its address.
 type Target struct {
 	Group   core.DatabaseName
@@ -41,7 +58,7 @@
 // platform. Each method makes one attempt, limited by ctx.
 type MemberControl interface {
 	// Status returns the member's state. It returns ErrConnectionRefused,
-	// ErrNoResponse or ErrRejected, wrapped; so do Pause and StepDown.
+	// ErrNoResponse or ErrRejected, wrapped, or a *BusyError; so do Pause and StepDown.
 	Status(ctx context.Context, t Target) (MemberState, error)
 	// Pause stops a replica from receiving in terms up to the given one.
 	Pause(ctx context.Context, t Target, term core.Term) (MemberState, error)
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -26,9 +26,11 @@
 	claim   Claim
 	// candidate is the replica with the most advanced log in the last survey.
 	candidate MemberState
-	// respondedReplicas counts the replicas that responded to the last survey.
-	respondedReplicas int
-	term              core.Term
+	// surveyed holds the states of the replicas that responded to the last survey.
+	// repeatedSurveys counts how often it was repeated for busy ones.
+	surveyed        []MemberState
+	repeatedSurveys int
+	term            core.Term
 	// unconfirmed holds the nodes that have not confirmed yet that they no longer use
 	// the member that is replaced.
 	unconfirmed map[string]bool
@@ -64,6 +66,8 @@
 	return chart.Registry[*primaryChange]{
 		Guards: map[string]func(*primaryChange) bool{
 			"has_candidate":       func(p *primaryChange) bool { return p.candidate.Member != "" },
+			"candidate_outdated":  (*primaryChange).candidateOutdated,
+			"survey_incomplete":   (*primaryChange).surveyIncomplete,
 			"knows_too_little":    (*primaryChange).knowsTooLittle,
 			"old_unknown":         (*primaryChange).oldIsUnknown,
 			"old_unresponsive":    (*primaryChange).oldIsUnresponsive,
@@ -72,7 +76,8 @@
 		},
 		Actions: map[string]func(*primaryChange){
 			"request_claim":      func(p *primaryChange) { p.submit(Job{Kind: JobClaim, Group: p.group}) },
-			"request_survey":     (*primaryChange).requestSurvey,
+			"request_survey":     (*primaryChange).firstSurvey,
+			"repeat_survey":      (*primaryChange).repeatSurvey,
 			"request_promotion":  (*primaryChange).requestPromotion,
 			"request_demotion":   (*primaryChange).requestDemotion,
 			"record_revocation":  (*primaryChange).recordRevocation,
@@ -80,12 +85,15 @@
 			"request_step_down":  (*primaryChange).requestStepDown,
 			"clear_claim":        func(p *primaryChange) { p.claim = Claim{} },
 			"log_primary_change": (*primaryChange).logPrimaryChange,
+			"log_outdated":       (*primaryChange).logOutdatedCandidate,
+			"record_term":        (*primaryChange).recordTerm,
 		},
 		Timeouts: map[string]time.Duration{
 			"steady":     steadyTimeout,
 			"rank_delay": ownRankDelay,
 			"call":       b.PromotionStepTimeout,
 			"retry":      b.PromotionRetryDelay,
+			"resurvey":   resurveyDelay,
 			"takeover":   b.TakeoverTimeout,
 			"leases":     b.PrimaryLease + leaseEndMargin,
 		},
@@ -184,6 +192,12 @@
 		Fields: map[string]any{"group": p.group, "kind": j.Kind}})
 }
 
+// firstSurvey begins the survey of a new claim.
+func (p *primaryChange) firstSurvey() {
+	p.repeatedSurveys = 0
+	p.requestSurvey()
+}
+
 // requestSurvey asks the replicas for their log positions. If commits wait for
 // replicas and the change is not planned, the replicas first stop receiving, so
 // that the old primary can acknowledge nothing after the survey.
@@ -273,6 +287,8 @@
 		p.demotionDone(d)
 	case JobRevoke:
 		p.revocationRecorded(d)
+	case JobRecordTerm:
+		p.observeStates(d.States)
 	}
 }
 
@@ -287,10 +303,8 @@
 }
 
 func (p *primaryChange) surveyDone(d *JobDone) {
-	p.respondedReplicas = len(d.States)
-	for _, state := range d.States {
-		p.term = max(p.term, state.Term)
-	}
+	p.surveyed = d.States
+	p.observeStates(d.States)
 	if d.Err != nil && d.Job.Term > 0 {
 		p.fire(p.e.primaryChangeEvents.surveyFailed)
 		return
@@ -305,6 +319,14 @@
 	p.fire(p.e.primaryChangeEvents.surveyed)
 }
 
+// observeStates records the terms that members reported.
+func (p *primaryChange) observeStates(states []MemberState) {
+	for _, state := range states {
+		p.term = max(p.term, state.Term)
+		p.e.observeTerm(p.group, state.Received.Term)
+	}
+}
+
 // mostAdvanced returns the replica with the most advanced log, the zero value if
 // there is none.
 func mostAdvanced(states []MemberState) MemberState {
@@ -324,7 +346,7 @@
 	p.orderedAt = p.e.now
 	p.e.out.Log(LogEvent{Event: "promotion_ordered", Message: "promotion requested", Fields: map[string]any{
 		"group": p.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": p.reason,
-		"position": p.candidate.Received.String(), "answered": p.respondedReplicas, "failed": d.Err != nil,
+		"position": p.candidate.Received.String(), "answered": len(p.surveyed), "failed": d.Err != nil,
 	}})
 	switch {
 	case d.Err == nil:
--- a/pkg/fleet/registrar_test.go
+++ b/pkg/fleet/registrar_test.go
@@ -39,6 +39,8 @@
 
 func (r *leaseRegistry) RecordSuccession(context.Context, Claim, Succession) error { return nil }
 
+func (r *leaseRegistry) RecordTerm(context.Context, GroupTerm) error { return nil }
+
 // Guards against a lease for each attempt to register while the store takes leases but no
 // records, and against a registration under a lease that has ended.
 func TestFailedRegistrationKeepsItsLease(t *testing.T) {
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -69,4 +69,6 @@
 	// RecordSuccession publishes a change of primary. It returns ErrConflict if the claim
 	// has ended.
 	RecordSuccession(ctx context.Context, claim Claim, succession Succession) error
+	// RecordTerm publishes the term of a group.
+	RecordTerm(ctx context.Context, term GroupTerm) error
 }
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -100,6 +100,7 @@
 	// RemovedHome is an account whose home record was removed.
 	RemovedHome core.AccountName `json:"gone_home,omitempty"`
 	Succession  *Succession      `json:"succession,omitempty"`
+	Term        *GroupTerm       `json:"term,omitempty"`
 }
 
 // Snapshot is a read of all records that this package uses.
@@ -110,6 +111,7 @@
 	Instances     []Instance
 	Homes         []Home
 	Successions   []Succession
+	Terms         []GroupTerm
 	// Revision is a revision of the store that is no later than the read of any
 	// part; watching from it misses no change.
 	Revision Revision
--- a/pkg/fleet/worker.go
+++ b/pkg/fleet/worker.go
@@ -43,6 +43,8 @@
 	JobRevoke
 	// JobMemberStatus asks a suspected primary for its status.
 	JobMemberStatus
+	// JobRecordTerm asks a new primary for its term and records it in the store.
+	JobRecordTerm
 )
 
 // JobDone is the result of a job.
@@ -145,6 +147,8 @@
 		done.Err = w.recordSuccession(j)
 	case JobMemberStatus:
 		done.States, done.Err = w.callMembers(j.Targets, w.memberControl.Status)
+	case JobRecordTerm:
+		done.States, done.Err = w.recordTerm(j)
 	}
 	return done
 }
@@ -194,7 +198,7 @@
 	if j.Term == 0 {
 		// A replica that does not respond is no candidate and does not delay the
 		// other replicas.
-		states, _ := w.callMembers(j.Targets, w.memberControl.Status)
+		states, _ := w.callMembers(j.Targets, w.statusOrApplied)
 		return states, nil
 	}
 	return w.callMembers(j.Targets, func(ctx context.Context, t Target) (MemberState, error) {
@@ -202,6 +206,27 @@
 	})
 }
 
+// statusOrApplied returns the member's state, or what is known of it if it is busy.
+func (w *Worker) statusOrApplied(ctx context.Context, t Target) (MemberState, error) {
+	state, err := w.memberControl.Status(ctx, t)
+	var busy *BusyError
+	if !eris.As(err, &busy) || busy.Applied.IsZero() {
+		return state, err
+	}
+	return MemberState{Member: t.Member, Role: core.RoleReplica, Term: busy.Applied.Term, Received: busy.Applied, Busy: true}, nil
+}
+
+// recordTerm records the term of a new primary.
+func (w *Worker) recordTerm(j Job) ([]MemberState, error) {
+	states, err := w.callMembers(j.Targets, w.statusOrApplied)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.Call)
+	defer cancel()
+	return states, w.registry.RecordTerm(ctx, GroupTerm{Group: j.Group, Term: states[0].Received.Term})
+}
+
 // callMembers sends the command to each target. It returns the states of those that
 // responded and the last error.
 func (w *Worker) callMembers(targets []Target, command func(context.Context, Target) (MemberState, error)) ([]MemberState, error) {
--- a/pkg/session/async_test.go
+++ b/pkg/session/async_test.go
@@ -338,3 +338,12 @@
 	h.wait(30 * time.Millisecond)
 	require.Contains(t, h.targets, TargetClose{Target: used})
 }
+
+// Guards against a change of primary that does not know the newest term of its group.
+func TestNewTermIsReported(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	h.primaryAnswers(h.lastSent().Target, TxIdle, position(3, 100))
+	require.Contains(t, h.control, ControlReport(TermObserved{Database: "db", Term: 3}))
+}
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -43,6 +43,10 @@
 	changed := term > db.term
 	db.term = term
 	db.primary = primary
+	if changed && db.e.cfg.AsyncReplication {
+		// A report that finds no space is made up for by those of other instances.
+		db.e.outbox.out.Control(TermObserved{Database: db.name, Term: term})
+	}
 	if changed && db.lastPrimary != nil && db.lastPrimary != primary {
 		db.lastPrimary.depose()
 	}
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -245,6 +245,13 @@
 	Member   core.MemberID
 }
 
+// TermObserved reports the term of a database's newest primary that a member has
+// answered with.
+type TermObserved struct {
+	Database core.DatabaseName
+	Term     core.Term
+}
+
 // Demand reports the demand since the last report.
 type Demand struct {
 	// Accounts is the demand in statements per second, admitted and refused.
@@ -282,6 +289,7 @@
 func (ConfirmRequest) controlReport()   {}
 func (AppliedRequest) controlReport()   {}
 func (MemberSuspected) controlReport()  {}
+func (TermObserved) controlReport()     {}
 func (Demand) controlReport()           {}
 func (HomeUnresponsive) controlReport() {}
 func (ShareApplied) controlReport()     {}
