Keep a session whose key is restored while its request runs

Cause: the withdrawn key was kept as a flag and a refusal; the restoring configuration cleared only the refusal, and the chart closed the session with a nil one.

Change: the guard looks at the refusal alone, so both are cleared together. An entry that begins to need a key lets a running request finish in the same way.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -60,9 +60,6 @@
 	// remote is set for a caller of another instance, whose requests arrive
 	// relayed.
 	remote *remoteCaller
-	// keyRevoked is set when the session has to end after its running statement
-	// because its key was revoked.
-	keyRevoked bool
 	// endReason is set when the session has to end at the next clean boundary;
 	// the caller receives it.
 	endReason *core.Refusal
@@ -83,7 +80,7 @@
 			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.relayedTo == nil },
 			"transaction_expired": (*caller).transactionExpired,
 			"begin_deferred":      func(c *caller) bool { return c.deferredBegin != nil },
-			"key_revoked":         func(c *caller) bool { return c.keyRevoked },
+			"access_withdrawn":    (*caller).accessWithdrawn,
 			"end_pending":         func(c *caller) bool { return c.endReason != nil },
 		},
 		Actions: map[string]func(*caller){
@@ -148,6 +145,12 @@
 	return c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
 }
 
+// accessWithdrawn reports whether the caller may not use its entry any more, so that its
+// session ends after the running statement, even in a transaction.
+func (c *caller) accessWithdrawn() bool {
+	return c.endReason != nil && (c.endReason.Reason == core.ReasonKeyRevoked || c.endReason.Reason == core.ReasonWrongKey)
+}
+
 // pinTo assigns the connection to the caller.
 func (c *caller) pinTo(t *target) {
 	c.target = t
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -132,21 +132,21 @@
 	e.entries = entries
 }
 
-// endForRevokedKey ends the session of a revoked key; with
+// withdrawAccess ends the session of a caller that may not use its entry any more; with
 // Config.FinishOnRevocation after the answer to the running statement.
-func (c *caller) endForRevokedKey(reason *core.Refusal) {
+func (c *caller) withdrawAccess(reason *core.Refusal) {
 	if c.e.cfg.FinishOnRevocation && c.stmt.active {
-		c.keyRevoked = true
 		c.endReason = reason
 		return
 	}
 	c.endNow(reason)
 }
 
-// applyCatalogue applies a new catalogue to a connected caller.
+// applyCatalogue applies a new catalogue to a connected caller. The session of a caller
+// whose access was withdrawn by an earlier one and is restored by this one goes on.
 func (c *caller) applyCatalogue() {
 	if c.key != "" && !c.account.hasKey(c.key) {
-		c.endForRevokedKey(core.NotRun(core.ReasonKeyRevoked, "the key is revoked"))
+		c.withdrawAccess(core.NotRun(core.ReasonKeyRevoked, "the key is revoked"))
 		return
 	}
 	current := c.e.entries[c.entry.definition.Name]
@@ -155,7 +155,7 @@
 		return
 	}
 	if !current.definition.Open && c.key == "" {
-		c.endNow(core.NotRun(core.ReasonWrongKey, "the entry now needs a key"))
+		c.withdrawAccess(core.NotRun(core.ReasonWrongKey, "the entry now needs a key"))
 		return
 	}
 	c.entry = current
