Give tokens in advance once in a rate window when an account's home changes

Cause: each loss of a home gave the other instances half a second of 1.2 times their usage, and each new home 0.4 s of the rate, which nothing paid for. What was spent so counted as usage, so the rate without a home grew with each loss.

Change: these tokens are a part of the rate window's tolerance and are given once in a window. The rate without a home does not grow within a window, and has headroom only for an account that was not refused for its rate within it.

--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -295,7 +295,13 @@
 	h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 200}}}})
 	home := h.share().Accounts["acct"]
 	const window, instances = 5.0, 3.0
-	most := home.Rate*window + home.Burst + instances*(remote.Rate*window+remote.Burst)
+	// A change of the home gives tokens in advance to the new home, and to the others by
+	// their usage, which is at most the rate.
+	require.Positive(t, home.Advance)
+	advance := home.Rate*home.Advance + home.Rate*remote.Advance
+	// Requests that waited in queues are counted up to a tenth of the window late.
+	const counted = window * 1.1
+	most := home.Rate*counted + home.Burst + instances*(remote.Rate*counted+remote.Burst) + advance
 	tolerated := (100*window+100)*1.1 + 20
 	require.LessOrEqual(t, most, tolerated)
 	require.Equal(t, 100.0, home.Rate)
--- a/pkg/fleet/shares.go
+++ b/pkg/fleet/shares.go
@@ -20,6 +20,13 @@
 	// windowMarginFraction is the fraction of the rate window by which requests may
 	// be counted late after waiting in queues.
 	windowMarginFraction = 0.1
+	// advanceFraction is the fraction of the tolerance beyond the home's share that may
+	// be used in advance when the home changes. The rest is for instances that cannot
+	// reach the home.
+	advanceFraction = 0.5
+	// maxAdvance is the longest time, in seconds, for whose requests tokens are given in
+	// advance; a silent home is noticed within half a second.
+	maxAdvance = 0.5
 	// spareConnectionFraction is the fraction of each member's connections that is
 	// reserved for instances that cannot reach the homes.
 	spareConnectionFraction = 0.15
@@ -44,6 +51,7 @@
 		Connections:  map[core.DatabaseName]int{},
 		IdleTimeouts: map[core.DatabaseName]time.Duration{},
 		ValidUntil:   e.now.Add(shareValidity),
+		RateWindow:   e.config.Limits.RateWindow,
 		Instances:    map[core.InstanceID]bool{},
 	}
 	for _, i := range e.instances {
@@ -54,7 +62,9 @@
 		a := &e.configuration.Accounts[i]
 		share.Accounts[a.Name] = s.remoteShare(a)
 		if e.homes.isLocal(a.Name) {
-			share.Accounts[a.Name] = session.RateShare{Rate: a.Rate, Burst: max(a.Burst*homeBurstFraction, 1), ValidUntil: e.homes.leaseUntil}
+			share.Accounts[a.Name] = session.RateShare{
+				Rate: a.Rate, Burst: max(a.Burst*homeBurstFraction, 1), Advance: s.advance(a), ValidUntil: e.homes.leaseUntil,
+			}
 			localRates = append(localRates, a.Rate)
 		}
 	}
@@ -76,14 +86,38 @@
 }
 
 // remoteShare returns the rate that an instance may admit for an account whose home
-// is elsewhere. The home and all other instances together stay within the tolerance
-// of the rate window.
+// is elsewhere. The home, all other instances and one change of the home together stay
+// within the tolerance of the rate window.
 func (s *shares) remoteShare(a *catalogue.Account) session.RateShare {
-	e := s.e
-	instances := float64(max(len(e.instances), 1))
-	window := e.config.Limits.RateWindow.Seconds()
-	tolerated := (a.Rate*window+a.Burst)*(1+e.config.Limits.RateOverage) + e.config.Limits.RateSlack
+	instances := float64(max(len(s.e.instances), 1))
+	advance := s.advance(a)
+	remaining := max(s.spareTokens(a)-handoverTokens(a, advance)-instances, 0) / (1 + windowMarginFraction)
+	return session.RateShare{Rate: remaining / s.windowSeconds() / instances, Burst: 1, Advance: advance}
+}
+
+// advance returns the time, in seconds, for whose requests the instances may have tokens
+// at once when the account's home changes.
+func (s *shares) advance(a *catalogue.Account) float64 {
+	if a.Rate <= 0 {
+		return 0
+	}
+	return min(s.spareTokens(a)*advanceFraction/handoverTokens(a, 1), maxAdvance)
+}
+
+// handoverTokens returns the tokens that a change of the home adds: those of the new home
+// and those of the instances that lost the old one, whose usage is at most the rate.
+func handoverTokens(a *catalogue.Account, advance float64) float64 {
+	return 2 * a.Rate * advance
+}
+
+// spareTokens returns the requests in a rate window that the tolerance leaves beyond the
+// share of the account's home.
+func (s *shares) spareTokens(a *catalogue.Account) float64 {
+	limits := &s.e.config.Limits
+	window := s.windowSeconds()
+	tolerated := (a.Rate*window+a.Burst)*(1+limits.RateOverage) + limits.RateSlack
 	home := a.Rate*window*(1+windowMarginFraction) + a.Burst*homeBurstFraction
-	remaining := max(tolerated-home-instances, 0) / (1 + windowMarginFraction)
-	return session.RateShare{Rate: remaining / window / instances, Burst: 1}
+	return max(tolerated-home, 0)
 }
+
+func (s *shares) windowSeconds() float64 { return s.e.config.Limits.RateWindow.Seconds() }
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -32,6 +32,11 @@
 	homeUsage    usage.Counter
 	homeLost     bool
 	lostHomeRate float64
+	// handover limits what changes of the home add to the account's rate.
+	handover handover
+	// limitedAt is when a request of this instance's callers was last refused
+	// because the account's rate was used up.
+	limitedAt time.Time
 	// homeSince is when this instance became the account's home.
 	homeSince time.Time
 	// reserveUpdatedAt is when the home last computed the reserve for
@@ -165,6 +170,7 @@
 	}
 	e.grant = in.Grant
 	e.shareValidUntil = in.ValidUntil
+	e.rateWindow = in.RateWindow
 	e.shares = in.Accounts
 	for _, a := range e.accounts {
 		a.applyShare()
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -38,6 +38,7 @@
 	if e.now.After(e.shareValidUntil) || s.c.account.bucket.Rate <= 0 {
 		e.metrics.RefusalsWithoutShare++
 	}
+	s.c.account.limitedAt = e.now
 	s.notRun(core.ReasonRateExceeded, s.c.account.rateReason())
 }
 
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -67,6 +67,7 @@
 		name:          name,
 		bucket:        empty,
 		prepareBucket: empty,
+		handover:      handover{followedSince: e.now},
 		metrics:       e.metrics.account(name),
 	}
 	a.timerItem.Value = a
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -55,6 +55,8 @@
 	// homes.
 	homeAddresses   []PeerAddress
 	shareValidUntil time.Time
+	// rateWindow is the time over which the rates are enforced.
+	rateWindow time.Duration
 	// grant and shareRevision identify the current share.
 	grant         uint64
 	shareRevision uint64
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -151,6 +151,12 @@
 // homesUpdate replaces the homes. Relayed requests under way stay with their
 // home.
 func (e *Engine) homesUpdate(in HomesUpdate) {
+	for name, a := range e.accounts {
+		home, known := e.homes[name]
+		if next, stays := in.Homes[name]; known && stays && next != home && !a.homeLost {
+			a.handover.begin(e.now, e.rateWindow)
+		}
+	}
 	e.homes, e.anonymousHomes = in.Homes, in.Anonymous
 	e.updateHomeAddresses()
 	e.updateLostHomes()
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -254,6 +254,8 @@
 	IdleTimeouts map[core.DatabaseName]time.Duration
 	// ValidUntil is the time after which nothing of the share may be used.
 	ValidUntil time.Time
+	// RateWindow is the time over which the rates are enforced.
+	RateWindow time.Duration
 	// Instances holds the registered instances.
 	Instances map[core.InstanceID]bool
 }
@@ -265,6 +267,9 @@
 	Rate float64
 	// Burst is in statements.
 	Burst float64
+	// Advance is the time, in seconds, for whose requests the instance may have tokens
+	// at once when the account's home changes; see handover.
+	Advance float64
 	// ValidUntil is the time after which this share may not be used; zero if only
 	// ShareUpdate.ValidUntil applies.
 	ValidUntil time.Time
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -306,6 +306,9 @@
 func (s *statement) refuseRelay() {
 	c := s.c
 	c.applyRelayTxStatus(txIdle)
+	if s.relayResponse.Refusal.Reason == core.ReasonRateExceeded {
+		c.account.limitedAt = c.e.now
+	}
 	s.refuse(s.relayResponse.Refusal)
 }
 
--- a/pkg/session/relay_test.go
+++ b/pkg/session/relay_test.go
@@ -218,7 +218,7 @@
 func TestRenewedShareKeepsLostUsage(t *testing.T) {
 	h := newOriginHarness(t)
 	share := ShareUpdate{
-		Accounts: map[core.AccountName]RateShare{"acct": {Rate: 0.1, Burst: 1}}, ValidUntil: h.now.Add(time.Hour),
+		Accounts: map[core.AccountName]RateShare{"acct": {Rate: 0.1, Burst: 1, Advance: 0.5}}, ValidUntil: h.now.Add(time.Hour),
 	}
 	h.do(share)
 	h.useHomeFor5s()
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -115,14 +115,12 @@
 func (a *account) becomeHome() {
 	e := a.e
 	a.homeSince = e.now
-	// The previous home has not used its whole burst.
-	a.bucket.Tokens = max(a.bucket.Tokens, e.shares[a.name].Rate*initialHomeTokenSeconds)
+	if a.handover.takeHomeTokens(e.now, e.rateWindow) {
+		share := e.shares[a.name]
+		a.bucket.Tokens = max(a.bucket.Tokens, share.Rate*share.Advance)
+	}
 }
 
-// initialHomeTokenSeconds is the time for whose requests a new home has tokens
-// at once, in seconds.
-const initialHomeTokenSeconds = 0.4
-
 // updateInstances applies a new list of registered instances and drops the
 // instances that are not in it. The reserve for an instance therefore lasts until
 // its registration has ended.
@@ -150,12 +148,31 @@
 	if a.homeLost {
 		return
 	}
+	repeated := a.handover.isRecent(e.now, e.rateWindow)
+	a.handover.begin(e.now, e.rateWindow)
 	a.homeLost = true
-	a.lostHomeRate = a.homeUsage.Rate(e.now) * usageHeadroom
+	a.updateLostHomeRate(repeated)
 	a.bucket.Refill(e.now, e.shareValidUntil)
 	a.applyShare()
-	// Requests that waited for the home arrive here at once.
-	a.bucket.Tokens = max(a.bucket.Tokens, a.lostHomeRate*lostHomeBurstSeconds)
+	if a.handover.granted {
+		// Requests that waited for the home arrive here at once.
+		a.bucket.Tokens = max(a.bucket.Tokens, a.lostHomeRate*e.shares[a.name].Advance)
+	}
+}
+
+// updateLostHomeRate sets the rate that may be used without the home. It has headroom
+// only if the account was not at its limit, and does not grow from one loss to the next
+// within the rate window: what was used in between contains it.
+func (a *account) updateLostHomeRate(repeated bool) {
+	e := a.e
+	rate := a.homeUsage.Rate(e.now)
+	if a.limitedAt.IsZero() || e.now.Sub(a.limitedAt) > e.rateWindow {
+		rate *= usageHeadroom
+	}
+	if repeated && a.lostHomeRate > 0 {
+		rate = min(rate, a.lostHomeRate)
+	}
+	a.lostHomeRate = rate
 }
 
 // regainHome undoes loseHome.
@@ -168,8 +185,8 @@
 	a.applyShare()
 }
 
-// lostHomeBurstSeconds is the time for which the usage at a lost home may be
-// used in advance, in seconds.
+// lostHomeBurstSeconds is the time for which unused tokens are saved while the home is
+// lost, in seconds.
 const lostHomeBurstSeconds = 0.5
 
 // applyShare sets the rates and bursts of the buckets from the current share.
