Send a statement only after the member has acknowledged the session's state

Cause: RESET, SET and PREPARE were sent in one piece with the statement, which the member runs whatever became of them.

The statement did not run and is retried or answered so; a connection lost during the setup counts as unsent. A connection whose member does not end the transaction of a primary check is closed after the answer.

--- a/pkg/linkio/codec.go
+++ b/pkg/linkio/codec.go
@@ -95,6 +95,8 @@
 // leaves Ready.Target unset.
 type Completed struct {
 	Ready session.TargetReady
+	// Close is set if the connection cannot be used for another request.
+	Close bool
 }
 
 // Continue is a message that completes nothing. Send holds bytes that the codec
@@ -114,6 +116,9 @@
 	Start(open session.TargetOpen) []byte
 	// Send encodes a request and the messages that must precede it.
 	Send(send session.TargetSend) []byte
+	// RequestSent reports whether a part of the last request may have reached the
+	// target, as opposed to the messages that precede it.
+	RequestSent() bool
 	// Probe encodes a request by which the target proves that it is the primary.
 	Probe() []byte
 	// Decode returns the first message of b and its length, or length 0 if it
--- a/pkg/linkio/targets.go
+++ b/pkg/linkio/targets.go
@@ -160,7 +160,7 @@
 		c.closeReason = err.Error()
 	}
 	c.duty.Outbox.Push(session.TargetClosed{
-		Target: c.id, Unsent: !c.requestPending, Reason: c.closeReason, Refused: !c.accepted, ConnectionLimit: c.connectionLimit,
+		Target: c.id, Unsent: !c.requestPending || !c.codec.RequestSent(), Reason: c.closeReason, Refused: !c.accepted, ConnectionLimit: c.connectionLimit,
 	})
 }
 
@@ -245,6 +245,10 @@
 		c.fire(c.duty.events.answered)
 		m.Ready.Target = c.id
 		c.duty.Outbox.Push(m.Ready)
+		if m.Close {
+			c.closeReason = "the connection is in an unknown state"
+			c.socket.Close()
+		}
 	case Continue:
 		if len(m.Send) > 0 {
 			c.socket.Write(m.Send)
