Close descriptors before a poll waits, and end a stop with its last command

Cause: netloop closed the descriptors of closed connections only after the next poll, and the reactor looked whether a stop was over before it handled the last commands, so that its last poll lasted until the flush deadline.

Change: Poll closes them before it waits; the reactor looks after the commands.

--- a/lib/netloop/loop.go
+++ b/lib/netloop/loop.go
@@ -113,6 +113,9 @@
 // Poll waits for events for at most timeout and calls their handlers. A negative
 // timeout waits indefinitely. It returns an *OpError when epoll fails.
 func (l *Loop) Poll(timeout time.Duration) error {
+	// Connections that were closed since the last poll must not stay open while this one
+	// waits.
+	l.closeDescriptors()
 	n, err := unix.EpollWait(l.epoll, l.events[:], milliseconds(timeout))
 	if errors.Is(err, unix.EINTR) {
 		return nil
--- a/lib/netloop/netloop_test.go
+++ b/lib/netloop/netloop_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +154,31 @@
 	require.NoError(t, l.Poll(time.Minute))
 	require.Less(t, time.Since(start), time.Minute)
 }
+
+// Guards against a peer that is left without an answer or a close because its connection
+// was closed between two polls: the descriptor stayed open until the next event.
+func TestConnectionClosedBetweenPollsEndsAtOnce(t *testing.T) {
+	l := newLoop(t)
+	var server *Conn
+	address, err := l.Listen("127.0.0.1:0", func(c *Conn) Handler {
+		server = c
+		return &recorder{}
+	})
+	require.NoError(t, err)
+	peer, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
+	defer peer.Close()
+	pollUntil(t, l, func() bool { return server != nil })
+	var ended atomic.Bool
+	go func() {
+		_, err := peer.Read(make([]byte, 1))
+		ended.Store(errors.Is(err, io.EOF))
+		l.Wake()
+	}()
+	server.Close()
+	const timeout = 10 * time.Second
+	began := time.Now()
+	require.NoError(t, l.Poll(timeout))
+	require.Less(t, time.Since(began), timeout, "the poll is ended by the peer")
+	require.True(t, ended.Load())
+}
--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -77,15 +77,18 @@
 // failed poll.
 func (r *Reactor[In]) Run() error {
 	defer r.Loop.Close()
-	for !r.finished() {
+	for {
 		r.handleCommands()
 		r.runResumeCallbacks()
 		r.fireTimers(r.now())
+		// The commands above may have ended what a stop waits for.
+		if r.finished() {
+			return nil
+		}
 		if err := r.poll(); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
 // finished reports whether a stop was requested and Run may return. If the stop may
