Carry texts that are not UTF-8 unchanged between instances

Cause: forwarded statements, settings, names and rows were JSON strings, in which the encoder replaces bytes that are not valid UTF-8.

Change: a request with such bytes carries all its texts again as bytes, and an answer its rows; other messages are unchanged, so older instances read them.

Evidence: FuzzBytesSurviveTheRelay fails on two of its seeds without the change; 20 s of fuzzing, 132,207 executions, found nothing.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -69,6 +70,8 @@
 	Text     string                      `json:"x"`
 	Settings []session.Setting           `json:"w,omitempty"`
 	Prepared []session.PreparedStatement `json:"a,omitempty"`
+	// Raw holds the texts as bytes if one of them is not valid UTF-8.
+	Raw *rawTexts `json:"y,omitempty"`
 }
 
 // Response is the response to a Request. Its fields are those of session.RelayResponse.
@@ -76,6 +79,8 @@
 	NotServed bool   `json:"e,omitempty"`
 	Version   uint64 `json:"v,omitempty"`
 	Frames    string `json:"f,omitempty"`
+	// RawFrames replaces Frames if these are not valid UTF-8.
+	RawFrames []byte `json:"y,omitempty"`
 	TxStatus  string `json:"t,omitempty"`
 	// Position is a position in the form "term/lsn", empty for none.
 	Position string `json:"p,omitempty"`
@@ -138,23 +143,30 @@
 // the sender's current time.
 func NewRequest(self core.InstanceID, from session.PeerAddress, v session.RelayRequest, now time.Time) Request {
 	p := v.Request.Payload
-	return Request{
+	request := Request{
 		Instance: self, From: from, Caller: uint64(v.ID.Caller), Entry: v.Entry, Key: v.Key, Floor: encodePosition(v.Floor),
 		Version: v.Version, Sequence: v.ID.Sequence, OutsideTransaction: v.OutsideTransaction, TransactionSequence: v.TransactionSequence,
 		FirstInTransaction: v.FirstInTransaction, ReadOnly: v.ReadOnly, ElapsedMicros: now.Sub(v.Request.Arrived).Microseconds(),
 		Kind: v.Request.Classification.Kind, Ends: v.Request.Classification.Name, Commit: v.Request.Classification.Commit,
 		ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
+	if request.hasInvalidText() {
+		request.Raw = newRawTexts(&request)
+	}
+	return request
 }
 
 // Decode decodes a request; replyTo is returned with the response and now is the
 // receiver's current time. It returns a *core.PositionError for a malformed
-// position.
+// position and a *TextError for texts that do not match.
 func (v *Request) Decode(replyTo any, now time.Time) (session.RemoteRequest, error) {
 	floor, err := decodePosition(v.Floor)
 	if err != nil {
 		return session.RemoteRequest{}, err
 	}
+	if err := v.restoreTexts(); err != nil {
+		return session.RemoteRequest{}, err
+	}
 	return session.RemoteRequest{
 		Caller: session.RemoteID{Instance: v.Instance, Caller: session.CallerID(v.Caller)},
 		From:   v.From, ReplyTo: replyTo, Entry: v.Entry, Key: v.Key, Floor: floor, Version: v.Version,
@@ -195,6 +207,9 @@
 		PositionProof: encodePosition(response.PositionProof.Position), ProofAgeMicros: ceilMicros(response.PositionProof.Age),
 		ErrorCode: response.ErrorCode, Refusal: response.Refusal, Closing: response.Closing,
 	}
+	if !utf8.Valid(response.Frames) {
+		encoded.Frames, encoded.RawFrames = "", response.Frames
+	}
 	if response.TxStatus != session.TxIdle && response.TxStatus != 0 {
 		encoded.TxStatus = string(rune(response.TxStatus))
 	}
@@ -218,10 +233,14 @@
 	if err != nil {
 		return session.RelayResponse{}, err
 	}
+	frames := r.RawFrames
+	if frames == nil {
+		frames = []byte(r.Frames)
+	}
 	positionProof, err := decodePosition(r.PositionProof)
 	return session.RelayResponse{
 		PositionProof: session.PositionProof{Position: positionProof, Age: time.Duration(r.ProofAgeMicros) * time.Microsecond},
-		NotServed:     r.NotServed, Version: r.Version, Frames: []byte(r.Frames), TxStatus: status, Position: position,
+		NotServed:     r.NotServed, Version: r.Version, Frames: frames, TxStatus: status, Position: position,
 		ErrorCode: r.ErrorCode, Refusal: r.Refusal, Closing: r.Closing,
 	}, err
 }
