Answer "uncertain" when the home cannot encode its answer

What callers saw: a statement that had run at the home of its account, with an answer of over 4 MiB, was answered as "not run", or was run again.

Cause: the instance that had forwarded it took every error response for a rejection.

Change: a response with the code of an internal error leaves open whether the statement ran. The other errors are sent before the statement reaches a session.

--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -242,6 +242,13 @@
 	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: err.Error()}})
 }
 
+// rejectedRequest reports whether the other instance rejected the request without
+// executing it.
+func rejectedRequest(err error) bool {
+	var remote *rpc.RemoteError
+	return errors.As(err, &remote) && remote.Code != rpc.CodeInternal
+}
+
 // relayResult decodes the response to a relayed request. Without a valid response it
 // returns a session.RelayLost, which says whether the request may have run.
 func relayResult(tag relayTag, r rpc.Result) session.Input {
@@ -259,6 +266,6 @@
 	}
 	lost.Refused = errors.As(r.Err, new(*rpc.RefusedError))
 	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.OverloadError)) || errors.As(r.Err, new(*rpc.EncodeError)) ||
-		errors.As(r.Err, new(*rpc.RemoteError))
+		rejectedRequest(r.Err)
 	return lost
 }
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -97,7 +97,7 @@
 	}
 	frame, err := encodeReply(r)
 	if err != nil {
-		frame, err = encodeReply(Reply{ID: r.ID, Error: &RemoteError{Code: codeInternal, Message: "the result cannot be encoded"}})
+		frame, err = encodeReply(Reply{ID: r.ID, Error: &RemoteError{Code: CodeInternal, Message: "the result cannot be encoded"}})
 	}
 	if err != nil || in.conn.Pending()+len(frame) > d.config.MaxOutputBytes {
 		in.conn.Close()
@@ -111,8 +111,9 @@
 	}
 }
 
-// codeInternal is the JSON-RPC code of an internal error.
-const codeInternal = -32603
+// CodeInternal is the JSON-RPC code of an internal error: the request was accepted and may
+// have been executed.
+const CodeInternal = -32603
 
 // encodeReply returns the encoded response. It returns an *EncodeError for a result that
 // cannot be encoded, and a *FrameError for a response that is too large.
--- a/pkg/rpc/outgoing.go
+++ b/pkg/rpc/outgoing.go
@@ -214,7 +214,7 @@
 	remote := &RemoteError{}
 	text, encodeErr := json.Marshal(err)
 	if encodeErr != nil || json.Unmarshal(text, remote) != nil {
-		return &RemoteError{Message: err.Error()}
+		return &RemoteError{Code: CodeInternal, Message: err.Error()}
 	}
 	return remote
 }
