Move the usage of other instances and the handover of homes to pkg/session/usage

No change of behaviour. Both need nothing of the session engine's state: what callers of other instances use, for which Origins replaces a map with its logic in four places, and when a change of home may give tokens in advance. usage.go in pkg/session keeps what the account's buckets do with it.

--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -33,7 +33,7 @@
 	homeLost     bool
 	lostHomeRate float64
 	// handover limits what changes of the home add to the account's rate.
-	handover handover
+	handover usage.Handover
 	// limitedAt is when a request of this instance's callers was last refused
 	// because the account's rate was used up.
 	limitedAt time.Time
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/tokens"
 )
 
@@ -67,7 +68,7 @@
 		name:          name,
 		bucket:        empty,
 		prepareBucket: empty,
-		handover:      handover{followedSince: e.now},
+		handover:      usage.NewHandover(e.now),
 		metrics:       e.metrics.account(name),
 	}
 	a.timerItem.Value = a
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -8,6 +8,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/route"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/retry"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 )
 
 // Engine holds the state of the session duty. It has no I/O and no clock: the
@@ -31,8 +32,8 @@
 	// that are homes.
 	homes map[core.AccountName]Home
 	peers map[PeerAddress]*homePeer
-	// origins holds the instances whose callers' requests run on this one.
-	origins map[core.InstanceID]*origin
+	// origins measures what callers of other instances use at homes on this one.
+	origins *usage.Origins
 	// instances holds the registered instances, where each run of an instance
 	// has its own ID, with the time at which each was first seen.
 	instances map[core.InstanceID]time.Time
@@ -123,7 +124,7 @@
 		callers:      map[CallerID]*caller{},
 		targets:      map[TargetID]*target{},
 		peers:        map[PeerAddress]*homePeer{},
-		origins:      map[core.InstanceID]*origin{},
+		origins:      usage.NewOrigins(peerUseWindow - 2*peerProbeInterval),
 		instances:    map[core.InstanceID]time.Time{},
 		remotes:      map[RemoteID]CallerID{},
 
@@ -211,7 +212,7 @@
 	case LivenessQuery:
 		e.livenessQuery(in)
 	case OriginHeartbeat:
-		e.originHeartbeat(in.Instance)
+		e.origins.RecordMessage(in.Instance, e.now)
 	case RemoteClosed:
 		e.remoteClosed(in)
 	default:
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -154,7 +154,7 @@
 	for name, a := range e.accounts {
 		home, known := e.homes[name]
 		if next, stays := in.Homes[name]; known && stays && next != home && !a.homeLost {
-			a.handover.begin(e.now, e.rateWindow)
+			a.handover.Begin(e.now, e.rateWindow)
 		}
 	}
 	e.homes, e.anonymousHomes = in.Homes, in.Anonymous
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -138,7 +138,7 @@
 		c.deferredBegin = &deferredBegin{readOnly: in.ReadOnly}
 	}
 	c.nextRequest = in.Request
-	e.originHeartbeat(in.Caller.Instance)
+	e.origins.RecordMessage(in.Caller.Instance, e.now)
 	c.fire(e.charts.onCaller.request)
 }
 
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -51,7 +51,7 @@
 	s.waitsForToken = false
 	s.c.account.metrics.Admitted++
 	if s.c.remote != nil && !s.startedInTx {
-		e.countOriginUsage(s.c)
+		e.origins.RecordRequest(s.c.remote.id.Instance, s.c.account.name, e.now)
 	}
 	e.retryBudget.Deposit()
 	if s.request.Classification != nil {
--- a/pkg/session/usage.go
+++ b/pkg/session/usage.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/session/usage"
 )
 
 // While a home and the instance of a caller can reach each other, the home
@@ -17,14 +16,6 @@
 // so that random variation does not cause refusals.
 const usageHeadroom = 1.2
 
-// origin is another instance whose callers' requests run on this one.
-type origin struct {
-	lastContact time.Time
-	// lastRequest is the time of its last request.
-	lastRequest time.Time
-	usage       map[core.AccountName]*usage.Counter
-}
-
 // originTimeout is the time without a message after which the usage of an
 // instance is reserved. It is shorter than peerTimeout, after which that
 // instance uses it itself.
@@ -37,48 +28,12 @@
 
 func (OriginHeartbeat) sessionInput() {}
 
-// originHeartbeat records a message from the instance and returns its state.
-func (e *Engine) originHeartbeat(id core.InstanceID) *origin {
-	o := e.origins[id]
-	if o == nil {
-		o = &origin{usage: map[core.AccountName]*usage.Counter{}}
-		e.origins[id] = o
-	}
-	o.lastContact = e.now
-	return o
-}
-
-// countOriginUsage counts a request in the usage of the remote caller's
-// instance.
-func (e *Engine) countOriginUsage(c *caller) {
-	o := e.originHeartbeat(c.remote.id.Instance)
-	u := o.usage[c.account.name]
-	if u == nil {
-		u = &usage.Counter{}
-		o.usage[c.account.name] = u
-	}
-	u.Add(e.now)
-	o.lastRequest = e.now
-}
-
-// unresponsiveFor reports whether no message of the instance has arrived for
-// the given time, unless it stopped probing because it has no requests.
-func (o *origin) unresponsiveFor(bound time.Duration, now time.Time) bool {
-	idle := o.lastContact.Sub(o.lastRequest) >= peerUseWindow-2*peerProbeInterval
-	return !idle && now.Sub(o.lastContact) > bound
-}
-
 // reservedRate returns the rate of the account, in requests per second, that
 // unresponsive instances may be using.
 func (a *account) reservedRate() float64 {
 	e := a.e
-	sum := 0.0
-	for _, o := range e.origins {
-		if u := o.usage[a.name]; u != nil && o.unresponsiveFor(originTimeout, e.now) {
-			sum += u.Rate(o.lastContact) * usageHeadroom
-		}
-	}
-	return sum + a.reservedForUnknown()
+	_, unresponsive := e.origins.Rates(a.name, originTimeout, e.now)
+	return unresponsive*usageHeadroom + a.reservedForUnknown()
 }
 
 // reservedForUnknown returns the reserve for instances from which a new home
@@ -91,7 +46,7 @@
 	}
 	count := 0
 	for id, since := range e.instances {
-		if e.origins[id] == nil && a.homeSince.Sub(since) > minRunTime {
+		if !e.origins.Known(id) && a.homeSince.Sub(since) > minRunTime {
 			count++
 		}
 	}
@@ -115,7 +70,7 @@
 func (a *account) becomeHome() {
 	e := a.e
 	a.homeSince = e.now
-	if a.handover.takeHomeTokens(e.now, e.rateWindow) {
+	if a.handover.TakeHomeTokens(e.now, e.rateWindow) {
 		share := e.shares[a.name]
 		a.bucket.Tokens = max(a.bucket.Tokens, share.Rate*share.Advance)
 	}
@@ -125,11 +80,7 @@
 // instances that are not in it. The reserve for an instance therefore lasts until
 // its registration has ended.
 func (e *Engine) updateInstances(registered map[core.InstanceID]bool) {
-	for id := range e.origins {
-		if !registered[id] {
-			delete(e.origins, id)
-		}
-	}
+	e.origins.Retain(registered)
 	for id := range e.instances {
 		if !registered[id] {
 			delete(e.instances, id)
@@ -148,13 +99,13 @@
 	if a.homeLost {
 		return
 	}
-	repeated := a.handover.isRecent(e.now, e.rateWindow)
-	a.handover.begin(e.now, e.rateWindow)
+	repeated := a.handover.IsRecent(e.now, e.rateWindow)
+	a.handover.Begin(e.now, e.rateWindow)
 	a.homeLost = true
 	a.updateLostHomeRate(repeated)
 	a.bucket.Refill(e.now, e.shareValidUntil)
 	a.applyShare()
-	if a.handover.granted {
+	if a.handover.Granted() {
 		// Requests that waited for the home arrive here at once.
 		a.bucket.Tokens = max(a.bucket.Tokens, a.lostHomeRate*e.shares[a.name].Advance)
 	}
@@ -234,18 +185,8 @@
 // this instance and the responsive ones, and through unresponsive instances.
 func (a *account) usageByReachability() (responsive, unresponsive float64) {
 	e := a.e
-	responsive = a.homeUsage.Rate(e.now)
-	for _, o := range e.origins {
-		u := o.usage[a.name]
-		switch {
-		case u == nil:
-		case o.unresponsiveFor(isolationTimeout, e.now):
-			unresponsive += u.Rate(o.lastContact)
-		default:
-			responsive += u.Rate(o.lastContact)
-		}
-	}
-	return responsive, unresponsive
+	responsive, unresponsive = e.origins.Rates(a.name, isolationTimeout, e.now)
+	return responsive + a.homeUsage.Rate(e.now), unresponsive
 }
 
 // isIsolated reports whether most of an account's usage comes from unresponsive
--- a/pkg/session/handover.go
+++ b/pkg/session/usage/handover.go
@@ -1,4 +1,4 @@
-package session
+package usage
 
 import "time"
 
@@ -7,8 +7,8 @@
 // it, and so does the new home. The tolerance of the rate window has room for one change.
 // If another one follows within the window, its tokens have to be earned.
 
-// handover tracks the changes of one account's home as this instance sees them.
-type handover struct {
+// Handover tracks the changes of one account's home as this instance sees them.
+type Handover struct {
 	// followedSince is when this instance began to follow the account's home. Earlier
 	// changes are not known.
 	followedSince time.Time
@@ -20,23 +20,30 @@
 	homeTokensTaken bool
 }
 
-// isRecent reports whether a change began within the rate window.
-func (h *handover) isRecent(now time.Time, window time.Duration) bool {
+// NewHandover returns the state of an account whose home this instance follows from now
+// on.
+func NewHandover(now time.Time) Handover { return Handover{followedSince: now} }
+
+// Granted reports whether tokens may be taken in advance in the current change.
+func (h *Handover) Granted() bool { return h.granted }
+
+// IsRecent reports whether a change began within the rate window.
+func (h *Handover) IsRecent(now time.Time, window time.Duration) bool {
 	return !h.beganAt.IsZero() && now.Sub(h.beganAt) < window
 }
 
-// begin records that a change begins. Tokens may be taken in advance if the window
+// Begin records that a change begins. Tokens may be taken in advance if the window
 // contains no other change.
-func (h *handover) begin(now time.Time, window time.Duration) {
-	h.granted = !h.isRecent(now, window) && now.Sub(h.followedSince) >= window
+func (h *Handover) Begin(now time.Time, window time.Duration) {
+	h.granted = !h.IsRecent(now, window) && now.Sub(h.followedSince) >= window
 	h.homeTokensTaken = false
 	h.beganAt = now
 }
 
-// takeHomeTokens reports whether this instance, which has become the home, may take
+// TakeHomeTokens reports whether this instance, which has become the home, may take
 // tokens in advance. It may do so once in a change.
-func (h *handover) takeHomeTokens(now time.Time, window time.Duration) bool {
-	allowed := h.granted && !h.homeTokensTaken && h.isRecent(now, window)
+func (h *Handover) TakeHomeTokens(now time.Time, window time.Duration) bool {
+	allowed := h.granted && !h.homeTokensTaken && h.IsRecent(now, window)
 	h.homeTokensTaken = h.homeTokensTaken || allowed
 	return allowed
 }
