--- a/pkg/relay/text.go
+++ b/pkg/relay/text.go
@@ -21,7 +21,8 @@
 	Prepared [][]byte `json:"a,omitempty"`
 }
 
-// newRawTexts returns the texts of the request as bytes. Settings alternate between names and values, and prepared statements have names.
+// newRawTexts returns the texts of the request as bytes: names and values of the settings
+// in turn, and the names of the prepared statements.
 func newRawTexts(r *Request) *rawTexts {
 	raw := &rawTexts{Entry: []byte(r.Entry), Ends: []byte(r.Ends), ID: []byte(r.ID), Text: []byte(r.Text)}
 	for _, s := range r.Settings {
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -268,7 +268,7 @@
 	// Burst is in statements.
 	Burst float64
 	// Advance is the time, in seconds, for whose requests the instance may have tokens
-	// at once when the account's home changes; see handover.
+	// at once when the account's home changes; see usage.Handover.
 	Advance float64
 	// ValidUntil is the time after which this share may not be used; zero if only
 	// ShareUpdate.ValidUntil applies.
