--- a/pkg/fleet/primary_sim_test.go
+++ b/pkg/fleet/primary_sim_test.go
@@ -13,7 +13,7 @@
 // SIM_SEEDS sets the number of seeds.
 func TestNoAcknowledgedWriteAtAReplacedPrimary(t *testing.T) {
 	promotions, acknowledged := 0, 0
-	for seed := range simSeeds(t) {
+	for seed := range simSeeds(t, 60) {
 		w := newSimWorld(t, seed)
 		w.run()
 		require.Empty(t, w.violations[:min(len(w.violations), 1)], "seed %d", seed)
@@ -25,9 +25,8 @@
 	require.NotZero(t, acknowledged)
 }
 
-// simSeeds returns the number of seeds to run.
-func simSeeds(t *testing.T) uint64 {
-	const usual = 60
+// simSeeds returns the number of seeds to run: SIM_SEEDS, or the usual one.
+func simSeeds(t *testing.T, usual uint64) uint64 {
 	text := os.Getenv("SIM_SEEDS")
 	if text == "" {
 		return usual
