--- a/pkg/fleet/home_sim_node_test.go
+++ b/pkg/fleet/home_sim_node_test.go
@@ -300,8 +300,8 @@
 		id := n.id
 		n.reach(m.Address, func(to *homeNode) {
 			to.sessionInput(session.OriginHeartbeat{Instance: id})
-			n.later(homeSimLatency, func() { n.sessionInput(session.PeerProbeReply{Address: m.Address}) })
-		}, func() { n.fleetInput(SessionReport{Report: session.PeerConnectionRefused{Address: m.Address}}) })
+			n.later(homeSimLatency, func() { n.sessionInput(session.PeerProbeReply(m)) })
+		}, func() { n.fleetInput(SessionReport{Report: session.PeerConnectionRefused(m)}) })
 	case session.LivenessReport:
 		query := m.ReplyTo.(homeQuery)
 		w.after(homeSimLatency, func() {
