--- a/pkg/fleet/primary_sim_node_test.go
+++ b/pkg/fleet/primary_sim_node_test.go
@@ -131,6 +131,9 @@
 	if w.succession != nil {
 		s.Successions = []Succession{*w.succession}
 	}
+	if w.groupTerm != nil {
+		s.Terms = []GroupTerm{*w.groupTerm}
+	}
 	n.seen, n.storeLost, n.reread = s.Revision, false, false
 	n.e.Handle(w.now, StoreSnapshot{Snapshot: s, AsOf: w.now})
 }
@@ -233,8 +236,12 @@
 	if !committed {
 		return
 	}
+	if term > n.terms[id] {
+		n.handle(SessionReport{Report: session.TermObserved{Database: "g", Term: term}})
+	}
 	n.terms[id] = term
 	w.acknowledged++
+	w.acknowledgedTerm = max(w.acknowledgedTerm, term)
 	if superseded {
 		w.violations = append(w.violations, fmt.Sprintf("%s: write at %s of term %d acknowledged by %s in term %d", w.now.Sub(startTime), id, term, n.name, w.term))
 	}
@@ -334,6 +341,9 @@
 			took = time.Second
 		}
 	default:
+		if j.Kind == JobSurvey && w.ignoreTerms {
+			clear(n.e.terms)
+		}
 		for _, target := range j.Targets {
 			m := w.member(target.Member)
 			switch {
@@ -348,15 +358,32 @@
 				done.Err = ErrNoResponse
 				took += 300 * time.Millisecond
 				continue
-			case j.Kind == JobStepDown:
-				m.primary = false
 			}
-			done.States = append(done.States, MemberState{Member: target.Member, Role: m.role(), Term: m.term, Received: core.Position{Term: m.term, LSN: m.lsn}})
+			state, err := m.command(w, j)
+			if err != nil {
+				done.Err = err
+				continue
+			}
+			done.States = append(done.States, state)
 		}
 	}
+	if j.Kind == JobRecordTerm && done.Err == nil {
+		done.Err = n.recordTerm(done.States[0].Received.Term)
+	}
 	return took, done
 }
 
+// recordTerm records the term of the group in the store.
+func (n *simNode) recordTerm(term core.Term) error {
+	w := n.w
+	if !w.reach(n.simPlace, simStore) {
+		return ErrUnavailable
+	}
+	w.groupTerm = &GroupTerm{Group: "g", Term: term}
+	w.record(Change{Term: w.groupTerm})
+	return nil
+}
+
 func (n *simNode) Log(l LogEvent) { simLog(n.w.now, n.name, l.Event, l.Message, l.Fields) }
 
 // simLog prints an event if SIM_LOG is set.
--- a/pkg/fleet/primary_sim_world_test.go
+++ b/pkg/fleet/primary_sim_world_test.go
@@ -44,6 +44,10 @@
 	announced  core.Role
 	recordAt   time.Time
 	sawNewerAt time.Time
+	// deafUntil is the time until which the member receives nothing, busyUntil the time
+	// until which it has no free slot for a command.
+	deafUntil time.Time
+	busyUntil time.Time
 }
 
 type simEvent struct {
@@ -66,11 +70,19 @@
 	claimUntil   time.Time
 	claimToken   uint64
 	succession   *Succession
+	groupTerm    *GroupTerm
 	ignoreLeases bool
-	storeDown    bool
-	promotions   int
-	acknowledged int
-	violations   []string
+	// logFaults adds faults that leave members with different logs; ignoreTerms makes the
+	// instances forget the group's term before a survey.
+	logFaults   bool
+	ignoreTerms bool
+	// acknowledgedTerm is the newest term in which a write was acknowledged.
+	acknowledgedTerm core.Term
+	outdated         []string
+	storeDown        bool
+	promotions       int
+	acknowledged     int
+	violations       []string
 }
 
 func (w *simWorld) after(d time.Duration, run func()) {
@@ -136,6 +148,9 @@
 	for range 1 + w.rng.IntN(3) {
 		w.after(time.Second+time.Duration(w.rng.IntN(6000))*time.Millisecond, w.startFault)
 	}
+	if w.logFaults {
+		w.scheduleLogFaults()
+	}
 	for end := w.now.Add(simDuration); w.now.Before(end); w.now = w.now.Add(simStep) {
 		due := []simEvent{}
 		w.events = slices.DeleteFunc(w.events, func(e simEvent) bool {
@@ -229,6 +244,7 @@
 	if w.reach(m.simPlace, simStore) {
 		m.heartbeat(w)
 	}
+	m.follow(w)
 	if successor := w.primary(); !m.primary || successor.term <= m.term || !w.reach(m.simPlace, successor.simPlace) {
 		m.sawNewerAt = time.Time{}
 		return
@@ -286,6 +302,9 @@
 	if m.down || m.primary && m.term == w.term {
 		return
 	}
+	if m.term < w.acknowledgedTerm {
+		w.outdated = append(w.outdated, fmt.Sprintf("%s: %s with a log of term %d leads after term %d", w.now.Sub(startTime), m.name, m.term, w.acknowledgedTerm))
+	}
 	w.term++
 	w.promotions++
 	m.primary, m.term = true, w.term
