--- a/standin/e2e/hosted_store_test.go
+++ b/standin/e2e/hosted_store_test.go
@@ -289,3 +289,23 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// freeAdjacentPorts returns the first of two adjacent ports that were both free: an
+// instance has one for other instances and the next one for its metrics.
+func freeAdjacentPorts(t *testing.T) int {
+	const attempts = 100
+	for range attempts {
+		first, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+1)))
+		first.Close()
+		if err != nil {
+			continue
+		}
+		second.Close()
+		return port
+	}
+	require.Fail(t, "no two adjacent ports are free")
+	return 0
+}
--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -138,10 +138,7 @@
 func (f *hostedFleet) newNode(i int) *hostedNode {
 	n := &hostedNode{callerAddress: freeAddress(f.t), readyAddress: freeAddress(f.t)}
 	n.settingsFile = filepath.Join(f.dir, fmt.Sprintf("settings-%d.toml", i))
-	_, port, err := net.SplitHostPort(freeAddress(f.t))
-	require.NoError(f.t, err)
-	first, err := strconv.Atoi(port)
-	require.NoError(f.t, err)
+	first := freeAdjacentPorts(f.t)
 	n.metricsAddress = net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1))
 	text := fmt.Sprintf(hostedSettings, i, first, first+2, n.callerAddress, n.readyAddress, int(hostedGracePeriod.Seconds()), f.store.address(), cmp.Or(f.domain, fmt.Sprintf("z%d", i)))
 	require.NoError(f.t, os.WriteFile(n.settingsFile, []byte(text), 0o600))
