--- a/pkg/fleet/groupterm_test.go
+++ b/pkg/fleet/groupterm_test.go
@@ -215,3 +215,23 @@
 	require.Error(t, w.execute(Job{Kind: JobStepDown, Targets: target}).Err)
 	require.NoError(t, w.execute(Job{Kind: JobRecordTerm, Group: "g", Targets: target}).Err)
 }
+
+// Guards against the loss of an acknowledged commit in a planned change: with synchronous
+// replicas only the busy one may hold it.
+func TestPlannedChangeWithSynchronousReplicasSurveysBusyOnesAgain(t *testing.T) {
+	h := newHarness(t)
+	c := configuration(2)
+	c.Groups[0].SyncReplicas = 1
+	h.handle(StoreChanges{Changes: []Change{{Configuration: c}}})
+	p := h.announce("p", core.RolePrimary)
+	p.Draining = true
+	h.announceMember(p)
+	h.advance(time.Second)
+	h.claim()
+	h.handle(JobDone{Job: h.lastJob(), States: []MemberState{replicaAt("r1", 1, 50), busyAt("r2", 1, 40)}})
+	h.advance(resurveyDelay)
+	require.Equal(t, JobSurvey, h.lastJob().Kind)
+	h.handle(JobDone{Job: h.lastJob(), States: []MemberState{replicaAt("r1", 1, 50), replicaAt("r2", 1, 70)}})
+	require.Equal(t, JobPromote, h.lastJob().Kind)
+	require.Equal(t, core.MemberID("r2"), h.lastJob().Targets[0].Member)
+}
