--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -174,6 +174,8 @@
 		e.shares.shareApplied(e, m)
 	case session.Drained:
 		e.lifecycle.fire("drained")
+	case session.StopProgress:
+		e.log("stop_progress", "sessions that are open during the planned stop", m.Fields())
 	}
 }
 
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -239,6 +239,8 @@
 	switch r := report.(type) {
 	case session.Drained:
 		e.fireLifecycle(e.events.drained)
+	case session.StopProgress:
+		e.logStopProgress(r)
 	case session.Demand:
 		e.homes.handleDemand(r)
 		e.isolation.handleDemand(r)
--- a/pkg/fleet/lifecycle.go
+++ b/pkg/fleet/lifecycle.go
@@ -47,6 +47,7 @@
 		return
 	}
 	if e.state != previous {
+		e.logLifecycle(previous, event)
 		e.sourceSelector.reselect()
 	}
 	if e.lifecycle.Final(e.state) {
@@ -61,3 +62,19 @@
 	e.out.SetReady(ready)
 	e.out.Log(LogEvent{Event: "readiness", Message: "readiness changed", Fields: map[string]any{"ready": ready}})
 }
+
+// logLifecycle logs a change of the life cycle's state and the event that caused it.
+func (e *Engine) logLifecycle(previous chart.State, event chart.Event) {
+	cause := "event"
+	if event == e.events.timedOut {
+		cause = "timeout"
+	}
+	e.out.Log(LogEvent{Event: "lifecycle", Message: "the life cycle of the instance changed its state", Fields: map[string]any{
+		"from": e.lifecycle.StateName(previous), "to": e.lifecycle.StateName(e.state), "cause": cause,
+	}})
+}
+
+// logStopProgress logs what the session duty still serves during a planned stop.
+func (e *Engine) logStopProgress(p session.StopProgress) {
+	e.out.Log(LogEvent{Event: "stop_progress", Message: "sessions that are open during the planned stop", Fields: p.Fields()})
+}
--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -158,17 +158,6 @@
 	e.toCaller(c.id, CallerError{Caller: c.id, Refusal: refusal, TxStatus: c.txStatus})
 }
 
-// startStop starts the graceful stop.
-func (e *Engine) startStop() {
-	if e.stopping {
-		return
-	}
-	e.stopping = true
-	e.endAdmissionWait()
-	e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.Drain))
-	e.releaseIdle()
-}
-
 // releaseIdle ends the sessions that are outside a transaction and have no
 // request. It does not stop the admission of new callers.
 func (e *Engine) releaseIdle() {
@@ -177,14 +166,6 @@
 	}
 }
 
-// endAllCallers ends the remaining sessions when the bound of the graceful stop
-// has passed.
-func (e *Engine) endAllCallers() {
-	for _, c := range e.callers {
-		c.endNow(core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect"))
-	}
-}
-
 // endNow closes the session at once, in whatever state it is.
 func (c *caller) endNow(reason *core.Refusal) {
 	c.endReason = reason
@@ -199,20 +180,3 @@
 		c.fire(c.e.charts.onCaller.ended)
 	}
 }
-
-// finishStop reports Drained once no caller is left, and closes the target
-// connections. A report that finds a full ring is repeated.
-func (e *Engine) finishStop() {
-	if !e.stopping || e.drained || len(e.callers) > 0 {
-		return
-	}
-	e.drained = e.outbox.out.Control(Drained{})
-	if !e.drained {
-		e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.OutputRetry))
-		return
-	}
-	e.timers.Disarm(&e.drainTimer.item)
-	for _, t := range e.targets {
-		t.fire(e.charts.onTarget.retire)
-	}
-}
