Answer that a relayed statement's outcome is unknown when its session ends

A session that was ended while the home of its account ran its statement told the caller "not run": only statements sent to a target of this instance counted as possibly running. The home may have run it, so a caller that repeats it runs a write twice.

TestEndOfASessionWithARelayedStatementIsUncertain failed before: expected "uncertain", actual "key revoked" (not run).

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -196,7 +196,7 @@
 // markUncertainIfRunning replaces the reason for the end of the session while a
 // statement is running, because its outcome is then not known.
 func (c *caller) markUncertainIfRunning() {
-	if !c.stmt.sent && !c.stmt.mayHaveRun {
+	if !c.stmt.sent && !c.stmt.mayHaveRun && !c.stmt.runsAtHome() {
 		return
 	}
 	refusal := core.Uncertain(c.endReason.Message + " while a statement was running")
@@ -204,6 +204,12 @@
 	c.endReason = refusal
 }
 
+// runsAtHome reports whether the statement may run at the home of its account.
+func (s *statement) runsAtHome() bool {
+	home := s.c.relayedTo
+	return home != nil && home.relayed[s.c.id] == s
+}
+
 // answerLostTransaction answers the first request after the pinned connection
 // broke: the transaction was rolled back.
 func (c *caller) answerLostTransaction() {
