Log caller connections that end with a request unanswered or data undelivered

Change: linkio reports each connection that ends while its request is unanswered (request_unanswered) or with unsent output or unread input (caller_data_lost): who ended it, the state of link_caller at that time, the newest request with its age, the bytes of its answer that were written, and the bytes left on either side in the process and in the kernel. caller_sockets_closed gives the counts at the begin and the end of the flush, duty_left_work what the session duty leaves behind. The lines go to the telemetry ring, which drops them when it is full, and at most 20 of one event are written each second; the totals are on the metrics page. Two ioctls for each closed connection are the cost. When connections are closed does not change.

--- a/lib/netloop/conn.go
+++ b/lib/netloop/conn.go
@@ -32,6 +32,9 @@
 	paused  bool
 	// closing is set when the connection is to close once the output has been sent.
 	closing bool
+	// droppedInput and droppedOutput count the buffered bytes that a closed connection
+	// has dropped.
+	droppedInput, droppedOutput int
 }
 
 // Remote returns the peer's address.
@@ -188,6 +191,7 @@
 // shutdownAfterError leaves the report of a write error to the next poll, so that
 // Write never calls Closed while its caller still uses the connection.
 func (c *Conn) shutdownAfterError() {
+	c.droppedOutput += len(c.output)
 	c.output = nil
 	c.paused = false
 	_ = unix.Shutdown(c.fd, unix.SHUT_RDWR)
@@ -256,6 +260,8 @@
 	// The descriptor is closed after the poll, so that a later event of the same
 	// poll cannot be delivered to a new connection with the same descriptor.
 	c.loop.closedConns = append(c.loop.closedConns, c)
+	c.droppedInput += len(c.input)
+	c.droppedOutput += len(c.output)
 	c.input, c.output = nil, nil
 	c.handler.Closed(c, err)
 }
--- a/pkg/instance/decisionduty.go
+++ b/pkg/instance/decisionduty.go
@@ -29,6 +29,9 @@
 	writers  []outputWriter
 	now      func() time.Time
 	stopping atomic.Bool
+	// ended is called when run returns, with the numbers of unhandled inputs and unsent
+	// outputs; nil for nothing.
+	ended func(inputs, outputs int)
 }
 
 func newDecisionDuty[In any](capacity int) *decisionDuty[In] {
@@ -48,6 +51,18 @@
 		}
 	}
 	d.flush()
+	if d.ended != nil {
+		d.ended(d.input.Len(), d.unsent())
+	}
+}
+
+// unsent returns the number of outputs that their rings have not accepted.
+func (d *decisionDuty[In]) unsent() int {
+	outputs := 0
+	for _, w := range d.writers {
+		outputs += w.unsent()
+	}
+	return outputs
 }
 
 func (d *decisionDuty[In]) stop() {
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -25,7 +25,7 @@
 		Address: h.settings.CallerAddress, RingCapacity: hostedRingCapacity,
 		MaxCallers: max(h.settings.Descriptors/callerDescriptorDivisor, 1), MaxInputBytes: maxCallerInputBytes,
 		Startup: callerStartupTimeout, Admission: callerAdmissionTimeout, FlushTimeout: callerFlushTimeout,
-		NewCodec: platform.NewCallerCodec,
+		NewCodec: platform.NewCallerCodec, Log: h.logCaller,
 	}, definition, h.sessionDuty.input)
 	return err
 }
@@ -81,6 +81,7 @@
 		return err
 	}
 	h.sessionDuty.engine = engine
+	h.sessionDuty.ended = h.logLeftWork
 	h.sessionDuty.writers = []outputWriter{out.callers, out.targets, out.peers}
 	return nil
 }
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -49,6 +50,7 @@
 	page.add("sassafrasshunt_ready", "", boolToFloat(h.ready.Load()))
 	page.add("sassafrasshunt_callers_open", "", float64(h.callers.Open()))
 	page.add("sassafrasshunt_callers_refused_total", "", float64(h.callers.Refused()))
+	page.closes(h.callers.CloseCounts())
 	page.add("sassafrasshunt_targets_open", "", float64(h.targets.Open()))
 	page.add("sassafrasshunt_targets_opened_total", "", float64(h.targets.Opened()))
 	page.rings(map[string]ring.Stats{
@@ -122,6 +124,15 @@
 	}
 }
 
+// closes adds the counters of caller connections that ended before everything was delivered.
+func (p *metricsPage) closes(c linkio.CloseCounts) {
+	for _, by := range sortedKeys(c.Unanswered) {
+		p.add("sassafrasshunt_requests_unanswered_total", label("closed_by", by), float64(c.Unanswered[by]))
+		p.add("sassafrasshunt_caller_data_lost_total", label("closed_by", by), float64(c.DataLost[by]))
+	}
+	p.add("sassafrasshunt_late_answers_total", "", float64(c.LateAnswers))
+}
+
 // account adds the counters and latencies of one account.
 func (p *metricsPage) account(name core.AccountName, a session.AccountInspection) {
 	labels := label("account", string(name))
--- a/pkg/instance/requestlog.go
+++ b/pkg/instance/requestlog.go
@@ -1,6 +1,9 @@
 package instance
 
 import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 )
@@ -8,6 +11,25 @@
 // eventRequest is the log event of a line about one request.
 const eventRequest = "request"
 
+// eventDutyLeftWork is the log event of a decision duty that ended with unhandled inputs or
+// unsent outputs.
+const eventDutyLeftWork = "duty_left_work"
+
+// logCaller queues a log line of the caller sockets.
+func (h *Hosted) logCaller(l linkio.CallerLog) {
+	h.log(logLevel(l.Warning), l.Event, l.Message, telemetry.Fields(l.Fields))
+}
+
+// logLeftWork logs what the session duty left behind when it ended.
+func (h *Hosted) logLeftWork(inputs, outputs int) {
+	if inputs == 0 && outputs == 0 {
+		return
+	}
+	h.log(logrus.WarnLevel, eventDutyLeftWork, "the session duty ended with work left", telemetry.Fields{
+		"duty": "session", "inputs": inputs, "outputs": outputs,
+	})
+}
+
 // decisionMessage returns the message of the log line for d.
 func decisionMessage(d *session.Decision) string {
 	switch {
--- a/pkg/instance/ringwriter.go
+++ b/pkg/instance/ringwriter.go
@@ -33,6 +33,9 @@
 // pending reports whether outputs wait for space in the ring.
 func (w *ringWriter[T]) pending() bool { return len(w.backlog) > 0 }
 
+// unsent returns the number of outputs that wait for space in the ring.
+func (w *ringWriter[T]) unsent() int { return len(w.backlog) }
+
 // notifySpace requests a wake-up of waker when the ring has free space. It reports whether
 // the duty has to wait: the backlog is not empty and the ring is still full.
 func (w *ringWriter[T]) notifySpace(waker ring.Waker) bool {
@@ -42,6 +45,7 @@
 // outputWriter is a ringWriter of any element type.
 type outputWriter interface {
 	flush() bool
+	unsent() int
 	notifySpace(ring.Waker) bool
 	destination() any
 }
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -33,6 +33,9 @@
 	FlushTimeout time.Duration
 	// NewCodec returns the codec of a new connection.
 	NewCodec func() CallerCodec
+	// Log logs an event; nil drops the events. It runs on the duty's thread and must not
+	// block.
+	Log func(CallerLog)
 }
 
 // Callers is the duty that owns the caller sockets. All its connections are handled
@@ -50,6 +53,11 @@
 	nextID       session.CallerID
 	open         atomic.Int64
 	refused      atomic.Uint64
+	closes       closeCounters
+	// stopNoticed is when the duty noticed the stop, zero before it; openAtStop are the
+	// connections at that time.
+	stopNoticed time.Time
+	openAtStop  openCounts
 }
 
 // callerEvents holds the compiled events of the chart.
@@ -80,6 +88,7 @@
 		return nil, err
 	}
 	d.OutputPending, d.FlushTimeout = d.outputPending, config.FlushTimeout
+	d.OnStop, d.OnEnd = d.noticeStop, d.logDutyEnd
 	if d.address, err = d.Loop.Listen(config.Address, d.accept); err != nil {
 		d.Loop.Close()
 		return nil, &ConfigError{Reason: "cannot listen on " + config.Address, Err: err}
@@ -138,7 +147,7 @@
 	c := &callerConn{
 		duty: d, socket: socket, id: d.nextID, codec: d.config.NewCodec(), txStatus: session.TxIdle,
 	}
-	c.start(c, d.chart, &d.Timers, func() { c.fireTimeout(d.events.timedOut) })
+	c.start(c, d.chart, &d.Timers, c.timeOut)
 	d.conns[c.id] = c
 	d.open.Add(1)
 	c.armTimer()
@@ -148,6 +157,7 @@
 // handleCommand carries out one command of the session duty. A command for a closed
 // connection is dropped.
 func (d *Callers) handleCommand(command session.CallerCommand) {
+	d.countLateAnswer(command)
 	switch m := command.(type) {
 	case session.CallerAdmitted:
 		d.withConn(m.Caller, func(c *callerConn) {
@@ -185,6 +195,9 @@
 	message   CallerMessage
 	violation *ViolationError
 	refusal   *core.Refusal
+	// last and ending are for the log.
+	last   lastRequest
+	ending ending
 }
 
 // Opened implements netloop.Handler; the loop does not call it for accepted connections.
@@ -197,7 +210,8 @@
 func (c *callerConn) Data(*netloop.Conn) { c.processInput() }
 
 // Closed implements netloop.Handler.
-func (c *callerConn) Closed(*netloop.Conn, error) {
+func (c *callerConn) Closed(_ *netloop.Conn, err error) {
+	c.logEnd(ClosedByPeer, err)
 	c.closed = true
 	c.fire(c.duty.events.lost)
 	c.stopTimer()
@@ -246,7 +260,11 @@
 	}
 	c.socket.Discard(n)
 	c.message = message
+	if _, quit := message.(Quit); quit {
+		c.attributeEnd(ClosedByQuit, "")
+	}
 	c.fire(c.eventOf(message))
+	c.keepEnding()
 	return true
 }
 
@@ -268,7 +286,16 @@
 	if !errors.As(err, &c.violation) {
 		c.violation = &ViolationError{Reason: err.Error()}
 	}
+	c.attributeEnd(ClosedByViolation, "")
 	c.fire(c.duty.events.violated)
+	c.keepEnding()
+}
+
+// timeOut fires the timeout of the current state.
+func (c *callerConn) timeOut() {
+	c.attributeEnd(ClosedByTimeout, "")
+	c.fireTimeout(c.duty.events.timedOut)
+	c.keepEnding()
 }
 
 // reportOpened reports the caller to the session duty, which admits or dismisses it.
@@ -287,6 +314,7 @@
 func (c *callerConn) forwardRequest() {
 	m := c.message.(Request)
 	m.Request.Arrived = clock.Now()
+	c.noteRequest(m.Request)
 	c.duty.Outbox.Push(session.CallerRequest{Caller: c.id, Request: m.Request})
 }
 
@@ -299,6 +327,7 @@
 func (c *callerConn) writeResult(m session.CallerWrite) {
 	if !m.Done {
 		c.socket.Write(m.Frames)
+		c.last.written += len(m.Frames)
 		return
 	}
 	c.completeRequest(m.TxStatus, append(m.Frames, c.codec.ResultEnd(m.TxStatus)...))
@@ -309,6 +338,7 @@
 func (c *callerConn) completeRequest(txStatus byte, last []byte) {
 	c.txStatus = txStatus
 	c.socket.Write(last)
+	c.noteAnswer(len(last))
 	if c.closed {
 		return
 	}
@@ -320,7 +350,13 @@
 // dismiss ends the session; r is sent to the caller if it is not nil.
 func (c *callerConn) dismiss(r *core.Refusal) {
 	c.refusal = r
+	reason := ""
+	if r != nil {
+		reason = string(r.Reason)
+	}
+	c.attributeEnd(ClosedBySession, reason)
 	c.fire(c.duty.events.dismissed)
+	c.keepEnding()
 }
 
 // sendRefusal sends the refusal, if there is one, and closes the connection.
--- a/pkg/linkio/callers_test.go
+++ b/pkg/linkio/callers_test.go
@@ -55,13 +55,14 @@
 	events *ring.Ring[session.Input]
 	signal *ring.Signal
 	done   chan error
+	logs   chan CallerLog
 }
 
 func startHarness(t *testing.T) *harness { return startHarnessWithRing(t, 64) }
 
 // startHarnessWithRing runs a duty whose ring to session has the given capacity.
 func startHarnessWithRing(t *testing.T, capacity int) *harness {
-	h := &harness{t: t, signal: ring.NewSignal(), done: make(chan error, 1)}
+	h := &harness{t: t, signal: ring.NewSignal(), done: make(chan error, 1), logs: make(chan CallerLog, 64)}
 	h.events = ring.New[session.Input](capacity, h.signal)
 	definition, err := charts.Load("link_caller")
 	require.NoError(t, err)
@@ -69,6 +70,7 @@
 		Address: "127.0.0.1:0", RingCapacity: 64, MaxCallers: 10, MaxInputBytes: 1 << 10,
 		Startup: time.Minute, Admission: time.Minute, FlushTimeout: 300 * time.Millisecond,
 		NewCodec: func() CallerCodec { return &lineCodec{} },
+		Log:      func(l CallerLog) { h.logs <- l },
 	}, definition, h.events)
 	require.NoError(t, err)
 	go func() { h.done <- h.duty.Run() }()
--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -40,6 +40,10 @@
 	// FlushTimeout at most. Nil means that a stop does not wait.
 	OutputPending func() bool
 	FlushTimeout  time.Duration
+	// OnStop is called when Run notices the stop, and OnEnd before Run closes the sockets.
+	// Both may be nil; OnStop is not called without OutputPending.
+	OnStop func()
+	OnEnd  func()
 
 	handle          func(In)
 	now             func() time.Time
@@ -76,7 +80,7 @@
 // Run handles commands, sockets and timers until Stop. It returns the error of a
 // failed poll.
 func (r *Reactor[In]) Run() error {
-	defer r.Loop.Close()
+	defer r.end()
 	for {
 		r.handleCommands()
 		r.runResumeCallbacks()
@@ -91,6 +95,14 @@
 	}
 }
 
+// end closes the sockets.
+func (r *Reactor[In]) end() {
+	if r.OnEnd != nil {
+		r.OnEnd()
+	}
+	r.Loop.Close()
+}
+
 // finished reports whether a stop was requested and Run may return. If the stop may
 // have to wait for output, the first call after the request closes the listeners.
 func (r *Reactor[In]) finished() bool {
@@ -104,6 +116,9 @@
 	if r.stopDeadline.IsZero() {
 		r.stopDeadline = now.Add(r.FlushTimeout)
 		r.Loop.CloseListeners()
+		if r.OnStop != nil {
+			r.OnStop()
+		}
 	}
 	return !now.Before(r.stopDeadline) || r.Commands.Len() == 0 && !r.OutputPending()
 }
