Test that a planned stop answers the statements of open transactions (known red)

Callers hold transactions open over a SIGTERM, and a gate at the members holds their statements from 2.5 s or 4.0 s after it until 4.8 s, before the last sixth of the grace period. On all eight connections with such a statement close 4.30 s after the SIGTERM without an answer; the two statements that are not held are answered. Both on the account's home and on an instance that passes statements on.

--- a/standin/e2e/hosted_member_test.go
+++ b/standin/e2e/hosted_member_test.go
@@ -31,6 +31,7 @@
 	promotionTime time.Duration
 	// commitCounts is the number of commits of each write, by its query id.
 	commitCounts map[string]int
+	gate         *memberGate
 }
 
 // hostedWrite is an entry of the log.
@@ -57,7 +58,7 @@
 const applyDelay = 30 * time.Millisecond
 
 func newHostedGroup(t *testing.T, store *hostedStore, name string, members int) *hostedGroup {
-	g := &hostedGroup{name: name, store: store, term: 1, promotionTime: 300 * time.Millisecond, commitCounts: map[string]int{}}
+	g := &hostedGroup{name: name, store: store, term: 1, promotionTime: 300 * time.Millisecond, commitCounts: map[string]int{}, gate: newMemberGate()}
 	for i := range members {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -185,7 +186,9 @@
 			started = true
 		case word == "QUERY":
 			id, text, _ := strings.Cut(rest, " ")
+			m.group.gate.begin(id, m.id)
 			response = c.query(id, text)
+			m.group.gate.end(id)
 		default:
 			response = []string{"ERROR MALFORMED"}
 		}
