--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -82,6 +82,10 @@
 			"begin_deferred":      func(c *caller) bool { return c.deferredBegin != nil },
 			"access_withdrawn":    (*caller).accessWithdrawn,
 			"end_pending":         func(c *caller) bool { return c.endReason != nil },
+			"ended_by_stop":       (*caller).endedByStop,
+			// The caller's instance is told with the next request that the transaction
+			// is gone, whether or not this instance still knows the session.
+			"remote_ended_by_stop": func(c *caller) bool { return c.remote != nil && c.endedByStop() },
 		},
 		Actions: map[string]func(*caller){
 			"start_statement":           (*caller).startStatement,
@@ -196,7 +200,7 @@
 // markUncertainIfRunning replaces the reason for the end of the session while a
 // statement is running, because its outcome is then not known.
 func (c *caller) markUncertainIfRunning() {
-	if !c.stmt.sent && !c.stmt.mayHaveRun {
+	if !c.stmt.sent && !c.stmt.mayHaveRun && !c.stmt.runsAtHome() {
 		return
 	}
 	refusal := core.Uncertain(c.endReason.Message + " while a statement was running")
@@ -204,6 +208,12 @@
 	c.endReason = refusal
 }
 
+// runsAtHome reports whether the statement may run at the home of its account.
+func (s *statement) runsAtHome() bool {
+	home := s.c.relayedTo
+	return home != nil && home.relayed[s.c.id] == s
+}
+
 // answerLostTransaction answers the first request after the pinned connection
 // broke: the transaction was rolled back.
 func (c *caller) answerLostTransaction() {
