--- a/standin/e2e/hosted_gate_test.go
+++ b/standin/e2e/hosted_gate_test.go
@@ -19,8 +19,8 @@
 // memberRun is the record of a statement at the members.
 type memberRun struct {
 	member string
-	// began is when a member received the statement. ended is when it had run, zero
-	// before that.
+	// began is when a member received the statement for the first time. ended is when
+	// it had run, zero before that.
 	began, ended time.Time
 	// count is the number of times that a member received it.
 	count int
@@ -61,7 +61,10 @@
 func (g *memberGate) begin(id, member string) {
 	g.mutex.Lock()
 	run := g.runs[id]
-	run.member, run.began, run.count = member, time.Now(), run.count+1
+	if run.count == 0 {
+		run.member, run.began = member, time.Now()
+	}
+	run.count++
 	g.runs[id] = run
 	released := g.held[id]
 	g.mutex.Unlock()
--- a/standin/e2e/hosted_member_test.go
+++ b/standin/e2e/hosted_member_test.go
@@ -32,6 +32,8 @@
 	// commitCounts is the number of commits of each write, by its query id.
 	commitCounts map[string]int
 	gate         *memberGate
+	// slots is the number of statements that a member announces to run at a time.
+	slots int
 }
 
 // hostedWrite is an entry of the log.
@@ -58,7 +60,7 @@
 const applyDelay = 30 * time.Millisecond
 
 func newHostedGroup(t *testing.T, store *hostedStore, name string, members int) *hostedGroup {
-	g := &hostedGroup{name: name, store: store, term: 1, promotionTime: 300 * time.Millisecond, commitCounts: map[string]int{}, gate: newMemberGate()}
+	g := &hostedGroup{name: name, store: store, term: 1, promotionTime: 300 * time.Millisecond, commitCounts: map[string]int{}, gate: newMemberGate(), slots: 8}
 	for i := range members {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -78,7 +80,7 @@
 		role = "primary"
 	}
 	m.group.store.put("servers/"+m.id, map[string]any{
-		"backend": m.group.name, "address": m.listener.Addr().String(), "zone": "z1", "slots": 8, "state": "ready",
+		"backend": m.group.name, "address": m.listener.Addr().String(), "zone": "z1", "slots": m.group.slots, "state": "ready",
 		"dbRole": role, "born": 1,
 	})
 }
--- a/standin/e2e/hosted_stop_caller_test.go
+++ b/standin/e2e/hosted_stop_caller_test.go
@@ -47,6 +47,7 @@
 type stopExchange struct {
 	caller, id, text string
 	inTransaction    bool
+	mayBeClosed      bool
 	sent             time.Time
 	// answered is set if a whole answer was received. Otherwise the connection was
 	// closed, or unanswered is set.
@@ -237,5 +238,5 @@
 		}
 		return fmt.Sprintf("%.2f", t.Sub(start).Seconds())
 	}
-	return fmt.Sprintf("%-28s %-14s sent %5s  %-13s %5s  at the member %s to %s", x.caller, x.text, after(x.sent), x.fate(), after(x.endedAt()), after(run.began), after(run.ended))
+	return fmt.Sprintf("%-28s %-10s sent %5s  %-13s %5s  at a member %d times, %s to %s", x.caller, x.text, after(x.sent), x.fate(), after(x.endedAt()), run.count, after(run.began), after(run.ended))
 }
--- a/standin/e2e/hosted_stop_run_test.go
+++ b/standin/e2e/hosted_stop_run_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,8 +27,9 @@
 // stopRun is one planned stop of instances, with callers that follow scripts.
 type stopRun struct {
 	*hostedFleet
-	// keys has, for each instance, the key of an account whose home it is.
-	keys []string
+	// keys has, for each instance, the keys of the accounts whose home it is. The
+	// callers take them in turn.
+	keys [][]string
 	// stopAt is the time of the first SIGTERM. Times of scripts count from it.
 	stopAt  time.Time
 	callers []*stopCaller
@@ -45,21 +47,36 @@
 	at   time.Duration
 	text string
 	// memberUntil is when the member goes on with the statement, counted from the
-	// SIGTERM; it is not held if this is zero.
+	// SIGTERM: zero if it is not held, and never if it is held until the grace
+	// period is over and all instances have ended.
 	memberUntil time.Duration
+	// mayBeClosed is set if the instance may have closed the connection before.
+	mayBeClosed bool
 }
 
+// never is the memberUntil of a statement that is not finished during the stop.
+const never = time.Duration(-1)
+
 // stopScriptLead is the time between the start of the scripts and the SIGTERM.
 const stopScriptLead = 500 * time.Millisecond
 
-// stopAccounts is the number of accounts. With two to an instance, each instance is the
-// home of at least one.
-const stopAccounts = 4
+// Numbers of accounts in all, and at least at each home. A single statement waits for
+// the connection of its account while a held one keeps it, so the single statements of a
+// test belong to different accounts.
+const (
+	stopAccounts     = 12
+	stopHomeAccounts = 4
+)
 
 // newStopRun starts two instances and sets the time limit of a statement.
 func newStopRun(t *testing.T, timeout time.Duration) *stopRun {
 	s := &stopRun{hostedFleet: startHostedFleet(t, 2)}
 	t.Cleanup(s.group.gate.releaseAll)
+	// No statement waits for a slot or a connection.
+	s.group.slots = 64
+	for _, m := range s.group.members {
+		m.register()
+	}
 	config := s.configuration(2)
 	config["routes"] = []any{map[string]any{"database": "ledger", "backend": "db", "type": "primary", "priority": 0, "timeoutMs": timeout.Milliseconds()}}
 	var tenants []any
@@ -67,6 +84,9 @@
 		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("acct%d", i), "apiKeys": []string{fmt.Sprintf("key-%d", i)}, "ratePerS": hostedRate, "burst": hostedRate})
 	}
 	config["tenants"] = tenants
+	config["backendPools"] = []any{map[string]any{"name": "db", "maxConns": 1000, "syncReplicas": 1}}
+	// Transactions end because of the stop, not because they are idle.
+	config["limits"] = map[string]any{"txIdleMs": 20000}
 	s.store.put("op/config", config)
 	require.NoError(t, eventually(startTimeout, func() error {
 		if err := s.checkVersion(2, []int{0, 1}); err != nil {
@@ -79,42 +99,50 @@
 
 // findHomes sets keys once both instances know the homes of all accounts.
 func (s *stopRun) findHomes() error {
-	s.keys = make([]string, len(s.instances))
-	for _, n := range s.instances {
-		var status struct {
-			Homes []struct {
-				Account string `json:"account"`
-				Home    string `json:"home"`
-			} `json:"homes"`
-		}
-		response, err := http.Get("http://" + n.metricsAddress + "/status")
+	s.keys = make([][]string, len(s.instances))
+	for i := range s.instances {
+		homes, err := s.homes(i)
 		if err != nil {
 			return err
 		}
-		err = json.NewDecoder(response.Body).Decode(&status)
-		response.Body.Close()
-		if err != nil {
-			return err
-		}
-		found := 0
-		for _, h := range status.Homes {
-			for i := range s.instances {
-				if h.Home == fmt.Sprintf("n%d", i) {
-					s.keys[i] = "key-" + h.Account[len("acct"):]
-					found++
-				}
+		for account, home := range homes {
+			if i == home {
+				s.keys[home] = append(s.keys[home], "key-"+strings.TrimPrefix(account, "acct"))
 			}
 		}
-		if found != stopAccounts {
-			return fmt.Errorf("%d of %d accounts have a home", found, stopAccounts)
+		if len(homes) != stopAccounts || len(s.keys[i]) < stopHomeAccounts {
+			return fmt.Errorf("instance %d knows the homes of %d accounts and is the home of %d", i, len(homes), len(s.keys[i]))
 		}
 	}
-	for i, key := range s.keys {
-		if key == "" {
-			return fmt.Errorf("instance %d is the home of no account", i)
+	return nil
+}
+
+// homes returns the number of the instance that is the home of each account, according
+// to the status page of instance i.
+func (s *stopRun) homes(i int) (map[string]int, error) {
+	response, err := http.Get("http://" + s.instances[i].metricsAddress + "/status")
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var status struct {
+		Homes []struct {
+			Account string `json:"account"`
+			Home    string `json:"home"`
+		} `json:"homes"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return nil, err
+	}
+	homes := map[string]int{}
+	for _, h := range status.Homes {
+		for home := range s.instances {
+			if h.Home == fmt.Sprintf("n%d", home) {
+				homes[h.Account] = home
+			}
 		}
 	}
-	return nil
+	return homes, nil
 }
 
 // plan sets the time of the SIGTERM. Callers that are added afterwards follow their
@@ -124,10 +152,11 @@
 // at waits until a time after the SIGTERM.
 func (s *stopRun) at(after time.Duration) { time.Sleep(time.Until(s.stopAt.Add(after))) }
 
-// connect connects a caller of the account whose home is the given instance, and sends
+// connect connects a caller of an account whose home is the given instance, and sends
 // requests that must succeed before the stop.
 func (s *stopRun) connect(instance, home int, name string, before ...string) *stopCaller {
-	c, err := connectStopCaller(s.instances[instance].callerAddress, s.keys[home], name, s.group.gate)
+	key := s.keys[home][len(s.callers)%len(s.keys[home])]
+	c, err := connectStopCaller(s.instances[instance].callerAddress, key, name, s.group.gate)
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { c.conn.Close() })
 	s.callers = append(s.callers, c)
@@ -144,6 +173,7 @@
 	s.scripts.Go(func() {
 		for _, step := range steps {
 			x := c.prepare(step.text)
+			x.mayBeClosed = step.mayBeClosed
 			if step.memberUntil != 0 {
 				s.group.gate.hold(x.id)
 			}
@@ -189,6 +219,7 @@
 	s.ended.Wait()
 	s.scripts.Wait()
 	s.releases.Wait()
+	s.at(hostedGracePeriod)
 	s.group.gate.releaseAll()
 	violations := s.lateEnds
 	for _, c := range s.callers {
@@ -237,15 +268,30 @@
 }
 
 // checkAllAnswered returns an error for each request without a whole answer, also for
-// those that were sent to a connection that was closed already.
+// those that were sent to a connection that was closed already. Only requests that allow
+// it may find the connection closed, and not before open transactions may be ended.
 func (s *stopRun) checkAllAnswered() error {
 	var violations []error
 	for _, c := range s.callers {
 		for _, x := range c.exchanges {
-			if !x.answered {
+			allowed := x.mayBeClosed && !x.closedAt.Before(s.stopAt.Add(transactionStopBound))
+			if !x.answered && !allowed {
 				violations = append(violations, errors.New("no whole answer: "+x.describe(s.group.gate.run(x.id), s.stopAt)))
 			}
 		}
 	}
 	return errors.Join(violations...)
 }
+
+// checkAllRun returns an error for each request that no member has run, except BEGIN.
+func (s *stopRun) checkAllRun() error {
+	var violations []error
+	for _, c := range s.callers {
+		for _, x := range c.exchanges {
+			if run := s.group.gate.run(x.id); run.count == 0 && x.text != "BEGIN" {
+				violations = append(violations, errors.New("not run: "+x.describe(run, s.stopAt)))
+			}
+		}
+	}
+	return errors.Join(violations...)
+}
