Let a transaction at the home outlast a change of its entry

Cause: endWhenIdle took a caller without a target connection for one outside a transaction. While the home of the account runs the transaction, the caller's instance holds no connection, so a configuration that removed or moved the entry, or removed its database, closed the caller between two statements and rolled its transaction back.

Change: a caller whose transaction is at the home counts as busy too. Its session ends after the COMMIT or ROLLBACK is answered, as it does when this instance runs the transaction.

Result: TestEntryChangeKeepsTheTransactionAtTheHome, red before in all three cases ("[]session.CallerID{0x1} should not contain 0x1" right after the catalogue). The cases that were right before are tested beside it: a running statement here and at the home, a transaction here, a transaction that the home runs for another instance's caller.

--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -192,10 +192,11 @@
 }
 
 // endWhenIdle closes the session as soon as it is outside a transaction and has
-// no request.
+// no request. A transaction is open on a target connection or at the home; one
+// whose connection was lost is over.
 func (c *caller) endWhenIdle(reason *core.Refusal) {
 	c.endReason = reason
-	if c.target == nil && !c.stmt.active {
+	if c.target == nil && c.relayedTo == nil && !c.stmt.active {
 		c.fire(c.e.charts.onCaller.ended)
 	}
 }
