Let a transaction with a deferred BEGIN outlast a change of its entry

Cause: between the answer to BEGIN and the first statement no member, and no part of the caller's state but deferredBegin, knows of the transaction. A configuration that removed or moved the entry therefore closed the caller, who had been told that a transaction is open.

Change: such a caller counts as busy. If the entry moved to another database, the transaction runs there: no member has begun it, and the home would run it there anyway. The session's floor is a position of the old database and is dropped. If the entry was removed, the transaction runs as it began, or the home refuses its first statement as not run, and the session ends after it; one that stays idle ends after the idle limit of transactions, so that a removed entry does not stay in use.

--- a/pkg/session/callers.go
+++ b/pkg/session/callers.go
@@ -192,12 +192,18 @@
 }
 
 // endWhenIdle closes the session as soon as it is outside a transaction and has
-// no request. A transaction is open on a target connection or at the home; one
-// whose connection was lost is over.
+// no request. A transaction is open on a target connection, at the home, or by a
+// deferred BEGIN; one whose connection was lost is over. A deferred BEGIN may stay
+// idle for as long as other transactions.
 func (c *caller) endWhenIdle(reason *core.Refusal) {
+	first := c.endReason == nil
 	c.endReason = reason
-	if c.target == nil && c.relayedTo == nil && !c.stmt.active {
+	switch {
+	case c.target != nil || c.relayedTo != nil || c.stmt.active:
+	case c.deferredBegin == nil:
 		c.fire(c.e.charts.onCaller.ended)
+	case first:
+		c.e.timers.Arm(&c.timerItem, c.e.now.Add(c.e.transactionIdle))
 	}
 }
 
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -152,7 +152,8 @@
 		return
 	}
 	current := c.e.entries[c.entry.definition.Name]
-	if current == nil || current.db != c.db || current.account != nil && current.account != c.account {
+	sameAccount := current != nil && (current.account == nil || current.account == c.account)
+	if !sameAccount || current.db != c.db && !c.moveDeferredBegin(current) {
 		c.endWhenIdle(core.NotRun(core.ReasonDatabaseLeaving, "the entry was changed, please reconnect"))
 		return
 	}
@@ -163,3 +164,16 @@
 	c.entry = current
 	c.endReason = nil
 }
+
+// moveDeferredBegin moves a transaction that no member has begun yet to the database of the
+// changed entry, and reports whether it did. The session's floor is a position of the old
+// database.
+func (c *caller) moveDeferredBegin(current *entry) bool {
+	if c.deferredBegin == nil || c.stmt.active {
+		return false
+	}
+	c.db = current.db
+	c.requiredRound = c.db.requestedRound + 1
+	c.floor, c.floorKnown = core.Position{}, false
+	return true
+}
