Keep the sessions of an account that was removed and is back

Cause: an account that is removed and restored gets new state, but callers kept the state of the removed one, which has no keys. A caller whose request ran meanwhile was therefore closed after the answer, with its open transaction, although its key is valid again.

Change: applying a catalogue looks the caller's account up by its name.

Result: TestAccountRestoredWhileARequestRuns, red before ("[]session.CallerID{0x1} should not contain 0x1" after the answer). The tests beside it were green before: a key that is revoked while the home runs the statement, also with the answer status T, at the caller's instance and at the home.

--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -145,8 +145,12 @@
 }
 
 // applyCatalogue applies a new catalogue to a connected caller. The session of a caller
-// whose access was withdrawn by an earlier one and is restored by this one goes on.
+// whose access was withdrawn by an earlier one and is restored by this one goes on; an
+// account that was removed and is back has new state.
 func (c *caller) applyCatalogue() {
+	if a := c.e.accounts[c.account.name]; a != nil {
+		c.account = a
+	}
 	if c.key != "" && !c.account.hasKey(c.key) {
 		c.withdrawAccess(core.NotRun(core.ReasonKeyRevoked, "the key is revoked"))
 		return
