--- a/pkg/session/stop_test.go
+++ b/pkg/session/stop_test.go
@@ -134,17 +134,6 @@
 	})
 }
 
-// closedCallers returns the callers whose connections were closed.
-func (h *harness) closedCallers() []CallerID {
-	var closed []CallerID
-	for _, c := range h.callers {
-		if m, ok := c.(CallerClose); ok {
-			closed = append(closed, m.Caller)
-		}
-	}
-	return closed
-}
-
 // Guards against an instance that stops while the statement of a caller still runs,
 // because its time limit ends after the stop, and against an answer then that says
 // "not run" of what may have run.
