Close caller sockets only after their callers, so that no answer is dropped

Cause: linkio closed a caller's socket as soon as the kernel had accepted the output. The same happened at the end of a stop to all open connections. A caller that never read its last answer kept its connection for ever.

Change: netloop.Conn.Finish sends the output, shuts down the sending side, discards further input and closes when the peer has closed, also when the peer has ended its own side before. link_caller has the states flushing and finished with a timeout each (10 s, 2 s), after which the socket is closed; all connections count against MaxCallers until then. A caller's own end of the session needs no wait. A stop finishes the sessions without an unanswered request, the others after their answer, and waits for answers, output and callers' closes, as before for FlushTimeout at most.

Result: before the change, TestClosedCallerGetsItsWholeAnswer (unread input, later input, invalid input) and TestStopSendsTheWholeAnswer failed with "read: connection reset by peer ... after 6150 bytes" of 262 KB; now they pass 15 of 15 times, as do the other tests of linkio. Passed once: make lint, the tests of lib, pkg/reactor, pkg/instance, and of standin/e2e TestHostedPlannedStop, TestHostedCutOff, TestHostedReload and TestHostedBadInput. The race detector was clean on linkio, reactor and netloop. That this fault caused the reported cases is not shown.

--- a/lib/netloop/conn.go
+++ b/lib/netloop/conn.go
@@ -32,6 +32,10 @@
 	paused  bool
 	// closing is set when the connection is to close once the output has been sent.
 	closing bool
+	// finishing is set by Finish. peerFinished is set when the peer has ended its output
+	// before the output of a finishing connection was sent.
+	finishing    bool
+	peerFinished bool
 	// droppedInput and droppedOutput count the buffered bytes that a closed connection
 	// has dropped.
 	droppedInput, droppedOutput int
@@ -58,7 +62,7 @@
 		c.finishConnect()
 		return
 	}
-	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && c.paused {
+	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && (c.paused || c.peerFinished) {
 		c.closeWith(c.socketError())
 		return
 	}
@@ -104,13 +108,28 @@
 		return
 	}
 	if n == 0 {
-		c.closeWith(io.EOF)
+		c.handleEndOfInput()
+		return
+	}
+	if c.finishing {
+		c.droppedInput += n
 		return
 	}
 	c.input = append(c.input, c.loop.readBuffer[:n]...)
 	c.handler.Data(c)
 }
 
+// handleEndOfInput closes the connection. A peer that has ended only its own output may
+// still read what a finishing connection sends.
+func (c *Conn) handleEndOfInput() {
+	if c.finishing && len(c.output) > 0 {
+		c.peerFinished = true
+		c.updateInterest()
+		return
+	}
+	c.closeWith(io.EOF)
+}
+
 // Buffered returns the bytes that were read and not discarded. The slice is
 // valid until the handler returns or Discard is called.
 func (c *Conn) Buffered() []byte {
@@ -138,7 +157,7 @@
 // Write sends b and buffers what the socket does not accept immediately. It never
 // fails; a socket error is reported by Closed after the current event.
 func (c *Conn) Write(b []byte) {
-	if c.state == closed || c.closing {
+	if c.state == closed || c.closing || c.finishing {
 		return
 	}
 	c.output = append(c.output, b...)
@@ -175,7 +194,10 @@
 		c.closeWith(nil)
 		return
 	}
-	if wasWaiting {
+	if c.finishing {
+		c.finishOutput()
+	}
+	if wasWaiting && c.state == open {
 		c.handler.Flushed(c)
 	}
 }
@@ -201,7 +223,7 @@
 // updateInterest sets the epoll events that the connection waits for.
 func (c *Conn) updateInterest() {
 	events := uint32(0)
-	if !c.paused {
+	if !c.paused && !c.peerFinished {
 		events |= unix.EPOLLIN
 	}
 	if len(c.output) > 0 {
@@ -214,8 +236,11 @@
 	_ = c.loop.epollControl(unix.EPOLL_CTL_MOD, c.fd, events)
 }
 
-// PauseRead stops reading from the socket until ResumeRead.
+// PauseRead stops reading from the socket until ResumeRead. It has no effect after Finish.
 func (c *Conn) PauseRead() {
+	if c.finishing {
+		return
+	}
 	c.paused = true
 	if c.state == open {
 		c.updateInterest()
@@ -237,8 +262,10 @@
 	c.closeWith(nil)
 }
 
-// CloseAfterFlush closes the connection when the buffered output has been sent. It
-// closes a connection without output, or one that is not established, immediately.
+// CloseAfterFlush closes the connection when the kernel has accepted the buffered output.
+// It closes a connection without output, or one that is not established, immediately. Unread
+// input, and input that arrives later, make the kernel reset the connection and drop what it
+// has not sent; Finish avoids that.
 func (c *Conn) CloseAfterFlush() {
 	if c.state == closed {
 		return
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -24,7 +24,8 @@
 	h.callers, err = linkio.NewCallers(linkio.CallerConfig{
 		Address: h.settings.CallerAddress, RingCapacity: hostedRingCapacity,
 		MaxCallers: max(h.settings.Descriptors/callerDescriptorDivisor, 1), MaxInputBytes: maxCallerInputBytes,
-		Startup: callerStartupTimeout, Admission: callerAdmissionTimeout, FlushTimeout: callerFlushTimeout,
+		Startup: callerStartupTimeout, Admission: callerAdmissionTimeout,
+		Flush: callerLastOutputTimeout, PeerClose: callerPeerCloseTimeout, FlushTimeout: callerFlushTimeout,
 		NewCodec: platform.NewCallerCodec, Log: h.logCaller,
 	}, definition, h.sessionDuty.input)
 	return err
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -31,7 +31,14 @@
 	// callerAdmissionTimeout bounds the wait for the session duty to admit a caller, which
 	// normally takes milliseconds.
 	callerAdmissionTimeout = 5 * time.Second
-	// callerFlushTimeout bounds sending the last answers at a stop.
+	// callerLastOutputTimeout bounds sending the last output of a session that has ended: the
+	// longest message, 1 MiB, at 100 KB/s.
+	callerLastOutputTimeout = 10 * time.Second
+	// callerPeerCloseTimeout bounds the wait for a caller to close its side after that. Callers
+	// close when they read the end; the time covers a few lost packets.
+	callerPeerCloseTimeout = 2 * time.Second
+	// callerFlushTimeout bounds sending the last answers, and the wait for callers to close
+	// their side, at a stop.
 	callerFlushTimeout = 500 * time.Millisecond
 	// targetConnectTimeout allows for about a hundred round trips between failure domains.
 	targetConnectTimeout = 500 * time.Millisecond
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -25,11 +25,14 @@
 	MaxCallers int
 	// MaxInputBytes limits the buffered input of a caller, in bytes.
 	MaxInputBytes int
-	// Startup bounds the wait for the first message, Admission the wait for the
-	// session duty to admit the caller, and FlushTimeout sending the last answers
-	// at a stop.
+	// Startup bounds the wait for the first message and Admission the wait for the
+	// session duty to admit the caller. When a session has ended, Flush bounds sending its
+	// last output, and PeerClose the wait for the caller to close its side after that.
+	// FlushTimeout bounds both for all sessions at a stop.
 	Startup      time.Duration
 	Admission    time.Duration
+	Flush        time.Duration
+	PeerClose    time.Duration
 	FlushTimeout time.Duration
 	// NewCodec returns the codec of a new connection.
 	NewCodec func() CallerCodec
@@ -49,6 +52,10 @@
 	// startupState and idleState are the states in which messages are decoded.
 	startupState chart.State
 	idleState    chart.State
+	// waitingState is the state with an unanswered request, and endedStates are those of a
+	// session that has ended while its connection is still open.
+	waitingState chart.State
+	endedStates  [2]chart.State
 	conns        map[session.CallerID]*callerConn
 	nextID       session.CallerID
 	open         atomic.Int64
@@ -62,7 +69,7 @@
 
 // callerEvents holds the compiled events of the chart.
 type callerEvents struct {
-	started, admitted, request, local, answered, dismissed, quit, violated, lost, timedOut chart.Event
+	started, admitted, request, local, answered, dismissed, quit, violated, stopped, flushed, lost, timedOut chart.Event
 }
 
 // idleTimerPeriod is the interval at which the timer of an open connection is set
@@ -78,17 +85,19 @@
 		return nil, &ConfigError{Reason: "cannot compile the state chart", Err: err}
 	}
 	d.startupState, d.idleState = d.chart.StateID("startup"), d.chart.StateID("idle")
+	d.waitingState = d.chart.StateID("waiting")
+	d.endedStates = [2]chart.State{d.chart.StateID("flushing"), d.chart.StateID("finished")}
 	e := d.chart.Event
 	d.events = callerEvents{
 		started: e("started"), admitted: e("admitted"), request: e("request"), local: e("local"),
 		answered: e("answered"), dismissed: e("dismissed"), quit: e("quit"), violated: e("violated"),
-		lost: e("lost"), timedOut: e(chart.TimeoutEvent),
+		stopped: e("stopped"), flushed: e("flushed"), lost: e("lost"), timedOut: e(chart.TimeoutEvent),
 	}
 	if d.Reactor, err = newReactor(config.RingCapacity, to, d.handleCommand); err != nil {
 		return nil, err
 	}
 	d.OutputPending, d.FlushTimeout = d.outputPending, config.FlushTimeout
-	d.OnStop, d.OnEnd = d.noticeStop, d.logDutyEnd
+	d.OnStop, d.OnEnd = d.beginStop, d.logDutyEnd
 	if d.address, err = d.Loop.Listen(config.Address, d.accept); err != nil {
 		d.Loop.Close()
 		return nil, &ConfigError{Reason: "cannot listen on " + config.Address, Err: err}
@@ -99,6 +108,9 @@
 // registry returns the actions and timeouts that the chart names.
 func (d *Callers) registry() chart.Registry[*callerConn] {
 	return chart.Registry[*callerConn]{
+		Guards: map[string]func(*callerConn) bool{
+			"stopping": func(*callerConn) bool { return !d.stopNoticed.IsZero() },
+		},
 		Actions: map[string]func(*callerConn){
 			"report_opened":      (*callerConn).reportOpened,
 			"send_startup_reply": (*callerConn).sendStartupReply,
@@ -107,12 +119,16 @@
 			"send_violation":     (*callerConn).sendViolation,
 			"send_refusal":       (*callerConn).sendRefusal,
 			"report_closed":      (*callerConn).reportClosed,
-			"close":              (*callerConn).close,
+			"finish":             (*callerConn).finish,
+			"close":              func(c *callerConn) { c.socket.CloseAfterFlush() },
+			"abort":              func(c *callerConn) { c.socket.Close() },
 		},
 		Timeouts: map[string]time.Duration{
-			"startup":   d.config.Startup,
-			"admission": d.config.Admission,
-			"idle":      idleTimerPeriod,
+			"startup":    d.config.Startup,
+			"admission":  d.config.Admission,
+			"idle":       idleTimerPeriod,
+			"flush":      d.config.Flush,
+			"peer_close": d.config.PeerClose,
 		},
 	}
 }
@@ -127,16 +143,6 @@
 // already. It is safe for concurrent use.
 func (d *Callers) Refused() uint64 { return d.refused.Load() }
 
-// outputPending reports whether any connection has unsent output.
-func (d *Callers) outputPending() bool {
-	for _, c := range d.conns {
-		if c.socket.Pending() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // accept registers a new connection, or refuses it when there are MaxCallers already.
 func (d *Callers) accept(socket *netloop.Conn) netloop.Handler {
 	if len(d.conns) >= d.config.MaxCallers {
@@ -204,7 +210,7 @@
 func (c *callerConn) Opened(*netloop.Conn) {}
 
 // Flushed implements netloop.Handler.
-func (c *callerConn) Flushed(*netloop.Conn) {}
+func (c *callerConn) Flushed(*netloop.Conn) { c.fire(c.duty.events.flushed) }
 
 // Data implements netloop.Handler.
 func (c *callerConn) Data(*netloop.Conn) { c.processInput() }
@@ -359,18 +365,16 @@
 	c.keepEnding()
 }
 
-// sendRefusal sends the refusal, if there is one, and closes the connection.
+// sendRefusal sends the refusal, if there is one.
 func (c *callerConn) sendRefusal() {
 	if c.refusal != nil {
 		c.socket.Write(c.codec.SessionError(c.refusal))
 	}
-	c.socket.CloseAfterFlush()
 }
 
-// sendViolation sends the codec's reply to invalid input and closes the connection.
+// sendViolation sends the codec's reply to invalid input.
 func (c *callerConn) sendViolation() {
 	c.socket.Write(c.violation.Reply)
-	c.socket.CloseAfterFlush()
 }
 
 // reportClosed tells the session duty that the session has ended.
@@ -378,9 +382,13 @@
 	c.duty.Outbox.Push(session.CallerClosed{Caller: c.id})
 }
 
-// close closes the connection after its output is sent.
-func (c *callerConn) close() {
-	c.socket.CloseAfterFlush()
+// finish sends the output and closes the connection once the caller has closed it, so that no
+// input can make the kernel drop output.
+func (c *callerConn) finish() {
+	c.socket.Finish()
+	if c.socket.Pending() == 0 {
+		c.fire(c.duty.events.flushed)
+	}
 }
 
 var _ netloop.Handler = (*callerConn)(nil)
--- a/pkg/linkio/callers_test.go
+++ b/pkg/linkio/callers_test.go
@@ -62,16 +62,24 @@
 
 // startHarnessWithRing runs a duty whose ring to session has the given capacity.
 func startHarnessWithRing(t *testing.T, capacity int) *harness {
+	return startHarnessWith(t, capacity, func(*CallerConfig) {})
+}
+
+// startHarnessWith runs a duty whose configuration is changed by change.
+func startHarnessWith(t *testing.T, capacity int, change func(*CallerConfig)) *harness {
 	h := &harness{t: t, signal: ring.NewSignal(), done: make(chan error, 1), logs: make(chan CallerLog, 64)}
 	h.events = ring.New[session.Input](capacity, h.signal)
 	definition, err := charts.Load("link_caller")
 	require.NoError(t, err)
-	h.duty, err = NewCallers(CallerConfig{
+	config := CallerConfig{
 		Address: "127.0.0.1:0", RingCapacity: 64, MaxCallers: 10, MaxInputBytes: 1 << 10,
-		Startup: time.Minute, Admission: time.Minute, FlushTimeout: 300 * time.Millisecond,
-		NewCodec: func() CallerCodec { return &lineCodec{} },
-		Log:      func(l CallerLog) { h.logs <- l },
-	}, definition, h.events)
+		Startup: time.Minute, Admission: time.Minute, Flush: time.Minute, PeerClose: time.Minute,
+		FlushTimeout: 300 * time.Millisecond,
+		NewCodec:     func() CallerCodec { return &lineCodec{} },
+		Log:          func(l CallerLog) { h.logs <- l },
+	}
+	change(&config)
+	h.duty, err = NewCallers(config, definition, h.events)
 	require.NoError(t, err)
 	go func() { h.done <- h.duty.Run() }()
 	return h
--- a/pkg/linkio/closelog.go
+++ b/pkg/linkio/closelog.go
@@ -127,7 +127,7 @@
 
 // keepEnding removes the attribution when the event did not end the connection.
 func (c *callerConn) keepEnding() {
-	if c.ending.decided && !c.table.Final(c.state) {
+	if c.ending.decided && !c.sessionEnded() && !c.table.Final(c.state) {
 		c.ending = ending{}
 	}
 }
@@ -180,8 +180,8 @@
 		fields["since_request_ms"] = now.Sub(c.last.arrived).Milliseconds()
 		fields["answer_bytes"] = c.last.written
 	}
-	if at := c.duty.stopNoticed; !at.IsZero() {
-		fields["since_stop_ms"] = now.Sub(at).Milliseconds()
+	if !c.duty.stopNoticed.IsZero() {
+		fields["since_stop_ms"] = c.duty.sinceStop().Milliseconds()
 	}
 	return fields
 }
@@ -233,17 +233,16 @@
 	return counts
 }
 
-// noticeStop records the beginning of the stop.
-func (d *Callers) noticeStop() {
-	d.stopNoticed = clock.Now()
-	d.openAtStop = d.countOpen()
+// sinceStop returns how long ago the duty noticed the stop, 0 before it.
+func (d *Callers) sinceStop() time.Duration {
+	if d.stopNoticed.IsZero() {
+		return 0
+	}
+	return clock.Now().Sub(d.stopNoticed)
 }
 
 // logDutyEnd logs what is not delivered when the sockets are about to be closed.
 func (d *Callers) logDutyEnd() {
-	if d.stopNoticed.IsZero() {
-		d.noticeStop()
-	}
 	for _, c := range d.conns {
 		c.logEnd(ClosedByStop, nil)
 	}
@@ -255,7 +254,7 @@
 			"open_at_stop": d.openAtStop.connections, "unanswered_at_stop": d.openAtStop.unanswered,
 			"unsent_at_stop": d.openAtStop.unsent, "unread_at_stop": d.openAtStop.unread,
 			"open": left.connections, "unanswered": left.unanswered, "unsent": left.unsent, "unread": left.unread,
-			"flush_ms": clock.Now().Sub(d.stopNoticed).Milliseconds(), "commands_queued": d.Commands.Len(),
+			"flush_ms": d.sinceStop().Milliseconds(), "commands_queued": d.Commands.Len(),
 			"session_events_queued": d.Outbox.Pending(), "late_answers": d.closes.lateAnswers.Load(),
 		},
 	})
--- a/pkg/linkio/closelog_test.go
+++ b/pkg/linkio/closelog_test.go
@@ -1,6 +1,7 @@
 package linkio
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -22,28 +23,22 @@
 }
 
 // openRequest opens a caller whose request waits for its answer.
-func (h *harness) openRequest(request string) (session.CallerID, func(string)) {
+func (h *harness) openRequest(request string) (session.CallerID, net.Conn) {
 	conn := h.dial()
 	write(h.t, conn, "entry\n"+request+"\n")
 	caller := h.next().(session.CallerOpened).Caller
 	h.send(session.CallerAdmitted{Caller: caller})
 	expect(h.t, conn, "hello\n")
 	require.Equal(h.t, request, h.next().(session.CallerRequest).Request.Payload.ID)
-	return caller, func(text string) {
-		if text == "" {
-			require.NoError(h.t, conn.Close())
-			return
-		}
-		write(h.t, conn, text)
-	}
+	return caller, conn
 }
 
 // Guards against a connection that ends before its request is answered without a log line
 // that tells who ended it and in which state. Issue 30 could not be traced for this reason.
 func TestUnansweredRequestIsLogged(t *testing.T) {
 	h := startHarness(t)
-	_, peer := h.openRequest("left")
-	peer("")
+	_, conn := h.openRequest("left")
+	require.NoError(t, conn.Close())
 	line := h.nextLog()
 	require.Equal(t, EventRequestUnanswered, line.Event)
 	require.False(t, line.Warning)
@@ -53,8 +48,10 @@
 	require.NotContains(t, line.Fields, "since_stop_ms")
 	h.next()
 
-	dismissed, _ := h.openRequest("dismissed")
+	dismissed, conn := h.openRequest("dismissed")
 	h.send(session.CallerClose{Caller: dismissed, Refusal: core.NotRun("reason", "text")})
+	expect(t, conn, "refuse text\n")
+	require.NoError(t, conn.Close())
 	line = h.nextLog()
 	require.True(t, line.Warning)
 	require.Equal(t, "session", line.Fields["closed_by"])
@@ -81,9 +78,9 @@
 // line, and against lines about connections that ended with everything delivered.
 func TestUndeliveredDataIsLogged(t *testing.T) {
 	h := startHarness(t)
-	quiet, send := h.openRequest("quiet")
+	quiet, conn := h.openRequest("quiet")
 	h.send(session.CallerReply{Caller: quiet})
-	send("quit\n")
+	write(t, conn, "quit\n")
 	require.Equal(t, session.CallerClosed{Caller: quiet}, h.next())
 	caller, _ := h.openRequest("slow")
 	h.send(session.CallerWrite{Caller: caller, Frames: make([]byte, 32<<20), Done: true, TxStatus: session.TxIdle})
--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -36,8 +36,8 @@
 	Commands *ring.Ring[In]
 	Outbox   *outbox.Outbox
 	Timers   timerq.Queue[func()]
-	// OutputPending reports whether output is unsent. A stop waits for it, for
-	// FlushTimeout at most. Nil means that a stop does not wait.
+	// OutputPending reports whether a connection still has to deliver something. A stop
+	// waits for it, for FlushTimeout at most. Nil means that a stop does not wait.
 	OutputPending func() bool
 	FlushTimeout  time.Duration
 	// OnStop is called when Run notices the stop, and OnEnd before Run closes the sockets.
@@ -70,8 +70,7 @@
 	}, nil
 }
 
-// Stop makes Run return once OutputPending reports no unsent output or
-// FlushTimeout has passed.
+// Stop makes Run return once OutputPending reports false or FlushTimeout has passed.
 func (r *Reactor[In]) Stop() {
 	r.stopping.Store(true)
 	r.Loop.Wake()
@@ -104,7 +103,7 @@
 }
 
 // finished reports whether a stop was requested and Run may return. If the stop may
-// have to wait for output, the first call after the request closes the listeners.
+// have to wait, the first call after the request closes the listeners.
 func (r *Reactor[In]) finished() bool {
 	if !r.stopping.Load() {
 		return false
