Half-close the links between instances at a stop

Cause: at a stop the rpc duty waited until its output was in the kernel and then closed every link. Where input was unread, the kernel answered the close with a reset and dropped the output that it had not sent: a reply to another instance, or the call that ends a transaction at its home.

Change: a stop drains each link by the new chart peer_link: the output is sent and shut down, the input is read until the peer closes, and Config.FlushTimeout (1 s, as before) bounds all of it. netloop.Conn gets ShutdownWrite, in a file of its own. The duty ends as soon as every peer has closed.

A stop waits up to FlushTimeout for a peer that does not close; before it did not wait for peers at all.

--- /dev/null
+++ b/lib/netloop/shutdown.go
@@ -0,0 +1,12 @@
+package netloop
+
+import "golang.org/x/sys/unix"
+
+// ShutdownWrite ends the output of an established connection whose output is sent: the
+// peer reads the end of the stream after it. The input is still read. The caller must
+// not write to the connection afterwards.
+func (c *Conn) ShutdownWrite() {
+	if c.state == open {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+}
--- a/pkg/rpc/duty.go
+++ b/pkg/rpc/duty.go
@@ -5,18 +5,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
 
-const (
-	// commandBatchSize is the maximum number of commands handled between two polls, so
-	// that a full ring does not starve the sockets.
-	commandBatchSize = 512
-	// flushTimeout bounds sending the remaining output at a stop.
-	flushTimeout = time.Second
-)
+// commandBatchSize is the maximum number of commands handled between two polls, so
+// that a full ring does not starve the sockets.
+const commandBatchSize = 512
 
 // Config holds the limits and timeouts of the duty.
 type Config struct {
@@ -34,6 +31,9 @@
 	// MaxPendingEvents limits the events that wait because the consumer is full.
 	// Further events are dropped and counted.
 	MaxPendingEvents int
+	// FlushTimeout bounds a stop: the remaining output and the wait until the peers have
+	// closed their connections.
+	FlushTimeout time.Duration
 }
 
 // DefaultConfig returns limits for an instance with 1,000 databases.
@@ -45,6 +45,7 @@
 		MaxOutputBytes:   2 * MaxMessageBytes,
 		MaxIncoming:      256,
 		MaxPendingEvents: 65536,
+		FlushTimeout:     time.Second,
 	}
 }
 
@@ -56,7 +57,9 @@
 	commands *ring.Ring[Command]
 	deliver  func(Event) bool
 
-	timers timerq.Queue[func()]
+	timers     timerq.Queue[func()]
+	linkChart  *chart.Table[*link]
+	linkEvents linkEvents
 	// outConns holds the outgoing connection that takes new calls to an address.
 	outConns map[string]*outConn
 	// conns holds every open connection, including draining ones.
@@ -76,23 +79,32 @@
 // readableConn is an incoming or outgoing connection.
 type readableConn interface {
 	socket() *netloop.Conn
+	// fire applies an event of the chart "peer_link".
+	fire(chart.Event)
 	// decode handles buffered messages until none is complete or the duty is blocked.
 	decode()
 }
 
 // New returns a duty that is not running yet. It returns a *netloop.OpError
-// when the kernel refuses the descriptors.
+// when the kernel refuses the descriptors, and the errors of the chart loader for a
+// chart that does not match the code.
 func New(config Config) (*Duty, error) {
+	links, err := loadLinkChart(config.FlushTimeout)
+	if err != nil {
+		return nil, err
+	}
 	loop, err := netloop.New()
 	if err != nil {
 		return nil, err
 	}
 	d := &Duty{
-		config:   config,
-		loop:     loop,
-		outConns: map[string]*outConn{},
-		conns:    map[readableConn]struct{}{},
-		inConns:  map[ConnID]*inConn{},
+		config:     config,
+		loop:       loop,
+		linkChart:  links,
+		linkEvents: resolveLinkEvents(links),
+		outConns:   map[string]*outConn{},
+		conns:      map[readableConn]struct{}{},
+		inConns:    map[ConnID]*inConn{},
 	}
 	d.commands = ring.New[Command](config.RingCapacity, loop)
 	return d, nil
@@ -270,22 +282,25 @@
 	}
 }
 
-// stop closes the listeners and starts the wait for unsent output.
+// stop closes the listeners and drains the connections.
 func (d *Duty) stop() {
+	if d.stopping {
+		return
+	}
 	d.stopping = true
-	d.stopDeadline = time.Now().Add(flushTimeout)
+	d.stopDeadline = time.Now().Add(d.config.FlushTimeout)
 	d.loop.CloseListeners()
+	d.forEachConn(func(c readableConn) { c.fire(d.linkEvents.drain) })
 }
 
-// finished reports whether a stop was requested and the output is sent or
-// flushTimeout has passed.
+// finished reports whether a stop was requested and every connection is closed and
+// every event and command handled, or FlushTimeout has passed.
 func (d *Duty) finished() bool {
 	if !d.stopping {
 		return false
 	}
-	unsent := 0
-	d.forEachConn(func(c readableConn) { unsent += c.socket().Pending() })
-	return unsent == 0 || !time.Now().Before(d.stopDeadline)
+	done := len(d.conns) == 0 && !d.blocked() && d.commands.Len() == 0
+	return done || !time.Now().Before(d.stopDeadline)
 }
 
 // DeliverTo returns a deliver function for Run that pushes into r and has w woken
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -10,9 +10,8 @@
 
 // inConn is an incoming connection.
 type inConn struct {
-	duty *Duty
-	id   ConnID
-	conn *netloop.Conn
+	link
+	id ConnID
 	// openRequests is the number of requests without a reply.
 	openRequests int
 }
@@ -24,21 +23,20 @@
 		return nil
 	}
 	d.lastConnID++
-	in := &inConn{duty: d, id: d.lastConnID, conn: c}
+	in := &inConn{id: d.lastConnID}
+	in.start(d, c, in)
 	d.inConns[in.id] = in
 	d.addConn(in)
 	return in
 }
 
-func (in *inConn) socket() *netloop.Conn {
-	return in.conn
-}
-
 // Opened implements netloop.Handler; the loop does not call it for incoming connections.
 func (in *inConn) Opened(*netloop.Conn) {}
 
 // Flushed implements netloop.Handler.
-func (in *inConn) Flushed(*netloop.Conn) {}
+func (in *inConn) Flushed(*netloop.Conn) {
+	in.fire(in.duty.linkEvents.flushed)
+}
 
 // Data implements netloop.Handler.
 func (in *inConn) Data(*netloop.Conn) {
@@ -49,6 +47,7 @@
 func (in *inConn) Closed(*netloop.Conn, error) {
 	delete(in.duty.conns, in)
 	delete(in.duty.inConns, in.id)
+	in.fire(in.duty.linkEvents.lost)
 }
 
 // atLimit reports whether MaxCallsPerConn requests have no reply.
@@ -57,6 +56,10 @@
 }
 
 func (in *inConn) decode() {
+	if in.outputEnded {
+		in.discardInput()
+		return
+	}
 	for !in.duty.blocked() {
 		if in.atLimit() {
 			in.conn.PauseRead()
@@ -88,11 +91,20 @@
 	in.duty.deliverEvent(Request{Conn: in.id, ID: RequestID{id: r.ID}, Method: r.Method, Params: r.Params})
 }
 
+// refuseCalls implements linkEnd; calls are made on outgoing connections only.
+func (in *inConn) refuseCalls() {}
+
+// discardInput implements linkEnd. Requests that arrive now are not run.
+func (in *inConn) discardInput() {
+	in.conn.ResumeRead()
+	in.conn.Discard(len(in.conn.Buffered()))
+}
+
 // reply sends the reply to a request. It closes the connection of a peer that does not
 // read its replies, once MaxOutputBytes are unsent.
 func (d *Duty) reply(r Reply) {
 	in, ok := d.inConns[r.Conn]
-	if !ok || r.ID.IsNotification() {
+	if !ok || in.outputEnded || r.ID.IsNotification() {
 		return
 	}
 	frame, err := encodeReply(r)
--- a/pkg/rpc/messages.go
+++ b/pkg/rpc/messages.go
@@ -35,7 +35,8 @@
 	Error  *RemoteError
 }
 
-// Stop is the command to end the duty after its output is sent.
+// Stop is the command to end the duty, once its output is sent and the peers have closed
+// their connections, or after Config.FlushTimeout.
 type Stop struct{}
 
 func (Call) rpcCommand()  {}
--- a/pkg/rpc/outgoing.go
+++ b/pkg/rpc/outgoing.go
@@ -24,13 +24,12 @@
 
 // outConn is an outgoing connection with its unanswered calls.
 type outConn struct {
-	duty    *Duty
+	link
 	address string
 	// attemptedAt is when the connection attempt began. It is the time of a refused
 	// call: a refusal proves that the peer is dead, and this proof must not look newer
 	// than the attempt.
 	attemptedAt time.Time
-	conn        *netloop.Conn
 	opened      bool
 	// draining is set when the connection takes no further calls. It is closed after
 	// the last one.
@@ -58,6 +57,9 @@
 	}
 	out.addCall(id, c, now)
 	out.conn.Write(frame)
+	if d.stopping {
+		out.fire(d.linkEvents.drain)
+	}
 }
 
 // encode returns the encoded request of a call and its ID. IDs are unique within the
@@ -85,12 +87,12 @@
 	if out, ok := d.outConns[address]; ok {
 		return out, nil
 	}
-	out := &outConn{duty: d, address: address, attemptedAt: time.Now(), calls: map[int64]*pendingCall{}}
+	out := &outConn{address: address, attemptedAt: time.Now(), calls: map[int64]*pendingCall{}}
 	conn, err := d.loop.Connect(address, out)
 	if err != nil {
 		return nil, err
 	}
-	out.conn = conn
+	out.start(d, conn, out)
 	out.idleTimer.Value = out.closeIdle
 	d.outConns[address] = out
 	d.addConn(out)
@@ -153,17 +155,15 @@
 	out.conn.Close()
 }
 
-func (out *outConn) socket() *netloop.Conn {
-	return out.conn
-}
-
 // Opened implements netloop.Handler.
 func (out *outConn) Opened(*netloop.Conn) {
 	out.opened = true
 }
 
 // Flushed implements netloop.Handler.
-func (out *outConn) Flushed(*netloop.Conn) {}
+func (out *outConn) Flushed(*netloop.Conn) {
+	out.fire(out.duty.linkEvents.flushed)
+}
 
 // Data implements netloop.Handler.
 func (out *outConn) Data(*netloop.Conn) {
@@ -190,6 +190,14 @@
 	}
 }
 
+// refuseCalls implements linkEnd.
+func (out *outConn) refuseCalls() {
+	out.startDraining()
+}
+
+// discardInput implements linkEnd. The responses to calls are still delivered.
+func (out *outConn) discardInput() {}
+
 // handleResponse delivers the result of a call. A response to a call that has timed out
 // is dropped.
 func (out *outConn) handleResponse(r *jsonrpc2.Response) {
@@ -223,6 +231,7 @@
 func (out *outConn) Closed(_ *netloop.Conn, err error) {
 	delete(out.duty.conns, out)
 	out.startDraining()
+	out.fire(out.duty.linkEvents.lost)
 	out.duty.timers.Disarm(&out.idleTimer)
 	reason := out.closeError(err)
 	for _, id := range slices.Sorted(maps.Keys(out.calls)) {
