Tell peers at a stop which requests were accepted

Cause: an instance that stopped closed its incoming links without a word. The caller's instance could not tell a request that the home had run from one that the home had never read, and reported both as "may have been sent": a write that never ran was answered as uncertain. Replies that session had not handed over when the stop began were lost too, because the duty ended as soon as its own output was sent.

Change: at a stop an incoming link sends goAway with the ID of the last request that it has accepted. Later requests are rejected (CodeNotAccepted) or dropped, and the accepted ones are answered before the output is shut down, within answerTimeout (chart peer_link, state answering). The caller's side fails the calls after that ID with NotAcceptedError, which relayResult takes as not run, waits for the replies to the others, and opens a new connection for later calls. goAway travels as the response to call 0, an ID that no call has: an instance that does not know it drops it like a late response, so no agreement between versions is needed.

Ruled out: a notification. The decoder in use closes an outgoing link at any message that is not a response, so it would need an announcement in the other direction first, which members' status endpoints would get too.

--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -265,7 +265,7 @@
 		return session.RelayResult{ID: tag.id, Address: tag.address, Response: response}
 	}
 	lost.Refused = errors.As(r.Err, new(*rpc.RefusedError))
-	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.OverloadError)) || errors.As(r.Err, new(*rpc.EncodeError)) ||
-		rejectedRequest(r.Err)
+	lost.Unsent = lost.Refused || errors.As(r.Err, new(*rpc.NotAcceptedError)) || errors.As(r.Err, new(*rpc.OverloadError)) ||
+		errors.As(r.Err, new(*rpc.EncodeError)) || rejectedRequest(r.Err)
 	return lost
 }
--- a/pkg/instance/relayresult_test.go
+++ b/pkg/instance/relayresult_test.go
@@ -15,6 +15,7 @@
 func TestWhatALostResponseSaysOfTheStatement(t *testing.T) {
 	notRun := []rpc.Result{
 		{Err: &rpc.RefusedError{}}, {Err: &rpc.OverloadError{}}, {Err: &rpc.EncodeError{}}, {Err: &rpc.RemoteError{Message: "unknown method"}},
+		{Err: &rpc.NotAcceptedError{}}, {Err: &rpc.RemoteError{Code: rpc.CodeNotAccepted}},
 	}
 	mayHaveRun := []rpc.Result{
 		{Err: &rpc.RemoteError{Code: rpc.CodeInternal}}, {Err: &rpc.TimeoutError{}}, {Err: &rpc.ClosedError{}},
--- a/pkg/rpc/duty.go
+++ b/pkg/rpc/duty.go
@@ -31,8 +31,8 @@
 	// MaxPendingEvents limits the events that wait because the consumer is full.
 	// Further events are dropped and counted.
 	MaxPendingEvents int
-	// FlushTimeout bounds a stop: the remaining output and the wait until the peers have
-	// closed their connections.
+	// FlushTimeout bounds a stop: the replies to accepted requests, the remaining output
+	// and the wait until the peers have closed their connections.
 	FlushTimeout time.Duration
 }
 
@@ -282,7 +282,7 @@
 	}
 }
 
-// stop closes the listeners and drains the connections.
+// stop ends the acceptance of connections and requests.
 func (d *Duty) stop() {
 	if d.stopping {
 		return
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -14,6 +14,12 @@
 	id ConnID
 	// openRequests is the number of requests without a reply.
 	openRequests int
+	// request is the request that the event "request" carries.
+	request *jsonrpc2.Request
+	// lastAccepted is the ID of the last accepted request. hasOtherIDs is set when the
+	// peer uses IDs that are not numbers.
+	lastAccepted int64
+	hasOtherIDs  bool
 }
 
 // accept registers an incoming connection, or refuses it when there are MaxIncoming
@@ -83,16 +89,61 @@
 	}
 }
 
-// handleRequest delivers a request or notification.
+// handleRequest passes a request or notification to the chart.
 func (in *inConn) handleRequest(r *jsonrpc2.Request) {
+	in.request = r
+	in.fire(in.duty.linkEvents.request)
+	in.request = nil
+}
+
+// awaitsReplies implements linkEnd.
+func (in *inConn) awaitsReplies() bool {
+	return in.openRequests > 0
+}
+
+// acceptRequest implements linkEnd.
+func (in *inConn) acceptRequest() {
+	r := in.request
 	if r.IsCall() {
 		in.openRequests++
+		in.recordID(r.ID)
 	}
 	in.duty.deliverEvent(Request{Conn: in.id, ID: RequestID{id: r.ID}, Method: r.Method, Params: r.Params})
 }
 
-// refuseCalls implements linkEnd; calls are made on outgoing connections only.
-func (in *inConn) refuseCalls() {}
+// recordID records the ID of an accepted request.
+func (in *inConn) recordID(id jsonrpc2.ID) {
+	n, isNumber := id.Raw().(int64)
+	if !isNumber {
+		in.hasOtherIDs = true
+		return
+	}
+	in.lastAccepted = n
+}
+
+// rejectRequest implements linkEnd. It answers peers that do not know the goAway.
+func (in *inConn) rejectRequest() {
+	if !in.request.IsCall() {
+		return
+	}
+	frame, err := encodeReply(Reply{
+		ID: RequestID{id: in.request.ID}, Error: &RemoteError{Code: CodeNotAccepted, Message: "the instance is stopping"},
+	})
+	if err == nil && in.conn.Pending()+len(frame) <= in.duty.config.MaxOutputBytes {
+		in.conn.Write(frame)
+	}
+}
+
+// announceClose implements linkEnd. The order of IDs that are not numbers is not known,
+// so no announcement covers them.
+func (in *inConn) announceClose() {
+	if in.hasOtherIDs {
+		return
+	}
+	if frame, err := encodeGoAway(goAway{LastAccepted: in.lastAccepted}); err == nil {
+		in.conn.Write(frame)
+	}
+}
 
 // discardInput implements linkEnd. Requests that arrive now are not run.
 func (in *inConn) discardInput() {
@@ -121,11 +172,17 @@
 	if wasFull {
 		d.resumeReading(in)
 	}
+	in.fire(d.linkEvents.answered)
 }
 
-// CodeInternal is the JSON-RPC code of an internal error: the request was accepted and may
-// have been executed.
-const CodeInternal = -32603
+const (
+	// CodeInternal is the JSON-RPC code of an internal error: the request was accepted
+	// and may have been executed.
+	CodeInternal = -32603
+	// CodeNotAccepted is the code of a request that was not executed because the
+	// instance is stopping; it is one of the codes that JSON-RPC leaves to the server.
+	CodeNotAccepted = -32000
+)
 
 // encodeReply returns the encoded response. It returns an *EncodeError for a result that
 // cannot be encoded, and a *FrameError for a response that is too large.
--- a/pkg/rpc/link.go
+++ b/pkg/rpc/link.go
@@ -9,8 +9,13 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
 
-// steadyTimeout is the timeout of the chart state that only events end.
-const steadyTimeout = 10 * time.Minute
+const (
+	// steadyTimeout is the timeout of the chart state that only events end.
+	steadyTimeout = 10 * time.Minute
+	// answerTimeout bounds the wait for the replies to accepted requests at a stop. The
+	// consumers answer requests at once when they stop.
+	answerTimeout = 250 * time.Millisecond
+)
 
 // link is the life cycle of a connection, incoming or outgoing; its chart is
 // "peer_link".
@@ -26,15 +31,21 @@
 
 // linkEnd is what differs between incoming and outgoing connections.
 type linkEnd interface {
-	// refuseCalls makes further calls use another connection.
-	refuseCalls()
+	// awaitsReplies reports whether accepted requests have no reply.
+	awaitsReplies() bool
+	// announceClose tells the peer which requests were accepted.
+	announceClose()
+	// acceptRequest delivers the request that the event carries, rejectRequest answers
+	// that it is not run.
+	acceptRequest()
+	rejectRequest()
 	// discardInput drops input that is not needed once the output is shut down.
 	discardInput()
 }
 
 // linkEvents are the compiled events of the chart.
 type linkEvents struct {
-	drain, flushed, lost, timedOut chart.Event
+	request, answered, drain, flushed, lost, timedOut chart.Event
 }
 
 // loadLinkChart compiles the chart. It returns the errors of charts.Load and
@@ -45,14 +56,19 @@
 		return nil, err
 	}
 	return chart.Compile(definition, chart.Registry[*link]{
+		Guards: map[string]func(*link) bool{
+			"awaits_replies": func(l *link) bool { return l.end.awaitsReplies() },
+		},
 		Actions: map[string]func(*link){
-			"refuse_calls":     func(l *link) { l.end.refuseCalls() },
+			"accept_request":   func(l *link) { l.end.acceptRequest() },
+			"reject_request":   func(l *link) { l.end.rejectRequest() },
+			"announce_close":   func(l *link) { l.end.announceClose() },
 			"flush":            (*link).flush,
 			"shut_down_output": (*link).shutDownOutput,
 			"close":            func(l *link) { l.conn.Close() },
 		},
 		Timeouts: map[string]time.Duration{
-			"steady": steadyTimeout, "flush": flushTimeout, "linger": flushTimeout,
+			"steady": steadyTimeout, "answer": answerTimeout, "flush": flushTimeout, "linger": flushTimeout,
 		},
 	})
 }
@@ -61,7 +77,8 @@
 func resolveLinkEvents(t *chart.Table[*link]) linkEvents {
 	e := t.Event
 	return linkEvents{
-		drain: e("drain"), flushed: e("flushed"), lost: e("lost"), timedOut: e(chart.TimeoutEvent),
+		request: e("request"), answered: e("answered"), drain: e("drain"), flushed: e("flushed"), lost: e("lost"),
+		timedOut: e(chart.TimeoutEvent),
 	}
 }
 
--- a/pkg/rpc/messages.go
+++ b/pkg/rpc/messages.go
@@ -35,8 +35,10 @@
 	Error  *RemoteError
 }
 
-// Stop is the command to end the duty, once its output is sent and the peers have closed
-// their connections, or after Config.FlushTimeout.
+// Stop is the command to end the duty. No request that has not been accepted yet is
+// delivered any more. The duty ends once the replies to the accepted ones are sent and
+// the peers have closed their connections, or after Config.FlushTimeout. The consumer
+// must go on handling events until then.
 type Stop struct{}
 
 func (Call) rpcCommand()  {}
@@ -68,8 +70,8 @@
 	Tag any
 	// Raw is the JSON result when Err is nil.
 	Raw json.RawMessage
-	// Err is a *RefusedError, *TimeoutError, *ClosedError, *OverloadError,
-	// *EncodeError or *RemoteError.
+	// Err is a *RefusedError, *TimeoutError, *ClosedError, *NotAcceptedError,
+	// *OverloadError, *EncodeError or *RemoteError.
 	Err error
 	// SentAt is when the request was sent or the connection was attempted,
 	// CompletedAt when the result was known.
@@ -118,6 +120,16 @@
 	return "connection to " + e.Address + " closed: " + e.Reason
 }
 
+// NotAcceptedError reports a call that the other side has certainly not executed, because
+// it stopped before it accepted the call.
+type NotAcceptedError struct {
+	Address string
+}
+
+func (e *NotAcceptedError) Error() string {
+	return e.Address + " is stopping and has not accepted the call"
+}
+
 // OverloadError reports a call that was not sent because MaxCallsPerConn or MaxOutputBytes
 // was reached.
 type OverloadError struct {
--- a/pkg/rpc/outgoing.go
+++ b/pkg/rpc/outgoing.go
@@ -190,17 +190,45 @@
 	}
 }
 
-// refuseCalls implements linkEnd.
-func (out *outConn) refuseCalls() {
+// awaitsReplies implements linkEnd.
+func (out *outConn) awaitsReplies() bool {
+	return false
+}
+
+// announceClose implements linkEnd. The end of the output tells the peer that no further
+// call follows; calls that are made after it use a new connection.
+func (out *outConn) announceClose() {
 	out.startDraining()
 }
 
+// acceptRequest and rejectRequest implement linkEnd; no requests arrive on an outgoing
+// connection.
+func (out *outConn) acceptRequest() {}
+func (out *outConn) rejectRequest() {}
+
 // discardInput implements linkEnd. The responses to calls are still delivered.
 func (out *outConn) discardInput() {}
 
+// handleGoAway fails the calls that the peer has not accepted. The connection is closed
+// after the responses to the others; further calls use a new one.
+func (out *outConn) handleGoAway(g goAway) {
+	out.startDraining()
+	for _, id := range slices.Sorted(maps.Keys(out.calls)) {
+		if id > g.LastAccepted {
+			p := out.removeCall(id)
+			out.duty.fail(p.call, p.sentAt, &NotAcceptedError{Address: out.address})
+		}
+	}
+	out.closeOrIdle()
+}
+
 // handleResponse delivers the result of a call. A response to a call that has timed out
 // is dropped.
 func (out *outConn) handleResponse(r *jsonrpc2.Response) {
+	if g, ok := decodeGoAway(r); ok {
+		out.handleGoAway(g)
+		return
+	}
 	id, _ := r.ID.Raw().(int64)
 	p := out.removeCall(id)
 	if p == nil {
--- a/pkg/rpc/stop_test.go
+++ b/pkg/rpc/stop_test.go
@@ -55,6 +55,28 @@
 	return start(t, config, log.hold), log
 }
 
+// Guards against calls that are reported as possibly executed although the stopping peer
+// has not accepted them, and against a lost reply to a call that it has accepted.
+func TestStopTellsWhichCallsWereAccepted(t *testing.T) {
+	server, log := startOneAtATime(t)
+	client := start(t, DefaultConfig(), noReply)
+	for _, tag := range []string{"accepted", "unread"} {
+		require.True(t, client.Send(Call{Tag: tag, Address: server.address, Method: "echo", Params: tag, Timeout: callTimeout}))
+	}
+	accepted := log.first(t)
+	require.True(t, server.Send(Stop{}))
+	unread := client.next(t)
+	require.Equal(t, "unread", unread.Tag)
+	require.ErrorAs(t, unread.Err, new(*NotAcceptedError))
+	require.True(t, server.Send(echo(accepted)[0]))
+	result := client.next(t)
+	require.NoError(t, result.Err)
+	require.Equal(t, `"accepted"`, string(result.Raw))
+	refused := client.callAndWait(t, Call{Address: server.address, Method: "echo"})
+	require.ErrorAs(t, refused.Err, new(*RefusedError), "later calls use a new connection")
+	require.EqualValues(t, 1, server.seen.Load())
+}
+
 // dialSmall returns a connection to address with a small receive buffer.
 func dialSmall(t *testing.T, address string) *net.TCPConn {
 	conn, err := net.Dial("tcp", address)
@@ -105,6 +127,30 @@
 	}
 }
 
+// Guards against a goAway that an older instance would take for the response to one of
+// its calls or for invalid input, and against a request of such an instance that is
+// neither accepted nor rejected while the accepted ones are answered.
+func TestGoAwayIsAResponseToNoCall(t *testing.T) {
+	server, log := startOneAtATime(t)
+	peer := dialSmall(t, server.address)
+	writeCall(t, peer, 1, "accepted")
+	accepted := log.first(t)
+	writeCall(t, peer, 2, "late")
+	require.True(t, server.Send(Stop{}))
+	require.True(t, server.Send(echo(accepted)[0]))
+	responses := readResponses(t, peer)
+	require.GreaterOrEqual(t, len(responses), 2)
+	require.Equal(t, goAwayID, responses[0].ID.Raw())
+	require.JSONEq(t, `{"last_accepted":1}`, string(responses[0].Result))
+	require.Equal(t, int64(1), responses[1].ID.Raw())
+	require.NoError(t, responses[1].Error)
+	for _, r := range responses[2:] {
+		require.Equal(t, int64(2), r.ID.Raw())
+		require.EqualValues(t, CodeNotAccepted, remoteError(r.Error).Code)
+	}
+	require.EqualValues(t, 1, server.seen.Load())
+}
+
 // Guards against a reply that is cut off at a stop: the connection is closed with unread
 // input, and the kernel drops the output that it has not sent.
 func TestLastReplyIsSentThoughInputIsUnread(t *testing.T) {
