Accept the waiting connections before the rpc listener closes

Cause: connections in the queue of the listener were reset when a stop closed it. Their peers saw an open connection end and reported its calls as possibly executed.

Change: a stop accepts what waits (netloop.Loop.AcceptPending) and tells it, as every other link, that nothing was accepted. A connection that the kernel completes between this and the close of the listener is still reset.

--- a/lib/netloop/shutdown.go
+++ b/lib/netloop/shutdown.go
@@ -10,3 +10,14 @@
 		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
 	}
 }
+
+// AcceptPending accepts the connections that wait in the queues of the listeners. The
+// kernel resets those that are still there when a listener is closed.
+func (l *Loop) AcceptPending() {
+	for fd, accept := range l.listeners {
+		for before := -1; before != len(l.conns); {
+			before = len(l.conns)
+			l.accept(fd, accept)
+		}
+	}
+}
--- a/lib/netloop/shutdown_test.go
+++ b/lib/netloop/shutdown_test.go
@@ -36,3 +36,22 @@
 	pollUntil(t, l, func() bool { return client.closed })
 	require.ErrorIs(t, client.err, io.EOF)
 }
+
+// Guards against connections that are left in the queue of a listener, where a close of
+// the listener resets them.
+func TestAcceptPendingEmptiesTheQueue(t *testing.T) {
+	l := newLoop(t)
+	accepted := 0
+	address, err := l.Listen("127.0.0.1:0", func(*Conn) Handler {
+		accepted++
+		return &recorder{}
+	})
+	require.NoError(t, err)
+	for range acceptBatch + 10 {
+		peer, err := net.Dial("tcp", address.String())
+		require.NoError(t, err)
+		defer peer.Close()
+	}
+	l.AcceptPending()
+	require.Equal(t, acceptBatch+10, accepted)
+}
--- a/pkg/rpc/duty.go
+++ b/pkg/rpc/duty.go
@@ -282,13 +282,16 @@
 	}
 }
 
-// stop ends the acceptance of connections and requests.
+// stop ends the acceptance of connections and requests. Connections that wait in the
+// listener's queue are accepted first, so that their peers are told that no request on
+// them is run.
 func (d *Duty) stop() {
 	if d.stopping {
 		return
 	}
 	d.stopping = true
 	d.stopDeadline = time.Now().Add(d.config.FlushTimeout)
+	d.loop.AcceptPending()
 	d.loop.CloseListeners()
 	d.forEachConn(func(c readableConn) { c.fire(d.linkEvents.drain) })
 }
--- a/pkg/rpc/stop_test.go
+++ b/pkg/rpc/stop_test.go
@@ -202,6 +202,25 @@
 	client.Wake()
 }
 
+// Guards against a reset of connections that wait in the listener's queue when the stop
+// begins: their calls would be reported as possibly executed.
+func TestConnectionInTheQueueIsToldOfTheStop(t *testing.T) {
+	d, err := New(DefaultConfig())
+	require.NoError(t, err)
+	address, err := d.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	peer := dialSmall(t, address.String())
+	writeCall(t, peer, 7, "queued")
+	require.True(t, d.Send(Stop{}))
+	var group duty.Group
+	group.Start("rpc", func() { d.Run(func(Event) bool { return true }) })
+	responses := readResponses(t, peer)
+	require.NotEmpty(t, responses)
+	require.JSONEq(t, `{"last_accepted":0}`, string(responses[0].Result))
+	peer.Close()
+	group.Wait()
+}
+
 // Guards against a stop that waits for its bound although every peer has closed its
 // connection, and against one that never ends because a peer does not.
 func TestStopEndsWithThePeersOrItsBound(t *testing.T) {
