Keep accepted requests when a stopping home refuses a connection

Cause: a refused connection to a home ended every request relayed to it as "may have run". A planned stop closes the listener before the last answers have arrived, so a second caller's request, refused and run elsewhere, cost the first caller the answer to a write that the home had accepted and run.

Change: a refused connection marks the home as lost, so that nothing more is relayed to it. Requests on an open connection end with their answer, with the report that their connection ended, or when the home has not responded for peerTimeout. An answer on such a connection does not end the loss.

--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -98,6 +98,7 @@
 	}
 	if p.e.now.Sub(p.lastContact) > peerTimeout {
 		p.markLost()
+		p.endRelayed()
 	}
 	if p.e.now.Before(p.lastExchange().Add(peerProbeInterval)) {
 		p.arm()
@@ -106,16 +107,21 @@
 	p.probe()
 }
 
-// markLost marks the home as lost and ends the requests relayed to it; they may
-// have run there.
+// markLost marks the home as lost, so that no further request is relayed to it.
 func (p *homePeer) markLost() {
-	e := p.e
-	if !p.lost {
-		p.lost = true
-		e.metrics.HomesLost++
-		e.outbox.out.Control(HomeUnresponsive{Address: p.address})
-		e.updateLostHomes()
+	if p.lost {
+		return
 	}
+	p.lost = true
+	p.e.metrics.HomesLost++
+	p.e.outbox.out.Control(HomeUnresponsive{Address: p.address})
+	p.e.updateLostHomes()
+}
+
+// endRelayed ends the requests relayed to a home that does not respond; they may
+// have run there.
+func (p *homePeer) endRelayed() {
+	e := p.e
 	for id, s := range p.relayed {
 		delete(p.relayed, id)
 		e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: id})
@@ -124,6 +130,17 @@
 	}
 }
 
+// recordResponse records the response to a request. The response to a request that
+// the home accepted before it refused a connection does not show that it accepts
+// another one.
+func (p *homePeer) recordResponse() {
+	if p.refusedConnection {
+		p.lastContact = p.e.now
+		return
+	}
+	p.recordContact()
+}
+
 // recordContact records a message from the home.
 func (p *homePeer) recordContact() {
 	p.lastContact = p.e.now
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -234,7 +234,9 @@
 
 // relayResult handles a home's response.
 func (e *Engine) relayResult(in RelayResult) {
-	e.peerProbeReply(in.Address)
+	if p := e.peers[in.Address]; p != nil {
+		p.recordResponse()
+	}
 	s := e.takeRelayed(in.ID, in.Address)
 	if s == nil {
 		return
@@ -256,7 +258,9 @@
 }
 
 // relayLost handles a request that gets no response. A refused connection marks
-// the home as lost.
+// the home as lost. It says nothing about requests on an open connection: a
+// stopping home still answers those that it has accepted, and the end of their
+// connection is reported for each of them.
 func (e *Engine) relayLost(in RelayLost) {
 	if s := e.takeRelayed(in.ID, in.Address); s != nil {
 		s.unsent = in.Unsent
--- /dev/null
+++ b/pkg/session/stoppinghome_test.go
@@ -0,0 +1,45 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+)
+
+// relayFromTwoCallers relays a write of caller 1, which the home accepts, and one of
+// caller 2, for which the home refuses the connection. It returns the first.
+func relayFromTwoCallers(h *harness) RelayRequest {
+	h.open(2, core.Position{})
+	h.sendClassified(1, "accepted", write)
+	accepted := h.lastRelayed()
+	h.sendClassified(2, "refused", write)
+	refused := h.lastRelayed()
+	h.do(RelayLost{ID: refused.ID, Address: refused.Address, Unsent: true, Refused: true})
+	return accepted
+}
+
+// Guards against an uncertain answer to a write that a stopping home has accepted: the
+// home refuses new connections while its answer is on the way.
+func TestAcceptedRequestOutlivesARefusedConnection(t *testing.T) {
+	h := newOriginHarness(t)
+	accepted := relayFromTwoCallers(h)
+	h.homeResponds(accepted, RelayResponse{Frames: []byte("done"), TxStatus: TxIdle})
+	require.Equal(t, CallerWrite{Caller: 1, Frames: []byte("done"), Done: true, TxStatus: TxIdle}, h.lastCallerCommand())
+	require.True(t, h.e.peer(homeAddress).lost, "an earlier connection's answer does not show that the home accepts another")
+	h.do(PeerProbeReply{Address: homeAddress})
+	require.False(t, h.e.peer(homeAddress).lost)
+}
+
+// Guards against a request that waits until its deadline for a home that has refused
+// another connection and does not respond any more.
+func TestAcceptedRequestOfAnEndedHomeIsGivenUp(t *testing.T) {
+	h := newOriginHarness(t)
+	relayFromTwoCallers(h)
+	for waited := time.Duration(0); waited < peerTimeout+peerProbeInterval; waited += peerProbeInterval {
+		h.wait(peerProbeInterval)
+	}
+	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
+}
