Keep a removed database while sessions use it

Cause: a database that a configuration removed was dropped at once on instances without a connection to it. Callers whose transaction runs at the home have none here; they kept the dropped state, which stays "leaving" for good. If the database was back before their next statement, it was answered as rolled back two seconds after the removal.

Change: the state of a removed database also stays while a session uses it. The sessions are looked up only for a removed database without connections.

Result: TestDatabaseRestoredDuringATransaction, red before (expected "commit", actual "read": the commit was not sent to the home).

--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -87,7 +87,8 @@
 }
 
 // configureDatabases creates, updates and removes the databases. A removed
-// database stays until a later catalogue finds all its connections closed.
+// database stays until a later catalogue finds all its connections closed and none
+// of its callers left: if it returns, their transactions go on.
 func (e *Engine) configureDatabases(cat *catalogue.Catalogue) {
 	inCatalogue := map[core.DatabaseName]bool{}
 	for i := range cat.Databases {
@@ -105,12 +106,23 @@
 			continue
 		}
 		db.setLeaving(true)
-		if db.connections == 0 {
+		if db.connections == 0 && !db.hasCallers() {
 			delete(e.databases, name)
 		}
 	}
 }
 
+// hasCallers reports whether a session uses the database. A caller whose statements
+// the home runs has no connection to it.
+func (db *database) hasCallers() bool {
+	for _, c := range db.e.callers {
+		if c.db == db {
+			return true
+		}
+	}
+	return false
+}
+
 // configureEntries replaces the entries. An entry with an unknown account or
 // database is left out.
 func (e *Engine) configureEntries(cat *catalogue.Catalogue) {
--- a/pkg/session/withdrawal_test.go
+++ b/pkg/session/withdrawal_test.go
@@ -75,3 +75,20 @@
 		require.Equal(t, before+1, h.countSent())
 	}
 }
+
+// Guards against a transaction that ends because its database was removed from the
+// configuration and is back before the next statement.
+func TestDatabaseRestoredDuringATransaction(t *testing.T) {
+	h := newOriginHarness(t)
+	h.sendClassified(1, "begin", begin)
+	h.sendClassified(1, "read", read)
+	h.homeResponds(h.lastRelayed(), RelayResponse{TxStatus: 'T'})
+	h.publishCatalogue(entryChanges["database removed"])
+	h.publishCatalogue(func(*catalogue.Catalogue) {})
+	h.wait(h.e.cfg.Bounds.Leaving + 1)
+	h.sendClassified(1, "commit", commit)
+	require.Equal(t, "commit", h.lastRelayed().Request.Payload.ID)
+	h.homeResponds(h.lastRelayed(), RelayResponse{TxStatus: TxIdle, Position: position(1, 101)})
+	require.IsType(t, CallerWrite{}, h.lastCallerCommand())
+	h.requireOpen(1)
+}
