Read settings again that could not be read

Cause: the reloader notes the file's modification time and size before it reads it.

A cause is logged once, and again after a change of the file or a SIGHUP.

Result: TestReloadReadsAFailedFileAgain, red before (one "settings_rejected" where two causes occurred, nothing applied afterwards).

--- a/pkg/instance/reload.go
+++ b/pkg/instance/reload.go
@@ -27,6 +27,8 @@
 	log     func(level logrus.Level, event, message string, fields telemetry.Fields)
 	// lastInfo describes the file as of the last check.
 	lastInfo os.FileInfo
+	// rejected is why the last read of the file failed, empty if it did not.
+	rejected string
 	stopped  chan struct{}
 }
 
@@ -40,7 +42,7 @@
 }
 
 // run reads the file at each value from reload, and every reloadInterval when it has
-// changed. It returns after stop.
+// changed or could not be used. It returns after stop.
 func (r *reloader) run(reload <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
@@ -48,17 +50,29 @@
 		select {
 		case <-reload:
 			r.fileChanged()
+			r.rejected = ""
 			r.applyFile()
 		case <-ticker.C:
-			if r.fileChanged() {
-				r.applyFile()
-			}
+			r.checkFile()
 		case <-r.stopped:
 			return
 		}
 	}
 }
 
+// checkFile reads the file if it has changed, or if the last read failed: whether it can be
+// read may change without it.
+func (r *reloader) checkFile() {
+	changed := r.fileChanged()
+	if !changed && r.rejected == "" {
+		return
+	}
+	if changed {
+		r.rejected = ""
+	}
+	r.applyFile()
+}
+
 // stop ends run. It must be called once.
 func (r *reloader) stop() {
 	close(r.stopped)
@@ -80,14 +94,18 @@
 	return before == nil || !info.ModTime().Equal(before.ModTime()) || info.Size() != before.Size()
 }
 
-// applyFile reads the file and applies the changed settings. An invalid file is
-// logged and changes nothing.
+// applyFile reads the file and applies the changed settings. An invalid file changes
+// nothing; it is logged once for each cause.
 func (r *reloader) applyFile() {
 	loaded, err := r.load(r.path)
 	if err != nil {
-		r.log(logrus.WarnLevel, "settings_rejected", err.Error(), nil)
+		if err.Error() != r.rejected {
+			r.log(logrus.WarnLevel, "settings_rejected", err.Error(), nil)
+		}
+		r.rejected = err.Error()
 		return
 	}
+	r.rejected = ""
 	changes := r.current.Changes(loaded)
 	r.log(logrus.InfoLevel, "settings_reloaded", "settings file read again", telemetry.Fields{
 		"in_force": changes.Reloadable, "needs_restart": changes.RestartOnly,
--- a/pkg/instance/reload_test.go
+++ b/pkg/instance/reload_test.go
@@ -82,3 +82,26 @@
 	<-ended
 	require.Len(t, *applied, 1)
 }
+
+// Guards against settings that stay out of force after the file could not be read for a
+// while, although it can be read again: neither its modification time nor its size change
+// with its permissions, or with what it refers to. The cause is logged once.
+func TestReloadReadsAFailedFileAgain(t *testing.T) {
+	r, write, events, applied := newTestReloader(t)
+	write("30")
+	load, failure := r.load, eris.New("permission denied")
+	r.load = func(string) (*settings.Hosted, error) { return nil, failure }
+	for range 3 {
+		r.checkFile()
+	}
+	require.Equal(t, []string{"settings_rejected"}, *events)
+	failure = eris.New("another cause")
+	r.checkFile()
+	require.Equal(t, []string{"settings_rejected", "settings_rejected"}, *events)
+	r.load = load
+	r.checkFile()
+	require.Len(t, *applied, 1)
+	require.InDelta(t, 30, (*applied)[0].RateSlack, 0)
+	r.checkFile()
+	require.Len(t, *applied, 1, "read since its last change")
+}
