Stop the session duty only after the sockets that it answers

At the end of a planned stop the session duty ended before the duty of the links between instances: a request that a link had accepted and a stopping home would have answered as not served got no answer, and the other instance had to call a write uncertain. Now the sockets of callers and of other instances end first, at most 0.5 s, while session still runs; duty.Group waits for named duties. TestWaitForSelectedDuties; TestHosted* (all, once, load 25): ok.

--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -41,24 +41,36 @@
 	}
 }
 
-// WaitFor waits like Wait, but at most for timeout. It returns the names of the
-// duties that are still running then, nil if there are none.
-func (g *Group) WaitFor(timeout time.Duration) []string {
+// WaitFor waits for the named duties, or for all without a name, but at most for timeout.
+// It returns the names of those that are still running then, nil if there are none.
+func (g *Group) WaitFor(timeout time.Duration, names ...string) []string {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	for _, done := range g.done {
+	for i, done := range g.done {
+		if !selected(g.names[i], names) {
+			continue
+		}
 		select {
 		case <-done:
 		case <-timer.C:
-			return g.running()
+			return g.running(names)
 		}
 	}
 	return nil
 }
 
-func (g *Group) running() []string {
+// selected reports whether the duty is among the names, or whether there are none.
+func selected(duty string, names []string) bool {
+	return len(names) == 0 || slices.Contains(names, duty)
+}
+
+// running returns the selected duties that have not ended.
+func (g *Group) running(selection []string) []string {
 	var names []string
 	for i, done := range g.done {
+		if !selected(g.names[i], selection) {
+			continue
+		}
 		select {
 		case <-done:
 		default:
--- a/lib/duty/duty_test.go
+++ b/lib/duty/duty_test.go
@@ -18,3 +18,16 @@
 	require.Empty(t, g.WaitFor(5*time.Second))
 	g.Wait()
 }
+
+// Guards against a stop that waits for duties that it did not ask for, or that does not
+// wait for those that it did.
+func TestWaitForSelectedDuties(t *testing.T) {
+	unblock := make(chan struct{})
+	var g Group
+	g.Start("stuck", func() { <-unblock })
+	g.Start("quick", func() {})
+	require.Empty(t, g.WaitFor(5*time.Second, "quick"))
+	require.Equal(t, []string{"stuck"}, g.WaitFor(50*time.Millisecond, "quick", "stuck"))
+	close(unblock)
+	require.Empty(t, g.WaitFor(5*time.Second, "stuck"))
+}
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -98,18 +98,24 @@
 	return false
 }
 
+// Names of the duties that a stop waits for first.
+const (
+	dutyCallers = "caller-io"
+	dutyPeers   = "rpc"
+)
+
 // Run starts every duty. A value from stop starts the planned stop; Run returns
 // when the stop is complete. A value from reload reads the settings file again.
 func (h *Hosted) Run(stop, reload <-chan os.Signal) {
 	h.startLog()
 	h.startCritical("target-io", h.targets.Run)
-	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
+	h.duties.Start(dutyPeers, func() { h.rpc.Run(h.deliverPeer) })
 	h.duties.Start("session", h.sessionDuty.run)
 	h.duties.Start("fleet", h.fleetDuty.run)
 	h.watcher.Start(&h.duties)
 	h.registrar.Start(&h.duties)
 	h.worker.Start(&h.duties)
-	h.startCritical("caller-io", h.callers.Run)
+	h.startCritical(dutyCallers, h.callers.Run)
 	if h.reloader != nil {
 		h.duties.Start("settings", func() { h.reloader.run(reload) })
 	}
@@ -157,8 +163,9 @@
 	}
 }
 
-// stopDuties stops the duties: first those that call the store, then the sockets
-// from the callers inward, so that the last answers are still sent.
+// stopDuties stops the duties: first those that call the store, then the sockets of
+// callers and of other instances, and the session duty only after these, because it
+// answers the requests that they have accepted.
 func (h *Hosted) stopDuties() {
 	h.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
 	h.stopping.Store(true)
@@ -169,10 +176,11 @@
 	h.watcher.Stop()
 	h.worker.Stop()
 	h.callers.Stop()
+	h.rpc.Send(rpc.Stop{})
+	h.duties.WaitFor(min(h.shutdownTimeout(), edgeShutdownTimeout), dutyCallers, dutyPeers)
 	h.sessionDuty.stop()
 	h.targets.Stop()
 	h.fleetDuty.stop()
-	h.rpc.Send(rpc.Stop{})
 	h.closeHTTP(h.readyServer)
 	h.closeHTTP(h.metricsServer)
 	h.shutDown(h.shutdownTimeout())
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -61,6 +61,9 @@
 	// balancerNoticeTime is how long the balancer may take to notice that the instance is
 	// not ready: two failed probes, one a second, and the time of an answer.
 	balancerNoticeTime = 2200 * time.Millisecond
+	// edgeShutdownTimeout bounds the wait for the sockets of callers and of other instances
+	// to close; it covers callerFlushTimeout.
+	edgeShutdownTimeout = 500 * time.Millisecond
 	// hostedShutdownTimeout bounds the wait for the duties to end, if the plan of the stop
 	// leaves that much; it allows for one call to the store.
 	hostedShutdownTimeout = 1200 * time.Millisecond
