Handle the commands in the ring of the caller sockets before a stop ends

Cause: Run handles commandBatchSize commands between two polls. When the flush timeout of a stop had passed, or was zero, it returned after one batch and dropped the commands that had come before its end, the last answers among them.

Change: a stop that waits for output handles what is in the ring before it closes the sockets. The duty of the target sockets still drops what is left, on purpose: a request must not reach a member when nobody waits for its answer.

Result: TestStopHandlesTheCommandsBeforeIt failed with "expected: 769, actual: 256" and passes 5 of 5 times; lint and the tests of reactor, linkio and callerio pass.

--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -37,7 +37,9 @@
 	Outbox   *outbox.Outbox
 	Timers   timerq.Queue[func()]
 	// OutputPending reports whether a connection still has to deliver something. A stop
-	// waits for it, for FlushTimeout at most. Nil means that a stop does not wait.
+	// waits for it, for FlushTimeout at most, and handles the commands that came before its
+	// end. Nil means that a stop does not wait and drops the commands that are left: a request
+	// must not be sent when nobody waits for its answer.
 	OutputPending func() bool
 	FlushTimeout  time.Duration
 	// OnStop is called when Run notices the stop, and OnEnd before Run closes the sockets.
@@ -94,8 +96,14 @@
 	}
 }
 
-// end closes the sockets.
+// end handles the commands that are left, unless a stop drops them, and closes the sockets.
 func (r *Reactor[In]) end() {
+	if r.OutputPending != nil {
+		// Commands that arrive meanwhile are not waited for, which bounds the loop.
+		for left := r.Commands.Len(); left > 0; left -= commandBatchSize {
+			r.handleCommands()
+		}
+	}
 	if r.OnEnd != nil {
 		r.OnEnd()
 	}
--- a/pkg/reactor/reactor_test.go
+++ b/pkg/reactor/reactor_test.go
@@ -42,3 +42,22 @@
 		require.Fail(t, "the reactor did not stop")
 	}
 }
+
+// Guards against a stop that drops commands which arrived before it, such as the last answers,
+// because there are more of them than one batch and the flush timeout has passed.
+func TestStopHandlesTheCommandsBeforeIt(t *testing.T) {
+	const commands = 3*commandBatchSize + 1
+	handled := 0
+	r, err := New(Config[int]{
+		Capacity: 2 * commands, Session: ring.New[session.Input](4, ring.NewSignal()), Now: time.Now,
+		Handle: func(int) { handled++ },
+	})
+	require.NoError(t, err)
+	r.OutputPending = func() bool { return true }
+	for i := range commands {
+		require.True(t, r.Commands.TryPush(i))
+	}
+	r.Stop()
+	require.NoError(t, r.Run())
+	require.Equal(t, commands, handled)
+}
