Do not run a relayed request locally after its time limit

Cause: the deadline of a relayed request is extended by relayMargin (30 ms), so that the home gives up first. When the home was lost, the request ran on this instance with the extended deadline: up to 30 ms after its caller's time limit.

Change: the margin ends with the wait for the home.

--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -334,6 +334,7 @@
 	c := s.c
 	c.relayedTo = nil
 	c.txStatus = txIdle
+	s.deadline = s.deadline.Add(-relayMargin)
 	if !s.unsent {
 		s.mayHaveRun = !s.changesNothing()
 	}
@@ -346,9 +347,10 @@
 }
 
 // mayRunLocally reports whether a statement whose home was lost may run on this
-// instance: nothing of it was sent, or it changes nothing.
+// instance: nothing of it was sent, or it changes nothing, and the time limit without
+// relayMargin has not passed.
 func (s *statement) mayRunLocally() bool {
-	if s.c.inTransaction() || s.c.e.now.After(s.deadline) {
+	if s.c.inTransaction() || s.c.e.now.After(s.deadline.Add(-relayMargin)) {
 		return false
 	}
 	return s.unsent || s.changesNothing()
--- a/pkg/session/stoppinghome_test.go
+++ b/pkg/session/stoppinghome_test.go
@@ -43,3 +43,25 @@
 	}
 	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
 }
+
+// Guards against a request that a member runs after its caller's time limit: the margin
+// of a relayed request is for the home's answer, not for another attempt.
+func TestRequestIsNotRunLocallyAfterItsDeadline(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		h := newOriginHarness(t)
+		h.e.entries["entry"].deadline = peerProbeInterval
+		h.sendClassified(1, "write", write)
+		v := h.lastRelayed()
+		h.wait(peerProbeInterval - time.Millisecond)
+		h.do(PeerProbeReply{Address: homeAddress})
+		if late {
+			h.wait(2 * time.Millisecond)
+		}
+		h.do(RelayLost{ID: v.ID, Address: v.Address, Unsent: true})
+		h.connect()
+		require.Equal(t, late, h.countSent() == 0)
+		if !late {
+			require.Equal(t, v.Request.Arrived.Add(peerProbeInterval), h.lastSent().NotAfter)
+		}
+	}
+}
