Acknowledge a peer's request once, after session has accepted it

Cause: deliverPeer decodes an event again when session's ring was full, and the decoding acknowledged pings, ends of sessions and requests to release a connection. Such a request was answered twice, and the rpc duty then counted one open request too few on that link; at a stop it would not wait for the reply to an accepted request.

Change: decoding has no effect; the acknowledgement follows the acceptance.

--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -91,14 +91,35 @@
 
 // deliverPeer decodes an event of the rpc duty and passes it to session. It reports
 // false when session's ring is full; the rpc duty is then woken once there is free
-// space.
+// space, and offers the event again.
 func (h *Hosted) deliverPeer(event rpc.Event) bool {
 	in := h.peerInput(event)
-	return in == nil || pushOrNotify(h.sessionDuty.input, in, h.rpc)
+	if in == nil {
+		return true
+	}
+	if !pushOrNotify(h.sessionDuty.input, in, h.rpc) {
+		return false
+	}
+	h.acknowledge(event)
+	return true
+}
+
+// acknowledge answers a request that session has accepted and does not answer itself
+// with an empty result. It must be called once for a request.
+func (h *Hosted) acknowledge(event rpc.Event) {
+	r, ok := event.(rpc.Request)
+	if !ok {
+		return
+	}
+	switch r.Method {
+	case relay.MethodPing, relay.MethodReleaseConnection, relay.MethodEndSession:
+		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
+	}
 }
 
 // peerInput decodes an event of the rpc duty. It returns the input for session, or
-// nil when the event was handled here or passed to another duty.
+// nil when the event was handled here or passed to another duty. It may be called
+// several times for an event that has an input.
 func (h *Hosted) peerInput(event rpc.Event) session.Input {
 	switch e := event.(type) {
 	case rpc.Request:
@@ -136,13 +157,13 @@
 	switch r.Method {
 	case relay.MethodPing:
 		var ping relay.Ping
-		if !h.decodeAndAcknowledge(r, &ping) {
+		if !h.decodeOrReject(r, &ping) {
 			return nil
 		}
 		return session.OriginHeartbeat{Instance: ping.Instance}
 	case relay.MethodReleaseConnection:
 		var release relay.ReleaseConnection
-		if !h.decodeAndAcknowledge(r, &release) {
+		if !h.decodeOrReject(r, &release) {
 			return nil
 		}
 		return session.ReleaseConnectionRequested{Member: release.Member}
@@ -170,7 +191,7 @@
 		return nil
 	case relay.MethodEndSession:
 		var end relay.EndSession
-		if !h.decodeAndAcknowledge(r, &end) {
+		if !h.decodeOrReject(r, &end) {
 			return nil
 		}
 		return session.RemoteClosed{Caller: session.RemoteID{Instance: end.Instance, Caller: session.CallerID(end.Caller)}}
@@ -226,16 +247,6 @@
 	return false
 }
 
-// decodeAndAcknowledge decodes a request and answers it with an empty result at once,
-// which only confirms that it was received. It reports false for a rejected request.
-func (h *Hosted) decodeAndAcknowledge(r rpc.Request, params any) bool {
-	if !h.decodeOrReject(r, params) {
-		return false
-	}
-	h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Result: struct{}{}})
-	return true
-}
-
 // rejectRequest logs an invalid request and answers it with the error.
 func (h *Hosted) rejectRequest(r rpc.Request, err error) {
 	h.log(logrus.WarnLevel, "peer_request_invalid", err.Error(), telemetry.Fields{"method": r.Method})
