Count a relayed request's time limit from its receipt

Cause: a relayed request that found session's ring full was decoded again later with the time of then, so the wait was given to it on top of its time limit. The caller's instance gave it up as uncertain while the home still ran it.

Change: rpc.Request carries the time at which it was received, and the time limit counts from that.

Measured: before, TestTimeLimitOfARelayedRequestCountsFromItsReceipt fails with "expected 00:13:20.010136323, actual 00:13:21.010354489" (a wait of 1 s); it passes now.

--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -200,7 +200,7 @@
 		if !h.decodeOrReject(r, &request) {
 			return nil
 		}
-		in, err := request.Decode(replyHandle{conn: r.Conn, id: r.ID}, clock.Now())
+		in, err := request.Decode(replyHandle{conn: r.Conn, id: r.ID}, r.ReceivedAt)
 		if err != nil {
 			h.rejectRequest(r, err)
 			return nil
--- a/pkg/instance/hostedpeers_test.go
+++ b/pkg/instance/hostedpeers_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/relay"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -29,10 +31,10 @@
 }
 
 // peerRequestOf returns a request of another instance.
-func peerRequestOf(t *testing.T, method string, params any) rpc.Request {
+func peerRequestOf(t *testing.T, method string, params any, receivedAt time.Time) rpc.Request {
 	encoded, err := json.Marshal(params)
 	require.NoError(t, err)
-	return rpc.Request{Method: method, Params: encoded}
+	return rpc.Request{Method: method, Params: encoded, ReceivedAt: receivedAt}
 }
 
 // lastInput empties the session ring and returns its newest input.
@@ -52,9 +54,9 @@
 // there are and does not wait for their replies at a stop.
 func TestPeerRequestIsAcknowledgedOnce(t *testing.T) {
 	requests := []rpc.Request{
-		peerRequestOf(t, relay.MethodPing, relay.Ping{Instance: "run"}),
-		peerRequestOf(t, relay.MethodEndSession, relay.EndSession{Instance: "run", Caller: 7}),
-		peerRequestOf(t, relay.MethodReleaseConnection, relay.ReleaseConnection{Member: "m"}),
+		peerRequestOf(t, relay.MethodPing, relay.Ping{Instance: "run"}, clock.Now()),
+		peerRequestOf(t, relay.MethodEndSession, relay.EndSession{Instance: "run", Caller: 7}, clock.Now()),
+		peerRequestOf(t, relay.MethodReleaseConnection, relay.ReleaseConnection{Member: "m"}, clock.Now()),
 	}
 	for _, r := range requests {
 		h := newPeerTestHosted(t)
@@ -66,3 +68,15 @@
 		require.NotNil(t, h.lastInput(), r.Method)
 	}
 }
+
+// Guards against a relayed request whose time limit begins again when session's ring has
+// free space: the caller's instance gives it up while the home still runs it.
+func TestTimeLimitOfARelayedRequestCountsFromItsReceipt(t *testing.T) {
+	h := newPeerTestHosted(t)
+	receivedAt := clock.Now().Add(-time.Second)
+	r := peerRequestOf(t, relay.MethodRelay, relay.Request{ElapsedMicros: 5000}, receivedAt)
+	require.False(t, h.deliverPeer(r))
+	h.lastInput()
+	require.True(t, h.deliverPeer(r))
+	require.Equal(t, receivedAt.Add(-5*time.Millisecond), h.lastInput().(session.RemoteRequest).Request.Arrived)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -156,10 +156,10 @@
 	return request
 }
 
-// Decode decodes a request; replyTo is returned with the response and now is the
-// receiver's current time. It returns a *core.PositionError for a malformed
+// Decode decodes a request; replyTo is returned with the response and receivedAt is when
+// this instance received it. It returns a *core.PositionError for a malformed
 // position and a *TextError for texts that do not match.
-func (v *Request) Decode(replyTo any, now time.Time) (session.RemoteRequest, error) {
+func (v *Request) Decode(replyTo any, receivedAt time.Time) (session.RemoteRequest, error) {
 	floor, err := decodePosition(v.Floor)
 	if err != nil {
 		return session.RemoteRequest{}, err
@@ -176,7 +176,7 @@
 			Simple:         true,
 			Classification: &session.Classification{Kind: v.Kind, Name: v.Ends, Commit: v.Commit, Hints: session.Hints{MaxAge: entryMaxAge}},
 			Payload:        &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
-			Arrived:        now.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
+			Arrived:        receivedAt.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
 		},
 	}, nil
 }
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/exp/jsonrpc2"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 )
 
@@ -108,7 +109,9 @@
 		in.openRequests++
 		in.recordID(r.ID)
 	}
-	in.duty.deliverEvent(Request{Conn: in.id, ID: RequestID{id: r.ID}, Method: r.Method, Params: r.Params})
+	in.duty.deliverEvent(Request{
+		Conn: in.id, ID: RequestID{id: r.ID}, Method: r.Method, Params: r.Params, ReceivedAt: clock.Now(),
+	})
 }
 
 // recordID records the ID of an accepted request.
--- a/pkg/rpc/messages.go
+++ b/pkg/rpc/messages.go
@@ -85,6 +85,8 @@
 	ID     RequestID
 	Method string
 	Params json.RawMessage
+	// ReceivedAt is when the request was received, by clock.Now.
+	ReceivedAt time.Time
 }
 
 func (Result) rpcEvent()  {}
