Test pending events and commands at a stop, and the end of relayed transactions

TestStopHandlesPendingEventsAndCommands: an accepted request that waits for a full consumer when the stop begins is answered, and a call queued behind the stop is sent. TestEndOfTheCallerEndsItsTransactionAtTheHome: the end of a caller reaches the home, which closes the member's connection at once; this was right before and had no test.

--- a/pkg/rpc/duty_test.go
+++ b/pkg/rpc/duty_test.go
@@ -28,8 +28,9 @@
 	full atomic.Bool
 	// replies returns the replies to send after a request.
 	replies func(Request) []Reply
-	// seen counts the requests.
-	seen atomic.Int64
+	// seen counts the requests, offered the events that the full consumer has refused.
+	seen    atomic.Int64
+	offered atomic.Int64
 }
 
 func start(t *testing.T, config Config, replies func(Request) []Reply) *endpoint {
@@ -50,6 +51,7 @@
 
 func (e *endpoint) deliver(event Event) bool {
 	if e.full.Load() {
+		e.offered.Add(1)
 		return false
 	}
 	switch v := event.(type) {
--- a/pkg/rpc/stop_test.go
+++ b/pkg/rpc/stop_test.go
@@ -246,3 +246,22 @@
 		require.Nil(t, group.WaitFor(testFlushTimeout/2))
 	}
 }
+
+// Guards against an accepted request that is lost at a stop because the consumer is full
+// then, and against commands behind the stop that are dropped.
+func TestStopHandlesPendingEventsAndCommands(t *testing.T) {
+	config := DefaultConfig()
+	config.FlushTimeout = testFlushTimeout
+	server := start(t, config, echo)
+	client := start(t, DefaultConfig(), noReply)
+	other := start(t, DefaultConfig(), echo)
+	server.full.Store(true)
+	require.True(t, client.Send(Call{Tag: "pending", Address: server.address, Method: "echo", Timeout: callTimeout}))
+	require.Eventually(t, func() bool { return server.offered.Load() > 0 }, callTimeout, time.Millisecond)
+	require.True(t, server.Send(Stop{}))
+	require.True(t, server.Send(Call{Address: other.address, Method: "leave", Timeout: callTimeout}))
+	require.Eventually(t, func() bool { return other.seen.Load() == 1 }, callTimeout, time.Millisecond)
+	server.full.Store(false)
+	server.Wake()
+	require.NoError(t, client.next(t).Err)
+}
--- a/pkg/session/stoppinghome_test.go
+++ b/pkg/session/stoppinghome_test.go
@@ -65,3 +65,23 @@
 		}
 	}
 }
+
+// Guards against a transaction that stays open at a member of the home after its caller
+// has left, and against a home that is not told.
+func TestEndOfTheCallerEndsItsTransactionAtTheHome(t *testing.T) {
+	h := newOriginHarness(t)
+	h.sendClassified(1, "begin", begin)
+	h.sendClassified(1, "read", read)
+	h.homeResponds(h.lastRelayed(), RelayResponse{TxStatus: 'T'})
+	h.do(CallerClosed{Caller: 1})
+	require.Equal(t, RelayEnd{Address: homeAddress, Caller: 1}, h.peers[len(h.peers)-1])
+
+	h = newHomeHarness(t)
+	h.firstInTransaction = true
+	h.sendRemote(1, 0, true, "write", write)
+	target := h.lastSent().Target
+	h.primaryAnswers(target, 'T', position(1, 100))
+	h.do(RemoteClosed{Caller: RemoteID{Instance: "origin-1", Caller: 7}})
+	require.Contains(t, h.targets, TargetClose{Target: target})
+	require.Empty(t, h.e.callers)
+}
