--- a/pkg/session/stoppinghome_test.go
+++ b/pkg/session/stoppinghome_test.go
@@ -43,3 +43,45 @@
 	}
 	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
 }
+
+// Guards against a request that a member runs after its caller's time limit: the margin
+// of a relayed request is for the home's answer, not for another attempt.
+func TestRequestIsNotRunLocallyAfterItsDeadline(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		h := newOriginHarness(t)
+		h.e.entries["entry"].deadline = peerProbeInterval
+		h.sendClassified(1, "write", write)
+		v := h.lastRelayed()
+		h.wait(peerProbeInterval - time.Millisecond)
+		h.do(PeerProbeReply{Address: homeAddress})
+		if late {
+			h.wait(2 * time.Millisecond)
+		}
+		h.do(RelayLost{ID: v.ID, Address: v.Address, Unsent: true})
+		h.connect()
+		require.Equal(t, late, h.countSent() == 0)
+		if !late {
+			require.Equal(t, v.Request.Arrived.Add(peerProbeInterval), h.lastSent().NotAfter)
+		}
+	}
+}
+
+// Guards against a transaction that stays open at a member of the home after its caller
+// has left, and against a home that is not told.
+func TestEndOfTheCallerEndsItsTransactionAtTheHome(t *testing.T) {
+	h := newOriginHarness(t)
+	h.sendClassified(1, "begin", begin)
+	h.sendClassified(1, "read", read)
+	h.homeResponds(h.lastRelayed(), RelayResponse{TxStatus: 'T'})
+	h.do(CallerClosed{Caller: 1})
+	require.Equal(t, RelayEnd{Address: homeAddress, Caller: 1}, h.peers[len(h.peers)-1])
+
+	h = newHomeHarness(t)
+	h.firstInTransaction = true
+	h.sendRemote(1, 0, true, "write", write)
+	target := h.lastSent().Target
+	h.primaryAnswers(target, 'T', position(1, 100))
+	h.do(RemoteClosed{Caller: RemoteID{Instance: "origin-1", Caller: 7}})
+	require.Contains(t, h.targets, TargetClose{Target: target})
+	require.Empty(t, h.e.callers)
+}
