Notice a settings file that was replaced by one of the same time and size

Cause: a change of the settings file without a signal was told from its modification time and size alone. A file that is moved into its place with the time of its source kept has both unchanged.

Change: another file at the path counts as a change.

Result: TestReloadNoticesAReplacedFile, red before ("[]" should have 1 item(s), but has 0).

--- a/pkg/instance/reload.go
+++ b/pkg/instance/reload.go
@@ -78,9 +78,9 @@
 	close(r.stopped)
 }
 
-// fileChanged reports whether the file differs from the last check in its
-// modification time or size. It reports false for a missing file, which is probably
-// being replaced.
+// fileChanged reports whether the file is another one than at the last check, or differs
+// in its modification time or size. It reports false for a missing file, which is
+// probably being replaced.
 func (r *reloader) fileChanged() bool {
 	info, err := os.Stat(r.path)
 	if err != nil {
@@ -91,7 +91,7 @@
 	}
 	before := r.lastInfo
 	r.lastInfo = info
-	return before == nil || !info.ModTime().Equal(before.ModTime()) || info.Size() != before.Size()
+	return before == nil || !os.SameFile(before, info) || !info.ModTime().Equal(before.ModTime()) || info.Size() != before.Size()
 }
 
 // applyFile reads the file and applies the changed settings. An invalid file changes
--- a/pkg/instance/reload_test.go
+++ b/pkg/instance/reload_test.go
@@ -105,3 +105,17 @@
 	r.checkFile()
 	require.Len(t, *applied, 1, "read since its last change")
 }
+
+// Guards against a file that is replaced by another of the same size and modification time,
+// as tools do that keep the time of the source.
+func TestReloadNoticesAReplacedFile(t *testing.T) {
+	r, _, _, applied := newTestReloader(t)
+	before, err := os.Stat(r.path)
+	require.NoError(t, err)
+	next := r.path + ".next"
+	require.NoError(t, os.WriteFile(next, []byte("30"), 0o600))
+	require.NoError(t, os.Chtimes(next, before.ModTime(), before.ModTime()))
+	require.NoError(t, os.Rename(next, r.path))
+	r.checkFile()
+	require.Len(t, *applied, 1)
+}
