Catch SIGHUP before the settings are read

Cause: an instance installed its signal handlers after it had read its settings and bound its addresses. A SIGHUP before that, for settings that changed while it started, ended the process: the callers that had connected meanwhile were reset, and the platform saw a process that ends by itself.

Change: the signals are caught first. A SIGHUP during the start reads the settings once more when the instance runs, and a SIGTERM starts the planned stop.

Result: testdata/hangup.txtar, red before ("status 129", "Hangup"), green in five runs after.

--- a/cmd/sassafrasshunt/hosted.go
+++ b/cmd/sassafrasshunt/hosted.go
@@ -32,14 +32,15 @@
 	if path == "" {
 		return fail(fmt.Errorf("%s is not set; it names the platform's settings file", instance.BootFileVariable))
 	}
-	h, err := instance.LoadHosted(path, os.Stdout)
-	if err != nil {
-		return fail(err)
-	}
+	// Before the settings are read, because a SIGHUP that is not caught ends the process.
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	h, err := instance.LoadHosted(path, os.Stdout)
+	if err != nil {
+		return fail(err)
+	}
 	h.Run(signals, reload)
 	return subcommands.ExitSuccess
 }
