Apply a shortened drain time to members that already drain

Cause: the deadline at which a draining member gets no more work is timed when its draining is announced. Settings that shorten the drain time did not change that timer, so the member was used up to the old deadline, unless some other change was published before.

Change: changed limits set the timer again.

Result: TestShortenedDrainTimeIsInForce, red before ("Should be false": the member was still usable 3.1 s after its draining with a drain time of 3 s).

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -379,10 +379,11 @@
 	e.publish()
 }
 
-// setLimits applies the limits of reloaded settings.
+// setLimits applies the limits of reloaded settings, also to members that already drain.
 func (e *Engine) setLimits(l Limits) {
 	e.config.Limits = l
 	if e.configuration != nil {
 		e.publish()
 	}
+	e.armSweep()
 }
