--- a/pkg/fleet/stop_changes_test.go
+++ b/pkg/fleet/stop_changes_test.go
@@ -9,15 +9,29 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// countInputs returns how often an input was sent to session.
-func (h *harness) countInputs(in session.Input) int {
-	n := 0
+// countSteps returns how often each step of a stop was sent to session.
+func (h *harness) countSteps() (drains, releases, transactions, statements int) {
 	for _, sent := range h.sessionInputs {
-		if sent == in {
-			n++
+		switch sent.(type) {
+		case session.Drain:
+			drains++
+		case session.ReleaseIdle:
+			releases++
+		case session.EndTransactions:
+			transactions++
+		case session.EndStatements:
+			statements++
 		}
 	}
-	return n
+	return drains, releases, transactions, statements
+}
+
+// requireSteps checks how often each step of the stop was sent to session.
+func (h *harness) requireSteps(drains, transactions, statements int) {
+	h.t.Helper()
+	d, r, tx, st := h.countSteps()
+	require.Zero(h.t, r, "idle callers are released by the drain only")
+	require.Equal(h.t, []int{drains, transactions, statements}, []int{d, tx, st})
 }
 
 // Guards against a planned stop that is begun again, shortened, or undone by a cut, its end,
@@ -35,16 +49,21 @@
 			h := newTwoDomainHarness(t)
 			h.handle(StopRequested{})
 			change(h)
-			h.advance(h.e.config.Bounds.BalancerNotice)
+			h.advance(testStopPlan.Sessions)
+			change(h)
+			h.requireSteps(1, 0, 0)
+			h.advance(testStopPlan.Transactions - testStopPlan.Sessions)
+			change(h)
+			h.requireSteps(1, 1, 0)
+			h.advance(testStopPlan.Answers - testStopPlan.Transactions)
 			change(h)
-			require.Equal(t, 1, h.countInputs(session.Drain{}))
-			require.Zero(t, h.countInputs(session.ReleaseIdle{}))
+			h.requireSteps(1, 1, 1)
 			require.False(t, h.finished)
-			h.advance(h.e.config.Bounds.DrainTimeout)
+			h.advance(testStopPlan.Grace - testStopPlan.Answers)
 			require.True(t, h.finished)
 			change(h)
 			require.False(t, h.ready)
-			require.Equal(t, 1, h.countInputs(session.Drain{}))
+			h.requireSteps(1, 1, 1)
 		})
 	}
 }
@@ -58,8 +77,8 @@
 	require.False(t, h.ready)
 	h.handle(StopRequested{})
 	require.True(t, h.deregistered)
-	h.advance(h.e.config.Bounds.BalancerNotice)
-	require.Equal(t, 1, h.countInputs(session.Drain{}))
+	h.advance(testStopPlan.Sessions)
+	h.requireSteps(1, 0, 0)
 	h.handle(SessionReport{Report: session.Drained{}})
 	require.True(t, h.finished)
 }
