Close the caller sockets of the PostgreSQL front only after their callers

Cause: callerio waited for the caller's close only after a protocol violation. Where session or a failed startup ended a connection, the socket closed once the kernel had accepted the output, which resets the connection and drops output when input is unread or arrives later. A Terminate that came with the last request dropped the unsent part of the answer.

Change: closeAfterOutput uses netloop.Conn.Finish in all cases, in place of its own way of waiting. The caller has 1 s to close (PeerCloseTimeout) after the output was sent, after a violation FlushTimeout as before, because it may be in the middle of a long message. Terminate sends the output first. A stop closes the connections without a request under way in the same way; callers that do not notice their end, such as idle ones of a pool, prolong it by up to 1 s.

--- a/pkg/callerio/caller.go
+++ b/pkg/callerio/caller.go
@@ -41,16 +41,15 @@
 	// closing is set once the connection only sends its buffered output and then
 	// closes; further input is discarded.
 	closing bool
-	// awaitCallerClose is set when the caller may still be sending. The proxy then
-	// waits until the caller closes the connection or FlushTimeout passes: closing
-	// a socket with unread input resets the connection, and the caller would lose
-	// the error response.
-	awaitCallerClose bool
+	// mayBeSending is set when the caller may be in the middle of a long message. It reads the
+	// error response after that.
+	mayBeSending bool
 	// stateTimer is the timeout of the startup chart's current state.
 	stateTimer timerq.Item[func()]
 	// failureTimer delays the error response to a failed authentication.
 	failureTimer timerq.Item[func()]
-	// flushTimer limits how long a closing connection sends its output.
+	// flushTimer limits how long a closing connection sends its output, and then how long
+	// the caller takes to close it.
 	flushTimer timerq.Item[func()]
 
 	// The parameters of the StartupMessage.
@@ -123,6 +122,9 @@
 		c.outputBlocked = false
 		c.duty.Outbox.Push(session.CallerWritable{Caller: c.id})
 	}
+	if c.closing {
+		c.armFlushTimer()
+	}
 }
 
 // Closed implements netloop.Handler.
@@ -224,7 +226,7 @@
 func (c *caller) closeOnViolation(reason string) {
 	c.duty.counts.violations.Add(1)
 	c.duty.logEvent(c, LogProtocolViolation, reason)
-	c.awaitCallerClose = true
+	c.mayBeSending = true
 	c.closingError = wire.Failure{
 		Severity: wire.SeverityFatal,
 		SQLState: SQLState(core.ReasonProtocolViolation),
@@ -250,19 +252,38 @@
 	c.closeAfterOutput()
 }
 
-// closeAfterOutput closes the connection when its output is sent, or after
-// FlushTimeout.
+// closeAfterOutput sends the output and closes the connection once the caller has closed it, or
+// when FlushTimeout or PeerCloseTimeout has passed.
 func (c *caller) closeAfterOutput() {
 	if c.closed || c.closing {
 		return
 	}
 	c.closing = true
-	if !c.awaitCallerClose {
-		c.conn.CloseAfterFlush()
+	c.conn.Finish()
+	c.armFlushTimer()
+}
+
+// closeAfterQuit closes the connection when its output is sent, or after FlushTimeout. The
+// caller has announced that it sends nothing more.
+func (c *caller) closeAfterQuit() {
+	if c.closed || c.closing {
+		return
 	}
+	c.closing = true
+	c.conn.CloseAfterFlush()
 	if !c.closed {
-		c.duty.Timers.Arm(&c.flushTimer, time.Now().Add(c.duty.config.FlushTimeout))
+		c.armFlushTimer()
+	}
+}
+
+// armFlushTimer sets the bound of the current step of a closing connection. A caller that may
+// still be sending gets as long as for reading the output, except at a stop.
+func (c *caller) armFlushTimer() {
+	bound := c.duty.config.FlushTimeout
+	if c.conn.Pending() == 0 && (!c.mayBeSending || c.duty.stopping) {
+		bound = c.duty.config.PeerCloseTimeout
 	}
+	c.duty.Timers.Arm(&c.flushTimer, time.Now().Add(bound))
 }
 
 func (c *caller) flushTimedOut() {
--- a/pkg/callerio/config.go
+++ b/pkg/callerio/config.go
@@ -39,8 +39,11 @@
 	StartupStepTimeout time.Duration
 	// AdmissionTimeout limits the wait for the session duty at startup.
 	AdmissionTimeout time.Duration
-	// FlushTimeout limits how long a closing connection sends its last output.
-	FlushTimeout time.Duration
+	// FlushTimeout limits how long a closing connection sends its last output, and
+	// PeerCloseTimeout how long the caller then takes to close it. An idle caller in a
+	// connection pool does not notice the end.
+	FlushTimeout     time.Duration
+	PeerCloseTimeout time.Duration
 	// BaseFailureDelay is the delay of the error response to the first failed
 	// authentication of a remote address. It doubles with each further failure, up
 	// to MaxFailureDelay.
@@ -60,9 +63,11 @@
 	defaultStartupStepTimeout   = 10 * time.Second
 	defaultAdmissionTimeout     = 10 * time.Second
 	defaultFlushTimeout         = 5 * time.Second
-	defaultBaseFailureDelay     = 100 * time.Millisecond
-	defaultMaxFailureDelay      = 3 * time.Second
-	defaultServerVersion        = "16.4"
+	// defaultPeerCloseTimeout is several round trips to a distant caller.
+	defaultPeerCloseTimeout = time.Second
+	defaultBaseFailureDelay = 100 * time.Millisecond
+	defaultMaxFailureDelay  = 3 * time.Second
+	defaultServerVersion    = "16.4"
 )
 
 func (c Config) withDefaults() Config {
@@ -75,6 +80,7 @@
 	c.StartupStepTimeout = cmp.Or(c.StartupStepTimeout, defaultStartupStepTimeout)
 	c.AdmissionTimeout = cmp.Or(c.AdmissionTimeout, defaultAdmissionTimeout)
 	c.FlushTimeout = cmp.Or(c.FlushTimeout, defaultFlushTimeout)
+	c.PeerCloseTimeout = cmp.Or(c.PeerCloseTimeout, defaultPeerCloseTimeout)
 	c.BaseFailureDelay = cmp.Or(c.BaseFailureDelay, defaultBaseFailureDelay)
 	c.MaxFailureDelay = cmp.Or(c.MaxFailureDelay, defaultMaxFailureDelay)
 	c.ServerVersion = cmp.Or(c.ServerVersion, defaultServerVersion)
--- a/pkg/callerio/duty.go
+++ b/pkg/callerio/duty.go
@@ -34,6 +34,8 @@
 	// scratch is the buffer in which responses are assembled.
 	scratch []byte
 	counts  counters
+	// stopping is set once the duty has noticed that it is to stop.
+	stopping bool
 }
 
 // New opens the listening socket and returns the duty. It returns a *ConfigError
@@ -64,6 +66,7 @@
 		return nil, &ConfigError{Reason: "cannot create the event loop", Err: err}
 	}
 	d.OutputPending, d.FlushTimeout = d.outputPending, config.FlushTimeout
+	d.OnStop = d.beginStop
 	d.address, err = d.Loop.Listen(config.Address, d.accept)
 	if err != nil {
 		d.Loop.Close()
@@ -102,11 +105,24 @@
 	}
 }
 
-// outputPending reports whether responses are not sent yet. Events for session
-// are ignored, because that duty may already have stopped.
+// beginStop closes the connections without a request under way.
+func (d *Duty) beginStop() {
+	d.stopping = true
+	for _, c := range d.callers {
+		if c.closing {
+			c.armFlushTimer()
+		} else if !c.busy {
+			c.closeAfterOutput()
+		}
+	}
+}
+
+// outputPending reports whether responses are not sent yet, or callers have not closed a
+// connection that is closing. Events for session are ignored, because that duty may already
+// have stopped.
 func (d *Duty) outputPending() bool {
 	for _, c := range d.callers {
-		if c.conn.Pending() > 0 {
+		if c.closing || c.conn.Pending() > 0 {
 			return true
 		}
 	}
--- a/pkg/callerio/messages.go
+++ b/pkg/callerio/messages.go
@@ -70,7 +70,7 @@
 }
 
 func (c *caller) terminate(wire.Frame) bool {
-	c.closeConn()
+	c.closeAfterQuit()
 	return true
 }
 
