Send decided outputs at a stop when their ring is full

Cause: a decision duty that stopped tried each output ring once. Outputs that a full ring did not accept at that moment, such as the last answers to callers, were dropped, although the duty behind the ring was still taking commands.

Change: a stopping decision duty waits for space, for 500 ms at most because the duty behind the ring may have ended. Inputs that are left are not handled, as before: a new request must not reach a member then. duty_left_work says what was left.

--- a/pkg/instance/decisionduty.go
+++ b/pkg/instance/decisionduty.go
@@ -11,6 +11,10 @@
 // deadline.
 const inputBatchSize = 64
 
+// stopFlushTimeout bounds the wait at a stop for space in the output rings, whose duties may
+// have ended already. It fits into hostedShutdownTimeout.
+const stopFlushTimeout = 500 * time.Millisecond
+
 // engine is single-threaded decision logic without I/O. One duty drives it and
 // passes in the time.
 type engine[In any] interface {
@@ -39,7 +43,7 @@
 	return &decisionDuty[In]{input: ring.New[In](capacity, signal), signal: signal, now: time.Now}
 }
 
-// run handles inputs and deadlines until stop is called.
+// run handles inputs and deadlines until stop is called, and then sends what is decided.
 func (d *decisionDuty[In]) run() {
 	for !d.stopping.Load() {
 		if !d.flush() {
@@ -50,12 +54,27 @@
 			d.park()
 		}
 	}
-	d.flush()
+	d.flushAtStop()
 	if d.ended != nil {
 		d.ended(d.input.Len(), d.unsent())
 	}
 }
 
+// flushAtStop writes the backlogs and waits for space in full rings, for stopFlushTimeout at
+// most.
+func (d *decisionDuty[In]) flushAtStop() {
+	deadline := d.now().Add(stopFlushTimeout)
+	for !d.flush() {
+		left := deadline.Sub(d.now())
+		if left <= 0 {
+			return
+		}
+		if d.notifySpace() {
+			d.signal.Wait(left)
+		}
+	}
+}
+
 // unsent returns the number of outputs that their rings have not accepted.
 func (d *decisionDuty[In]) unsent() int {
 	outputs := 0
@@ -82,15 +101,20 @@
 // waitForSpace blocks until a full output ring has free space. The consumer of that ring
 // must not wait for this duty in turn, or the wait would never end; I/O duties never do.
 func (d *decisionDuty[In]) waitForSpace() {
-	wait := false
-	for _, w := range d.writers {
-		wait = w.notifySpace(d.signal) || wait
-	}
-	if wait && !d.stopping.Load() {
+	if d.notifySpace() && !d.stopping.Load() {
 		d.signal.Wait(-1)
 	}
 }
 
+// notifySpace requests a wake-up for each full output ring and reports whether there is one.
+func (d *decisionDuty[In]) notifySpace() bool {
+	full := false
+	for _, w := range d.writers {
+		full = w.notifySpace(d.signal) || full
+	}
+	return full
+}
+
 // handleBatch handles up to inputBatchSize inputs and a due deadline. It reports
 // whether it handled an input or stopped early because an output ring is full. It
 // reads the clock for each input: a process that is paused in the middle of a batch
--- a/pkg/instance/decisionduty_test.go
+++ b/pkg/instance/decisionduty_test.go
@@ -86,6 +86,17 @@
 	<-e.handled
 }
 
+// Guards against decided outputs, such as the last answers to callers, that a stop leaves
+// behind because the ring to their duty is full at that moment (hypothesis 5 of issue 30).
+func TestStopSendsDecidedOutputs(t *testing.T) {
+	d, e, output := startEcho(t, 20)
+	require.True(t, d.input.TryPush(1))
+	<-e.handled
+	d.stop()
+	time.Sleep(20 * time.Millisecond)
+	require.Len(t, popN(output, 20), 20)
+}
+
 // Guards against firing a deadline while an output ring is full.
 func TestNoTickWithAFullOutlet(t *testing.T) {
 	d := newDecisionDuty[int](8)
