--- a/pkg/rpc/stop_test.go
+++ b/pkg/rpc/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -265,3 +266,39 @@
 	server.Wake()
 	require.NoError(t, client.next(t).Err)
 }
+
+// Guards against two instances that stop at the same time and wait for each other until
+// their bounds.
+func TestBothEndsStop(t *testing.T) {
+	config := DefaultConfig()
+	config.FlushTimeout = testFlushTimeout
+	var ends [2]*Duty
+	var addresses [2]string
+	var group duty.Group
+	var accepted atomic.Int64
+	for i := range ends {
+		d, err := New(config)
+		require.NoError(t, err)
+		bound, err := d.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		ends[i], addresses[i] = d, bound.String()
+	}
+	for _, d := range ends {
+		group.Start("rpc", func() {
+			d.Run(func(e Event) bool {
+				if _, ok := e.(Request); ok {
+					accepted.Add(1)
+				}
+				return true
+			})
+		})
+	}
+	for i, d := range ends {
+		require.True(t, d.Send(Call{Address: addresses[1-i], Method: "never answered", Timeout: callTimeout}))
+	}
+	require.Eventually(t, func() bool { return accepted.Load() == 2 }, callTimeout, time.Millisecond)
+	for _, d := range ends {
+		require.True(t, d.Send(Stop{}))
+	}
+	require.Nil(t, group.WaitFor(testFlushTimeout/2))
+}
