Let the end of a relayed request end no later request

Cause: an instance that gives up a relayed request or transaction tells the home to end it. The message names the caller only, and is sent as a call of its own, with a timeout of 500 ms, after which the instance opens a new connection to the home. The caller's next request may therefore come over another connection and be read first. The late end then closed the session at the home while that request ran: it was cut off at the member and the home sent no response, so the caller waited for its time limit and got an uncertain outcome.

Change: the end names the caller's last request by its sequence number, and the home ignores an end that is older than the request that it runs.

--- a/pkg/fleet/home_sim_node_test.go
+++ b/pkg/fleet/home_sim_node_test.go
@@ -294,7 +294,7 @@
 		})
 	case session.RelayEnd:
 		n.reach(m.Address, func(to *homeNode) {
-			to.sessionInput(session.RemoteClosed{Caller: session.RemoteID{Instance: n.id, Caller: m.Caller}})
+			to.sessionInput(session.RemoteClosed{Caller: session.RemoteID{Instance: n.id, Caller: m.Caller}, Sequence: m.Sequence})
 		}, func() {})
 	case session.PeerProbe:
 		id := n.id
--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -55,7 +55,7 @@
 			Method: relay.MethodRelay, Params: params, Timeout: m.Timeout + relayTimeoutMargin,
 		})
 	case session.RelayEnd:
-		params := relay.EndSession{Instance: o.hosted.self.ID, Caller: uint64(m.Caller)}
+		params := relay.EndSession{Instance: o.hosted.self.ID, Caller: uint64(m.Caller), Sequence: m.Sequence}
 		o.peers.send(rpc.Call{Tag: endSessionTag{}, Address: string(m.Address), Method: relay.MethodEndSession, Params: params, Timeout: shortCallTimeout})
 	case session.ReleaseConnectionRequest:
 		o.peers.send(rpc.Call{
@@ -173,7 +173,8 @@
 		if !h.decodeAndAcknowledge(r, &end) {
 			return nil
 		}
-		return session.RemoteClosed{Caller: session.RemoteID{Instance: end.Instance, Caller: session.CallerID(end.Caller)}}
+		caller := session.RemoteID{Instance: end.Instance, Caller: session.CallerID(end.Caller)}
+		return session.RemoteClosed{Caller: caller, Sequence: end.Sequence}
 	case relay.MethodRelay:
 		var request relay.Request
 		if !h.decodeOrReject(r, &request) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -133,10 +133,11 @@
 	Member core.MemberID     `json:"member"`
 }
 
-// EndSession ends a relayed session or transaction.
+// EndSession ends a relayed session or transaction. Sequence is as in session.RelayEnd.
 type EndSession struct {
 	Instance core.InstanceID `json:"instance"`
 	Caller   uint64          `json:"caller"`
+	Sequence uint64          `json:"sequence,omitempty"`
 }
 
 // NewRequest encodes a request. self and from identify the sending instance; now is
--- a/pkg/session/entrychange_test.go
+++ b/pkg/session/entrychange_test.go
@@ -70,7 +70,7 @@
 			h.homeResponds(first, RelayResponse{TxStatus: 'T'})
 			h.publishCatalogue(change)
 			h.requireOpen(1)
-			require.NotContains(t, h.peers, RelayEnd{Address: homeAddress, Caller: 1})
+			require.Empty(t, h.relayEnds())
 			h.sendClassified(1, "commit", commit)
 			v := h.lastRelayed()
 			require.Equal(t, "commit", v.Request.Payload.ID)
--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -118,7 +118,7 @@
 	}
 	for id, s := range p.relayed {
 		delete(p.relayed, id)
-		e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: id})
+		e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: id, Sequence: s.sequence})
 		s.unsent = false
 		s.fire(e.charts.onStatement.relayLost)
 	}
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -65,6 +65,9 @@
 type RelayEnd struct {
 	Address PeerAddress
 	Caller  CallerID
+	// Sequence is the sequence number of the caller's last request. The home does not
+	// end later requests, which may overtake the message on another connection.
+	Sequence uint64
 }
 
 // PeerProbe asks an instance to confirm that it responds.
@@ -320,7 +323,7 @@
 		return
 	}
 	delete(p.relayed, c.id)
-	c.e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: c.id})
+	c.e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: c.id, Sequence: c.stmt.sequence})
 	c.relayedTo = nil
 	c.txStatus = txIdle
 }
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -44,6 +44,9 @@
 // RemoteClosed reports that a remote caller's session or transaction has ended.
 type RemoteClosed struct {
 	Caller RemoteID
+	// Sequence is the sequence number of the last request that it ends; zero ends
+	// every request.
+	Sequence uint64
 }
 
 func (RemoteRequest) sessionInput() {}
@@ -160,12 +163,15 @@
 	return c
 }
 
-// remoteClosed ends the session of a remote caller.
+// remoteClosed ends the session of a remote caller, unless a later request has begun.
 func (e *Engine) remoteClosed(in RemoteClosed) {
 	id, known := e.remotes[in.Caller]
 	if !known {
 		return
 	}
+	if c := e.callers[id]; c != nil && in.Sequence != 0 && in.Sequence < c.remote.lastSequence {
+		return
+	}
 	delete(e.remotes, in.Caller)
 	e.callerClosed(CallerClosed{Caller: id})
 }
--- a/pkg/session/withdrawal_test.go
+++ b/pkg/session/withdrawal_test.go
@@ -29,7 +29,7 @@
 		h.homeResponds(v, RelayResponse{Frames: []byte("done"), TxStatus: status})
 		h.requireAnsweredThenClosed(core.ReasonKeyRevoked)
 		if status == 'T' {
-			require.Contains(t, h.peers, RelayEnd{Address: homeAddress, Caller: 1})
+			require.Equal(t, []RelayEnd{{Address: homeAddress, Caller: 1, Sequence: v.ID.Sequence}}, h.relayEnds())
 		}
 	}
 }
