--- a/standin/e2e/hosted_stop_test.go
+++ b/standin/e2e/hosted_stop_test.go
@@ -154,10 +154,10 @@
 // connection that is closed later.
 func TestHostedStopOfIdleCallers(t *testing.T) {
 	const (
-		callers = 120
+		callers = 400
 		// The requests are sent before, while and after the sessions end.
-		first    = 1800 * time.Millisecond
-		interval = 10 * time.Millisecond
+		first    = 2050 * time.Millisecond
+		interval = time.Millisecond
 	)
 	s := newStopRun(t, 4*time.Second)
 	s.plan()
