Answer a request that has arrived before its session is closed

Cause: the duty of the caller sockets handles up to 256 commands before it reads the sockets again. A request that lay in the kernel when the command to close its idle session was handled got no answer, so the caller could not tell that it did not run. At a planned stop these commands come for all idle sessions at once.

Change: before an idle session is dismissed its socket is read (netloop.Conn.ReadArrived). A request found there makes the dismissal its answer, "not run"; session ignores the request of a session that it has ended. A request that is still on its way gets no answer, as before.

How often it happens in a fleet is not measured.

--- a/lib/netloop/finish.go
+++ b/lib/netloop/finish.go
@@ -32,3 +32,11 @@
 		c.closeWith(nil)
 	}
 }
+
+// ReadArrived handles input that has arrived since the last poll, as Poll does: it may call Data
+// and Closed. It has no effect while reading is paused.
+func (c *Conn) ReadArrived() {
+	if c.state == open && !c.closing && !c.finishing {
+		c.read()
+	}
+}
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -177,6 +177,7 @@
 	case session.CallerReply:
 		d.withConn(m.Caller, func(c *callerConn) { c.completeRequest(m.TxStatus, c.codec.EmptyResult(m.TxStatus)) })
 	case session.CallerClose:
+		d.withConn(m.Caller, (*callerConn).readArrived)
 		d.withConn(m.Caller, func(c *callerConn) { c.dismiss(m.Refusal) })
 	}
 }
@@ -353,42 +354,9 @@
 	c.processInput()
 }
 
-// dismiss ends the session; r is sent to the caller if it is not nil.
-func (c *callerConn) dismiss(r *core.Refusal) {
-	c.refusal = r
-	reason := ""
-	if r != nil {
-		reason = string(r.Reason)
-	}
-	c.attributeEnd(ClosedBySession, reason)
-	c.fire(c.duty.events.dismissed)
-	c.keepEnding()
-}
-
-// sendRefusal sends the refusal, if there is one.
-func (c *callerConn) sendRefusal() {
-	if c.refusal != nil {
-		c.socket.Write(c.codec.SessionError(c.refusal))
-	}
-}
-
-// sendViolation sends the codec's reply to invalid input.
-func (c *callerConn) sendViolation() {
-	c.socket.Write(c.violation.Reply)
-}
-
 // reportClosed tells the session duty that the session has ended.
 func (c *callerConn) reportClosed() {
 	c.duty.Outbox.Push(session.CallerClosed{Caller: c.id})
 }
 
-// finish sends the output and closes the connection once the caller has closed it, so that no
-// input can make the kernel drop output.
-func (c *callerConn) finish() {
-	c.socket.Finish()
-	if c.socket.Pending() == 0 {
-		c.fire(c.duty.events.flushed)
-	}
-}
-
 var _ netloop.Handler = (*callerConn)(nil)
--- a/pkg/linkio/closing_test.go
+++ b/pkg/linkio/closing_test.go
@@ -156,3 +156,31 @@
 		require.Eventually(t, func() bool { return h.duty.Open() == 0 }, 10*time.Second, time.Millisecond)
 	})
 }
+
+// Guards against a request that has arrived before its session is closed and gets no answer. The
+// caller then cannot tell that the request did not run.
+func TestArrivedRequestIsAnsweredAtTheClose(t *testing.T) {
+	blocked, release := make(chan struct{}), make(chan struct{})
+	h := startHarnessWith(t, 64, func(c *CallerConfig) {
+		c.Log = func(l CallerLog) {
+			if l.Fields["closed_by"] == "peer" {
+				close(blocked)
+				<-release
+			}
+		}
+	})
+	defer h.stop()
+	idle, conn := h.openRequest("one")
+	h.send(session.CallerReply{Caller: idle})
+	expect(t, conn, "reply\n")
+	// The log line of this connection holds the thread of the duty until both the request and
+	// the command have arrived.
+	_, other := h.openRequest("other")
+	require.NoError(t, other.Close())
+	<-blocked
+	write(t, conn, "two\n")
+	h.send(session.CallerClose{Caller: idle, Refusal: core.NotRun("x", "no")})
+	close(release)
+	expect(t, conn, "refuse no\n")
+	require.NoError(t, conn.Close())
+}
