Give the processes of the end-to-end tests a group of their own

When the shell command that had started the tests in the background ended while TestLimitRateFrozen had suspended an instance, the kernel hung up the orphaned process group and the instance with it. The processes are killed with the test process, since the terminal no longer interrupts them.

--- a/standin/e2e/process_test.go
+++ b/standin/e2e/process_test.go
@@ -42,6 +42,10 @@
 	cmd := exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = append(os.Environ(), p.env...)
+	// The kernel hangs up the processes of an orphaned group with a stopped member. In a
+	// group of its own the process is not hung up when the command that started the tests
+	// ends, nor interrupted from the terminal, so it is killed with the test process.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
