Answer a relayed request that the caller's instance has given up

Cause: a home that was told to end a request sent no response to it. The call between the two instances stayed open until it timed out, up to 1 s after the time limit; the caller's side then replaced the connection, and a stop of the home waited answerTimeout for a response that nobody would send.

Change: the home responds; the caller's instance drops the response, because the request has ended there.

Measured: before, TestAbandonedRemoteRequestGetsAResponse fails ("Should NOT be empty": no response was sent); pkg/session passes now.

--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -167,7 +167,22 @@
 		return
 	}
 	delete(e.remotes, in.Caller)
+	c := e.callers[id]
 	e.callerClosed(CallerClosed{Caller: id})
+	if c != nil {
+		e.answerAbandoned(c.remote)
+	}
+}
+
+// answerAbandoned responds to the request that its caller's instance has given up, if
+// there is one. That instance drops the response; it ends the call between the two.
+func (e *Engine) answerAbandoned(r *remoteCaller) {
+	if r.replyTo == nil {
+		return
+	}
+	refusal := core.Uncertain("the caller's instance has given the request up")
+	e.outbox.out.Peer(RelayResponse{ReplyTo: r.replyTo, Refusal: refusal, TxStatus: txIdle})
+	r.replyTo = nil
 }
 
 // dropIdleRemotes drops remote callers that have been idle for longer than
