--- a/pkg/session/stoppinghome_test.go
+++ b/pkg/session/stoppinghome_test.go
@@ -85,3 +85,15 @@
 	require.Contains(t, h.targets, TargetClose{Target: target})
 	require.Empty(t, h.e.callers)
 }
+
+// Guards against an uncertain answer to a request that certainly did not reach the home and
+// that has no time left to run here.
+func TestUnsentRequestAfterItsDeadlineIsNotRun(t *testing.T) {
+	h := newOriginHarness(t)
+	h.e.entries["entry"].deadline = peerProbeInterval
+	h.sendClassified(1, "write", write)
+	v := h.lastRelayed()
+	h.wait(peerProbeInterval + time.Millisecond)
+	h.do(RelayLost{ID: v.ID, Address: v.Address, Unsent: true})
+	h.requireRefused(core.ReasonDeadline, core.OutcomeNotRun)
+}
