Tell the home of an account the deadline that a planned stop sets

The deadline of a statement that the stop caps held on the caller's instance only: the home went by the time limit of the entry, and its answer came after the caller had been told that the outcome is not known. The request now carries the time that is left if that is shorter than the entry's limit; older homes ignore the field.

TestHomeLearnsTheDeadlineOfTheStop.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -61,7 +61,10 @@
 	ReadOnly            bool   `json:"r,omitempty"`
 	// ElapsedMicros is the time since the request arrived at the sender, in
 	// microseconds.
-	ElapsedMicros int64        `json:"u"`
+	ElapsedMicros int64 `json:"u"`
+	// TimeoutMicros is the time that is left for the answer, in microseconds; zero leaves
+	// it to the time limit of the entry.
+	TimeoutMicros int64        `json:"l,omitempty"`
 	Kind          session.Kind `json:"q,omitempty"`
 	// Ends is the name of the statement that ends a transaction.
 	Ends     string                      `json:"n,omitempty"`
@@ -151,6 +154,9 @@
 		Kind: v.Request.Classification.Kind, Ends: v.Request.Classification.Name, Commit: v.Request.Classification.Commit,
 		ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
+	if v.ShortDeadline {
+		request.TimeoutMicros = max(v.Timeout.Microseconds(), 1)
+	}
 	if request.hasInvalidText() {
 		request.Raw = newRawTexts(&request)
 	}
@@ -178,10 +184,19 @@
 			Classification: &session.Classification{Kind: v.Kind, Name: v.Ends, Commit: v.Commit, Hints: session.Hints{MaxAge: entryMaxAge}},
 			Payload:        &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
 			Arrived:        receivedAt.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
+			Deadline:       v.deadline(receivedAt),
 		},
 	}, nil
 }
 
+// deadline returns the deadline that the sender has set, zero if it has not.
+func (v *Request) deadline(receivedAt time.Time) time.Time {
+	if v.TimeoutMicros <= 0 {
+		return time.Time{}
+	}
+	return receivedAt.Add(time.Duration(v.TimeoutMicros) * time.Microsecond)
+}
+
 // entryMaxAge is the value of Hints.MaxAge that leaves the accepted staleness to
 // the entry.
 const entryMaxAge time.Duration = -1
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -55,6 +55,9 @@
 	Payload *Payload
 	// Arrived is when the request was received completely.
 	Arrived time.Time
+	// Deadline is the latest time of its answer if that is earlier than the time limit of
+	// its entry; zero otherwise.
+	Deadline time.Time
 }
 
 // Payload carries encoded protocol messages from callerio to targetio.
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -56,9 +56,11 @@
 	FirstInTransaction  bool
 	ReadOnly            bool
 	TransactionSequence uint64
-	// Timeout is the time left until the request's deadline.
-	Timeout time.Duration
-	Request *Request
+	// Timeout is the time left until the request's deadline. ShortDeadline is set if that
+	// is earlier than the time limit of the entry, which the home would apply.
+	Timeout       time.Duration
+	ShortDeadline bool
+	Request       *Request
 }
 
 // RelayEnd tells a home that a session has ended or has left its transaction.
@@ -178,7 +180,7 @@
 		ID: RelayID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
 		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
 		OutsideTransaction: !c.inTransaction(), TransactionSequence: c.relayTxSequence,
-		Timeout: s.deadline.Sub(e.now), Request: s.request,
+		Timeout: s.deadline.Sub(e.now), ShortDeadline: s.deadline.Before(s.requestDeadline()), Request: s.request,
 	}
 	if s.deferredBegin != nil {
 		request.FirstInTransaction, request.ReadOnly = true, s.deferredBegin.readOnly
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
@@ -107,7 +108,7 @@
 	s.classification = Classification{}
 	s.sequence = e.sequence
 	s.stateSince = e.now
-	s.deadline = e.stopDeadline(r.Arrived.Add(s.c.entry.deadline))
+	s.deadline = e.stopDeadline(s.requestDeadline())
 	s.active = true
 	s.member, s.meetsDeadline, s.reason = nil, false, ""
 	s.replicaWaitOver, s.appliedRequested = false, false
@@ -124,6 +125,15 @@
 	s.arm()
 }
 
+// requestDeadline returns the deadline that the request and its entry set.
+func (s *statement) requestDeadline() time.Time {
+	deadline := s.request.Arrived.Add(s.c.entry.deadline)
+	if own := s.request.Deadline; !own.IsZero() {
+		return clock.Earlier(own, deadline)
+	}
+	return deadline
+}
+
 // fire applies an event and arms the timer of the new state. When the state is
 // final, it completes the statement.
 func (s *statement) fire(ev event) {
--- a/pkg/session/stop_test.go
+++ b/pkg/session/stop_test.go
@@ -224,3 +224,26 @@
 	require.Contains(t, h.targets, TargetClose{Target: target})
 	require.Contains(t, h.control, Drained{})
 }
+
+// Guards against a home that goes on with a statement which the stopping instance of its
+// caller has given up, so that its outcome is not known there.
+func TestHomeLearnsTheDeadlineOfTheStop(t *testing.T) {
+	h := newOriginHarness(t)
+	h.sendClassified(1, "begin", begin)
+	h.sendClassified(1, "read", read)
+	require.False(t, h.lastRelayed().ShortDeadline)
+	h.homeResponds(h.lastRelayed(), RelayResponse{TxStatus: 'T'})
+	h.do(Drain{StatementsEnd: h.now.Add(time.Second)})
+	h.sendClassified(1, "write", write)
+	require.True(t, h.lastRelayed().ShortDeadline)
+	require.Equal(t, time.Second, h.lastRelayed().Timeout)
+
+	h = newHomeHarness(t)
+	deadline := h.now.Add(time.Second)
+	h.do(RemoteRequest{
+		Caller: RemoteID{Instance: "origin-1", Caller: 7}, ReplyTo: 1, Entry: "entry", Key: "k1", Sequence: 1, OutsideTransaction: true,
+		Request: &Request{Classification: &Classification{Kind: KindWrite, Hints: Hints{MaxAge: -1}}, Payload: &Payload{ID: "write"}, Arrived: h.now, Deadline: deadline},
+	})
+	h.connect()
+	require.Equal(t, deadline, h.lastSent().NotAfter)
+}
