Bound the last exchange with other instances at a stop like that with callers

pkg/rpc waits until its peers have closed, one second at most by default, which is more than the plan of a stop leaves. A peer that is gone would hold up the process to its bound.

--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -49,6 +49,7 @@
 func (h *Hosted) buildPeers() error {
 	config := rpc.DefaultConfig()
 	config.MaxIncoming = max(config.MaxIncoming, h.settings.Descriptors/peerDescriptorDivisor)
+	config.FlushTimeout = peerFlushTimeout
 	duty, err := rpc.New(config)
 	if err != nil {
 		return err
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -61,8 +61,11 @@
 	// balancerNoticeTime is how long the balancer may take to notice that the instance is
 	// not ready: two failed probes, one a second, and the time of an answer.
 	balancerNoticeTime = 2200 * time.Millisecond
+	// peerFlushTimeout bounds the last answers to other instances, and the wait for them to
+	// close their side.
+	peerFlushTimeout = 400 * time.Millisecond
 	// edgeShutdownTimeout bounds the wait for the sockets of callers and of other instances
-	// to close; it covers callerFlushTimeout.
+	// to close; it covers callerFlushTimeout and peerFlushTimeout.
 	edgeShutdownTimeout = 500 * time.Millisecond
 	// hostedShutdownTimeout bounds the wait for the duties to end, if the plan of the stop
 	// leaves that much; it allows for one call to the store.
