Tell refused requests from cut ones in the log of ended connections

Cause: a request whose connection session ended with a refusal counted and was logged like one without any answer, although the caller had a complete one.

Change: closed_by is "refusal" for it, and its line is no warning.

--- a/pkg/linkio/closelog.go
+++ b/pkg/linkio/closelog.go
@@ -22,6 +22,8 @@
 	ClosedByQuit
 	// ClosedBySession is a command of the session duty.
 	ClosedBySession
+	// ClosedByRefusal is such a command whose refusal was sent as the answer to the request.
+	ClosedByRefusal
 	// ClosedByViolation is invalid input.
 	ClosedByViolation
 	// ClosedByTimeout is a timeout of the connection's chart.
@@ -31,10 +33,15 @@
 	closers
 )
 
-var closerNames = [closers]string{"peer", "quit", "session", "violation", "timeout", "stop"}
+var closerNames = [closers]string{"peer", "quit", "session", "refusal", "violation", "timeout", "stop"}
 
 func (c Closer) String() string { return closerNames[c] }
 
+// cutsOff reports whether the caller neither ended the connection nor got a refusal.
+func (c Closer) cutsOff() bool {
+	return c != ClosedByPeer && c != ClosedByQuit && c != ClosedByRefusal
+}
+
 // Events of CallerLog.
 const (
 	// EventRequestUnanswered is a connection that ended before its request was answered.
@@ -50,7 +57,7 @@
 type CallerLog struct {
 	Event   string
 	Message string
-	// Warning is set unless the caller ended the connection.
+	// Warning is set unless the caller ended the connection or got a refusal.
 	Warning bool
 	Fields  map[string]any
 }
@@ -160,7 +167,7 @@
 	if by == ClosedByStop {
 		fields["open_at_end"] = true
 	}
-	c.duty.log(CallerLog{Event: event, Message: message, Warning: end.by != ClosedByPeer && end.by != ClosedByQuit, Fields: fields})
+	c.duty.log(CallerLog{Event: event, Message: message, Warning: end.by.cutsOff(), Fields: fields})
 }
 
 // endFields returns the fields of the log line about the end of a connection.
--- a/pkg/linkio/closing.go
+++ b/pkg/linkio/closing.go
@@ -46,11 +46,14 @@
 // dismiss ends the session; r is sent to the caller if it is not nil.
 func (c *callerConn) dismiss(r *core.Refusal) {
 	c.refusal = r
-	reason := ""
+	by, reason := ClosedBySession, ""
 	if r != nil {
 		reason = string(r.Reason)
+		if c.state == c.duty.waitingState {
+			by = ClosedByRefusal
+		}
 	}
-	c.attributeEnd(ClosedBySession, reason)
+	c.attributeEnd(by, reason)
 	c.fire(c.duty.events.dismissed)
 	c.keepEnding()
 }
