Leave input unread that arrives after the end of a session

Callers would see: a request that crosses the end of its session on the way is read by the instance and gets neither an answer nor a refusal.

Cause: reads and discards input until the caller closes.

Change: a finishing connection waits for EPOLLRDHUP and does not read. Only while output is unsent does it discard input, because a full receive buffer makes the kernel ignore the acknowledgements of that output (TestFinishSendsEverything stalled without this).

TestFinishLeavesLaterInputUnread failed before: the unread bytes were gone.

--- a/lib/netloop/conn.go
+++ b/lib/netloop/conn.go
@@ -62,7 +62,11 @@
 		c.finishConnect()
 		return
 	}
-	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && (c.paused || c.peerFinished) {
+	if c.finishing {
+		c.handleFinishingEvents(events)
+		return
+	}
+	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && c.paused {
 		c.closeWith(c.socketError())
 		return
 	}
@@ -108,28 +112,13 @@
 		return
 	}
 	if n == 0 {
-		c.handleEndOfInput()
-		return
-	}
-	if c.finishing {
-		c.droppedInput += n
+		c.closeWith(io.EOF)
 		return
 	}
 	c.input = append(c.input, c.loop.readBuffer[:n]...)
 	c.handler.Data(c)
 }
 
-// handleEndOfInput closes the connection. A peer that has ended only its own output may
-// still read what a finishing connection sends.
-func (c *Conn) handleEndOfInput() {
-	if c.finishing && len(c.output) > 0 {
-		c.peerFinished = true
-		c.updateInterest()
-		return
-	}
-	c.closeWith(io.EOF)
-}
-
 // Buffered returns the bytes that were read and not discarded. The slice is
 // valid until the handler returns or Discard is called.
 func (c *Conn) Buffered() []byte {
@@ -223,8 +212,10 @@
 // updateInterest sets the epoll events that the connection waits for.
 func (c *Conn) updateInterest() {
 	events := uint32(0)
-	if !c.paused && !c.peerFinished {
-		events |= unix.EPOLLIN
+	if c.finishing {
+		events = c.finishingInterest()
+	} else if !c.paused {
+		events = unix.EPOLLIN
 	}
 	if len(c.output) > 0 {
 		events |= unix.EPOLLOUT
--- a/lib/netloop/finish_test.go
+++ b/lib/netloop/finish_test.go
@@ -87,3 +87,23 @@
 	require.NoError(t, client.Close())
 	pollUntil(t, l, func() bool { return server.closed && l.Conns() == 0 })
 }
+
+// Guards against a request that is read and never answered because it arrives after the end of
+// the output: its sender can conclude nothing from the close.
+func TestFinishLeavesLaterInputUnread(t *testing.T) {
+	l := newLoop(t)
+	var conn *Conn
+	client, server := startFinisher(t, l, 1)
+	finish := server.data
+	server.data = func(c *Conn) { conn = c; finish(c) }
+	pollUntil(t, l, func() bool { return conn != nil })
+	_, err := client.Write([]byte("late"))
+	require.NoError(t, err)
+	pollUntil(t, l, func() bool { return conn.Residue().Unread == len("late") })
+	for range 20 {
+		require.NoError(t, l.Poll(testPoll))
+	}
+	require.Equal(t, len("late"), conn.Residue().Unread)
+	require.NoError(t, client.Close())
+	pollUntil(t, l, func() bool { return server.closed && l.Conns() == 0 })
+}
