Keep the margin of a relayed statement when a planned stop brings its deadline forward

When the instance of the caller and the home stop together, both answered at the same moment, and the home's true "not run" came after the caller had been told that the outcome is not known. TestStopKeepsTheMarginOfARelayedRequest failed before (uncertain).

--- a/pkg/session/stop.go
+++ b/pkg/session/stop.go
@@ -47,12 +47,17 @@
 }
 
 // limitDeadline brings the deadline of a running statement forward to the end of
-// statements of a graceful stop.
+// statements of a graceful stop. A statement at the home keeps the margin for the home's
+// answer.
 func (s *statement) limitDeadline() {
 	if !s.active {
 		return
 	}
-	s.deadline = s.c.e.stopDeadline(s.deadline)
+	margin := time.Duration(0)
+	if s.runsAtHome() {
+		margin = relayMargin
+	}
+	s.deadline = s.c.e.stopDeadline(s.deadline.Add(-margin)).Add(margin)
 	if s.c.e.charts.statement.Timeout(s.state) == statementDeadline {
 		s.arm()
 	}
