Do not run a relayed request that its own end has overtaken

The end of a relayed request is a call of its own and may arrive first, on another connection; the home had forgotten the session by then, admitted the request as new, and began a transaction that held a connection until the idle limit. The home remembers the ends for a minute. TestRequestAfterItsEndIsNotRun failed before (the member got the request).

--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -40,6 +40,7 @@
 	// remotes holds the callers of other instances; admittingRemote is the one
 	// that is being admitted.
 	remotes          map[RemoteID]CallerID
+	remoteEnds       map[RemoteID]remoteEnd
 	lastRemote       CallerID
 	admittingRemote  *remoteCaller
 	remoteSweepTimer timer
@@ -126,6 +127,7 @@
 		origins:      usage.NewOrigins(peerUseWindow - 2*peerProbeInterval),
 		instances:    map[core.InstanceID]time.Time{},
 		remotes:      map[RemoteID]CallerID{},
+		remoteEnds:   map[RemoteID]remoteEnd{},
 
 		transactionIdle: cfg.Bounds.TransactionIdle,
 
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -92,10 +92,16 @@
 	// caller.
 	firstRemote CallerID = 1 << 62
 	// remoteIdle is how long a remote caller without a transaction is kept
-	// without a request.
+	// without a request, and how long its end is remembered.
 	remoteIdle = time.Minute
 )
 
+// remoteEnd is the end of a remote caller's session or transaction.
+type remoteEnd struct {
+	sequence uint64
+	at       time.Time
+}
+
 // remoteRequest runs a remote caller's request, or responds that it does not.
 func (e *Engine) remoteRequest(in RemoteRequest) {
 	c := e.callers[e.remotes[in.Caller]]
@@ -113,6 +119,11 @@
 		e.outbox.out.Peer(RelayResponse{ReplyTo: in.ReplyTo, Refusal: refusal, TxStatus: txIdle})
 		return
 	}
+	if in.Sequence <= e.remoteEnds[in.Caller].sequence {
+		// Its own end has overtaken the request on another connection.
+		e.outbox.out.Peer(RelayResponse{ReplyTo: in.ReplyTo, NotServed: true})
+		return
+	}
 	if in.OutsideTransaction && (in.Version != e.operatorVersion() || e.stopping) {
 		e.newerVersionAt(in.From, in.Version)
 		e.outbox.out.Peer(RelayResponse{ReplyTo: in.ReplyTo, NotServed: true, Version: e.operatorVersion()})
@@ -165,6 +176,9 @@
 
 // remoteClosed ends the session of a remote caller, unless a later request has begun.
 func (e *Engine) remoteClosed(in RemoteClosed) {
+	if in.Sequence > e.remoteEnds[in.Caller].sequence {
+		e.remoteEnds[in.Caller] = remoteEnd{sequence: in.Sequence, at: e.now}
+	}
 	id, known := e.remotes[in.Caller]
 	if !known {
 		return
@@ -192,8 +206,13 @@
 }
 
 // dropIdleRemotes drops remote callers that have been idle for longer than
-// remoteIdle.
+// remoteIdle, and forgets ends that are older.
 func (e *Engine) dropIdleRemotes() {
+	for remote, end := range e.remoteEnds {
+		if e.now.Sub(end.at) > remoteIdle {
+			delete(e.remoteEnds, remote)
+		}
+	}
 	for remote, id := range e.remotes {
 		c := e.callers[id]
 		if c == nil {
