Answer a request that waits for the session ring when its session ends

While the session ring is full, a whole request may lie in the buffer of its connection, which is then idle by its chart; the end of the session dropped it without an answer. The refusal of the end is now its answer, at a stop as well. A stop also waits for callers that session has not admitted yet, and the caller's own farewell after the end is no longer logged as lost data.

--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -52,6 +52,8 @@
 	// startupState and idleState are the states in which messages are decoded.
 	startupState chart.State
 	idleState    chart.State
+	// admittingState is the state of a caller that session has not admitted yet.
+	admittingState chart.State
 	// waitingState is the state with an unanswered request, and endedStates are those of a
 	// session that has ended while its connection is still open.
 	waitingState chart.State
@@ -85,7 +87,7 @@
 		return nil, &ConfigError{Reason: "cannot compile the state chart", Err: err}
 	}
 	d.startupState, d.idleState = d.chart.StateID("startup"), d.chart.StateID("idle")
-	d.waitingState = d.chart.StateID("waiting")
+	d.admittingState, d.waitingState = d.chart.StateID("admitting"), d.chart.StateID("waiting")
 	d.endedStates = [2]chart.State{d.chart.StateID("flushing"), d.chart.StateID("finished")}
 	e := d.chart.Event
 	d.events = callerEvents{
@@ -109,7 +111,8 @@
 func (d *Callers) registry() chart.Registry[*callerConn] {
 	return chart.Registry[*callerConn]{
 		Guards: map[string]func(*callerConn) bool{
-			"stopping": func(*callerConn) bool { return !d.stopNoticed.IsZero() },
+			"stopping":         func(*callerConn) bool { return !d.stopNoticed.IsZero() },
+			"request_buffered": (*callerConn).requestBuffered,
 		},
 		Actions: map[string]func(*callerConn){
 			"report_opened":      (*callerConn).reportOpened,
--- a/pkg/linkio/closelog.go
+++ b/pkg/linkio/closelog.go
@@ -153,7 +153,9 @@
 	event, message := EventRequestUnanswered, "the connection ended before the request was answered"
 	counts := &c.duty.closes.unanswered
 	if !c.last.unanswered {
-		if residue.Unsent == 0 && residue.Buffered == 0 && residue.Unread == 0 {
+		// What arrives after the end of a session is no loss, such as the caller's own end.
+		unread := !c.sessionEnded() && residue.Unread > 0
+		if residue.Unsent == 0 && residue.Buffered == 0 && !unread {
 			return
 		}
 		event, message = EventCallerDataLost, "the connection ended with unsent output or unread input"
--- a/pkg/linkio/closing.go
+++ b/pkg/linkio/closing.go
@@ -13,17 +13,18 @@
 	d.openAtStop = d.countOpen()
 	d.stopNoticed = clock.Now()
 	for _, c := range d.conns {
+		c.refusal = core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect")
 		c.attributeEnd(ClosedByStop, "")
 		c.fire(d.events.stopped)
 		c.keepEnding()
 	}
 }
 
-// outputPending reports whether a stop has to wait: for the answer to a request, for unsent
-// output, or for a caller to close its side.
+// outputPending reports whether a stop has to wait: for the answer to a request or a startup,
+// for unsent output, or for a caller to close its side.
 func (d *Callers) outputPending() bool {
 	for _, c := range d.conns {
-		if c.state == d.waitingState || c.sessionEnded() || c.socket.Pending() > 0 {
+		if c.state == d.waitingState || c.state == d.admittingState || c.sessionEnded() || c.socket.Pending() > 0 {
 			return true
 		}
 	}
@@ -43,6 +44,22 @@
 	}
 }
 
+// requestBuffered reports whether a whole request was read that session has not got, because
+// its ring was full. The end of the session is its answer then.
+func (c *callerConn) requestBuffered() bool {
+	for {
+		message, n, err := c.codec.Decode(c.socket.Buffered(), c.txStatus)
+		if err != nil || n == 0 {
+			return false
+		}
+		c.socket.Discard(n)
+		switch message.(type) {
+		case Request, LocalReply:
+			return true
+		}
+	}
+}
+
 // dismiss ends the session; r is sent to the caller if it is not nil.
 func (c *callerConn) dismiss(r *core.Refusal) {
 	c.refusal = r
--- a/pkg/linkio/review_test.go
+++ b/pkg/linkio/sessionend_test.go
@@ -49,22 +49,23 @@
 }
 
 // Guards against a planned stop that cuts the answer to a caller that reads slowly but
-// steadily, although the grace period has not ended. The bound is that of the hosted
-// instance (callerFlushTimeout); the answer was complete before the stop.
+// steadily, although the grace period has not ended: the bound of the stop replaces the
+// shorter one of the configuration.
 func TestStopKeepsASteadyReader(t *testing.T) {
 	const (
-		callerFlushTimeout = 400 * time.Millisecond
-		size               = 8 << 20
-		readSize           = 64 << 10
+		size     = 8 << 20
+		pauseAt  = 1 << 20
+		pause    = 100 * time.Millisecond
+		stopTime = time.Minute
 	)
-	h := startHarnessWith(t, 64, func(c *CallerConfig) { c.FlushTimeout = callerFlushTimeout })
+	h := startHarness(t)
 	caller, conn := h.admit("")
 	h.send(session.CallerWrite{Caller: caller, Frames: make([]byte, size), Done: true, TxStatus: session.TxIdle})
 	h.send(session.CallerClose{Caller: caller})
 	time.Sleep(50 * time.Millisecond)
-	h.duty.Stop()
-	got := 0
-	buffer := make([]byte, readSize)
+	h.duty.StopWithin(stopTime)
+	got, paused := 0, 0
+	buffer := make([]byte, 64<<10)
 	for {
 		n, err := conn.Read(buffer)
 		got += n
@@ -72,9 +73,13 @@
 			break
 		}
 		require.NoError(t, err, "after %d bytes", got)
-		time.Sleep(8 * time.Millisecond)
+		if got-paused >= pauseAt {
+			paused = got
+			time.Sleep(pause)
+		}
 	}
 	require.Equal(t, len("hello\n")+size+len("end\n"), got)
+	require.NoError(t, conn.Close())
 	h.stop()
 }
 
