Let the plan of a stop own the time for the last answers and the log

The sockets had 0.4 s to send the last answers whatever was left of the grace period, so a steady but slow reader was cut seconds before its end; with a grace period of 1 or 2 s nothing was left at all, because fixed times were taken from a reserve that shrinks with it. stopplan has the step Sockets, the bound of the sockets is what is left until then, and the rest is shared by the duties and the log. A caller that does not close its side is waited for 0.5 s.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -21,6 +21,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/telemetry"
 	"github.com/sassafrasshunt/sassafrasshunt/platform"
 )
@@ -53,6 +54,8 @@
 	// stopRequestedAt is when the planned stop was requested, zero if it was not. It
 	// belongs to the thread that calls Run.
 	stopRequestedAt time.Time
+	// plan holds the times of a planned stop.
+	plan stopplan.Plan
 }
 
 // NewHosted builds an instance and binds its addresses. It returns ErrStart,
@@ -136,14 +139,23 @@
 	h.deliverFleet(fleet.StopRequested{})
 }
 
-// shutdownTimeout returns how long the duties may take to end, so that the log is written
-// before the grace period of a planned stop ends.
-func (h *Hosted) shutdownTimeout() time.Duration {
+// socketsTimeout returns how long the sockets may take to send the last answers and to
+// close.
+func (h *Hosted) socketsTimeout() time.Duration {
 	if h.stopRequestedAt.IsZero() {
-		return hostedShutdownTimeout
+		return callerFlushTimeout
 	}
-	left := h.settings.StopGrace - clock.Now().Sub(h.stopRequestedAt) - logFlushTimeout
-	return min(max(left, 0), hostedShutdownTimeout)
+	return max(h.plan.Sockets-clock.Now().Sub(h.stopRequestedAt), 0)
+}
+
+// shutdownTimeouts returns how long the duties may take to end, and then the log to be
+// written. Both fit into what is left of the grace period of a planned stop.
+func (h *Hosted) shutdownTimeouts() (duties, log time.Duration) {
+	if h.stopRequestedAt.IsZero() {
+		return hostedShutdownTimeout, logFlushTimeout
+	}
+	left := max(h.settings.StopGrace-clock.Now().Sub(h.stopRequestedAt), 0)
+	return min(left/2, hostedShutdownTimeout), min(left/2, logFlushTimeout)
 }
 
 // startHTTP starts a duty that serves HTTP. The instance keeps working when it
@@ -175,15 +187,15 @@
 	h.registrar.Stop()
 	h.watcher.Stop()
 	h.worker.Stop()
-	h.callers.Stop()
+	h.callers.StopWithin(h.socketsTimeout())
 	h.rpc.Send(rpc.Stop{})
-	h.duties.WaitFor(min(h.shutdownTimeout(), edgeShutdownTimeout), dutyCallers, dutyPeers)
+	h.duties.WaitFor(h.socketsTimeout(), dutyCallers, dutyPeers)
 	h.sessionDuty.stop()
 	h.targets.Stop()
 	h.fleetDuty.stop()
 	h.closeHTTP(h.readyServer)
 	h.closeHTTP(h.metricsServer)
-	h.shutDown(h.shutdownTimeout())
+	h.shutDown(h.shutdownTimeouts())
 }
 
 // logFleetEvent queues a log line of the fleet duty.
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -110,14 +110,13 @@
 	if err != nil {
 		return err
 	}
-	plan, err := stopplan.New(h.settings.StopGrace, balancerNoticeTime)
-	if err != nil {
+	if h.plan, err = stopplan.New(h.settings.StopGrace, balancerNoticeTime); err != nil {
 		return err
 	}
 	out := &hostedFleetOutputs{hosted: h, session: &ringWriter[session.Input]{ring: h.sessionDuty.input}}
 	engine, err := fleet.New(fleet.Config{Self: h.self, Limits: fleetLimits(h.settings), Bounds: fleet.Bounds{
 		BalancerNotice:       balancerNoticeTime,
-		Stop:                 plan,
+		Stop:                 h.plan,
 		ReregistrationGrace:  storeRecoveryGrace,
 		PromotionStepTimeout: promotionStepTimeout,
 		PromotionRetryDelay:  promotionRetryDelay,
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -35,10 +35,10 @@
 	// longest message, 1 MiB, at 100 KB/s.
 	callerLastOutputTimeout = 10 * time.Second
 	// callerPeerCloseTimeout bounds the wait for a caller to close its side after that. Callers
-	// close when they read the end; the time covers a few lost packets.
-	callerPeerCloseTimeout = 2 * time.Second
+	// close when they read the end; the time covers a lost packet.
+	callerPeerCloseTimeout = 500 * time.Millisecond
 	// callerFlushTimeout bounds sending the last answers, and the wait for callers to close
-	// their side, at a stop.
+	// their side, when the instance ends without a planned stop.
 	callerFlushTimeout = 400 * time.Millisecond
 	// targetConnectTimeout allows for about a hundred round trips between failure domains.
 	targetConnectTimeout = 500 * time.Millisecond
@@ -64,11 +64,8 @@
 	// peerFlushTimeout bounds the last answers to other instances, and the wait for them to
 	// close their side.
 	peerFlushTimeout = 400 * time.Millisecond
-	// edgeShutdownTimeout bounds the wait for the sockets of callers and of other instances
-	// to close; it covers callerFlushTimeout and peerFlushTimeout.
-	edgeShutdownTimeout = 500 * time.Millisecond
-	// hostedShutdownTimeout bounds the wait for the duties to end, if the plan of the stop
-	// leaves that much; it allows for one call to the store.
+	// hostedShutdownTimeout bounds the wait for the duties to end, if the grace period leaves
+	// that much; it allows for one call to the store.
 	hostedShutdownTimeout = 1200 * time.Millisecond
 	// targetDrainFraction is the fraction of the platform's drain time during which a
 	// draining target still gets work; the rest covers queued work and late store
--- a/pkg/instance/hostedstop_test.go
+++ b/pkg/instance/hostedstop_test.go
@@ -18,9 +18,13 @@
 		t.Run(grace.String(), func(t *testing.T) {
 			plan, err := stopplan.New(grace, balancerNoticeTime)
 			require.NoError(t, err)
-			h := &Hosted{settings: &settings.Hosted{StopGrace: grace}}
+			h := &Hosted{settings: &settings.Hosted{StopGrace: grace}, plan: plan}
 			h.stopRequestedAt = clock.Now().Add(-plan.Answers)
-			require.Greater(t, h.shutdownTimeout(), 20*time.Millisecond)
+			require.Greater(t, h.socketsTimeout(), 20*time.Millisecond)
+			duties, log := h.shutdownTimeouts()
+			require.Greater(t, duties, 20*time.Millisecond)
+			require.Greater(t, log, 20*time.Millisecond)
+			require.LessOrEqual(t, plan.Answers+duties+log, grace)
 		})
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -151,7 +151,7 @@
 	i.controlDuty.stop()
 	i.platform.Stop()
 	i.rpc.Send(rpc.Stop{})
-	i.shutDown(dutiesShutdownTimeout)
+	i.shutDown(dutiesShutdownTimeout, logFlushTimeout)
 }
 
 // Stop starts the planned stop: the instance reports not ready, callers are asked
--- a/pkg/instance/runner.go
+++ b/pkg/instance/runner.go
@@ -63,13 +63,13 @@
 	}
 }
 
-// shutDown waits at most bound for the duties, whose stop was requested before,
-// and then ends the log.
-func (r *runner) shutDown(bound time.Duration) {
-	if running := r.duties.WaitFor(bound); len(running) > 0 {
+// shutDown waits at most dutiesTimeout for the duties, whose stop was requested before, and
+// then at most logTimeout for the end of the log.
+func (r *runner) shutDown(dutiesTimeout, logTimeout time.Duration) {
+	if running := r.duties.WaitFor(dutiesTimeout); len(running) > 0 {
 		r.log(logrus.WarnLevel, "duties_cut_off", "duties did not end in time", telemetry.Fields{"duties": running})
 	}
 	r.telemetry.Stop()
 	// Lines that a blocked output has not accepted by then are lost.
-	r.logDuties.WaitFor(logFlushTimeout)
+	r.logDuties.WaitFor(logTimeout)
 }
--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -78,6 +78,13 @@
 	r.Loop.Wake()
 }
 
+// StopWithin is like Stop with another bound than FlushTimeout. It must not be called after
+// Stop.
+func (r *Reactor[In]) StopWithin(bound time.Duration) {
+	r.FlushTimeout = bound
+	r.Stop()
+}
+
 // Run handles commands, sockets and timers until Stop. It returns the error of a
 // failed poll.
 func (r *Reactor[In]) Run() error {
--- a/pkg/stopplan/stopplan.go
+++ b/pkg/stopplan/stopplan.go
@@ -9,7 +9,11 @@
 //	Transactions             open transactions end between two statements
 //	Statements               the deadline of every statement that still runs
 //	Answers                  what has no answer yet is answered
+//	Sockets                  the last answers are sent, and the sockets closed
 //	Grace                    the process has ended
+//
+// The PostgreSQL front counts from the request to its callers to reconnect, and releases
+// its share of the limits after Grace.
 package stopplan
 
 import (
@@ -33,6 +37,10 @@
 	// answerDivisor is the fraction of the reserve in which statements end at their own
 	// deadline, before the remaining ones are ended.
 	answerDivisor = 9
+	// socketsNumerator and socketsDenominator are the fraction of the reserve after which
+	// the sockets are closed; the rest is for the other duties and the log.
+	socketsNumerator   = 2
+	socketsDenominator = 3
 	// noticeNumerator and noticeDenominator limit the notice to the balancer, so that
 	// sessions end before transactions also in a short grace period.
 	noticeNumerator   = 2
@@ -47,6 +55,7 @@
 	Transactions time.Duration
 	Statements   time.Duration
 	Answers      time.Duration
+	Sockets      time.Duration
 	Grace        time.Duration
 }
 
@@ -63,6 +72,7 @@
 		Transactions: grace / transactionDivisor,
 		Statements:   grace - reserve,
 		Answers:      grace - reserve + reserve/answerDivisor,
+		Sockets:      grace - reserve + reserve*socketsNumerator/socketsDenominator,
 		Grace:        grace,
 	}, nil
 }
