--- a/pkg/instance/reload_test.go
+++ b/pkg/instance/reload_test.go
@@ -119,3 +119,38 @@
 	r.checkFile()
 	require.Len(t, *applied, 1)
 }
+
+// Guards against settings that are missed because several signals arrive while the file is
+// read or applied: the last content has to be in force.
+func TestReloadAtOverlappingSignals(t *testing.T) {
+	r, write, _, applied := newTestReloader(t)
+	apply, entered, release := r.apply, make(chan struct{}), make(chan struct{})
+	r.apply = func(s *settings.Hosted) {
+		entered <- struct{}{}
+		<-release
+		apply(s)
+	}
+	reload := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	go func() {
+		r.run(reload)
+		close(ended)
+	}()
+	write("30")
+	reload <- syscall.SIGHUP
+	<-entered
+	for _, text := range []string{"40", "50"} {
+		write(text)
+		select {
+		case reload <- syscall.SIGHUP:
+		default:
+		}
+	}
+	release <- struct{}{}
+	<-entered
+	release <- struct{}{}
+	r.stop()
+	<-ended
+	require.Len(t, *applied, 2)
+	require.InDelta(t, 50, (*applied)[1].RateSlack, 0)
+}
