--- a/pkg/control/lifecycle_test.go
+++ b/pkg/control/lifecycle_test.go
@@ -90,13 +90,19 @@
 	require.True(t, h.stopped)
 }
 
-// Guards against a slot that stays claimed after a stop before readiness.
+// Guards against a stop before readiness that cuts callers off, and against a slot that
+// stays claimed after it. Session may have the catalogue and the share before the instance is
+// ready, and then runs statements.
 func TestStopBeforeReady(t *testing.T) {
 	h := newHarness(t)
 	h.respondToWatch()
 	respond[CreateLease](h, StoreResponse{Lease: "l1"})
 	respond[PutClaim](h, StoreResponse{Revision: 11})
 	h.handle(StopRequested{})
+	require.True(t, hasInput[session.Drain](h))
+	h.reportShareApplied(emptyShareRevision, 0)
+	require.Zero(t, countCalls[PutClaim](h), "session is not drained")
+	h.handle(SessionReport{Report: session.Drained{}})
 	h.reportShareApplied(emptyShareRevision, 0)
 	require.True(t, respond[PutClaim](h, StoreResponse{Revision: 90}).Claim.Released)
 	respond[RevokeLease](h, StoreResponse{Outcome: NotFound})
--- a/standin/e2e/stop_protocol_test.go
+++ b/standin/e2e/stop_protocol_test.go
@@ -207,3 +207,27 @@
 	s.run()
 	s.requireRows(map[string]bool{"committed": true, "ended": false})
 }
+
+// Guards against a stop of an instance that is not ready yet and closes the connections of
+// its callers without a message. The instance has a catalogue but no slot: it admits callers
+// and runs nothing.
+func TestStopBeforeReady(t *testing.T) {
+	runParallel(t)
+	s := newPlannedStop(t)
+	_, err := s.addInstance(nil)
+	require.NoError(t, err)
+	last := len(s.instances) - 1
+	s.instances[0], s.instances[last] = s.instances[last], s.instances[0]
+	var conn *pgx.Conn
+	require.NoError(t, eventually(startTimeout, func() (err error) {
+		conn, err = s.dial(testContext(t), 0, s.key, nil)
+		return err
+	}))
+	require.Error(t, s.checkReady(0))
+	s.expectExchange("statement", conn, nil, "SH001", &pgproto3.Query{String: "SELECT 1"})
+	s.drainAt = time.Now()
+	require.NoError(t, s.instances[0].signal(syscall.SIGTERM))
+	s.expectExchange("end of the session", conn, nil, stopped)
+	require.NoError(t, conn.PgConn().Conn().Close())
+	s.requireEnded(stopDrainBound + stopEndReserve)
+}
