Let the stop of the caller sockets wait for requests that session still answers

Cause: the stop of callerio closed connections with a request under way as soon as no other connection had output or was closing. Normally session has answered all requests before; it has not after a duty has failed, or when the steps of the stop reached it late.

An idle caller, and one whose request is answered during the stop, is told SH007 as session does.

TestStopWaitsForTheAnswer was red with unexpected EOF: as it was for the idle caller, and with each of the two other parts of the change taken out. Tests of callerio pass 3 of 3 times with the race detector.

--- a/pkg/callerio/closing_test.go
+++ b/pkg/callerio/closing_test.go
@@ -121,3 +121,23 @@
 		require.Eventually(t, closed(h), testTimeout, time.Millisecond)
 	})
 }
+
+// Guards against a stop that closes the connection under a request that session still answers,
+// and against one that leaves the caller's next request without an answer.
+func TestStopWaitsForTheAnswer(t *testing.T) {
+	h := start(t, Config{}, 64)
+	tc, idle := h.openCaller(), h.openCaller()
+	tc.write(&pgproto3.Query{String: "select 1"}, &pgproto3.Query{String: "select 2"})
+	expectEvent[session.CallerRequest](h)
+	h.duty.Stop()
+	require.Equal(t, SQLState(core.ReasonStopping), receive[*pgproto3.ErrorResponse](idle).Code)
+	require.NoError(t, idle.conn.Close())
+	require.Eventually(t, func() bool { return h.duty.Stats().Open == 1 }, testTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	h.answerRequest(tc.id, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	receive[*pgproto3.CommandComplete](tc)
+	receive[*pgproto3.ReadyForQuery](tc)
+	require.Equal(t, SQLState(core.ReasonStopping), receive[*pgproto3.ErrorResponse](tc).Code)
+	_, err := tc.frontend.Receive()
+	require.Error(t, err)
+}
--- a/pkg/callerio/duty.go
+++ b/pkg/callerio/duty.go
@@ -109,20 +109,24 @@
 func (d *Duty) beginStop() {
 	d.stopping = true
 	for _, c := range d.callers {
-		if c.closing {
+		switch {
+		case c.closing:
 			c.armFlushTimer()
-		} else if !c.busy {
+		case c.busy:
+		case c.serving():
+			c.closeStopping()
+		default:
 			c.closeAfterOutput()
 		}
 	}
 }
 
-// outputPending reports whether responses are not sent yet, or callers have not closed a
-// connection that is closing. Events for session are ignored, because that duty may already
-// have stopped.
+// outputPending reports whether session has not answered a request yet, responses are not
+// sent yet, or callers have not closed a connection that is closing. Events for session are
+// ignored, because that duty may already have stopped.
 func (d *Duty) outputPending() bool {
 	for _, c := range d.callers {
-		if c.closing || c.conn.Pending() > 0 {
+		if c.busy || c.closing || c.conn.Pending() > 0 {
 			return true
 		}
 	}
--- a/pkg/callerio/response.go
+++ b/pkg/callerio/response.go
@@ -95,6 +95,11 @@
 	c.sendErrorAndClose()
 }
 
+// closeStopping closes the connection of a caller without a request under way at a stop.
+func (c *caller) closeStopping() {
+	c.closeBySession(core.NotRun(core.ReasonStopping, "this instance is stopping, please reconnect"))
+}
+
 // forwardResult forwards result frames to the caller. Done marks the last frames
 // of the response: the log position, if any, is inserted before ReadyForQuery,
 // and ReadyForQuery is removed after a Flush.
@@ -177,11 +182,16 @@
 	}
 }
 
-// finishRequest ends the current request and continues with pipelined input.
+// finishRequest ends the current request and continues with pipelined input. At a stop it
+// closes the connection.
 func (c *caller) finishRequest() {
 	c.busy = false
 	c.ignoreTillSync = c.request.suppressReady && c.request.failed
 	c.request = requestState{}
+	if c.duty.stopping {
+		c.closeStopping()
+		return
+	}
 	c.processInput()
 }
 
