--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -107,16 +107,19 @@
 	}
 }
 
-// startInstance starts instance i and waits until it is ready. Another process may take
-// a port between freeAddress and its use; then the instance is started again with other
-// ports.
+// startInstance starts instance i, the next one or a replacement, and waits until it is
+// ready. Another process may take a port between freeAddress and its use; then the
+// instance is started again with other ports.
 func (f *hostedFleet) startInstance(i int) {
 	const attempts = 3
 	for range attempts {
 		n := f.newNode(i)
 		require.NoError(f.t, n.start())
 		f.t.Cleanup(n.kill)
-		f.instances = append(f.instances[:i], n)
+		if i == len(f.instances) {
+			f.instances = append(f.instances, nil)
+		}
+		f.instances[i] = n
 		err := eventually(startTimeout, func() error {
 			if !n.isRunning() {
 				return nil
