--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -50,6 +50,9 @@
 	metricsServer   *http.Server
 	ready           atomic.Bool
 	stopping        atomic.Bool
+	// stopRequestedAt is when the planned stop was requested, zero if it was not. It
+	// belongs to the thread that calls Run.
+	stopRequestedAt time.Time
 }
 
 // NewHosted builds an instance and binds its addresses. It returns ErrStart,
@@ -95,18 +98,24 @@
 	return false
 }
 
+// Names of the duties that a stop waits for first.
+const (
+	dutyCallers = "caller-io"
+	dutyPeers   = "rpc"
+)
+
 // Run starts every duty. A value from stop starts the planned stop; Run returns
 // when the stop is complete. A value from reload reads the settings file again.
 func (h *Hosted) Run(stop, reload <-chan os.Signal) {
 	h.startLog()
 	h.startCritical("target-io", h.targets.Run)
-	h.duties.Start("rpc", func() { h.rpc.Run(h.deliverPeer) })
+	h.duties.Start(dutyPeers, func() { h.rpc.Run(h.deliverPeer) })
 	h.duties.Start("session", h.sessionDuty.run)
 	h.duties.Start("fleet", h.fleetDuty.run)
 	h.watcher.Start(&h.duties)
 	h.registrar.Start(&h.duties)
 	h.worker.Start(&h.duties)
-	h.startCritical("caller-io", h.callers.Run)
+	h.startCritical(dutyCallers, h.callers.Run)
 	if h.reloader != nil {
 		h.duties.Start("settings", func() { h.reloader.run(reload) })
 	}
@@ -115,10 +124,28 @@
 	h.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
 		"callers": h.settings.CallerAddress, "store": h.settings.StoreAddress, "domain": string(h.settings.Domain),
 	})
-	h.awaitStop(stop, func() { h.deliverFleet(fleet.StopRequested{}) })
+	h.awaitStop(stop, h.requestStop)
 	h.stopDuties()
 }
 
+// requestStop starts the planned stop.
+func (h *Hosted) requestStop() {
+	if h.stopRequestedAt.IsZero() {
+		h.stopRequestedAt = clock.Now()
+	}
+	h.deliverFleet(fleet.StopRequested{})
+}
+
+// shutdownTimeout returns how long the duties may take to end, so that the log is written
+// before the grace period of a planned stop ends.
+func (h *Hosted) shutdownTimeout() time.Duration {
+	if h.stopRequestedAt.IsZero() {
+		return hostedShutdownTimeout
+	}
+	left := h.settings.StopGrace - clock.Now().Sub(h.stopRequestedAt) - logFlushTimeout
+	return min(max(left, 0), hostedShutdownTimeout)
+}
+
 // startHTTP starts a duty that serves HTTP. The instance keeps working when it
 // fails. net/http runs a goroutine for each connection.
 func (h *Hosted) startHTTP(name string, server *http.Server, listener net.Listener) {
@@ -136,8 +163,9 @@
 	}
 }
 
-// stopDuties stops the duties: first those that call the store, then the sockets
-// from the callers inward, so that the last answers are still sent.
+// stopDuties stops the duties: first those that call the store, then the sockets of
+// callers and of other instances, and the session duty only after these, because it
+// answers the requests that they have accepted.
 func (h *Hosted) stopDuties() {
 	h.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
 	h.stopping.Store(true)
@@ -148,13 +176,14 @@
 	h.watcher.Stop()
 	h.worker.Stop()
 	h.callers.Stop()
+	h.rpc.Send(rpc.Stop{})
+	h.duties.WaitFor(min(h.shutdownTimeout(), edgeShutdownTimeout), dutyCallers, dutyPeers)
 	h.sessionDuty.stop()
 	h.targets.Stop()
 	h.fleetDuty.stop()
-	h.rpc.Send(rpc.Stop{})
 	h.closeHTTP(h.readyServer)
 	h.closeHTTP(h.metricsServer)
-	h.shutDown(hostedShutdownTimeout)
+	h.shutDown(h.shutdownTimeout())
 }
 
 // logFleetEvent queues a log line of the fleet duty.
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -12,6 +12,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/stopplan"
 	"github.com/sassafrasshunt/sassafrasshunt/platform"
 )
 
@@ -24,8 +25,9 @@
 	h.callers, err = linkio.NewCallers(linkio.CallerConfig{
 		Address: h.settings.CallerAddress, RingCapacity: hostedRingCapacity,
 		MaxCallers: max(h.settings.Descriptors/callerDescriptorDivisor, 1), MaxInputBytes: maxCallerInputBytes,
-		Startup: callerStartupTimeout, Admission: callerAdmissionTimeout, FlushTimeout: callerFlushTimeout,
-		NewCodec: platform.NewCallerCodec,
+		Startup: callerStartupTimeout, Admission: callerAdmissionTimeout,
+		Flush: callerLastOutputTimeout, PeerClose: callerPeerCloseTimeout, FlushTimeout: callerFlushTimeout,
+		NewCodec: platform.NewCallerCodec, Log: h.logCaller,
 	}, definition, h.sessionDuty.input)
 	return err
 }
@@ -47,6 +49,7 @@
 func (h *Hosted) buildPeers() error {
 	config := rpc.DefaultConfig()
 	config.MaxIncoming = max(config.MaxIncoming, h.settings.Descriptors/peerDescriptorDivisor)
+	config.FlushTimeout = peerFlushTimeout
 	duty, err := rpc.New(config)
 	if err != nil {
 		return err
@@ -75,12 +78,12 @@
 	config.Bounds.TransactionIdle = initialTransactionIdleTimeout
 	config.Bounds.ConnectionOpen = connectionOpenTimeout
 	config.Bounds.HomeWait = homeWaitTimeout
-	config.Bounds.Drain = h.settings.StopGrace / sessionDrainDivisor
 	engine, err := session.New(config, out)
 	if err != nil {
 		return err
 	}
 	h.sessionDuty.engine = engine
+	h.sessionDuty.ended = h.logLeftWork
 	h.sessionDuty.writers = []outputWriter{out.callers, out.targets, out.peers}
 	return nil
 }
@@ -107,10 +110,14 @@
 	if err != nil {
 		return err
 	}
+	plan, err := stopplan.New(h.settings.StopGrace, balancerNoticeTime)
+	if err != nil {
+		return err
+	}
 	out := &hostedFleetOutputs{hosted: h, session: &ringWriter[session.Input]{ring: h.sessionDuty.input}}
 	engine, err := fleet.New(fleet.Config{Self: h.self, Limits: fleetLimits(h.settings), Bounds: fleet.Bounds{
 		BalancerNotice:       balancerNoticeTime,
-		DrainTimeout:         h.settings.StopGrace - balancerNoticeTime - shutdownReserve,
+		Stop:                 plan,
 		ReregistrationGrace:  storeRecoveryGrace,
 		PromotionStepTimeout: promotionStepTimeout,
 		PromotionRetryDelay:  promotionRetryDelay,
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -31,8 +31,15 @@
 	// callerAdmissionTimeout bounds the wait for the session duty to admit a caller, which
 	// normally takes milliseconds.
 	callerAdmissionTimeout = 5 * time.Second
-	// callerFlushTimeout bounds sending the last answers at a stop.
-	callerFlushTimeout = 500 * time.Millisecond
+	// callerLastOutputTimeout bounds sending the last output of a session that has ended: the
+	// longest message, 1 MiB, at 100 KB/s.
+	callerLastOutputTimeout = 10 * time.Second
+	// callerPeerCloseTimeout bounds the wait for a caller to close its side after that. Callers
+	// close when they read the end; the time covers a few lost packets.
+	callerPeerCloseTimeout = 2 * time.Second
+	// callerFlushTimeout bounds sending the last answers, and the wait for callers to close
+	// their side, at a stop.
+	callerFlushTimeout = 400 * time.Millisecond
 	// targetConnectTimeout allows for about a hundred round trips between failure domains.
 	targetConnectTimeout = 500 * time.Millisecond
 	// targetStartupTimeout leaves a busy member time to start a connection, which takes it
@@ -54,15 +61,15 @@
 	// balancerNoticeTime is how long the balancer may take to notice that the instance is
 	// not ready: two failed probes, one a second, and the time of an answer.
 	balancerNoticeTime = 2200 * time.Millisecond
-	// shutdownReserve is the part of the stop grace time that is left for the duties
-	// to end; their calls to the store take up to a second.
-	shutdownReserve = 1700 * time.Millisecond
-	// hostedShutdownTimeout bounds the wait for the duties to end; it allows for one call
-	// to the store. Together with logFlushTimeout it fits into shutdownReserve.
+	// peerFlushTimeout bounds the last answers to other instances, and the wait for them to
+	// close their side.
+	peerFlushTimeout = 400 * time.Millisecond
+	// edgeShutdownTimeout bounds the wait for the sockets of callers and of other instances
+	// to close; it covers callerFlushTimeout and peerFlushTimeout.
+	edgeShutdownTimeout = 500 * time.Millisecond
+	// hostedShutdownTimeout bounds the wait for the duties to end, if the plan of the stop
+	// leaves that much; it allows for one call to the store.
 	hostedShutdownTimeout = 1200 * time.Millisecond
-	// sessionDrainDivisor divides the stop grace time: an open transaction may use
-	// half of it.
-	sessionDrainDivisor = 2
 	// targetDrainFraction is the fraction of the platform's drain time during which a
 	// draining target still gets work; the rest covers queued work and late store
 	// changes.
--- a/pkg/linkio/callers.go
+++ b/pkg/linkio/callers.go
@@ -25,14 +25,20 @@
 	MaxCallers int
 	// MaxInputBytes limits the buffered input of a caller, in bytes.
 	MaxInputBytes int
-	// Startup bounds the wait for the first message, Admission the wait for the
-	// session duty to admit the caller, and FlushTimeout sending the last answers
-	// at a stop.
+	// Startup bounds the wait for the first message and Admission the wait for the
+	// session duty to admit the caller. When a session has ended, Flush bounds sending its
+	// last output, and PeerClose the wait for the caller to close its side after that.
+	// FlushTimeout bounds both for all sessions at a stop.
 	Startup      time.Duration
 	Admission    time.Duration
+	Flush        time.Duration
+	PeerClose    time.Duration
 	FlushTimeout time.Duration
 	// NewCodec returns the codec of a new connection.
 	NewCodec func() CallerCodec
+	// Log logs an event; nil drops the events. It runs on the duty's thread and must not
+	// block.
+	Log func(CallerLog)
 }
 
 // Callers is the duty that owns the caller sockets. All its connections are handled
@@ -46,15 +52,24 @@
 	// startupState and idleState are the states in which messages are decoded.
 	startupState chart.State
 	idleState    chart.State
+	// waitingState is the state with an unanswered request, and endedStates are those of a
+	// session that has ended while its connection is still open.
+	waitingState chart.State
+	endedStates  [2]chart.State
 	conns        map[session.CallerID]*callerConn
 	nextID       session.CallerID
 	open         atomic.Int64
 	refused      atomic.Uint64
+	closes       closeCounters
+	// stopNoticed is when the duty noticed the stop, zero before it; openAtStop are the
+	// connections at that time.
+	stopNoticed time.Time
+	openAtStop  openCounts
 }
 
 // callerEvents holds the compiled events of the chart.
 type callerEvents struct {
-	started, admitted, request, local, answered, dismissed, quit, violated, lost, timedOut chart.Event
+	started, admitted, request, local, answered, dismissed, quit, violated, stopped, flushed, lost, timedOut chart.Event
 }
 
 // idleTimerPeriod is the interval at which the timer of an open connection is set
@@ -70,16 +85,19 @@
 		return nil, &ConfigError{Reason: "cannot compile the state chart", Err: err}
 	}
 	d.startupState, d.idleState = d.chart.StateID("startup"), d.chart.StateID("idle")
+	d.waitingState = d.chart.StateID("waiting")
+	d.endedStates = [2]chart.State{d.chart.StateID("flushing"), d.chart.StateID("finished")}
 	e := d.chart.Event
 	d.events = callerEvents{
 		started: e("started"), admitted: e("admitted"), request: e("request"), local: e("local"),
 		answered: e("answered"), dismissed: e("dismissed"), quit: e("quit"), violated: e("violated"),
-		lost: e("lost"), timedOut: e(chart.TimeoutEvent),
+		stopped: e("stopped"), flushed: e("flushed"), lost: e("lost"), timedOut: e(chart.TimeoutEvent),
 	}
 	if d.Reactor, err = newReactor(config.RingCapacity, to, d.handleCommand); err != nil {
 		return nil, err
 	}
 	d.OutputPending, d.FlushTimeout = d.outputPending, config.FlushTimeout
+	d.OnStop, d.OnEnd = d.beginStop, d.logDutyEnd
 	if d.address, err = d.Loop.Listen(config.Address, d.accept); err != nil {
 		d.Loop.Close()
 		return nil, &ConfigError{Reason: "cannot listen on " + config.Address, Err: err}
@@ -90,6 +108,9 @@
 // registry returns the actions and timeouts that the chart names.
 func (d *Callers) registry() chart.Registry[*callerConn] {
 	return chart.Registry[*callerConn]{
+		Guards: map[string]func(*callerConn) bool{
+			"stopping": func(*callerConn) bool { return !d.stopNoticed.IsZero() },
+		},
 		Actions: map[string]func(*callerConn){
 			"report_opened":      (*callerConn).reportOpened,
 			"send_startup_reply": (*callerConn).sendStartupReply,
@@ -98,12 +119,16 @@
 			"send_violation":     (*callerConn).sendViolation,
 			"send_refusal":       (*callerConn).sendRefusal,
 			"report_closed":      (*callerConn).reportClosed,
-			"close":              (*callerConn).close,
+			"finish":             (*callerConn).finish,
+			"close":              func(c *callerConn) { c.socket.CloseAfterFlush() },
+			"abort":              func(c *callerConn) { c.socket.Close() },
 		},
 		Timeouts: map[string]time.Duration{
-			"startup":   d.config.Startup,
-			"admission": d.config.Admission,
-			"idle":      idleTimerPeriod,
+			"startup":    d.config.Startup,
+			"admission":  d.config.Admission,
+			"idle":       idleTimerPeriod,
+			"flush":      d.config.Flush,
+			"peer_close": d.config.PeerClose,
 		},
 	}
 }
@@ -118,16 +143,6 @@
 // already. It is safe for concurrent use.
 func (d *Callers) Refused() uint64 { return d.refused.Load() }
 
-// outputPending reports whether any connection has unsent output.
-func (d *Callers) outputPending() bool {
-	for _, c := range d.conns {
-		if c.socket.Pending() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // accept registers a new connection, or refuses it when there are MaxCallers already.
 func (d *Callers) accept(socket *netloop.Conn) netloop.Handler {
 	if len(d.conns) >= d.config.MaxCallers {
@@ -138,7 +153,7 @@
 	c := &callerConn{
 		duty: d, socket: socket, id: d.nextID, codec: d.config.NewCodec(), txStatus: session.TxIdle,
 	}
-	c.start(c, d.chart, &d.Timers, func() { c.fireTimeout(d.events.timedOut) })
+	c.start(c, d.chart, &d.Timers, c.timeOut)
 	d.conns[c.id] = c
 	d.open.Add(1)
 	c.armTimer()
@@ -148,6 +163,7 @@
 // handleCommand carries out one command of the session duty. A command for a closed
 // connection is dropped.
 func (d *Callers) handleCommand(command session.CallerCommand) {
+	d.countLateAnswer(command)
 	switch m := command.(type) {
 	case session.CallerAdmitted:
 		d.withConn(m.Caller, func(c *callerConn) {
@@ -161,6 +177,7 @@
 	case session.CallerReply:
 		d.withConn(m.Caller, func(c *callerConn) { c.completeRequest(m.TxStatus, c.codec.EmptyResult(m.TxStatus)) })
 	case session.CallerClose:
+		d.withConn(m.Caller, (*callerConn).readArrived)
 		d.withConn(m.Caller, func(c *callerConn) { c.dismiss(m.Refusal) })
 	}
 }
@@ -185,19 +202,23 @@
 	message   CallerMessage
 	violation *ViolationError
 	refusal   *core.Refusal
+	// last and ending are for the log.
+	last   lastRequest
+	ending ending
 }
 
 // Opened implements netloop.Handler; the loop does not call it for accepted connections.
 func (c *callerConn) Opened(*netloop.Conn) {}
 
 // Flushed implements netloop.Handler.
-func (c *callerConn) Flushed(*netloop.Conn) {}
+func (c *callerConn) Flushed(*netloop.Conn) { c.fire(c.duty.events.flushed) }
 
 // Data implements netloop.Handler.
 func (c *callerConn) Data(*netloop.Conn) { c.processInput() }
 
 // Closed implements netloop.Handler.
-func (c *callerConn) Closed(*netloop.Conn, error) {
+func (c *callerConn) Closed(_ *netloop.Conn, err error) {
+	c.logEnd(ClosedByPeer, err)
 	c.closed = true
 	c.fire(c.duty.events.lost)
 	c.stopTimer()
@@ -246,7 +267,11 @@
 	}
 	c.socket.Discard(n)
 	c.message = message
+	if _, quit := message.(Quit); quit {
+		c.attributeEnd(ClosedByQuit, "")
+	}
 	c.fire(c.eventOf(message))
+	c.keepEnding()
 	return true
 }
 
@@ -268,7 +293,16 @@
 	if !errors.As(err, &c.violation) {
 		c.violation = &ViolationError{Reason: err.Error()}
 	}
+	c.attributeEnd(ClosedByViolation, "")
 	c.fire(c.duty.events.violated)
+	c.keepEnding()
+}
+
+// timeOut fires the timeout of the current state.
+func (c *callerConn) timeOut() {
+	c.attributeEnd(ClosedByTimeout, "")
+	c.fireTimeout(c.duty.events.timedOut)
+	c.keepEnding()
 }
 
 // reportOpened reports the caller to the session duty, which admits or dismisses it.
@@ -287,6 +321,7 @@
 func (c *callerConn) forwardRequest() {
 	m := c.message.(Request)
 	m.Request.Arrived = clock.Now()
+	c.noteRequest(m.Request)
 	c.duty.Outbox.Push(session.CallerRequest{Caller: c.id, Request: m.Request})
 }
 
@@ -299,6 +334,7 @@
 func (c *callerConn) writeResult(m session.CallerWrite) {
 	if !m.Done {
 		c.socket.Write(m.Frames)
+		c.last.written += len(m.Frames)
 		return
 	}
 	c.completeRequest(m.TxStatus, append(m.Frames, c.codec.ResultEnd(m.TxStatus)...))
@@ -309,6 +345,7 @@
 func (c *callerConn) completeRequest(txStatus byte, last []byte) {
 	c.txStatus = txStatus
 	c.socket.Write(last)
+	c.noteAnswer(len(last))
 	if c.closed {
 		return
 	}
@@ -317,34 +354,9 @@
 	c.processInput()
 }
 
-// dismiss ends the session; r is sent to the caller if it is not nil.
-func (c *callerConn) dismiss(r *core.Refusal) {
-	c.refusal = r
-	c.fire(c.duty.events.dismissed)
-}
-
-// sendRefusal sends the refusal, if there is one, and closes the connection.
-func (c *callerConn) sendRefusal() {
-	if c.refusal != nil {
-		c.socket.Write(c.codec.SessionError(c.refusal))
-	}
-	c.socket.CloseAfterFlush()
-}
-
-// sendViolation sends the codec's reply to invalid input and closes the connection.
-func (c *callerConn) sendViolation() {
-	c.socket.Write(c.violation.Reply)
-	c.socket.CloseAfterFlush()
-}
-
 // reportClosed tells the session duty that the session has ended.
 func (c *callerConn) reportClosed() {
 	c.duty.Outbox.Push(session.CallerClosed{Caller: c.id})
 }
 
-// close closes the connection after its output is sent.
-func (c *callerConn) close() {
-	c.socket.CloseAfterFlush()
-}
-
 var _ netloop.Handler = (*callerConn)(nil)
--- a/pkg/reactor/reactor.go
+++ b/pkg/reactor/reactor.go
@@ -36,10 +36,16 @@
 	Commands *ring.Ring[In]
 	Outbox   *outbox.Outbox
 	Timers   timerq.Queue[func()]
-	// OutputPending reports whether output is unsent. A stop waits for it, for
-	// FlushTimeout at most. Nil means that a stop does not wait.
+	// OutputPending reports whether a connection still has to deliver something. A stop
+	// waits for it, for FlushTimeout at most, and handles the commands that came before its
+	// end. Nil means that a stop does not wait and drops the commands that are left: a request
+	// must not be sent when nobody waits for its answer.
 	OutputPending func() bool
 	FlushTimeout  time.Duration
+	// OnStop is called when Run notices the stop, and OnEnd before Run closes the sockets.
+	// Both may be nil; OnStop is not called without OutputPending.
+	OnStop func()
+	OnEnd  func()
 
 	handle          func(In)
 	now             func() time.Time
@@ -66,8 +72,7 @@
 	}, nil
 }
 
-// Stop makes Run return once OutputPending reports no unsent output or
-// FlushTimeout has passed.
+// Stop makes Run return once OutputPending reports false or FlushTimeout has passed.
 func (r *Reactor[In]) Stop() {
 	r.stopping.Store(true)
 	r.Loop.Wake()
@@ -76,7 +81,7 @@
 // Run handles commands, sockets and timers until Stop. It returns the error of a
 // failed poll.
 func (r *Reactor[In]) Run() error {
-	defer r.Loop.Close()
+	defer r.end()
 	for {
 		r.handleCommands()
 		r.runResumeCallbacks()
@@ -91,8 +96,22 @@
 	}
 }
 
+// end handles the commands that are left, unless a stop drops them, and closes the sockets.
+func (r *Reactor[In]) end() {
+	if r.OutputPending != nil {
+		// Commands that arrive meanwhile are not waited for, which bounds the loop.
+		for left := r.Commands.Len(); left > 0; left -= commandBatchSize {
+			r.handleCommands()
+		}
+	}
+	if r.OnEnd != nil {
+		r.OnEnd()
+	}
+	r.Loop.Close()
+}
+
 // finished reports whether a stop was requested and Run may return. If the stop may
-// have to wait for output, the first call after the request closes the listeners.
+// have to wait, the first call after the request closes the listeners.
 func (r *Reactor[In]) finished() bool {
 	if !r.stopping.Load() {
 		return false
@@ -104,6 +123,9 @@
 	if r.stopDeadline.IsZero() {
 		r.stopDeadline = now.Add(r.FlushTimeout)
 		r.Loop.CloseListeners()
+		if r.OnStop != nil {
+			r.OnStop()
+		}
 	}
 	return !now.Before(r.stopDeadline) || r.Commands.Len() == 0 && !r.OutputPending()
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -61,7 +61,10 @@
 	ReadOnly            bool   `json:"r,omitempty"`
 	// ElapsedMicros is the time since the request arrived at the sender, in
 	// microseconds.
-	ElapsedMicros int64        `json:"u"`
+	ElapsedMicros int64 `json:"u"`
+	// TimeoutMicros is the time that is left for the answer, in microseconds; zero leaves
+	// it to the time limit of the entry.
+	TimeoutMicros int64        `json:"l,omitempty"`
 	Kind          session.Kind `json:"q,omitempty"`
 	// Ends is the name of the statement that ends a transaction.
 	Ends     string                      `json:"n,omitempty"`
@@ -133,10 +136,11 @@
 	Member core.MemberID     `json:"member"`
 }
 
-// EndSession ends a relayed session or transaction.
+// EndSession ends a relayed session or transaction. Sequence is as in session.RelayEnd.
 type EndSession struct {
 	Instance core.InstanceID `json:"instance"`
 	Caller   uint64          `json:"caller"`
+	Sequence uint64          `json:"sequence,omitempty"`
 }
 
 // NewRequest encodes a request. self and from identify the sending instance; now is
@@ -150,16 +154,19 @@
 		Kind: v.Request.Classification.Kind, Ends: v.Request.Classification.Name, Commit: v.Request.Classification.Commit,
 		ID: p.ID, Text: string(p.Frames), Settings: p.Settings, Prepared: p.Prepared,
 	}
+	if v.ShortDeadline {
+		request.TimeoutMicros = max(v.Timeout.Microseconds(), 1)
+	}
 	if request.hasInvalidText() {
 		request.Raw = newRawTexts(&request)
 	}
 	return request
 }
 
-// Decode decodes a request; replyTo is returned with the response and now is the
-// receiver's current time. It returns a *core.PositionError for a malformed
+// Decode decodes a request; replyTo is returned with the response and receivedAt is when
+// this instance received it. It returns a *core.PositionError for a malformed
 // position and a *TextError for texts that do not match.
-func (v *Request) Decode(replyTo any, now time.Time) (session.RemoteRequest, error) {
+func (v *Request) Decode(replyTo any, receivedAt time.Time) (session.RemoteRequest, error) {
 	floor, err := decodePosition(v.Floor)
 	if err != nil {
 		return session.RemoteRequest{}, err
@@ -176,11 +183,20 @@
 			Simple:         true,
 			Classification: &session.Classification{Kind: v.Kind, Name: v.Ends, Commit: v.Commit, Hints: session.Hints{MaxAge: entryMaxAge}},
 			Payload:        &session.Payload{ID: v.ID, Frames: []byte(v.Text), Settings: v.Settings, Prepared: v.Prepared},
-			Arrived:        now.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
+			Arrived:        receivedAt.Add(-time.Duration(v.ElapsedMicros) * time.Microsecond),
+			Deadline:       v.deadline(receivedAt),
 		},
 	}, nil
 }
 
+// deadline returns the deadline that the sender has set, zero if it has not.
+func (v *Request) deadline(receivedAt time.Time) time.Time {
+	if v.TimeoutMicros <= 0 {
+		return time.Time{}
+	}
+	return receivedAt.Add(time.Duration(v.TimeoutMicros) * time.Microsecond)
+}
+
 // entryMaxAge is the value of Hints.MaxAge that leaves the accepted staleness to
 // the entry.
 const entryMaxAge time.Duration = -1
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -87,7 +87,8 @@
 }
 
 // configureDatabases creates, updates and removes the databases. A removed
-// database stays until a later catalogue finds all its connections closed.
+// database stays until a later catalogue finds all its connections closed and none
+// of its callers left: if it returns, their transactions go on.
 func (e *Engine) configureDatabases(cat *catalogue.Catalogue) {
 	inCatalogue := map[core.DatabaseName]bool{}
 	for i := range cat.Databases {
@@ -105,12 +106,23 @@
 			continue
 		}
 		db.setLeaving(true)
-		if db.connections == 0 {
+		if db.connections == 0 && !db.hasCallers() {
 			delete(e.databases, name)
 		}
 	}
 }
 
+// hasCallers reports whether a session uses the database. A caller whose statements
+// the home runs has no connection to it.
+func (db *database) hasCallers() bool {
+	for _, c := range db.e.callers {
+		if c.db == db {
+			return true
+		}
+	}
+	return false
+}
+
 // configureEntries replaces the entries. An entry with an unknown account or
 // database is left out.
 func (e *Engine) configureEntries(cat *catalogue.Catalogue) {
@@ -145,14 +157,19 @@
 }
 
 // applyCatalogue applies a new catalogue to a connected caller. The session of a caller
-// whose access was withdrawn by an earlier one and is restored by this one goes on.
+// whose access was withdrawn by an earlier one and is restored by this one goes on; an
+// account that was removed and is back has new state.
 func (c *caller) applyCatalogue() {
+	if a := c.e.accounts[c.account.name]; a != nil {
+		c.account = a
+	}
 	if c.key != "" && !c.account.hasKey(c.key) {
 		c.withdrawAccess(core.NotRun(core.ReasonKeyRevoked, "the key is revoked"))
 		return
 	}
 	current := c.e.entries[c.entry.definition.Name]
-	if current == nil || current.db != c.db || current.account != nil && current.account != c.account {
+	sameAccount := current != nil && (current.account == nil || current.account == c.account)
+	if !sameAccount || current.db != c.db && !c.moveDeferredBegin(current) {
 		c.endWhenIdle(core.NotRun(core.ReasonDatabaseLeaving, "the entry was changed, please reconnect"))
 		return
 	}
@@ -163,3 +180,16 @@
 	c.entry = current
 	c.endReason = nil
 }
+
+// moveDeferredBegin moves a transaction that no member has begun yet to the database of the
+// changed entry, and reports whether it did. The session's floor is a position of the old
+// database.
+func (c *caller) moveDeferredBegin(current *entry) bool {
+	if c.deferredBegin == nil || c.stmt.active {
+		return false
+	}
+	c.db = current.db
+	c.requiredRound = c.db.requestedRound + 1
+	c.floor, c.floorKnown = core.Position{}, false
+	return true
+}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -55,6 +55,9 @@
 	Payload *Payload
 	// Arrived is when the request was received completely.
 	Arrived time.Time
+	// Deadline is the latest time of its answer if that is earlier than the time limit of
+	// its entry; zero otherwise.
+	Deadline time.Time
 }
 
 // Payload carries encoded protocol messages from callerio to targetio.
@@ -304,7 +307,19 @@
 
 // Drain starts the graceful stop: new callers are refused, and connected
 // callers are told to reconnect at the next clean boundary.
-type Drain struct{}
+type Drain struct {
+	// StatementsEnd is the latest deadline of a statement, so that each is answered
+	// before the instance ends; zero sets no limit.
+	StatementsEnd time.Time
+}
+
+// EndTransactions ends the open transactions of a stopping instance between two
+// statements. The next request of such a caller is refused as not run.
+type EndTransactions struct{}
+
+// EndStatements answers the statements that still run on a stopping instance, and ends
+// all sessions.
+type EndStatements struct{}
 
 func (CallerOpened) sessionInput()    {}
 func (CallerRequest) sessionInput()   {}
@@ -326,3 +341,5 @@
 func (KeysRevoked) sessionInput()     {}
 func (ReleaseIdle) sessionInput()     {}
 func (Drain) sessionInput()           {}
+func (EndTransactions) sessionInput() {}
+func (EndStatements) sessionInput()   {}
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -56,15 +56,20 @@
 	FirstInTransaction  bool
 	ReadOnly            bool
 	TransactionSequence uint64
-	// Timeout is the time left until the request's deadline.
-	Timeout time.Duration
-	Request *Request
+	// Timeout is the time left until the request's deadline. ShortDeadline is set if that
+	// is earlier than the time limit of the entry, which the home would apply.
+	Timeout       time.Duration
+	ShortDeadline bool
+	Request       *Request
 }
 
 // RelayEnd tells a home that a session has ended or has left its transaction.
 type RelayEnd struct {
 	Address PeerAddress
 	Caller  CallerID
+	// Sequence is the sequence number of the caller's last request. The home does not
+	// end later requests, which may overtake the message on another connection.
+	Sequence uint64
 }
 
 // PeerProbe asks an instance to confirm that it responds.
@@ -175,7 +180,7 @@
 		ID: RelayID{Caller: c.id, Sequence: s.sequence}, Address: p.address,
 		Entry: c.entry.definition.Name, Key: c.key, Floor: c.floor, Version: e.operatorVersion(),
 		OutsideTransaction: !c.inTransaction(), TransactionSequence: c.relayTxSequence,
-		Timeout: s.deadline.Sub(e.now), Request: s.request,
+		Timeout: s.deadline.Sub(e.now), ShortDeadline: s.deadline.Before(s.requestDeadline()), Request: s.request,
 	}
 	if s.deferredBegin != nil {
 		request.FirstInTransaction, request.ReadOnly = true, s.deferredBegin.readOnly
@@ -234,7 +239,9 @@
 
 // relayResult handles a home's response.
 func (e *Engine) relayResult(in RelayResult) {
-	e.peerProbeReply(in.Address)
+	if p := e.peers[in.Address]; p != nil {
+		p.recordResponse()
+	}
 	s := e.takeRelayed(in.ID, in.Address)
 	if s == nil {
 		return
@@ -256,7 +263,9 @@
 }
 
 // relayLost handles a request that gets no response. A refused connection marks
-// the home as lost.
+// the home as lost. It says nothing about requests on an open connection: a
+// stopping home still answers those that it has accepted, and the end of their
+// connection is reported for each of them.
 func (e *Engine) relayLost(in RelayLost) {
 	if s := e.takeRelayed(in.ID, in.Address); s != nil {
 		s.unsent = in.Unsent
@@ -320,7 +329,7 @@
 		return
 	}
 	delete(p.relayed, c.id)
-	c.e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: c.id})
+	c.e.outbox.out.Peer(RelayEnd{Address: p.address, Caller: c.id, Sequence: c.stmt.sequence})
 	c.relayedTo = nil
 	c.txStatus = txIdle
 }
@@ -330,6 +339,7 @@
 	c := s.c
 	c.relayedTo = nil
 	c.txStatus = txIdle
+	s.deadline = s.deadline.Add(-relayMargin)
 	if !s.unsent {
 		s.mayHaveRun = !s.changesNothing()
 	}
@@ -342,9 +352,10 @@
 }
 
 // mayRunLocally reports whether a statement whose home was lost may run on this
-// instance: nothing of it was sent, or it changes nothing.
+// instance: nothing of it was sent, or it changes nothing, and the time limit without
+// relayMargin has not passed.
 func (s *statement) mayRunLocally() bool {
-	if s.c.inTransaction() || s.c.e.now.After(s.deadline) {
+	if s.c.inTransaction() || s.c.e.now.After(s.deadline.Add(-relayMargin)) {
 		return false
 	}
 	return s.unsent || s.changesNothing()
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -44,6 +44,9 @@
 // RemoteClosed reports that a remote caller's session or transaction has ended.
 type RemoteClosed struct {
 	Caller RemoteID
+	// Sequence is the sequence number of the last request that it ends; zero ends
+	// every request.
+	Sequence uint64
 }
 
 func (RemoteRequest) sessionInput() {}
@@ -160,14 +163,32 @@
 	return c
 }
 
-// remoteClosed ends the session of a remote caller.
+// remoteClosed ends the session of a remote caller, unless a later request has begun.
 func (e *Engine) remoteClosed(in RemoteClosed) {
 	id, known := e.remotes[in.Caller]
 	if !known {
 		return
 	}
+	if c := e.callers[id]; c != nil && in.Sequence != 0 && in.Sequence < c.remote.lastSequence {
+		return
+	}
 	delete(e.remotes, in.Caller)
+	c := e.callers[id]
 	e.callerClosed(CallerClosed{Caller: id})
+	if c != nil {
+		e.answerAbandoned(c.remote)
+	}
+}
+
+// answerAbandoned responds to the request that its caller's instance has given up, if
+// there is one. That instance drops the response; it ends the call between the two.
+func (e *Engine) answerAbandoned(r *remoteCaller) {
+	if r.replyTo == nil {
+		return
+	}
+	refusal := core.Uncertain("the caller's instance has given the request up")
+	e.outbox.out.Peer(RelayResponse{ReplyTo: r.replyTo, Refusal: refusal, TxStatus: txIdle})
+	r.replyTo = nil
 }
 
 // dropIdleRemotes drops remote callers that have been idle for longer than
