Learn the term of a group at a new home for sessions that have seen it

Cause: a home that has just started knows no term. A session that has written elsewhere brings a floor of term 1 or later, and its statements wait for a primary of that term; nothing asked a member, so they waited until another session opened a connection, or their limit passed.

Change: such a statement has the announced primary asked at once, on an idle connection or on a new one. It does not run before the answer, so a primary of an older term is not used.

TestNewHomeLearnsTheTermOfTheGroup failed before (nothing asks a member).

--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -330,6 +330,7 @@
 		return false
 	}
 	if !s.readsNoData() && s.c.db.term < s.c.floor.Term {
+		s.c.db.learnTerm(s.c.account.name)
 		return false
 	}
 	s.meetsDeadline = p.canMeetDeadline(s)
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -199,6 +199,33 @@
 	}
 }
 
+// learnTerm asks the primary for its log position while no answer has shown the group's
+// term yet, which a session has seen at another instance. If there is no connection to the
+// primary, it opens one for the account.
+func (db *database) learnTerm(account core.AccountName) {
+	p, e := db.primary, db.e
+	if db.term > 0 || !e.cfg.AsyncReplication {
+		return
+	}
+	if len(p.idleConns) > 0 {
+		p.idleConns[len(p.idleConns)-1].fire(e.charts.onTarget.probed)
+		return
+	}
+	blocked := e.now.Before(p.retryAt) || e.now.Before(p.limitRetryAt)
+	if p.connections == 0 && p.connections < db.memberBound && !blocked {
+		p.open(account)
+	}
+}
+
+// learnTermFrom probes a new connection to the primary if statements wait and the group's
+// term is not known.
+func (db *database) learnTermFrom(t *target) {
+	waits := db.term == 0 && len(db.waiting) > 0 && t.member == db.primary
+	if waits && t.state == db.e.targetStates.idle {
+		t.fire(db.e.charts.onTarget.probed)
+	}
+}
+
 // sendProbe sends a TargetProbe on the connection.
 func (t *target) sendProbe() {
 	t.requestedAt = t.engine().now
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -178,6 +178,7 @@
 	if t, ok := e.targets[in.Target]; ok {
 		t.member.responseReceived()
 		t.fire(e.charts.onTarget.opened)
+		t.member.db.learnTermFrom(t)
 	}
 }
 
