Let an instance end the idle transactions of its callers before the home does

Cause: the home counted the idle limit of a relayed transaction from its own answer. The caller gets that answer later, and its next request takes time to the home, so a caller that was idle for less than the limit found its transaction rolled back.

Change: the home waits a second longer for callers of other instances. Their instance counts from the answer to the caller and ends the transaction; the home's limit is for instances that have failed.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -120,6 +120,9 @@
 	after := table.Timeout(c.state)
 	if after == dynamicTransactionIdle {
 		after = c.e.transactionIdle
+		if c.remote != nil {
+			after += remoteIdleMargin
+		}
 	}
 	c.e.timers.Arm(&c.timerItem, c.e.now.Add(after))
 }
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -94,6 +94,10 @@
 	// remoteIdle is how long a remote caller without a transaction is kept
 	// without a request.
 	remoteIdle = time.Minute
+	// remoteIdleMargin is how much longer than its own callers' transactions those
+	// of remote callers may be idle: their instances end them, and count from the
+	// time at which their callers got the last answer.
+	remoteIdleMargin = time.Second
 )
 
 // remoteRequest runs a remote caller's request, or responds that it does not.
