Let open transactions outlast the removal of their database

Cause: two seconds after a configuration had removed a database, the next request of its open transactions was answered as rolled back, although the members still serve and a change of the configuration applies from the next transaction onward.

Change: with AsyncReplication only the limit for idle transactions ends them.

--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -143,9 +143,10 @@
 }
 
 // transactionExpired reports whether the database has been leaving for longer
-// than Bounds.Leaving, so that its open transactions have to end.
+// than Bounds.Leaving, so that its open transactions have to end. With AsyncReplication
+// the limit for idle transactions bounds them alone.
 func (c *caller) transactionExpired() bool {
-	return c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
+	return !c.e.cfg.AsyncReplication && c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
 }
 
 // accessWithdrawn reports whether the caller may not use its entry any more, so that its
