--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -124,6 +124,9 @@
 	after := table.Timeout(c.state)
 	if after == dynamicTransactionIdle {
 		after = c.e.transactionIdle
+		if c.remote != nil {
+			after += remoteIdleMargin
+		}
 	}
 	c.e.timers.Arm(&c.timerItem, c.e.now.Add(after))
 }
@@ -144,9 +147,10 @@
 }
 
 // transactionExpired reports whether the database has been leaving for longer
-// than Bounds.Leaving, so that its open transactions have to end.
+// than Bounds.Leaving, so that its open transactions have to end. With AsyncReplication
+// the limit for idle transactions bounds them alone.
 func (c *caller) transactionExpired() bool {
-	return c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
+	return !c.e.cfg.AsyncReplication && c.db.leaving && c.e.now.After(c.db.leavingSince.Add(c.e.cfg.Bounds.Leaving))
 }
 
 // accessWithdrawn reports whether the caller may not use its entry any more, so that its
