Stop session and control of the PostgreSQL front only after the sockets that they answer

Cause: stopDuties ended the session duty right after it had asked the caller sockets to stop, and the control duty before the sockets of other instances had closed. A request that these sockets had accepted got no answer; the wait for the answer in callerio and rpc was in vain.

Change: first the sockets of callers and of other instances end, 6 s at most (callerio bounds its flush by 5 s, rpc by 1 s), then session, classify, targets, control and platform, 4 s at most. The sum is the 10 s of before.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -36,9 +36,12 @@
 	classifyCacheEntries = 10_000
 	// instanceIDBytes is the length in bytes of the random part of an instance ID.
 	instanceIDBytes = 6
-	// dutiesShutdownTimeout bounds the wait for the duties to end; it allows for
-	// several platform calls.
-	dutiesShutdownTimeout = 10 * time.Second
+	// socketsShutdownTimeout bounds the wait for the sockets of callers and of other
+	// instances to close. It covers the flush timeouts of callerio (5 s) and rpc (1 s).
+	socketsShutdownTimeout = 6 * time.Second
+	// dutiesShutdownTimeout bounds the wait for the other duties to end after that. Calls to
+	// the platform are cancelled, and the last outputs wait for stopFlushTimeout at most.
+	dutiesShutdownTimeout = 4 * time.Second
 )
 
 // Instance is one run of the proxy with settings from a TOML file. Hosted is the kind
@@ -121,7 +124,7 @@
 func (i *Instance) Run(stop <-chan os.Signal) {
 	i.startLog()
 	i.platform.Start(&i.duties)
-	i.duties.Start("rpc", func() { i.rpc.Run(i.deliverRPC) })
+	i.duties.Start(dutyPeers, func() { i.rpc.Run(i.deliverRPC) })
 	i.startCritical("target-io", i.targets.Run)
 	i.duties.Start("classify", i.classify.run)
 	i.duties.Start("session", i.sessionDuty.run)
@@ -129,7 +132,7 @@
 		i.control.Start(time.Now())
 		i.controlDuty.run()
 	})
-	i.startCritical("caller-io", i.callers.Run)
+	i.startCritical(dutyCallers, i.callers.Run)
 	i.publishMetrics()
 	i.duties.Start("admin", i.admin.Run)
 	i.log(logrus.InfoLevel, "instance_started", "instance started", telemetry.Fields{
@@ -139,18 +142,19 @@
 	i.stopDuties()
 }
 
-// stopDuties stops the duties, caller sockets first, so that the last answers
-// are still sent.
+// stopDuties stops the duties: first the sockets of callers and of other instances, and
+// only after these the duties that answer the requests which they have accepted.
 func (i *Instance) stopDuties() {
 	i.log(logrus.InfoLevel, "instance_stopped", "planned stop complete", nil)
 	i.admin.Stop()
 	i.callers.Stop()
+	i.rpc.Send(rpc.Stop{})
+	i.duties.WaitFor(socketsShutdownTimeout, dutyCallers, dutyPeers)
 	i.sessionDuty.stop()
 	i.classify.stop()
 	i.targets.Stop()
 	i.controlDuty.stop()
 	i.platform.Stop()
-	i.rpc.Send(rpc.Stop{})
 	i.shutDown(dutiesShutdownTimeout)
 }
 
