Test a planned stop of the PostgreSQL front with the shortest drain bound

The settings allow a bound of 1 s: open transactions then end after 0.5 s, statements after 0.85 s, and what is left is answered at 0.867 s, all counted from the drain. Read and found in order; TestStopShortestBound was green at once, and red with a planted fault (the step "statements" a tenth as long as "transactions": 40003 for a read that ends within the plan). The process ended 1.99 s after the drain: callers that do not notice the end of their sessions, and the withdrawal of the share, came after the bound.

--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -30,16 +30,22 @@
 type plannedStop struct {
 	*fleet
 	t       *testing.T
+	bound   time.Duration
 	drainAt time.Time
 	scripts sync.WaitGroup
 }
 
-// newPlannedStop starts a fleet whose members have a slot for every statement.
+// newPlannedStop starts a fleet with the drain bound stopDrainBound.
 func newPlannedStop(t *testing.T) *plannedStop {
+	return newPlannedStopWithin(t, stopDrainBound)
+}
+
+// newPlannedStopWithin starts a fleet whose members have a slot for every statement.
+func newPlannedStopWithin(t *testing.T, bound time.Duration) *plannedStop {
 	o := defaultOptions()
 	o.instances, o.slots, o.connections = 2, 100, 100
-	o.settings = []string{fmt.Sprintf("session.drain_bound = %q", stopDrainBound), "share.max_instances = 2"}
-	return &plannedStop{fleet: startFleet(t, o), t: t, drainAt: time.Now().Add(time.Hour)}
+	o.settings = []string{fmt.Sprintf("session.drain_bound = %q", bound), "share.max_instances = 2"}
+	return &plannedStop{fleet: startFleet(t, o), t: t, bound: bound, drainAt: time.Now().Add(time.Hour)}
 }
 
 // script runs fn with a connection through instance 0.
@@ -65,7 +71,7 @@
 	s.until(-stopDrainDelay)
 	require.NoError(s.t, s.instances[0].signal(syscall.SIGTERM))
 	s.scripts.Wait()
-	s.requireEnded(stopDrainBound + stopEndReserve)
+	s.requireEnded(s.bound + stopEndReserve)
 }
 
 // requireEnded requires that instance 0 ends until a time of the stop.
@@ -252,3 +258,37 @@
 	s.run()
 	s.requireRows(map[string]bool{"in-time": true, "transaction-in-time": false, "endless": false, "transaction-endless": false})
 }
+
+// Guards against steps of the plan that overtake each other with the shortest drain bound that
+// the settings allow.
+func TestStopShortestBound(t *testing.T) {
+	runParallel(t)
+	s := newPlannedStopWithin(t, time.Second)
+	half := s.bound / 2
+	s.begin()
+	s.script(func(ctx context.Context, conn *pgx.Conn) {
+		s.openTransaction(ctx, conn, "before-half")
+		s.until(half / 4)
+		s.expectCode("commit before half", execText(ctx, conn, "COMMIT"), "")
+	})
+	s.script(func(ctx context.Context, conn *pgx.Conn) {
+		s.openTransaction(ctx, conn, "after-half")
+		s.until(half + 150*time.Millisecond)
+		s.expectCode("commit after half", execText(ctx, conn, "COMMIT"), stopped)
+	})
+	s.script(func(ctx context.Context, conn *pgx.Conn) {
+		s.until(-half)
+		s.expectCode("read over half", execText(ctx, conn, "SELECT pg_sleep(1.1)"), "")
+	})
+	s.script(func(ctx context.Context, conn *pgx.Conn) {
+		s.until(-half)
+		s.expectCode("endless pipeline", holdWrite(ctx, conn, "endless", time.Minute), "40003")
+	})
+	s.script(func(ctx context.Context, conn *pgx.Conn) {
+		s.openTransaction(ctx, conn, "transaction-endless")
+		s.until(-half)
+		s.expectCode("endless read in a transaction", execText(ctx, conn, "SELECT pg_sleep(60)"), "40000")
+	})
+	s.run()
+	s.requireRows(map[string]bool{"before-half": true, "after-half": false, "endless": false, "transaction-endless": false})
+}
