--- a/cmd/sassafrasshunt/commands.go
+++ b/cmd/sassafrasshunt/commands.go
@@ -31,6 +31,9 @@
 }
 
 func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	// Before the start, because a signal that is not caught ends the process.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s, err := settings.Load(c.path)
 	if err != nil {
 		return fail(err)
@@ -39,8 +42,6 @@
 	if err != nil {
 		return fail(err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	i.Run(signals)
 	return subcommands.ExitSuccess
 }
