Start the processes of the end-to-end tests on a thread that does not end

Cause: since the processes have a parent-death signal, which the kernel sends when the thread that started them ends; the fault proxies of a fleet run on threads of their own, which end with their test and may have started the processes of another one.

The processes are started on one locked thread.

--- a/standin/e2e/process_test.go
+++ b/standin/e2e/process_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -46,7 +48,7 @@
 	// group of its own the process is not hung up when the command that started the tests
 	// ends, nor interrupted from the terminal, so it is killed with the test process.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := startOnSpawner(cmd); err != nil {
 		return err
 	}
 	done := make(chan struct{})
@@ -58,6 +60,26 @@
 	return nil
 }
 
+// spawner starts processes on a thread that ends with the test process: the kernel sends a
+// process its parent-death signal when the thread that started it ends.
+var spawner = sync.OnceValue(func() chan<- func() {
+	starts := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+	return starts
+})
+
+// startOnSpawner starts the command on the thread of spawner.
+func startOnSpawner(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	spawner() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
 // signal sends a signal. If the process has ended, the error contains its exit
 // state and the end of its log.
 func (p *process) signal(sig syscall.Signal) error {
