End the process before the grace period of a planned stop has passed

Cause as far as it is known: the bounds of the last steps added up to the whole grace period (sockets 5.7 s, then duties and log 0.3 s), so a stop that ran into one of them ended at 6.0 s or later.

Change: stopplan has the step End, a ninth of the reserve before the grace period ends; the sockets are closed by 5.6 s. TestStepsAreInOrder and TestLastAnswersHaveTimeToBeSent hold it.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -149,12 +149,12 @@
 }
 
 // shutdownTimeouts returns how long the duties may take to end, and then the log to be
-// written. Both fit into what is left of the grace period of a planned stop.
+// written. Both fit into what is left until the end of a planned stop.
 func (h *Hosted) shutdownTimeouts() (duties, log time.Duration) {
 	if h.stopRequestedAt.IsZero() {
 		return hostedShutdownTimeout, logFlushTimeout
 	}
-	left := max(h.settings.StopGrace-clock.Now().Sub(h.stopRequestedAt), 0)
+	left := max(h.plan.End-clock.Now().Sub(h.stopRequestedAt), 0)
 	return min(left/2, hostedShutdownTimeout), min(left/2, logFlushTimeout)
 }
 
--- a/pkg/instance/hostedstop_test.go
+++ b/pkg/instance/hostedstop_test.go
@@ -24,7 +24,7 @@
 			duties, log := h.shutdownTimeouts()
 			require.Greater(t, duties, 20*time.Millisecond)
 			require.Greater(t, log, 20*time.Millisecond)
-			require.LessOrEqual(t, plan.Answers+duties+log, grace)
+			require.LessOrEqual(t, plan.Answers+duties+log, plan.End)
 		})
 	}
 }
--- a/pkg/stopplan/stopplan.go
+++ b/pkg/stopplan/stopplan.go
@@ -10,10 +10,11 @@
 //	Statements               the deadline of every statement that still runs
 //	Answers                  what has no answer yet is answered
 //	Sockets                  the last answers are sent, and the sockets closed
-//	Grace                    the process has ended
+//	End                      the duties have ended, the log is written, the process exits
+//	Grace                    the process is killed
 //
 // The PostgreSQL front counts from the request to its callers to reconnect, and releases
-// its share of the limits after Grace.
+// its share of the limits after that.
 package stopplan
 
 import (
@@ -38,9 +39,12 @@
 	// deadline, before the remaining ones are ended.
 	answerDivisor = 9
 	// socketsNumerator and socketsDenominator are the fraction of the reserve after which
-	// the sockets are closed; the rest is for the other duties and the log.
-	socketsNumerator   = 2
-	socketsDenominator = 3
+	// the sockets are closed; what follows is for the other duties and the log.
+	socketsNumerator   = 5
+	socketsDenominator = 9
+	// endMarginDivisor is the fraction of the reserve that is left when the process exits,
+	// because timers fire late on a busy machine.
+	endMarginDivisor = 9
 	// noticeNumerator and noticeDenominator limit the notice to the balancer, so that
 	// sessions end before transactions also in a short grace period.
 	noticeNumerator   = 2
@@ -56,6 +60,7 @@
 	Statements   time.Duration
 	Answers      time.Duration
 	Sockets      time.Duration
+	End          time.Duration
 	Grace        time.Duration
 }
 
@@ -73,6 +78,7 @@
 		Statements:   grace - reserve,
 		Answers:      grace - reserve + reserve/answerDivisor,
 		Sockets:      grace - reserve + reserve*socketsNumerator/socketsDenominator,
+		End:          grace - reserve/endMarginDivisor,
 		Grace:        grace,
 	}, nil
 }
--- a/pkg/stopplan/stopplan_test.go
+++ b/pkg/stopplan/stopplan_test.go
@@ -22,7 +22,8 @@
 			require.Greater(t, p.Statements, grace*5/6)
 			require.Less(t, p.Statements, p.Answers)
 			require.Less(t, p.Answers, p.Sockets)
-			require.Less(t, p.Sockets, p.Grace)
+			require.Less(t, p.Sockets, p.End)
+			require.Less(t, p.End, p.Grace)
 			require.Equal(t, grace, p.Grace)
 			require.Positive(t, p.LongestTimeLimit())
 		}
