Name the handler of a link, and test the end of a running remote transaction at a stop

From the review: linkEnd read as the end of a link; without the row remote_ended_by_stop of the event answered no test failed. The new test fails without it. No behaviour changes.

--- a/pkg/linkio/sessionend_test.go
+++ b/pkg/linkio/sessionend_test.go
@@ -102,7 +102,7 @@
 
 // Guards against a warning about lost data for a caller that ends its session as usual
 // after a planned stop has closed it.
-func TestFarewellAfterTheEndIsNoLostData(t *testing.T) {
+func TestQuitAfterTheEndIsNoLostData(t *testing.T) {
 	h := startHarness(t)
 	defer h.stop()
 	caller, conn := h.openRequest("one")
--- a/pkg/rpc/incoming.go
+++ b/pkg/rpc/incoming.go
@@ -97,12 +97,12 @@
 	in.request = nil
 }
 
-// awaitsReplies implements linkEnd.
+// awaitsReplies implements linkHandler.
 func (in *inConn) awaitsReplies() bool {
 	return in.openRequests > 0
 }
 
-// acceptRequest implements linkEnd.
+// acceptRequest implements linkHandler.
 func (in *inConn) acceptRequest() {
 	r := in.request
 	if r.IsCall() {
@@ -124,7 +124,7 @@
 	in.lastAccepted = n
 }
 
-// rejectRequest implements linkEnd. It answers peers that do not know the goAway.
+// rejectRequest implements linkHandler. It answers peers that do not know the goAway.
 func (in *inConn) rejectRequest() {
 	if !in.request.IsCall() {
 		return
@@ -137,7 +137,7 @@
 	}
 }
 
-// announceClose implements linkEnd. The order of IDs that are not numbers is not known,
+// announceClose implements linkHandler. The order of IDs that are not numbers is not known,
 // so no announcement covers them.
 func (in *inConn) announceClose() {
 	if in.hasOtherIDs {
@@ -148,7 +148,7 @@
 	}
 }
 
-// discardInput implements linkEnd. Requests that arrive now are not run.
+// discardInput implements linkHandler. Requests that arrive now are not run.
 func (in *inConn) discardInput() {
 	in.conn.ResumeRead()
 	in.conn.Discard(len(in.conn.Buffered()))
--- a/pkg/rpc/link.go
+++ b/pkg/rpc/link.go
@@ -20,17 +20,17 @@
 // link is the life cycle of a connection, incoming or outgoing; its chart is
 // "peer_link".
 type link struct {
-	duty  *Duty
-	conn  *netloop.Conn
-	end   linkEnd
-	state chart.State
-	timer timerq.Item[func()]
+	duty    *Duty
+	conn    *netloop.Conn
+	handler linkHandler
+	state   chart.State
+	timer   timerq.Item[func()]
 	// outputEnded is set when the output is shut down.
 	outputEnded bool
 }
 
-// linkEnd is what differs between incoming and outgoing connections.
-type linkEnd interface {
+// linkHandler is what differs between incoming and outgoing connections.
+type linkHandler interface {
 	// awaitsReplies reports whether accepted requests have no reply.
 	awaitsReplies() bool
 	// announceClose tells the peer which requests were accepted.
@@ -57,12 +57,12 @@
 	}
 	return chart.Compile(definition, chart.Registry[*link]{
 		Guards: map[string]func(*link) bool{
-			"awaits_replies": func(l *link) bool { return l.end.awaitsReplies() },
+			"awaits_replies": func(l *link) bool { return l.handler.awaitsReplies() },
 		},
 		Actions: map[string]func(*link){
-			"accept_request":   func(l *link) { l.end.acceptRequest() },
-			"reject_request":   func(l *link) { l.end.rejectRequest() },
-			"announce_close":   func(l *link) { l.end.announceClose() },
+			"accept_request":   func(l *link) { l.handler.acceptRequest() },
+			"reject_request":   func(l *link) { l.handler.rejectRequest() },
+			"announce_close":   func(l *link) { l.handler.announceClose() },
 			"flush":            (*link).flush,
 			"shut_down_output": (*link).shutDownOutput,
 			"close":            func(l *link) { l.conn.Close() },
@@ -83,8 +83,8 @@
 }
 
 // start enters the chart's initial state.
-func (l *link) start(d *Duty, conn *netloop.Conn, end linkEnd) {
-	l.duty, l.conn, l.end = d, conn, end
+func (l *link) start(d *Duty, conn *netloop.Conn, handler linkHandler) {
+	l.duty, l.conn, l.handler = d, conn, handler
 	l.state = d.linkChart.Initial()
 	l.timer.Value = l.timeOut
 	l.arm()
@@ -128,7 +128,7 @@
 func (l *link) shutDownOutput() {
 	l.outputEnded = true
 	l.conn.ShutdownWrite()
-	l.end.discardInput()
+	l.handler.discardInput()
 }
 
 func (l *link) socket() *netloop.Conn {
--- a/pkg/rpc/outgoing.go
+++ b/pkg/rpc/outgoing.go
@@ -190,23 +190,23 @@
 	}
 }
 
-// awaitsReplies implements linkEnd.
+// awaitsReplies implements linkHandler.
 func (out *outConn) awaitsReplies() bool {
 	return false
 }
 
-// announceClose implements linkEnd. The end of the output tells the peer that no further
+// announceClose implements linkHandler. The end of the output tells the peer that no further
 // call follows; calls that are made after it use a new connection.
 func (out *outConn) announceClose() {
 	out.startDraining()
 }
 
-// acceptRequest and rejectRequest implement linkEnd; no requests arrive on an outgoing
+// acceptRequest and rejectRequest implement linkHandler; no requests arrive on an outgoing
 // connection.
 func (out *outConn) acceptRequest() {}
 func (out *outConn) rejectRequest() {}
 
-// discardInput implements linkEnd. The responses to calls are still delivered.
+// discardInput implements linkHandler. The responses to calls are still delivered.
 func (out *outConn) discardInput() {}
 
 // handleGoAway fails the calls that the peer has not accepted. The connection is closed
--- a/pkg/session/stop_test.go
+++ b/pkg/session/stop_test.go
@@ -225,6 +225,21 @@
 	require.Contains(t, h.control, Drained{})
 }
 
+// Guards against the same if a statement of the transaction runs: it is answered first.
+func TestStopAnswersTheStatementOfAnotherInstance(t *testing.T) {
+	h := newHomeHarness(t)
+	h.firstInTransaction = true
+	h.sendRemote(1, 1, true, "write", write)
+	target := h.lastSent().Target
+	h.do(Drain{})
+	h.do(EndTransactions{})
+	require.NotContains(t, h.control, Drained{})
+	h.primaryAnswers(target, 'T', position(1, 100))
+	require.Equal(t, []byte("ready"), h.lastRelayResponse().Frames)
+	require.Contains(t, h.targets, TargetClose{Target: target}, "the member rolls the transaction back")
+	require.Contains(t, h.control, Drained{})
+}
+
 // Guards against a home that goes on with a statement which the stopping instance of its
 // caller has given up, so that its outcome is not known there.
 func TestHomeLearnsTheDeadlineOfTheStop(t *testing.T) {
