--- a/pkg/settings/hosted.go
+++ b/pkg/settings/hosted.go
@@ -46,6 +46,19 @@
 	RateWindow  time.Duration
 	RateOverage float64
 	RateSlack   float64
+	// EvacuationBound is how long after the request to evacuate a failure domain its
+	// members may still get work; zero if the platform has no such requests.
+	EvacuationBound time.Duration
+	// WarmupOverage and WarmupSlack are the tolerance of the bound on requests to a member
+	// that has just started: in one second at most the member's rate while it warms up,
+	// times WarmupOverage, plus WarmupSlack requests. Zero if the platform has no bound.
+	WarmupOverage float64
+	WarmupSlack   float64
+	// Capacity is the instance's processor share: the fraction of a core times the speed
+	// of the core. Zero if the platform does not state it.
+	Capacity float64
+	// LinkMbps is the bandwidth of the instance's network link, in Mbit/s, zero if unknown.
+	LinkMbps float64
 	// PromotionsFenced is set if the platform checks the fencing tokens of promotions and
 	// a replaced primary takes no more writes. Otherwise the instances ensure both.
 	PromotionsFenced bool `start:"only"`
