Give priority 0 a class of its own

Callers of entries with priority 0 waited in one queue with those of priority 1: both were of the class urgent. The class critical is served before urgent. Deployments without priority 0 keep their classes.

--- a/pkg/catalogue/check.go
+++ b/pkg/catalogue/check.go
@@ -123,8 +123,8 @@
 	c.check(e.Owner != "", item, "must have an owner")
 	c.check(c.catalogue.Account(e.Account) != nil, item, "account "+string(e.Account)+" must exist")
 	c.check(c.catalogue.Database(e.Database) != nil, item, "database "+string(e.Database)+" must exist")
-	classes := []core.Class{core.ClassUrgent, core.ClassInteractive, core.ClassBrowse}
-	c.check(slices.Contains(classes, e.Class), item, "class must be urgent, interactive or browse")
+	classes := []core.Class{core.ClassCritical, core.ClassUrgent, core.ClassInteractive, core.ClassBrowse}
+	c.check(slices.Contains(classes, e.Class), item, "class must be critical, urgent, interactive or browse")
 	c.check(e.MaxAgeMillis >= 0, item, "max_age_ms must not be negative")
 	c.check(e.DeadlineMillis > 0, item, "deadline_ms must be above 0")
 }
--- a/pkg/core/names.go
+++ b/pkg/core/names.go
@@ -27,6 +27,7 @@
 
 // Classes of traffic, most urgent first.
 const (
+	ClassCritical    Class = "critical"
 	ClassUrgent      Class = "urgent"
 	ClassInteractive Class = "interactive"
 	ClassBrowse      Class = "browse"
--- a/pkg/fairqueue/fair.go
+++ b/pkg/fairqueue/fair.go
@@ -10,8 +10,8 @@
 // 16, browse traffic keeps at least 1/17 of the service under any urgent load.
 const DefaultMaxBypass = 16
 
-// classCount is the number of classes: urgent, interactive, browse.
-const classCount = 3
+// classCount is the number of classes: critical, urgent, interactive, browse.
+const classCount = 4
 
 // Fair is a start-time fair queue over the accounts of each class. Push, Pop
 // and Remove take O(log n) for n accounts and items.
@@ -65,12 +65,14 @@
 // first.
 func classIndex(class core.Class) int {
 	switch class {
-	case core.ClassUrgent:
+	case core.ClassCritical:
 		return 0
-	case core.ClassInteractive:
+	case core.ClassUrgent:
 		return 1
+	case core.ClassInteractive:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // Push implements Queue.
--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -180,3 +180,18 @@
 		q.Push(item)
 	}
 }
+
+// Guards against a class that waits in the queue of a less urgent one: two entries
+// whose priorities differ then share the order of arrival.
+func TestCriticalIsServedBeforeUrgent(t *testing.T) {
+	q := NewFair[int](DefaultMaxBypass)
+	for _, class := range []core.Class{core.ClassBrowse, core.ClassInteractive, core.ClassUrgent, core.ClassCritical} {
+		q.Push(&Item[int]{Account: "a", Class: class})
+	}
+	var order []core.Class
+	for range 4 {
+		item, _ := q.Pop()
+		order = append(order, item.Class)
+	}
+	require.Equal(t, []core.Class{core.ClassCritical, core.ClassUrgent, core.ClassInteractive, core.ClassBrowse}, order)
+}
