Place homes by the capacity of the instances

Placement did not know how large instances are, so the homes of high-rate accounts were often on the smallest ones. The registration of an instance states its capacity: processor share times speed, bounded by its link and memory. Rendezvous hashing is weighted by it, accounts with a high rate are placed first, and an instance's part of all rates and accounts is at most 1.25 times its part of the capacity and at most an eighth; a failure domain's part of all rates is at most 1.5 divided by the number of domains. Present homes stay, and nodes found dead get none. Anonymous callers and feeders prefer instances with at least half of the largest capacity. Where capacities are equal or unknown the assignment is the earlier one.

Unit tests of placement and fleet pass.

--- a/pkg/fleet/topology.go
+++ b/pkg/fleet/topology.go
@@ -16,6 +16,9 @@
 	nodes       []string
 	localNodes  []string
 	domainCount int
+	// candidates and localCandidates are the same nodes with their capacities.
+	candidates      []placement.Node
+	localCandidates []placement.Node
 	// feeders are the nodes that serve the store's changes to this failure domain,
 	// none if the domain is small.
 	feeders []string
@@ -45,10 +48,21 @@
 	slices.Sort(t.nodes)
 	slices.Sort(t.localNodes)
 	t.domainCount = len(domains)
-	t.feeders = chooseFeeders(t.localNodes)
+	t.candidates, t.localCandidates = e.candidates(t.nodes), e.candidates(t.localNodes)
+	t.feeders = placement.Prefer(feederRankKey, t.localCandidates)[:len(chooseFeeders(t.localNodes))]
 	return t
 }
 
+// candidates returns the named nodes with their capacities.
+func (e *Engine) candidates(nodes []string) []placement.Node {
+	list := make([]placement.Node, len(nodes))
+	for i, node := range nodes {
+		registered := e.instances[node]
+		list[i] = placement.Node{Name: node, Domain: registered.Domain, Capacity: registered.Capacity}
+	}
+	return list
+}
+
 // instancesOfOtherDomains returns the instances of other failure domains, sorted by node
 // name.
 func (e *Engine) instancesOfOtherDomains() []Instance {
@@ -76,15 +90,15 @@
 	return list
 }
 
-// ownerOf returns the node of this failure domain that is responsible for a name,
-// and false if the domain has no registered node.
+// ownerOf returns the node of this failure domain that is responsible for a name, one of
+// the large ones, and false if the domain has no registered node.
 func (t *topology) ownerOf(name string) (string, bool) {
 	if len(t.localNodes) == 0 {
 		return "", false
 	}
 	node, known := t.owners[name]
 	if !known {
-		node = placement.Owner(name, t.localNodes)
+		node = placement.Prefer(name, t.localCandidates)[0]
 		t.owners[name] = node
 	}
 	return node, true
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -63,6 +63,8 @@
 	Domain core.Domain     `json:"domain"`
 	// Peer is the address for messages from other instances.
 	Peer string `json:"peer"`
+	// Capacity is what the instance can handle relative to others, 0 if it is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Succession is the record of the last change of a group's primary, where the platform
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/placement"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/rpc"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/settings"
@@ -69,7 +70,8 @@
 	h.fleetDuty.now = clock.Now
 	h.self = fleet.Instance{
 		Node: s.Name, ID: newInstanceID(s.Name), Domain: s.Domain,
-		Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+		Peer:     net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+		Capacity: placement.CapacityOf(s.Capacity, s.LinkMbps, s.MemoryBytes),
 	}
 	h.telemetry = telemetry.New(telemetry.Config{
 		Output: output, Level: logrus.InfoLevel, Capacity: hostedRingCapacity,
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -2,9 +2,11 @@
 // account is assigned is its home: as long as it can be reached, it admits the
 // account's requests and holds its connections to targets.
 //
-// Accounts are assigned by rendezvous hashing with a limit on the accounts per
-// instance. A change of the fleet moves few accounts, and no instance gets two
-// large accounts while others have none.
+// Where all instances have the same capacity, accounts are assigned by rendezvous
+// hashing with a limit on the accounts per instance. A change of the fleet moves few
+// accounts, and no instance gets two large accounts while others have none. Where the
+// capacities differ, the hashing is weighted by capacity and the limits are those of
+// type limits.
 package placement
 
 import (
@@ -21,21 +23,33 @@
 	Name core.AccountName
 	// Rate is in requests per second.
 	Rate float64
+	// Home is the node that is the account's home, empty if the account needs one.
+	Home string
 }
 
-// Assign returns the home of each account among the named nodes, nil if there are
-// none. Accounts with a higher rate are assigned first. No node gets more than an
-// equal share of the accounts, rounded up.
-func Assign(accounts []Account, nodes []string) map[core.AccountName]string {
+// Assign returns the home of each account among the nodes, nil if there are none.
+// Accounts with a higher rate are assigned first. Where all nodes have the same
+// capacity, no node gets more than an equal share of the accounts, rounded up, and the
+// present homes are not considered. Otherwise accounts keep their present home.
+func Assign(accounts []Account, nodes []Node) map[core.AccountName]string {
 	if len(nodes) == 0 {
 		return nil
 	}
 	sorted := slices.SortedFunc(slices.Values(accounts), func(a, b Account) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
 	})
-	maxPerNode := (len(accounts) + len(nodes) - 1) / len(nodes)
+	f := newFleet(nodes)
+	if f.uniform {
+		return assignUniform(sorted, f.names())
+	}
+	return assignWeighted(sorted, f.withoutGone())
+}
+
+// assignUniform assigns accounts to nodes of the same capacity.
+func assignUniform(sorted []Account, nodes []string) map[core.AccountName]string {
+	maxPerNode := (len(sorted) + len(nodes) - 1) / len(nodes)
 	assigned := make(map[string]int, len(nodes))
-	homes := make(map[core.AccountName]string, len(accounts))
+	homes := make(map[core.AccountName]string, len(sorted))
 	for _, a := range sorted {
 		for _, node := range RankNodes(string(a.Name), nodes) {
 			if assigned[node] < maxPerNode {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -9,10 +9,10 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
-func nodes(n int) []string {
-	var list []string
+func nodes(n int) []Node {
+	var list []Node
 	for i := range n {
-		list = append(list, fmt.Sprintf("node-%d", i))
+		list = append(list, Node{Name: fmt.Sprintf("node-%d", i)})
 	}
 	return list
 }
@@ -55,7 +55,7 @@
 // Guards against instances that disagree although they know the same nodes.
 func TestOrderOfTheListsDoesNotMatter(t *testing.T) {
 	ordered := nodes(5)
-	reordered := []string{ordered[3], ordered[0], ordered[4], ordered[2], ordered[1]}
+	reordered := []Node{ordered[3], ordered[0], ordered[4], ordered[2], ordered[1]}
 	require.Equal(t, Assign(accounts(8), ordered), Assign(accounts(8), reordered))
 	require.Nil(t, Assign(accounts(2), nil))
 }
