Place homes on the large instances where there are enough of them

Every instance exchanges probes with each home that its callers use. New homes are now on the instances with at least half of the largest capacity if there are three or more of them in two failure domains. Where all capacities are equal nothing changes.

--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -35,6 +35,11 @@
 	// equalCapacityTolerance is the relative difference up to which capacities are equal.
 	// The mean of equal numbers may differ from them by rounding.
 	equalCapacityTolerance = 1e-9
+	// minLargeNodes and minLargeDomains are the number of large nodes, and of their failure
+	// domains, from which homes are placed on large nodes only. With fewer, the loss of one
+	// would interrupt too many accounts.
+	minLargeNodes   = 3
+	minLargeDomains = 2
 	// preferredFraction is the fraction of the largest capacity from which a node counts
 	// as one of the large ones.
 	preferredFraction = 0.5
@@ -112,6 +117,36 @@
 	return newFleet(present)
 }
 
+// large returns the nodes with at least half of the largest capacity, or all nodes if
+// these are too few.
+func (f *fleet) large() fleet {
+	most := f.largestCapacity()
+	domains := map[core.Domain]bool{}
+	var large []Node
+	for _, n := range f.nodes {
+		if n.Capacity >= most*preferredFraction {
+			large = append(large, n)
+			domains[n.Domain] = true
+		}
+	}
+	if len(large) < minLargeNodes || len(domains) < min(minLargeDomains, f.domains) {
+		return *f
+	}
+	return newFleet(large)
+}
+
+func (f *fleet) largestCapacity() float64 {
+	most := 0.0
+	for i := range f.nodes {
+		most = max(most, f.nodes[i].Capacity)
+	}
+	return most
+}
+
+func (f *fleet) has(name string) bool {
+	return slices.ContainsFunc(f.nodes, func(n Node) bool { return n.Name == name })
+}
+
 func (f *fleet) names() []string {
 	names := make([]string, len(f.nodes))
 	for i := range f.nodes {
@@ -165,10 +200,7 @@
 	if f.uniform {
 		return RankNodes(name, f.names())
 	}
-	most := 0.0
-	for i := range f.nodes {
-		most = max(most, f.nodes[i].Capacity)
-	}
+	most := f.largestCapacity()
 	var large, others []string
 	for _, i := range f.rank(name) {
 		if n := &f.nodes[i]; n.Capacity >= most*preferredFraction {
--- a/pkg/placement/weighted.go
+++ b/pkg/placement/weighted.go
@@ -49,8 +49,11 @@
 	maxDomainRate float64
 }
 
-// assignWeighted assigns accounts, sorted by descending rate.
-func assignWeighted(sorted []Account, f fleet) map[core.AccountName]string {
+// assignWeighted assigns accounts, sorted by descending rate. New homes are on the large
+// nodes if there are enough of them: every instance exchanges probes with each home that
+// its callers use, so fewer homes take less of the small instances' processor time.
+func assignWeighted(sorted []Account, all fleet) map[core.AccountName]string {
+	f := all.large()
 	a := newAssignment(sorted, f)
 	homes := make(map[core.AccountName]string, len(sorted))
 	index := make(map[string]int, len(f.nodes))
@@ -60,6 +63,8 @@
 	for _, account := range sorted {
 		if i, known := index[account.Home]; known {
 			a.add(i, account.Rate)
+		}
+		if all.has(account.Home) {
 			homes[account.Name] = account.Home
 		}
 	}
