Count the calls to the store by kind and outcome

Cause: what the calls to the store consist of was known only from the platform's own figure. Change: fleet.StoreCalls decorates the store's interfaces; the metrics page shows sassafrasshunt_store_calls with the labels kind and outcome. Measured: nothing yet; TestStoreCallsAreCounted covers each kind and outcome.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -41,6 +41,7 @@
 	registrar       *fleet.Registrar
 	worker          *fleet.Worker
 	stores          []*platform.Store
+	storeCalls      *fleet.StoreCalls
 	memberControl   *platform.MemberControl
 	rpc             *rpc.Duty
 	feedClient      *feedClient
@@ -62,7 +63,7 @@
 // wrapped, when an address or chart cannot be used.
 func NewHosted(s *settings.Hosted, output io.Writer) (*Hosted, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapLimitFraction))
-	h := &Hosted{settings: s, runner: runner{stopped: make(chan struct{})}}
+	h := &Hosted{settings: s, runner: runner{stopped: make(chan struct{})}, storeCalls: fleet.NewStoreCalls()}
 	h.sessionDuty = newDecisionDuty[session.Input](hostedRingCapacity)
 	h.sessionDuty.now = clock.Now
 	h.fleetDuty = newDecisionDuty[fleet.Input](hostedRingCapacity)
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -151,12 +151,12 @@
 	return primaryLeaseTime
 }
 
-// newStore returns a store client for one duty; a changed store address reaches
-// all of them.
-func (h *Hosted) newStore() *platform.Store {
+// newStore returns a store client for one duty, whose calls are counted; a changed
+// store address reaches all of them.
+func (h *Hosted) newStore() fleet.StoreClient {
 	store := platform.NewStore(h.settings.StoreAddress, h.logSkippedValue)
 	h.stores = append(h.stores, store)
-	return store
+	return h.storeCalls.Count(store)
 }
 
 // buildReadyServer binds the address of the readiness probe.
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/fleet"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/linkio"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -51,6 +52,7 @@
 	page.add("sassafrasshunt_callers_open", "", float64(h.callers.Open()))
 	page.add("sassafrasshunt_callers_refused_total", "", float64(h.callers.Refused()))
 	page.closes(h.callers.CloseCounts())
+	page.storeCalls(h.storeCalls)
 	page.add("sassafrasshunt_targets_open", "", float64(h.targets.Open()))
 	page.add("sassafrasshunt_targets_opened_total", "", float64(h.targets.Opened()))
 	page.rings(map[string]ring.Stats{
@@ -133,6 +135,16 @@
 	p.add("sassafrasshunt_late_answers_total", "", float64(c.LateAnswers))
 }
 
+// storeCalls adds the counters of the calls to the store. Those that are zero are left
+// out.
+func (p *metricsPage) storeCalls(calls *fleet.StoreCalls) {
+	calls.Visit(func(kind fleet.StoreCallKind, outcome fleet.StoreCallOutcome, count uint64) {
+		if count > 0 {
+			p.add("sassafrasshunt_store_calls", label("kind", string(kind))+","+label("outcome", string(outcome)), float64(count))
+		}
+	})
+}
+
 // account adds the counters and latencies of one account.
 func (p *metricsPage) account(name core.AccountName, a session.AccountInspection) {
 	labels := label("account", string(name))
