Read the store once for each failure domain, and spread the retries of an outage

Cause: each feeder watched the store, 12 watches a second at 120 instances in 3 failure domains. In an outage every instance read the store each 0.1 s; when a feeder did not serve, its followers all read the store for 3 s; when the store had dropped its history, every instance read everything. In an outage without responses followers did not notice it within 20 s, because each change of their source started their watch again. Change: the first feeder of a domain watches the store and forwards the changes to the other feeders. A follower asks a second feeder before the store and spreads its reads of the store. Feeders send everything to followers that cannot continue. An instance waits after a failure for a random time whose limit doubles up to 0.8 s; followers of feeders that have lost the store poll these, and the store rarely. A check of the store reads the changes instead of everything.

--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -8,8 +8,9 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
 
-// FeedRequest is a follower's request for the changes after a revision. The response
-// is sent as soon as there are changes, or after Wait.
+// FeedRequest is a follower's request for the changes after a revision, or for
+// everything if the revision is 0. The response is sent as soon as there are changes or
+// the store was read again, or after Wait.
 type FeedRequest struct {
 	// ReplyTo is returned with the response.
 	ReplyTo any
@@ -24,12 +25,19 @@
 	// Unavailable is set when this instance cannot serve the changes: it is not a
 	// feeder, cannot read the store, or does not keep changes as far back as the
 	// requested revision.
-	Unavailable bool     `json:"unfit,omitempty"`
-	Changes     []Change `json:"changes,omitempty"`
+	Unavailable bool `json:"unfit,omitempty"`
+	// StoreLost is set besides Unavailable if the reason is that this instance cannot
+	// read the store.
+	StoreLost bool     `json:"store_lost,omitempty"`
+	Changes   []Change `json:"changes,omitempty"`
+	// Snapshot holds all records, in the response to a request for everything.
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
 	// Next is the revision for the next request.
 	Next Revision `json:"next,omitempty"`
-	// Age is the time since the store was known to have no changes after Next.
-	Age time.Duration `json:"age,omitempty"`
+	// Age is the time since the store was known to have no changes after Next. Held is
+	// the time between the request and the response.
+	Age  time.Duration `json:"age,omitempty"`
+	Held time.Duration `json:"held,omitempty"`
 }
 
 const (
@@ -57,9 +65,10 @@
 
 // pendingRequest is a request that waits for changes.
 type pendingRequest struct {
-	replyTo  any
-	after    Revision
-	deadline time.Time
+	replyTo    any
+	after      Revision
+	receivedAt time.Time
+	deadline   time.Time
 }
 
 func (f *feed) init(e *Engine) {
@@ -77,8 +86,9 @@
 
 // record adds the changes up to revision next, possibly none.
 func (f *feed) record(changes []Change, next Revision, asOf time.Time) {
+	newer := asOf.After(f.asOf)
 	f.head = max(f.head, next)
-	f.asOf = asOf
+	f.asOf = clock.Later(f.asOf, asOf)
 	if !f.serving {
 		// Without followers no history is needed; the first follower continues from
 		// here.
@@ -90,7 +100,9 @@
 		f.base = f.changes[surplus-1].Revision
 		f.changes = slices.Delete(f.changes, 0, surplus)
 	}
-	if len(changes) > 0 {
+	// Without changes, the followers learn that there are none. Those that feed others
+	// would otherwise pass on older news than this instance has.
+	if len(changes) > 0 || newer {
 		f.respondPending(func(*pendingRequest) bool { return true })
 	}
 }
@@ -110,10 +122,14 @@
 // handleRequest answers a request at once if it cannot be served, if there are
 // changes, or if it does not wait. Other requests wait.
 func (f *feed) handleRequest(in FeedRequest) {
-	req := pendingRequest{replyTo: in.ReplyTo, after: in.After, deadline: f.e.now.Add(in.Wait)}
-	unavailable := !f.serving || !f.storeReadable || in.After < f.base || len(f.pending) >= maxPendingFeedRequests
+	now := f.e.now
+	req := pendingRequest{replyTo: in.ReplyTo, after: in.After, receivedAt: now, deadline: now.Add(in.Wait)}
 	switch {
-	case unavailable:
+	case f.serving && !f.storeReadable:
+		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true, StoreLost: true})
+	case f.serving && in.After == 0:
+		f.e.out.SendFeed(req.replyTo, FeedResponse{Snapshot: f.e.recordsSnapshot(f.head), Next: f.head, Age: now.Sub(f.asOf)})
+	case !f.serving, in.After < f.base, len(f.pending) >= maxPendingFeedRequests:
 		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true})
 	case in.After < f.head || in.Wait <= 0:
 		f.respond(&req)
@@ -133,6 +149,7 @@
 	})
 	f.e.out.SendFeed(req.replyTo, FeedResponse{
 		Changes: slices.Clone(f.changes[first:]), Next: max(f.head, req.after), Age: f.e.now.Sub(f.asOf),
+		Held: f.e.now.Sub(req.receivedAt),
 	})
 }
 
@@ -150,9 +167,10 @@
 	f.pending = kept
 }
 
+// rejectAll answers the waiting requests that they cannot be served.
 func (f *feed) rejectAll() {
 	for i := range f.pending {
-		f.e.out.SendFeed(f.pending[i].replyTo, FeedResponse{Unavailable: true})
+		f.e.out.SendFeed(f.pending[i].replyTo, FeedResponse{Unavailable: true, StoreLost: !f.storeReadable})
 	}
 	f.pending = nil
 }
--- a/pkg/fleet/sourceselector.go
+++ b/pkg/fleet/sourceselector.go
@@ -10,22 +10,25 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// In a large failure domain a few instances, the feeders, watch the store and
-// forward its changes to the other instances, their followers. Otherwise the
-// store would have to send each change to each instance, and the rates that it
-// can serve grow more slowly than the fleet. All instances of a domain select the
-// same feeders from the registrations. A follower whose feeder is unresponsive or
-// has lost the store reads the store itself for a while. The chart is "news".
+// In a large failure domain one instance, the first feeder, watches the store and
+// forwards its changes to the other feeders, and all feeders forward them to the other
+// instances, their followers. Otherwise the store would have to send each change to
+// each instance, and the rates that it can serve grow more slowly than the fleet. All
+// instances of a domain select the same feeders from the registrations. A follower
+// whose feeder does not serve asks a second one, the standby, and reads the store
+// itself for a while if that does not serve either. The chart is "news".
 
 // ChangeSource states where the watcher reads the store's changes.
 type ChangeSource struct {
 	// Feeder is the instance to follow, empty to read the store.
 	Feeder session.PeerAddress
+	// Standby is the instance to follow while the feeder does not serve, empty for none.
+	Standby session.PeerAddress
 	// Feeding is set when other instances follow this one.
 	Feeding bool
 }
 
-// FeederFailed reports that a feeder did not deliver changes in time.
+// FeederFailed reports that neither the feeder nor its standby delivered changes in time.
 type FeederFailed struct {
 	Feeder session.PeerAddress
 	Reason string
@@ -52,16 +55,17 @@
 // sourceSelector selects where this instance reads the store's changes from. It
 // runs the chart "news".
 type sourceSelector struct {
-	e      *Engine
-	table  *chart.Table[*sourceSelector]
-	state  chart.State
-	timer  timerq.Item[func()]
-	feeder session.PeerAddress
+	e     *Engine
+	table *chart.Table[*sourceSelector]
+	state chart.State
+	timer timerq.Item[func()]
+	// feeder and standby are the instances to follow.
+	feeder, standby session.PeerAddress
 	// current is the source last sent to the watcher.
 	current ChangeSource
 
 	// Compiled events of the chart.
-	alone, chosen, assigned, failed, timedOut chart.Event
+	alone, chosen, relays, assigned, failed, timedOut chart.Event
 }
 
 // load compiles the chart and looks up its events.
@@ -72,9 +76,15 @@
 				s.e.feed.serving = true
 				s.setSource(ChangeSource{Feeding: true})
 			},
+			"relay_changes": func(s *sourceSelector) {
+				s.e.feed.serving = true
+				s.setSource(ChangeSource{Feeder: s.feeder, Standby: s.standby, Feeding: true})
+			},
 			"reject_followers": func(s *sourceSelector) { s.e.feed.stop() },
-			"follow_feeder":    func(s *sourceSelector) { s.setSource(ChangeSource{Feeder: s.feeder}) },
-			"read_store":       func(s *sourceSelector) { s.setSource(ChangeSource{}) },
+			"follow_feeder": func(s *sourceSelector) {
+				s.setSource(ChangeSource{Feeder: s.feeder, Standby: s.standby})
+			},
+			"read_store": func(s *sourceSelector) { s.setSource(ChangeSource{}) },
 		},
 		Timeouts: map[string]time.Duration{"steady": steadyTimeout, "feeder_retry": feederRetryDelay},
 	})
@@ -82,7 +92,7 @@
 		return err
 	}
 	s.e, s.table, s.state = e, table, table.Initial()
-	s.alone, s.chosen, s.assigned = table.Event("alone"), table.Event("chosen"), table.Event("assigned")
+	s.alone, s.chosen, s.relays, s.assigned = table.Event("alone"), table.Event("chosen"), table.Event("relays"), table.Event("assigned")
 	s.failed, s.timedOut = table.Event("failed"), table.Event(chart.TimeoutEvent)
 	s.timer.Value = func() { s.fire(s.timedOut) }
 	return nil
@@ -104,7 +114,7 @@
 	s.current = source
 	s.e.out.SetChangeSource(source)
 	s.e.out.Log(LogEvent{Event: "news_from", Message: "source of store changes selected", Fields: map[string]any{
-		"feeder": source.Feeder, "feeding": source.Feeding,
+		"feeder": source.Feeder, "standby": source.Standby, "feeding": source.Feeding,
 	}})
 }
 
@@ -113,17 +123,35 @@
 func (s *sourceSelector) reselect() {
 	feeders := s.e.currentTopology().feeders
 	own := s.e.config.Self.Node
+	rank := slices.Index(feeders, own)
 	switch {
 	case len(feeders) == 0 || s.e.state != s.e.servingState:
 		s.fire(s.alone)
-	case slices.Contains(feeders, own):
+	case rank == 0:
 		s.fire(s.chosen)
+	case rank > 0:
+		// Feeders follow only those before them, so that they do not follow each other.
+		s.follow(feeders[0], feeders[:min(rank, 2)])
+		s.fire(s.relays)
 	default:
-		s.feeder = session.PeerAddress(s.e.instances[placement.Owner(own, feeders)].Peer)
+		s.follow(placement.Owner(own, feeders), feeders)
 		s.fire(s.assigned)
 	}
 }
 
+// follow sets the feeder, and the standby from the others.
+func (s *sourceSelector) follow(feeder string, feeders []string) {
+	s.feeder, s.standby = s.peer(feeder), ""
+	others := slices.DeleteFunc(slices.Clone(feeders), func(node string) bool { return node == feeder })
+	if len(others) > 0 {
+		s.standby = s.peer(placement.Owner(s.e.config.Self.Node, others))
+	}
+}
+
+func (s *sourceSelector) peer(node string) session.PeerAddress {
+	return session.PeerAddress(s.e.instances[node].Peer)
+}
+
 // feederFailed handles the watcher's report. A report about an earlier feeder is
 // ignored.
 func (s *sourceSelector) feederFailed(in FeederFailed) {
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -22,7 +22,7 @@
 	Feed(ctx context.Context, feeder session.PeerAddress, after Revision, wait time.Duration) (FeedResponse, error)
 }
 
-// Watcher reads the store on a thread of its own, directly or through a feeder. It
+// Watcher reads the store on a thread of its own, directly or through feeders. It
 // reads a snapshot, then follows the changes, and starts over when it may have
 // missed some.
 type Watcher struct {
@@ -30,22 +30,35 @@
 	feeder Feeder
 	bounds WatcherBounds
 	// assignments are the sources set by SetSource. assigned is the latest one taken
-	// from the ring.
+	// from the ring. assignment is signalled for each, so that a pause ends.
 	assignments *ring.Ring[ChangeSource]
 	assigned    ChangeSource
+	assignment  chan struct{}
 	deliver     func(Input) bool
 	ctx         context.Context
 	cancel      context.CancelFunc
 	// cancelCall cancels the call in progress. rechecking is set when RereadStore has
-	// cancelled it, reassigned when SetSource has.
+	// requested a read, reassigned when SetSource has cancelled a call.
 	cancelCall atomic.Pointer[context.CancelFunc]
 	rechecking atomic.Bool
 	reassigned atomic.Bool
-	// backoff counts the consecutive failures that indicated an overloaded store.
-	backoff int
-	// asOf is when the store was last known to hold nothing newer than what was
-	// delivered.
-	asOf time.Time
+	// overloads counts the consecutive failures that indicated an overloaded store,
+	// failures those of a store that could not be reached.
+	overloads int
+	failures  int
+	// after is the revision up to which everything was delivered, 0 before the first
+	// snapshot. asOf is when the store was last known to hold nothing newer.
+	after Revision
+	asOf  time.Time
+	// feeders holds what is known of the assigned feeders. checkFailed is set when a
+	// read of the store that the engine requested failed, until the store is read:
+	// whether this instance itself reaches the store decides whether it is isolated.
+	feeders     feederHealth
+	checkFailed bool
+	// now and random are the clock and a random number below a limit; tests replace
+	// them.
+	now    func() time.Time
+	random func(limit int64) int64
 }
 
 // WatcherBounds are the time limits of a Watcher.
@@ -56,8 +69,10 @@
 	Feed time.Duration
 	// ResponseTimeout limits the time of a call beyond its wait.
 	ResponseTimeout time.Duration
-	// RetryInterval is the delay between attempts while the store fails.
+	// RetryInterval limits the delay before the second attempt while the store fails.
+	// The limit doubles with each failure, up to MaxRetryDelay.
 	RetryInterval time.Duration
+	MaxRetryDelay time.Duration
 	// BatchDelay is the delay after changes that are not urgent, so that the many
 	// changes at a start of instances and members are read in batches.
 	BatchDelay time.Duration
@@ -69,7 +84,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Watcher{
 		store: source, feeder: feeder, bounds: bounds, deliver: deliver, ctx: ctx, cancel: cancel,
-		assignments: ring.New[ChangeSource](assignmentRingCapacity, ring.NewSignal()),
+		assignments: ring.New[ChangeSource](assignmentRingCapacity, ring.NewSignal()), assignment: make(chan struct{}, 1),
+		now: clock.Now, random: rand.Int64N,
 	}
 }
 
@@ -87,6 +103,10 @@
 		w.reassigned.Store(true)
 		(*cancel)()
 	}
+	select {
+	case w.assignment <- struct{}{}:
+	default:
+	}
 	return true
 }
 
@@ -100,8 +120,8 @@
 	w.cancel()
 }
 
-// RereadStore cancels the wait in progress so that the store is read at once. An
-// unresponsive store is then noticed within the time limit of a read.
+// RereadStore cancels the wait in progress so that the store is read at once, without
+// a feeder. An unresponsive store is then noticed within the time limit of a read.
 func (w *Watcher) RereadStore() {
 	if cancel := w.cancelCall.Load(); cancel != nil {
 		w.rechecking.Store(true)
@@ -111,87 +131,158 @@
 
 func (w *Watcher) run() {
 	for w.ctx.Err() == nil {
-		after, err := w.readSnapshot()
+		err := w.readAll()
 		if err == nil {
-			err = w.followChanges(after)
+			err = w.followChanges()
 		}
-		if w.ctx.Err() != nil {
+		switch {
+		case w.ctx.Err() != nil:
 			return
-		}
-		if !w.rechecking.Swap(false) && !eris.Is(err, ErrCompacted) {
+		case eris.Is(err, ErrCompacted):
+			// All instances that read the store notice this at the same time.
+			w.pause(w.jitter(w.bounds.BatchDelay))
+		default:
 			w.deliver(StoreUnavailable{Reason: err.Error()})
-			w.updateBackoff(err)
-			w.pause(w.retryDelay())
+			w.pause(w.retryDelay(err))
 		}
 	}
 }
 
-// updateBackoff raises the backoff after an overload error and resets it after
-// other errors. Without the backoff, many instances that read everything again
-// would keep the store overloaded.
-func (w *Watcher) updateBackoff(err error) {
-	if !eris.Is(err, ErrOverloaded) {
-		w.backoff = 0
-		return
+// maxOverloads limits how often the delay and the response timeout are doubled for an
+// overloaded store.
+const maxOverloads = 4
+
+// maxFailures limits how often the delay is doubled for a store that cannot be reached,
+// so that the doubling does not overflow. MaxRetryDelay is reached earlier.
+const maxFailures = 16
+
+// jitter returns a random duration up to the limit.
+func (w *Watcher) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(w.random(int64(limit))) + 1
+}
+
+// retryDelay returns the delay before the next attempt. Its limit doubles with each
+// failure, and the delay is randomized, so that instances that failed together do not
+// retry together. At an overloaded store it is at least half of its limit: without that,
+// many instances that read everything again would keep the store overloaded. A follower
+// asks its feeders instead.
+func (w *Watcher) retryDelay(err error) time.Duration {
+	if w.followsLostFeeder() {
+		return w.jitter(feederPollInterval)
 	}
-	w.backoff = min(w.backoff+1, maxBackoff)
+	if eris.Is(err, ErrOverloaded) {
+		w.overloads = min(w.overloads+1, maxOverloads)
+		delay := w.bounds.RetryInterval << w.overloads
+		return delay/2 + w.jitter(delay)
+	}
+	w.overloads = 0
+	delay := w.backoff(w.failures, max(w.bounds.MaxRetryDelay, w.bounds.RetryInterval))
+	w.failures = min(w.failures+1, maxFailures)
+	return delay
 }
 
-// maxBackoff limits how often the delay and the response timeout are doubled.
-const maxBackoff = 4
+// backoff returns a random delay whose limit doubles with each failure up to a maximum.
+func (w *Watcher) backoff(failures int, longest time.Duration) time.Duration {
+	return w.jitter(min(w.bounds.RetryInterval<<failures, longest))
+}
 
-// retryDelay returns the delay before the next attempt. It doubles with each
-// backoff level and is then randomized, so that instances that failed together do
-// not retry together.
-func (w *Watcher) retryDelay() time.Duration {
-	delay := w.bounds.RetryInterval << w.backoff
-	if w.backoff == 0 {
-		return delay
+// readAll reads and delivers everything, the first time from the store and later from a
+// feeder if one is assigned.
+func (w *Watcher) readAll() error {
+	w.takeAssignments()
+	if w.after > 0 && w.assigned.Feeder != "" && !w.checkFailed {
+		err := w.readFromFeeders()
+		if err == nil || !w.mayTryStore() {
+			return err
+		}
 	}
-	return delay/2 + rand.N(delay)
+	return w.readSnapshot()
 }
 
-// readSnapshot reads and delivers everything and returns the revision to follow
-// from.
-func (w *Watcher) readSnapshot() (Revision, error) {
-	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.ResponseTimeout<<w.backoff)
+// readSnapshot reads everything from the store and delivers it.
+func (w *Watcher) readSnapshot() error {
+	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.ResponseTimeout<<w.overloads)
 	defer cancel()
-	sentAt := clock.Now()
+	sentAt := w.now()
 	snapshot, err := w.store.Snapshot(ctx)
 	if err != nil {
-		return 0, err
+		w.storeAttemptFailed()
+		return err
+	}
+	if w.followsLostFeeder() {
+		w.leaveFeeders("the feeder has lost the store")
 	}
-	w.deliver(StoreSnapshot{Snapshot: snapshot, Since: w.asOf, AsOf: sentAt})
-	w.asOf = sentAt
-	w.backoff = 0
-	return snapshot.Revision, nil
+	first := w.after == 0
+	w.checkFailed = false
+	w.deliverSnapshot(snapshot, sentAt)
+	if first {
+		// Instances that start together register now, and the engine may assign a feeder.
+		w.pauseUntilAssigned(w.bounds.BatchDelay)
+	}
+	return nil
 }
 
-// followChanges delivers the changes after the revision. It returns the error that
-// ended the watch.
-func (w *Watcher) followChanges(after Revision) error {
+// deliverSnapshot delivers a snapshot that holds everything up to a time.
+func (w *Watcher) deliverSnapshot(snapshot *Snapshot, asOf time.Time) {
+	w.deliver(StoreSnapshot{Snapshot: snapshot, Since: w.asOf, AsOf: asOf})
+	w.after, w.asOf = snapshot.Revision, asOf
+	w.overloads, w.failures = 0, 0
+	w.feeders.storeLost = false
+}
+
+// followChanges delivers the changes after what was delivered. It returns the error that
+// ended this.
+func (w *Watcher) followChanges() error {
 	for w.ctx.Err() == nil {
 		w.takeAssignments()
-		changes, err := w.nextChanges(after)
-		if err != nil && w.reassigned.Swap(false) && !w.rechecking.Load() {
+		if w.rechecking.Swap(false) {
+			if err := w.checkStore(); err != nil {
+				return err
+			}
 			continue
 		}
-		if err != nil {
+		fromStore := w.assigned.Feeder == ""
+		changes, err := w.nextChanges()
+		switch {
+		case err == nil:
+		case w.rechecking.Load(), w.reassigned.Swap(false), eris.Is(err, errFeederNotReady):
+			continue
+		default:
 			return err
 		}
-		after = changes.Next
-		changes.Since = w.asOf
-		if (len(changes.Changes) > 0 || w.assigned.Feeding) && !w.deliver(changes) {
+		if !w.deliverChanges(changes, w.assigned.Feeding) {
 			return w.ctx.Err()
 		}
-		w.asOf = changes.AsOf
-		if w.assigned.Feeder == "" && len(changes.Changes) > 0 && !anyUrgent(changes.Changes) {
-			w.pause(w.bounds.BatchDelay)
+		if fromStore && len(changes.Changes) > 0 && !anyUrgent(changes.Changes) {
+			w.pauseUntilAssigned(w.bounds.BatchDelay)
 		}
 	}
 	return w.ctx.Err()
 }
 
+// deliverChanges delivers changes, and none only if evenNone is set. It returns false
+// once the instance stops.
+func (w *Watcher) deliverChanges(changes StoreChanges, evenNone bool) bool {
+	changes.Since = w.asOf
+	w.after = changes.Next
+	w.asOf = clock.Later(w.asOf, changes.AsOf)
+	return len(changes.Changes) == 0 && !evenNone || w.deliver(changes)
+}
+
+// checkStore reads the changes from the store at once and delivers them, also none: the
+// engine needs to know that the store was read.
+func (w *Watcher) checkStore() error {
+	changes, err := w.watchStore(0)
+	w.checkFailed = err != nil
+	if err == nil {
+		w.deliverChanges(changes, true)
+	}
+	return err
+}
+
 // takeAssignments applies the latest assignment.
 func (w *Watcher) takeAssignments() {
 	for {
@@ -199,49 +290,53 @@
 		if !ok {
 			return
 		}
+		w.reassigned.Store(false)
+		if source.Feeder != w.assigned.Feeder {
+			w.feeders = feederHealth{storeLost: w.feeders.storeLost, storeAttemptAt: w.feeders.storeAttemptAt}
+		}
 		w.assigned = source
 	}
 }
 
-// nextChanges waits for the next changes. If the feeder fails, it reports that and
-// asks the store instead.
-func (w *Watcher) nextChanges(after Revision) (StoreChanges, error) {
-	if w.assigned.Feeder != "" {
-		changes, err := w.nextFromFeeder(after)
-		if err == nil || w.ctx.Err() != nil || w.rechecking.Load() || w.reassigned.Load() {
+// nextChanges waits for the next changes. If no feeder delivers them, it reports that
+// and asks the store instead.
+func (w *Watcher) nextChanges() (StoreChanges, error) {
+	if w.assigned.Feeder == "" {
+		wait := w.bounds.Wait
+		if w.assigned.Feeding {
+			wait = w.bounds.Feed
+		}
+		return w.watchStore(wait)
+	}
+	changes, err := w.nextFromFeeders()
+	if err == nil || w.ctx.Err() != nil || w.rechecking.Load() || w.reassigned.Load() {
+		return changes, err
+	}
+	feeding := w.assigned.Feeding
+	if !feeding {
+		switch {
+		case eris.Is(err, errFeederLostStore):
+			w.feedersLostStore()
+			return changes, err
+		case eris.Is(err, errFeederNotReady) && w.awaitFeeder():
 			return changes, err
 		}
-		w.deliver(FeederFailed{Feeder: w.assigned.Feeder, Reason: err.Error()})
-		w.assigned = ChangeSource{}
 	}
-	wait := w.bounds.Wait
-	if w.assigned.Feeding {
-		wait = w.bounds.Feed
+	w.leaveFeeders(err.Error())
+	if !feeding {
+		// All followers of the feeders may notice their failure at the same time.
+		w.pause(w.jitter(fallbackSpread))
 	}
-	ctx, cancel := w.callContext(wait)
-	defer cancel()
-	sentAt := clock.Now()
-	changes, next, err := w.store.Watch(ctx, after, wait)
-	return StoreChanges{Changes: changes, Next: next, AsOf: sentAt}, err
+	return w.watchStore(0)
 }
 
-// nextFromFeeder asks the feeder. AsOf counts from before the request, because the
-// transfer time of the response is unknown.
-func (w *Watcher) nextFromFeeder(after Revision) (StoreChanges, error) {
-	ctx, cancel := w.callContext(w.bounds.Feed)
+// watchStore asks the store for the changes and waits for them up to the given time.
+func (w *Watcher) watchStore(wait time.Duration) (StoreChanges, error) {
+	ctx, cancel := w.callContext(wait)
 	defer cancel()
-	sentAt := clock.Now()
-	response, err := w.feeder.Feed(ctx, w.assigned.Feeder, after, w.bounds.Feed)
-	switch {
-	case err != nil:
-		return StoreChanges{}, err
-	case response.Unavailable:
-		return StoreChanges{}, eris.Wrap(ErrUnavailable, "the feeder has not got the changes")
-	case response.Age > 2*w.bounds.Feed+w.bounds.ResponseTimeout:
-		// The age counts from the beginning of a watch that has ended.
-		return StoreChanges{}, eris.Wrap(ErrUnavailable, "the feeder's news are old")
-	}
-	return StoreChanges{Changes: response.Changes, Next: max(after, response.Next), AsOf: sentAt.Add(-response.Age)}, nil
+	sentAt := w.now()
+	changes, next, err := w.store.Watch(ctx, w.after, wait)
+	return StoreChanges{Changes: changes, Next: next, AsOf: sentAt}, err
 }
 
 // callContext returns a context for a call that waits; RereadStore and
@@ -274,10 +369,21 @@
 }
 
 func (w *Watcher) pause(d time.Duration) {
+	w.pauseUntil(d, nil)
+}
+
+// pauseUntilAssigned pauses until the time is over or a source is assigned.
+func (w *Watcher) pauseUntilAssigned(d time.Duration) {
+	w.pauseUntil(d, w.assignment)
+}
+
+// pauseUntil pauses until the time is over, the event occurs or the watcher stops.
+func (w *Watcher) pauseUntil(d time.Duration, event <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-event:
 	case <-w.ctx.Done():
 	}
 }
--- a/pkg/fleet/watcher_test.go
+++ b/pkg/fleet/watcher_test.go
@@ -46,8 +46,8 @@
 // a store is readable again after an outage.
 func TestOverloadedStoreIsLeftAlone(t *testing.T) {
 	const pause, during = 5 * time.Millisecond, 400 * time.Millisecond
-	const longest = pause << maxBackoff
-	require.LessOrEqual(t, readsWithin(t, ErrOverloaded, pause, during), int64(maxBackoff+1+during/(longest/2)))
+	const longest = pause << maxOverloads
+	require.LessOrEqual(t, readsWithin(t, ErrOverloaded, pause, during), int64(maxOverloads+1+during/(longest/2)))
 	require.Greater(t, readsWithin(t, ErrUnavailable, pause, during), int64(during/pause/4))
 }
 
--- a/pkg/instance/feedclient.go
+++ b/pkg/instance/feedclient.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if c.results.Park() {
-			c.signal.Wait(wait)
+			c.signal.Wait(wait + feedResponseMargin)
 			c.results.Unpark()
 		}
 	}
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -130,7 +130,8 @@
 	h.fleetDuty.writers = []outputWriter{out.session}
 	h.feedClient = newFeedClient(h.rpc)
 	h.watcher = fleet.NewWatcher(h.newStore(), h.feedClient, fleet.WatcherBounds{
-		Wait: storeWatchWait, Feed: feedWatchWait, ResponseTimeout: storeResponseTimeout, RetryInterval: storeRetryDelay, BatchDelay: storeBatchDelay,
+		Wait: storeWatchWait, Feed: feedWatchWait, ResponseTimeout: storeResponseTimeout,
+		RetryInterval: storeRetryDelay, MaxRetryDelay: storeMaxRetryDelay, BatchDelay: storeBatchDelay,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(h.newStore(), h.self, fleet.RegistrarBounds{
 		TTL: leaseTTL, RenewInterval: leaseRenewInterval, ResponseTimeout: platformCallTimeout, Margin: leaseSafetyMargin,
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -92,8 +92,12 @@
 	// feedResponseMargin is how long a feeder's response may take beyond the requested
 	// wait: a hundred round trips.
 	feedResponseMargin = 300 * time.Millisecond
-	// storeRetryDelay is the delay between two attempts while the store fails.
-	storeRetryDelay = 100 * time.Millisecond
+	// storeRetryDelay limits the delay before the second attempt while the store fails.
+	// The limit doubles with each failure up to storeMaxRetryDelay, so that the store is
+	// read again within 2 s of its return, including storeResponseTimeout and the
+	// requests of followers to feeders.
+	storeRetryDelay    = 100 * time.Millisecond
+	storeMaxRetryDelay = 800 * time.Millisecond
 	// storeBatchDelay is how long changes that nothing waits for are collected into
 	// one batch.
 	storeBatchDelay = 250 * time.Millisecond
