Read requests to evacuate a failure domain and withdraw its members

The operator requests the evacuation of a failure domain with a key of the store. Fleet reads it with the configuration in one call, replaces a primary there by a planned change, and gives replicas no new work after half of the bound and no member anything after three quarters of it. A change that was begun is completed when the request is withdrawn: without the step-down of the old primary it could lose commits. Sessions end open transactions and close connections then.

--- a/cmd/sassafrasshuntctl/fleet.go
+++ b/cmd/sassafrasshuntctl/fleet.go
@@ -56,10 +56,14 @@
 	fmt.Printf("instance %s in %s: %s, ready=%v, store lost=%v, lease for %.1f s\n", s.Node, s.Domain, s.State, s.Ready, s.StoreLost, s.LeaseSeconds)
 	fmt.Printf("configuration version %d; %d callers, %d connections, %d statements wait\n", s.Version, s.Callers, s.Connections, s.Queued)
 	fmt.Printf("news of the store from %s, feeding others=%v\n", cmp.Or(string(s.Feeder), "the store"), s.Feeding)
+	for _, v := range s.Evacuations {
+		fmt.Printf("evacuation of %s: for %.1f s, members get nothing more=%v, unknown=%v\n", v.Domain, v.Seconds, v.Ended, v.Unknown)
+	}
 	for _, g := range s.Groups {
 		fmt.Printf("database %s: primary %s, succession %s\n", g.Group, orNone(string(g.Primary)), g.Succession)
 		for _, m := range g.Members {
-			fmt.Printf("  member %s in %s: %s, draining=%v, dead=%v, missing=%v\n", m.Member, m.Domain, m.Role, m.Draining, m.Dead, m.Missing)
+			fmt.Printf("  member %s in %s: %s, draining=%v, dead=%v, missing=%v, evacuated=%v, gets work=%v\n",
+				m.Member, m.Domain, m.Role, m.Draining, m.Dead, m.Missing, m.Evacuated, m.Usable)
 		}
 	}
 	for _, h := range s.Homes {
--- a/pkg/fleet/changes.go
+++ b/pkg/fleet/changes.go
@@ -33,6 +33,8 @@
 	e.updateInstances(s.Instances)
 	e.homes.replaceAll(s.Homes)
 	e.adoptConfiguration(s.Configuration)
+	e.replaceEvacuations(s.Evacuations)
+	e.logEvacuations()
 	e.armSweep()
 	e.publish()
 }
@@ -45,6 +47,8 @@
 	}
 	switch {
 	case anyAffectsMembers(changes):
+		e.logEvacuations()
+		e.armSweep()
 		e.publish()
 	case len(changes) > 0 && e.configuration != nil:
 		e.publishHomes()
@@ -58,12 +62,17 @@
 	if c.Member != nil {
 		return c.Member.Draining || c.Member.Role == core.RolePrimary
 	}
-	return c.Configuration != nil || c.RemovedMember != "" || c.Succession != nil
+	return c.Configuration != nil || c.RemovedMember != "" || c.Succession != nil || c.concernsEvacuation()
 }
 
 // affectsMembers reports whether the change concerns the configuration or a member.
 func (c *Change) affectsMembers() bool {
-	return c.Configuration != nil || c.Member != nil || c.RemovedMember != "" || c.Succession != nil
+	return c.Configuration != nil || c.Member != nil || c.RemovedMember != "" || c.Succession != nil || c.concernsEvacuation()
+}
+
+// concernsEvacuation reports whether the change requests or withdraws an evacuation.
+func (c *Change) concernsEvacuation() bool {
+	return c.EvacuatedDomain != "" || c.RestoredDomain != ""
 }
 
 func (e *Engine) applyChange(c *Change) {
@@ -86,6 +95,10 @@
 		e.applySuccession(c.Succession)
 	case c.Term != nil:
 		e.termRecorded(c.Term)
+	case c.EvacuatedDomain != "":
+		e.requestEvacuation(c.EvacuatedDomain)
+	case c.RestoredDomain != "":
+		e.withdrawEvacuation(c.RestoredDomain)
 	}
 }
 
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -22,6 +22,9 @@
 type Limits struct {
 	// TargetDrain is how long a draining target may still get new work.
 	TargetDrain time.Duration
+	// EvacuationBound is the time after a request to evacuate a failure domain within
+	// which its members get no more requests; zero if such requests are ignored.
+	EvacuationBound time.Duration
 	// RateWindow, RateOverage and RateSlack define how rates are enforced: in any
 	// window of length RateWindow, the requests of an account may exceed its rate
 	// and burst by the fraction RateOverage plus RateSlack requests.
@@ -93,8 +96,13 @@
 
 	// These chart states are compared with in code.
 	settledState  chart.State
+	standbyState  chart.State
 	revokingState chart.State
+	awaitingState chart.State
 	servingState  chart.State
+	// changeUnderWay holds the states of the chart "succession" in which a change must
+	// be completed.
+	changeUnderWay map[chart.State]bool
 
 	primaryChangeTable  *chart.Table[*primaryChange]
 	primaryChangeEvents primaryChangeEvents
@@ -109,6 +117,8 @@
 	recordedTerms map[core.DatabaseName]core.Term
 	// polls are the liveness polls in progress.
 	polls map[session.LivenessSubject]*livenessPoll
+	// evacuations holds the requests to evacuate failure domains.
+	evacuations map[core.Domain]*evacuation
 }
 
 // Charts are the state charts that the engine interprets.
@@ -134,6 +144,7 @@
 		terms:          map[core.DatabaseName]core.Term{},
 		recordedTerms:  map[core.DatabaseName]core.Term{},
 		polls:          map[session.LivenessSubject]*livenessPoll{},
+		evacuations:    map[core.Domain]*evacuation{},
 	}
 	if err := e.loadPrimaryChange(charts.Succession); err != nil {
 		return nil, err
@@ -257,7 +268,10 @@
 	case session.PeerConnectionRefused:
 		e.homes.allowReplacement(r.Address, "the home's host refuses connections", endedReplaceWindow)
 	case session.MemberSuspected:
-		e.checkSuspect(r.Member)
+		// A member of an evacuated failure domain gets no status requests either.
+		if m := e.members[r.Member]; m == nil || !e.withdrawn(m) {
+			e.checkSuspect(r.Member)
+		}
 	case session.TermObserved:
 		e.termObserved(r.Database, r.Term)
 	}
@@ -279,6 +293,7 @@
 // setLimits applies the limits of reloaded settings, also to members that already drain.
 func (e *Engine) setLimits(l Limits) {
 	e.config.Limits = l
+	e.logEvacuations()
 	if e.configuration != nil {
 		e.publish()
 	}
--- a/pkg/fleet/group_review.go
+++ b/pkg/fleet/group_review.go
@@ -13,15 +13,25 @@
 // primaryChange.
 func (e *Engine) reviewGroup(g *Group) {
 	p := e.primaryChangeOf(g.Name)
-	primary, replicas := e.primaryAndReplicas(g.Name)
+	primary, candidates := e.primaryAndCandidates(g.Name)
 	switch {
-	case primary != nil && !primary.Draining:
-		p.fire(e.primaryChangeEvents.settled)
-		return
-	case e.storeLost || replicas == 0 || e.mayLackPrimary(g.Name):
-		return
+	case primary != nil && !e.mustBeReplaced(primary):
+		if !p.replaces(primary) {
+			p.fire(e.primaryChangeEvents.settled)
+		}
+	case e.storeLost || e.mayLackPrimary(g.Name):
+	case candidates == 0:
+		// Without this, a change that an evacuation has left without candidates would
+		// claim and survey again and again.
+		if primary != nil && e.evacuated(primary) && !p.underWay() {
+			p.fire(e.primaryChangeEvents.settled)
+		}
 	case primary != nil:
-		p.needPrimary("the primary is draining", primary.Member, true)
+		if p.hasPromoted(primary) {
+			// The new primary has to be replaced as well.
+			p.fire(e.primaryChangeEvents.settled)
+		}
+		p.needPrimary(e.replacementReason(primary), primary.Member, true)
 	default:
 		p.needPrimary("no primary is announced", e.deadMember(g.Name), false)
 	}
@@ -34,23 +44,25 @@
 	return e.lastPrimaries[group].Member == "" && e.now.Before(e.reannounceDeadline())
 }
 
-// primaryAndReplicas returns the group's announced primary, nil if there is none
-// that is not known to be dead, and the number of replicas that are not dead. A
-// primary that is not draining takes precedence over a draining one.
-func (e *Engine) primaryAndReplicas(group core.DatabaseName) (primary *member, replicas int) {
+// primaryAndCandidates returns the group's announced primary, nil if there is none
+// that is not known to be dead, and the number of replicas that may be promoted. A
+// primary that need not be replaced takes precedence over one that must be.
+func (e *Engine) primaryAndCandidates(group core.DatabaseName) (primary *member, candidates int) {
 	for _, m := range e.groups[group] {
 		if m.dead {
 			continue
 		}
 		if e.effectiveRole(m) != core.RolePrimary {
-			replicas++
+			if !e.evacuated(m) {
+				candidates++
+			}
 			continue
 		}
-		if primary == nil || primary.Draining && !m.Draining {
+		if primary == nil || e.mustBeReplaced(primary) && !e.mustBeReplaced(m) {
 			primary = m
 		}
 	}
-	return primary, replicas
+	return primary, candidates
 }
 
 // deadMember returns the newest primary of the group if it was declared dead, or "".
--- a/pkg/fleet/groupterm.go
+++ b/pkg/fleet/groupterm.go
@@ -66,7 +66,7 @@
 // the store for instances that have no connection to the group. The candidate was a replica
 // when it was surveyed, so it leads a later term than that of its log then.
 func (p *primaryChange) recordTerm() {
-	primary, _ := p.e.primaryAndReplicas(p.group)
+	primary, _ := p.e.primaryAndCandidates(p.group)
 	if primary == nil || primary.Member != p.candidate.Member {
 		return
 	}
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
@@ -115,7 +116,8 @@
 func (e *Engine) armSweep() {
 	next := earliestFuture(time.Time{}, e.reannounceDeadline(), e.now)
 	for _, m := range e.members {
-		next = earliestFuture(next, e.unusableAt(m), e.now)
+		next = earliestFuture(next, e.workEnd(m), e.now)
+		next = earliestFuture(next, e.sendUntil(m), e.now)
 	}
 	if !next.IsZero() {
 		e.timers.Arm(&e.sweepTimer, next)
@@ -131,23 +133,26 @@
 	return at
 }
 
-// unusableAt returns when a draining or missing member stops being used, the zero
-// time for other members.
-func (e *Engine) unusableAt(m *member) time.Time {
-	if m.missing {
-		return e.reannounceDeadline()
+// workEnd returns when a member that drains or whose failure domain is evacuated stops
+// getting new work, the zero time for other members. If both apply, the earlier time
+// counts.
+func (e *Engine) workEnd(m *member) time.Time {
+	end := e.evacuationWorkEnd(m)
+	if !m.Draining {
+		return end
 	}
-	if m.Draining {
-		return m.drainingSince.Add(e.config.Limits.TargetDrain)
+	drained := m.drainingSince.Add(e.config.Limits.TargetDrain)
+	if end.IsZero() {
+		return drained
 	}
-	return time.Time{}
+	return clock.Earlier(end, drained)
 }
 
 // sweep drops the missing members and instances whose grace period is over, and
 // publishes the members that are still usable.
 func (e *Engine) sweep() {
 	for _, m := range e.members {
-		if m.missing && !e.storeLost && !e.now.Before(e.unusableAt(m)) {
+		if m.missing && !e.storeLost && !e.now.Before(e.reannounceDeadline()) {
 			e.dropMember(m)
 		}
 	}
@@ -159,13 +164,8 @@
 // usable reports whether the member may get new work. A draining member stays
 // usable until its deadline: a group of three has no spare capacity.
 func (e *Engine) usable(m *member) bool {
-	if m.dead {
-		return false
-	}
-	if !m.Draining {
-		return true
-	}
-	return e.now.Before(e.unusableAt(m))
+	end := e.workEnd(m)
+	return !m.dead && (end.IsZero() || e.now.Before(end))
 }
 
 // effectiveRole returns the announced role, or replica for a primary that is dead or that
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -110,7 +110,12 @@
 	}
 	event := table.Event
 	e.primaryChangeTable = table
-	e.settledState, e.revokingState = table.StateID("settled"), table.StateID("revoking")
+	e.settledState, e.standbyState = table.StateID("settled"), table.StateID("standby")
+	e.revokingState, e.awaitingState = table.StateID("revoking"), table.StateID("awaiting")
+	e.changeUnderWay = map[chart.State]bool{}
+	for _, name := range []string{"demoting", "recording", "revoking", "surveying", "resurveying", "ordering", "awaiting"} {
+		e.changeUnderWay[table.StateID(name)] = true
+	}
 	e.primaryChangeEvents = primaryChangeEvents{
 		needed: event("needed"), settled: event("settled"), claimed: event("claimed"),
 		claimFailed: event("claim_failed"), surveyed: event("surveyed"), surveyFailed: event("survey_failed"),
@@ -206,6 +211,9 @@
 // that the old primary can acknowledge nothing after the survey.
 func (p *primaryChange) requestSurvey() {
 	j := Job{Kind: JobSurvey, Group: p.group, Targets: p.e.promotionCandidates(p.group)}
+	if p.needsEvacuated() {
+		j.Targets = append(j.Targets, p.e.evacuatedReplicas(p.group)...)
+	}
 	if p.e.syncReplicas(p.group) > 0 && !p.planned {
 		j.Term = p.term + 1
 	}
@@ -213,11 +221,11 @@
 }
 
 // promotionCandidates returns the replicas that may be promoted. Draining ones are
-// returned only if there are no others.
+// returned only if there are no others, those of evacuated failure domains never.
 func (e *Engine) promotionCandidates(group core.DatabaseName) []Target {
 	var ready, draining []Target
 	for _, m := range e.groups[group] {
-		if m.dead || e.effectiveRole(m) == core.RolePrimary {
+		if m.dead || e.evacuated(m) || e.effectiveRole(m) == core.RolePrimary {
 			continue
 		}
 		if m.Draining {
@@ -293,6 +301,25 @@
 	case JobRecordTerm:
 		p.observeStates(d.States)
 	}
+	if p.planned && p.state == e.standbyState {
+		// The change may have become needless while it was under way.
+		e.reviewGroup(&Group{Name: p.group})
+	}
+}
+
+// underWay reports whether the change has begun to act on members.
+func (p *primaryChange) underWay() bool { return p.e.changeUnderWay[p.state] }
+
+// replaces reports whether a planned change that replaces the primary has to be
+// completed although it has become needless: without its last step, the step-down of the
+// old primary, a promotion that was requested could lose commits.
+func (p *primaryChange) replaces(primary *member) bool {
+	return p.planned && p.old == primary.Member && p.underWay()
+}
+
+// hasPromoted reports whether the primary is the one that this change has promoted.
+func (p *primaryChange) hasPromoted(primary *member) bool {
+	return p.state == p.e.awaitingState && p.candidate.Member == primary.Member
 }
 
 func (p *primaryChange) claimDone(d *JobDone) {
@@ -317,7 +344,7 @@
 		p.fire(p.e.primaryChangeEvents.surveyFailed)
 		return
 	}
-	p.candidate = mostAdvanced(d.States)
+	p.candidate = p.electCandidate(d.States)
 	p.surveyedAt = p.e.now
 	p.fire(p.e.primaryChangeEvents.surveyed)
 }
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -56,12 +56,14 @@
 
 // view returns the state of the members of one group.
 func (e *Engine) view(db *catalogue.Database) session.GroupView {
-	view := session.GroupView{Database: db.Name}
+	view := session.GroupView{Database: db.Name, PrimaryWithheld: e.primaryWithheld(db.Name)}
 	for i := range db.Members {
 		m := e.members[db.Members[i].ID]
 		view.Members = append(view.Members, session.MemberView{
 			Status:      core.MemberStatus{Member: m.Member, Role: e.effectiveRole(m)},
 			Reachable:   e.usable(m),
+			Withdrawn:   e.withdrawn(m),
+			SendUntil:   e.sendUntil(m),
 			Announced:   uint64(m.Revision),
 			RespondedAt: e.now,
 		})
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -35,6 +35,8 @@
 	Instances    []InstanceStatus `json:"instances"`
 	Groups       []GroupStatus    `json:"groups"`
 	Homes        []HomeStatus     `json:"homes"`
+	// Evacuations are the requests to evacuate failure domains that are in force.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 }
 
 // InstanceStatus is the state of a registered instance.
@@ -65,6 +67,10 @@
 	Draining bool          `json:"draining,omitempty"`
 	Dead     bool          `json:"dead,omitempty"`
 	Missing  bool          `json:"missing,omitempty"`
+	// Evacuated is set while the member's failure domain is evacuated, Usable while the
+	// member gets new work.
+	Evacuated bool `json:"evacuated,omitempty"`
+	Usable    bool `json:"usable"`
 }
 
 // HomeStatus is the home of an account.
@@ -82,6 +88,7 @@
 		Node: e.config.Self.Node, Domain: e.config.Self.Domain, State: e.lifecycle.StateName(e.state), StoreLost: e.storeLost,
 		Feeder: e.sourceSelector.current.Feeder, Feeding: e.sourceSelector.current.Feeding,
 		LeaseSeconds: max(e.homes.leaseUntil.Sub(e.now), 0).Round(time.Millisecond).Seconds(),
+		Evacuations:  e.evacuationStatus(),
 	}
 	for _, node := range e.currentTopology().nodes {
 		i := e.instances[node]
@@ -102,12 +109,13 @@
 
 func (e *Engine) groupStatus(name core.DatabaseName) GroupStatus {
 	g := GroupStatus{Group: name, Succession: e.primaryChangeTable.StateName(e.primaryChangeOf(name).state)}
-	if primary, _ := e.primaryAndReplicas(name); primary != nil {
+	if primary, _ := e.primaryAndCandidates(name); primary != nil {
 		g.Primary = primary.Member
 	}
 	for _, m := range e.groups[name] {
 		g.Members = append(g.Members, MemberStatus{
 			Member: m.Member, Domain: m.Domain, Role: m.Role, Draining: m.Draining, Dead: m.dead, Missing: m.missing,
+			Evacuated: e.evacuated(m), Usable: e.usable(m),
 		})
 	}
 	return g
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -101,6 +101,10 @@
 	RemovedHome core.AccountName `json:"gone_home,omitempty"`
 	Succession  *Succession      `json:"succession,omitempty"`
 	Term        *GroupTerm       `json:"term,omitempty"`
+	// EvacuatedDomain is a failure domain whose evacuation was requested,
+	// RestoredDomain one whose request was withdrawn.
+	EvacuatedDomain core.Domain `json:"evacuated_domain,omitempty"`
+	RestoredDomain  core.Domain `json:"restored_domain,omitempty"`
 }
 
 // Snapshot is a read of all records that this package uses.
@@ -112,6 +116,8 @@
 	Homes         []Home
 	Successions   []Succession
 	Terms         []GroupTerm
+	// Evacuations are the failure domains whose evacuation is requested.
+	Evacuations []core.Domain
 	// Revision is a revision of the store that is no later than the read of any
 	// part; watching from it misses no change.
 	Revision Revision
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -244,5 +244,7 @@
 	return fleet.Limits{
 		TargetDrain: time.Duration(float64(s.TargetDrain) * targetDrainFraction),
 		RateWindow:  s.RateWindow, RateOverage: s.RateOverage, RateSlack: s.RateSlack,
+
+		EvacuationBound: s.EvacuationBound,
 	}
 }
--- a/pkg/linkio/targets.go
+++ b/pkg/linkio/targets.go
@@ -92,7 +92,7 @@
 	case session.TargetSend:
 		d.withConn(m.Target, func(c *targetConn) { c.send(m) })
 	case session.TargetProbe:
-		d.withConn(m.Target, func(c *targetConn) { c.startExchange(c.codec.Probe()) })
+		d.withConn(m.Target, (*targetConn).probe)
 	case session.TargetClose:
 		d.withConn(m.Target, (*targetConn).dismiss)
 	}
@@ -133,6 +133,9 @@
 	// is unanswered that may have reached the member.
 	accepted       bool
 	requestPending bool
+	// notAfter is the time after which no part of the request may be written, zero if
+	// there is no limit.
+	notAfter time.Time
 	// connectionLimit is set when the member rejected the startup because of
 	// its connection limit.
 	connectionLimit bool
@@ -187,14 +190,45 @@
 // send writes a request. When its deadline has passed, it closes the connection
 // instead, which tells the session duty that the request did not run.
 func (c *targetConn) send(m session.TargetSend) {
-	if !m.NotAfter.IsZero() && clock.Now().After(m.NotAfter) {
-		c.closeReason = "the request expired before it was written"
-		c.socket.Close()
+	c.notAfter = m.NotAfter
+	if c.expired() {
+		c.closeExpired()
 		return
 	}
 	c.startExchange(c.codec.Send(m))
 }
 
+// expired reports whether the request must not be written any more.
+func (c *targetConn) expired() bool {
+	return !c.notAfter.IsZero() && clock.Now().After(c.notAfter)
+}
+
+// closeExpired closes the connection of a request that was not written in time.
+func (c *targetConn) closeExpired() {
+	c.closeReason = "the request expired before it was written"
+	c.requestPending = false
+	c.socket.Close()
+}
+
+// continueRequest writes the next part of the request once the member has answered what
+// precedes it, such as the setup of the session.
+func (c *targetConn) continueRequest(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	if c.expired() {
+		c.closeExpired()
+		return
+	}
+	c.socket.Write(b)
+}
+
+// probe sends a probe, which has no deadline of its own.
+func (c *targetConn) probe() {
+	c.notAfter = time.Time{}
+	c.startExchange(c.codec.Probe())
+}
+
 // startExchange sends a request or a probe and waits for its answer.
 func (c *targetConn) startExchange(b []byte) {
 	c.requestPending = true
@@ -250,9 +284,7 @@
 			c.socket.Close()
 		}
 	case Continue:
-		if len(m.Send) > 0 {
-			c.socket.Write(m.Send)
-		}
+		c.continueRequest(m.Send)
 	}
 }
 
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -79,10 +79,12 @@
 			"in_transaction":      (*caller).inTransaction,
 			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.relayedTo == nil },
 			"transaction_expired": (*caller).transactionExpired,
-			"begin_deferred":      func(c *caller) bool { return c.deferredBegin != nil },
-			"access_withdrawn":    (*caller).accessWithdrawn,
-			"end_pending":         func(c *caller) bool { return c.endReason != nil },
-			"ended_by_stop":       (*caller).endedByStop,
+			// The answer was that of a statement that ran when its member was withdrawn.
+			"transaction_withdrawn": (*caller).transactionWithdrawn,
+			"begin_deferred":        func(c *caller) bool { return c.deferredBegin != nil },
+			"access_withdrawn":      (*caller).accessWithdrawn,
+			"end_pending":           func(c *caller) bool { return c.endReason != nil },
+			"ended_by_stop":         (*caller).endedByStop,
 			// The caller's instance is told with the next request that the transaction
 			// is gone, whether or not this instance still knows the session.
 			"remote_ended_by_stop": func(c *caller) bool { return c.remote != nil && c.endedByStop() },
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -67,12 +67,14 @@
 	dispatchQueue []*member
 	// pendingReports holds the databases with reports that found control's ring
 	// full.
-	pendingReports    []*database
-	targetStates      targetStates
-	keysValidUntil    time.Time
-	stopping          bool
-	stop              stopState
-	primaryLease      primaryLease
+	pendingReports []*database
+	targetStates   targetStates
+	keysValidUntil time.Time
+	stopping       bool
+	stop           stopState
+	primaryLease   primaryLease
+	// primaryWithheld holds the databases with GroupView.PrimaryWithheld.
+	primaryWithheld   map[core.DatabaseName]bool
 	demandTimer       timer
 	pendingAdmissions pendingAdmissions
 	demandSince       time.Time
@@ -129,6 +131,8 @@
 		remotes:      map[RemoteID]CallerID{},
 		remoteEnds:   map[RemoteID]remoteEnd{},
 
+		primaryWithheld: map[core.DatabaseName]bool{},
+
 		transactionIdle: cfg.Bounds.TransactionIdle,
 
 		retryBudget: retry.NewBudget(cfg.RetryFraction, cfg.RetryBurst),
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -16,6 +16,7 @@
 		return
 	}
 	db.applyView(in)
+	db.withdrawMembers()
 	db.reroute()
 	db.failSuperseded()
 	db.setStatusQueryPositions()
@@ -31,6 +32,7 @@
 			m.hasView = true
 		}
 	}
+	db.setPrimaryWithheld(in.PrimaryWithheld)
 	if db.e.cfg.AsyncReplication {
 		db.followAnnouncements()
 		return
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -215,6 +215,11 @@
 	Announced uint64
 	// RespondedAt is when the status was received.
 	RespondedAt time.Time
+	// SendUntil is the time after which no request may be sent to the member, zero if
+	// there is no limit. Withdrawn is set once that time has passed: transactions that
+	// are open on the member end, and its connections close.
+	SendUntil time.Time
+	Withdrawn bool
 }
 
 // GroupView publishes the state of one database group.
@@ -225,6 +230,9 @@
 	// Primary is empty while there is none.
 	Primary core.MemberID
 	Members []MemberView
+	// PrimaryWithheld is set while no member may be used as the primary and none may
+	// become it, so that statements which need the primary are refused at once.
+	PrimaryWithheld bool
 }
 
 // FloorResult publishes the position that a majority of members held in a round
--- a/pkg/session/primarylease.go
+++ b/pkg/session/primarylease.go
@@ -175,7 +175,7 @@
 
 // lacksPrimaryAccess reports whether the statement needs the primary while the
 // instance may use none. Waiting would not help: callers that are refused at once can
-// still turn to another instance.
+// still turn to another instance, unless an evacuation withholds the primary everywhere.
 func (s *statement) lacksPrimaryAccess() bool {
-	return !s.c.e.mayUsePrimaries()
+	return !s.c.e.mayUsePrimaries() || s.c.e.primaryWithheld[s.c.db.name]
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -230,6 +230,7 @@
 			"placeable":                (*statement).placeable,
 			"cannot_finish_in_time":    (*statement).cannotFinishInTime,
 			"lacks_primary_access":     (*statement).lacksPrimaryAccess,
+			"all_withdrawn":            func(s *statement) bool { return s.c.db.allWithdrawn() },
 			"may_use_replica":          (*statement).mayUseReplica,
 			"falls_back_to_primary":    (*statement).fallsBackToPrimary,
 			"from_replaced_primary":    (*statement).fromReplacedPrimary,
@@ -292,6 +293,7 @@
 		"refuse_deadline":            (*statement).refuseDeadline,
 		"refuse_no_member":           (*statement).refuseNoMember,
 		"refuse_no_primary":          (*statement).refuseNoPrimary,
+		"refuse_evacuated":           (*statement).refuseEvacuated,
 		"refuse_cancelled":           (*statement).refuseCancelled,
 	}
 }
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -131,7 +131,7 @@
 		Target:      t.id,
 		Payload:     s.request.Payload,
 		Prelude:     prelude,
-		NotAfter:    s.deadline,
+		NotAfter:    s.sendDeadline(),
 		MinPosition: minPosition,
 		PrimaryOnly: primaryOnly,
 		Begin:       s.deferredBegin != nil,
