--- a/pkg/linkio/targets_test.go
+++ b/pkg/linkio/targets_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -49,6 +50,12 @@
 // that it receives with the next reply, and then close. It returns what the session duty
 // is told.
 func runTarget(t *testing.T, replies ...string) []session.Input {
+	return runTargetWith(t, session.TargetSend{Target: 1}, func() {}, replies...)
+}
+
+// runTargetWith is runTarget with the given request. It calls beforeReady before the target
+// replies to the setup.
+func runTargetWith(t *testing.T, request session.TargetSend, beforeReady func(), replies ...string) []session.Input {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
@@ -63,6 +70,9 @@
 			if _, err := reader.ReadString('\n'); err != nil {
 				return
 			}
+			if reply == "ready" {
+				beforeReady()
+			}
 			_, _ = conn.Write([]byte(reply + "\n"))
 		}
 		_, _ = reader.ReadString('\n')
@@ -91,7 +101,7 @@
 		inputs = append(inputs, in)
 		switch in.(type) {
 		case session.TargetOpened:
-			duty.Commands.TryPush(session.TargetSend{Target: 1})
+			duty.Commands.TryPush(request)
 		case session.TargetClosed:
 			duty.Stop()
 			require.NoError(t, <-done)
@@ -116,6 +126,17 @@
 	}
 }
 
+// Guards against a request that is written after its end because the target was slow to
+// answer the setup, and against one that then counts as possibly run.
+func TestRequestIsNotWrittenAfterItsEnd(t *testing.T) {
+	request := session.TargetSend{Target: 1, NotAfter: clock.Now().Add(200 * time.Millisecond)}
+	inputs := runTargetWith(t, request, func() { time.Sleep(300 * time.Millisecond) }, "welcome", "ready", "answer")
+	require.Len(t, inputs, 2)
+	closed := inputs[1].(session.TargetClosed)
+	require.True(t, closed.Unsent)
+	require.Contains(t, closed.Reason, "expired")
+}
+
 // Guards against a lost answer, and against another request on the connection, when the
 // target answers and leaves the connection in a state that no request may use.
 func TestUnusableConnectionIsClosedAfterTheAnswer(t *testing.T) {
--- a/standin/e2e/hosted_member_test.go
+++ b/standin/e2e/hosted_member_test.go
@@ -54,6 +54,10 @@
 	primary  bool
 	dead     bool
 	conns    map[net.Conn]bool
+	// domain is the failure domain that the member announces.
+	domain string
+	// lastReceived is when the member last received a query or a startup.
+	lastReceived time.Time
 }
 
 // applyDelay is the time after which replicas apply a commit.
@@ -64,7 +68,7 @@
 	for i := range members {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
-		m := &hostedMember{group: g, id: fmt.Sprintf("i-%s%d", name, i), listener: listener, primary: i == 0, conns: map[net.Conn]bool{}}
+		m := &hostedMember{group: g, id: fmt.Sprintf("i-%s%d", name, i), listener: listener, primary: i == 0, conns: map[net.Conn]bool{}, domain: "z1"}
 		g.members = append(g.members, m)
 		m.register()
 		go m.accept()
@@ -80,7 +84,7 @@
 		role = "primary"
 	}
 	m.group.store.put("servers/"+m.id, map[string]any{
-		"backend": m.group.name, "address": m.listener.Addr().String(), "zone": "z1", "slots": m.group.slots, "state": "ready",
+		"backend": m.group.name, "address": m.listener.Addr().String(), "zone": m.domain, "slots": m.group.slots, "state": "ready",
 		"dbRole": role, "born": 1,
 	})
 }
@@ -175,6 +179,9 @@
 			return
 		}
 		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		if word != "TERMINATE" {
+			m.recordReceived()
+		}
 		var response []string
 		switch {
 		case word == "TERMINATE":
@@ -201,6 +208,19 @@
 	}
 }
 
+func (m *hostedMember) recordReceived() {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.lastReceived = time.Now()
+}
+
+// receivedAfter reports whether the member received a query or a startup after t.
+func (m *hostedMember) receivedAfter(t time.Time) bool {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	return m.lastReceived.After(t)
+}
+
 // appliedLog returns the part of the log that the member has applied. The caller holds
 // the group's mutex.
 func (m *hostedMember) appliedLog() []hostedWrite {
--- a/standin/e2e/hosted_store_test.go
+++ b/standin/e2e/hosted_store_test.go
@@ -90,6 +90,14 @@
 	s.apply(storeItem{Key: key, Value: text})
 }
 
+// remove deletes an item as the operator does.
+func (s *hostedStore) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.apply(storeItem{Key: key, Tombstone: true})
+}
+
 // apply applies a change at the current revision. The caller holds the mutex.
 func (s *hostedStore) apply(i storeItem) {
 	i.ModRevision = s.revision
--- a/standin/e2e/hosted_test.go
+++ b/standin/e2e/hosted_test.go
@@ -61,6 +61,7 @@
 maxFds = 2940
 [bounds]
 drainMs = 7000
+evacuateMs = 5000
 graceS = %[6]d
 quotaWindowS = 5
 quotaOverage = 0.1
