--- a/pkg/fleet/primary_sim_node_test.go
+++ b/pkg/fleet/primary_sim_node_test.go
@@ -23,8 +23,10 @@
 	seen        Revision
 	storeLost   bool
 	storeAt     time.Time
-	reread      bool
-	workerBusy  time.Time
+	// readAt is when the process last read the store, zero before that.
+	readAt     time.Time
+	reread     bool
+	workerBusy time.Time
 
 	leaseUntil time.Time
 	views      map[core.MemberID]session.MemberView
@@ -46,13 +48,14 @@
 // start gives the node a new engine that knows nothing.
 func (n *simNode) start() {
 	place := n.simPlace
+	n.readAt = time.Time{}
 	n.storeAt, n.storeLost, n.leaseUntil, n.dueSince, n.lastPrimary = n.w.now, true, time.Time{}, time.Time{}, ""
 	n.views, n.terms = map[core.MemberID]session.MemberView{}, map[core.MemberID]core.Term{}
 	n.revoked, n.lastResponse = map[core.MemberID]time.Time{}, map[core.MemberID]time.Time{}
 	n.epoch++
 	config := Config{
 		Self:   Instance{Node: place.name, ID: core.InstanceID(place.name), Domain: core.Domain(place.domain), Peer: place.name},
-		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second},
+		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second, EvacuationBound: testEvacuationBound},
 		Bounds: Bounds{
 			BalancerNotice: 2 * time.Second, Stop: testStopPlan, ReregistrationGrace: 3 * time.Second,
 			PromotionStepTimeout: 2 * time.Second, PromotionRetryDelay: 500 * time.Millisecond, TakeoverTimeout: 3 * time.Second,
@@ -134,8 +137,10 @@
 	if w.groupTerm != nil {
 		s.Terms = []GroupTerm{*w.groupTerm}
 	}
+	s.Evacuations = w.evacuatedDomains()
 	n.seen, n.storeLost, n.reread = s.Revision, false, false
-	n.e.Handle(w.now, StoreSnapshot{Snapshot: s, AsOf: w.now})
+	n.e.Handle(w.now, StoreSnapshot{Snapshot: s, AsOf: w.now, Since: n.readAt})
+	n.readAt = w.now
 }
 
 // readStore follows the changes of the store, and reads it anew after an outage.
@@ -155,8 +160,9 @@
 	}
 	if news := w.changes[n.seen:]; len(news) > 0 {
 		n.seen = Revision(len(w.changes))
-		n.e.Handle(w.now, StoreChanges{Changes: slices.Clone(news), Next: n.seen, AsOf: w.now})
+		n.e.Handle(w.now, StoreChanges{Changes: slices.Clone(news), Next: n.seen, AsOf: w.now, Since: n.readAt})
 	}
+	n.readAt = w.now
 }
 
 func (n *simNode) step() {
@@ -183,7 +189,7 @@
 	}
 	var best session.MemberView
 	for id, v := range n.views {
-		if v.Status.Role != core.RolePrimary || n.w.now.Before(n.revoked[id]) {
+		if v.Status.Role != core.RolePrimary || !v.Reachable && v.Withdrawn || n.w.now.Before(n.revoked[id]) {
 			continue
 		}
 		known, bestKnown := n.terms[id], n.terms[best.Status.Member]
@@ -203,6 +209,7 @@
 	}
 	id, epoch := core.MemberID(m.name), n.epoch
 	n.lastPrimary = id
+	w.checkEvacuated(n, m)
 	if n.dueSince.IsZero() {
 		n.dueSince = w.now
 	}
--- a/pkg/fleet/primary_sim_world_test.go
+++ b/pkg/fleet/primary_sim_world_test.go
@@ -76,6 +76,10 @@
 	// instances forget the group's term before a survey.
 	logFaults   bool
 	ignoreTerms bool
+	// evacuations requests and withdraws evacuations at random times. evacuatedAt holds the
+	// times of the requests that are in force, by failure domain.
+	evacuations bool
+	evacuatedAt map[string]time.Time
 	// acknowledgedTerm is the newest term in which a write was acknowledged.
 	acknowledgedTerm core.Term
 	outdated         []string
@@ -123,7 +127,7 @@
 
 func newSimWorld(t *testing.T, seed uint64) *simWorld {
 	simLog(startTime, "seed", seed)
-	w := &simWorld{rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, cut: map[[2]string]bool{}, term: 1}
+	w := &simWorld{rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, cut: map[[2]string]bool{}, term: 1, evacuatedAt: map[string]time.Time{}}
 	for i := range 3 {
 		domain := fmt.Sprintf("z%d", i)
 		m := &simMember{simPlace: simPlace{name: fmt.Sprintf("m%d", i), domain: domain}, primary: i == 0, term: 1, announced: core.RoleReplica}
@@ -151,6 +155,9 @@
 	if w.logFaults {
 		w.scheduleLogFaults()
 	}
+	if w.evacuations {
+		w.scheduleEvacuations()
+	}
 	for end := w.now.Add(simDuration); w.now.Before(end); w.now = w.now.Add(simStep) {
 		due := []simEvent{}
 		w.events = slices.DeleteFunc(w.events, func(e simEvent) bool {
@@ -268,7 +275,7 @@
 func (m *simMember) heartbeat(w *simWorld) {
 	if m.recordAt.IsZero() || m.announced != m.role() {
 		m.announced = m.role()
-		w.record(Change{Member: &Announcement{Member: core.MemberID(m.name), Group: "g", Address: m.name, Slots: 2, Role: m.announced}})
+		w.record(Change{Member: &Announcement{Member: core.MemberID(m.name), Group: "g", Address: m.name, Domain: core.Domain(m.domain), Slots: 2, Role: m.announced}})
 	}
 	m.recordAt = w.now
 }
