Keep a primary that has not answered yet when a replica shows the term first

An instance that knows no term of a group yet, because the account's home ran its requests until then, may send a write to the announced primary and a read to a replica. If the replica answered first, its term was compared with that of the primary, which was still zero: the primary counted as replaced, its connection was closed and the write was answered as uncertain.

The first term that is heard of now leaves a primary alone that has not answered. If the primary's own answer then shows an older term, it is not used any more, its statements and transactions end, and a commit of that term is answered as uncertain, as it was before.

--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -29,6 +29,9 @@
 // announcement of it arrives.
 func (db *database) updateTerm(m *member, in *TargetReady) {
 	if in.LogEnd.Term < db.term {
+		if m == db.primary {
+			db.deposeOutdated(m)
+		}
 		return
 	}
 	if in.LogEnd.Term > db.term {
@@ -38,7 +41,7 @@
 	switch {
 	case in.VerifiedPrimary && m.usableAsPrimary():
 		primary = m
-	case in.LogEnd.Term > db.term && primary != nil && primary.logEnd.Term < in.LogEnd.Term:
+	case in.LogEnd.Term > db.term && primary != nil && primary.isOlderThan(in.LogEnd.Term):
 		primary.markNotPrimary()
 		primary = db.announcedPrimary()
 	}
@@ -49,6 +52,23 @@
 	}
 }
 
+// isOlderThan reports whether the primary is one of an older term than the one that another
+// member has answered with. While no term of the group was known, the first answer of a
+// replica says nothing about a primary that has not answered yet.
+func (m *member) isOlderThan(term core.Term) bool {
+	if m.db.term == 0 && m.logEnd.IsZero() {
+		return false
+	}
+	return m.logEnd.Term < term
+}
+
+// deposeOutdated ends the work on a primary whose first answer shows an older term than the
+// group has reached, and stops using it as the primary.
+func (db *database) deposeOutdated(m *member) {
+	db.demote(m)
+	m.depose()
+}
+
 // markNotPrimary ignores the member's announcements as primary for
 // notPrimaryBackoff.
 func (m *member) markNotPrimary() {
--- a/pkg/session/statement_guards.go
+++ b/pkg/session/statement_guards.go
@@ -146,7 +146,8 @@
 // fromReplacedPrimary reports whether the commit belongs to a term that has
 // ended.
 func (s *statement) fromReplacedPrimary() bool {
-	return s.awaitsMajority() && s.c.db.term > s.position.Term
+	verified := s.awaitsMajority() || s.c.e.cfg.AsyncReplication && s.committed()
+	return verified && s.c.db.term > s.position.Term
 }
 
 // maxFencedRetries bounds the retries after a member refused a write as
