Tell an overloaded primary from a dead one, and log the evidence of a promotion

An instance without a response for 350 ms asks the primary for its status on a new connection. An overloaded primary answers STARTUP late, so the status ran into its limit of 300 ms, and the poll of the others decided. That went wrong in four ways:

- An answer to STARTUP without one to STATUS counted as no answer.
- A response to this instance during the check (420 ms) was not taken into account.
- The 24 polled instances were chosen among all, most of which are no homes and send nothing to members.
Homes are asked first now, and all of them if the host accepts connections: a frozen process and a full queue look alike then.
- If another instance had heard from the primary, this one released all its homes.
It keeps them for 2 s now while the primary's host accepts its connections.

A status request that is answered also restarts the time for which the session waits for responses. Before, the suspicion was repeated every 150 ms and each check cost the primary another connection.

A refused connection, a host that accepts none and a frozen process are found after the same steps and times as before. primary_dead, primary_needed, promotion_ordered and primary_changed name the check, the time without a response and the poll.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -257,7 +257,9 @@
 	case session.PeerConnectionRefused:
 		e.homes.allowReplacement(r.Address, "the home's host refuses connections", endedReplaceWindow)
 	case session.MemberSuspected:
-		e.checkSuspect(r.Member)
+		e.checkSuspect(r)
+	case session.MemberResponded:
+		e.memberResponded(r.Member)
 	case session.TermObserved:
 		e.termObserved(r.Database, r.Term)
 	}
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -35,6 +35,7 @@
 	ready         bool
 	deregistered  bool
 	finished      bool
+	logs          []LogEvent
 	revision      Revision
 }
 
@@ -44,7 +45,7 @@
 func (h *harness) Deregister()              { h.deregistered = true }
 func (h *harness) SetReady(ready bool)      { h.ready = ready }
 func (h *harness) Finish()                  { h.finished = true }
-func (h *harness) Log(LogEvent)             {}
+func (h *harness) Log(ev LogEvent)          { h.logs = append(h.logs, ev) }
 func (h *harness) RequestConfiguration(a session.PeerAddress) {
 	h.requested = append(h.requested, string(a))
 }
--- a/pkg/fleet/livenesspoll.go
+++ b/pkg/fleet/livenesspoll.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -26,7 +24,10 @@
 	// pollTimeout is how long polled or probed instances have to respond. The round
 	// trip between failure domains is about 2 ms.
 	pollTimeout = 120 * time.Millisecond
-	// maxPolledInstances limits the number of instances polled.
+	// maxPolledInstances limits the number of instances polled, except about a member whose
+	// host accepts connections: every home is asked about it. If an overloaded member has
+	// answered 7 of 60 homes within responsiveWithin, 24 polled ones miss that in one of 46
+	// polls, and each of the homes polls.
 	maxPolledInstances = 24
 	// minUnresponsive is how long the subject must have left a request of another
 	// instance unanswered to count as unresponsive there.
@@ -51,9 +52,11 @@
 	// excludedDomain is a failure domain whose instances are not polled, empty for
 	// none.
 	excludedDomain core.Domain
-	timer          timerq.Item[func()]
-	polled         int
-	reports        map[string]LivenessReport
+	// askAllHomes makes the poll ask every instance that is the home of an account.
+	askAllHomes bool
+	timer       timerq.Item[func()]
+	polled      int
+	reports     map[string]LivenessReport
 	// done receives the result.
 	done func(pollResult)
 }
@@ -66,6 +69,8 @@
 	// majorityResponded is set when more than half of the polled instances have
 	// responded. This instance counts as one that was polled and responded.
 	majorityResponded bool
+	// asked and answered count the other instances.
+	asked, answered int
 }
 
 // unresponsive reports whether a majority responded, no instance had a recent
@@ -95,17 +100,55 @@
 // sendRequests asks the other instances and arms the timeout.
 func (p *livenessPoll) sendRequests() {
 	e := p.e
-	for node, i := range e.instances {
-		if node == e.config.Self.Node || p.excludes(i.Domain) || p.polled == maxPolledInstances {
-			continue
+	for _, i := range p.candidates() {
+		if p.polled == p.limit() {
+			break
 		}
 		p.polled++
-		e.out.RequestLiveness(node, session.PeerAddress(i.Peer), p.subject)
+		e.out.RequestLiveness(i.Node, session.PeerAddress(i.Peer), p.subject)
 	}
 	p.timer.Value = p.finish
 	e.timers.Arm(&p.timer, e.now.Add(pollTimeout))
 }
 
+// limit returns the number of instances to ask at most.
+func (p *livenessPoll) limit() int {
+	if p.askAllHomes {
+		return max(len(p.e.homeHolders()), maxPolledInstances)
+	}
+	return maxPolledInstances
+}
+
+// candidates returns the instances that may be polled, in the order in which they are asked.
+// Only homes send requests to members, so a poll about a member asks them first; the order
+// is arbitrary otherwise.
+func (p *livenessPoll) candidates() []Instance {
+	e := p.e
+	holders := e.homeHolders()
+	var first, last []Instance
+	for node, i := range e.instances {
+		switch {
+		case node == e.config.Self.Node || p.excludes(i.Domain):
+		case p.subject.Member != "" && holders[node]:
+			first = append(first, i.Instance)
+		default:
+			last = append(last, i.Instance)
+		}
+	}
+	return append(first, last...)
+}
+
+// homeHolders returns the nodes that are the home of an account.
+func (e *Engine) homeHolders() map[string]bool {
+	holders := map[string]bool{}
+	for _, s := range e.homes.records {
+		if s.record != nil {
+			holders[s.record.Node] = true
+		}
+	}
+	return holders
+}
+
 // excludes reports whether instances of the failure domain are not polled.
 func (p *livenessPoll) excludes(domain core.Domain) bool {
 	return p.excludedDomain != "" && domain == p.excludedDomain
@@ -122,7 +165,9 @@
 // finish evaluates the reports received until the timeout.
 func (p *livenessPoll) finish() {
 	delete(p.e.polls, p.subject)
-	result := pollResult{majorityResponded: 2*(len(p.reports)+1) > p.polled+1}
+	result := pollResult{
+		majorityResponded: 2*(len(p.reports)+1) > p.polled+1, asked: p.polled, answered: len(p.reports),
+	}
 	for _, report := range p.reports {
 		switch {
 		case report.Known && report.SinceContact < responsiveWithin:
@@ -138,54 +183,6 @@
 	p.done(result)
 }
 
-// checkSuspect starts a check of a primary that a session could not reach. The
-// worker asks the primary for its status first.
-func (e *Engine) checkSuspect(id core.MemberID) {
-	m := e.members[id]
-	if m == nil || m.dead || m.statusPending || m.Role != core.RolePrimary {
-		return
-	}
-	m.statusPending = e.out.SubmitJob(Job{Kind: JobMemberStatus, Group: m.Group, Targets: []Target{m.target()}})
-}
-
-// statusChecked handles the result of the status request: a refused connection
-// proves that the primary is dead, no response starts a liveness poll, and any
-// other result clears the suspicion.
-func (e *Engine) statusChecked(d *JobDone) {
-	m := e.members[d.Job.Targets[0].Member]
-	if m == nil {
-		return
-	}
-	switch {
-	case eris.Is(d.Err, ErrConnectionRefused):
-		m.statusPending = false
-		e.declareDead(m, "its host refuses connections")
-	case eris.Is(d.Err, ErrNoResponse):
-		poll := &livenessPoll{e: e, subject: session.LivenessSubject{Member: m.Member}, event: "primary_silent"}
-		poll.done = func(result pollResult) { e.decideUnresponsivePrimary(m.Member, result) }
-		poll.start(0)
-	default:
-		m.statusPending = false
-	}
-}
-
-// decideUnresponsivePrimary handles the result of a poll about a primary. If other
-// instances get responses, this instance is the one with a broken connection and
-// releases its homes.
-func (e *Engine) decideUnresponsivePrimary(id core.MemberID, result pollResult) {
-	m := e.members[id]
-	if m == nil {
-		return
-	}
-	m.statusPending = false
-	switch {
-	case result.responsive > 0:
-		e.homes.releaseAll("a primary responds to other instances but not to this one")
-	case result.unresponsive():
-		e.declareDead(m, "no instance gets a response from it")
-	}
-}
-
 // pollHome polls the other instances about an unresponsive home and, if none of
 // another failure domain gets a response, lets other instances claim its accounts.
 // The old home gets no response from them either and limits itself to the share its
@@ -225,14 +222,3 @@
 	}
 	return domain
 }
-
-// declareDead marks a primary as dead, which makes the group need a new one.
-func (e *Engine) declareDead(m *member, reason string) {
-	if m.dead || m.Role != core.RolePrimary {
-		return
-	}
-	m.dead = true
-	e.out.Log(LogEvent{Warning: true, Event: "primary_dead", Message: "the primary is declared dead: " + reason,
-		Fields: map[string]any{"member": m.Member, "group": m.Group}})
-	e.publish()
-}
--- a/pkg/fleet/membercontrol.go
+++ b/pkg/fleet/membercontrol.go
@@ -47,6 +47,23 @@
 // Unwrap implements the interface of errors.Is.
 func (e *BusyError) Unwrap() error { return ErrRejected }
 
+// UnansweredError means that the member's host accepted the connection, but the member did
+// not respond to the command in time: it is overloaded or frozen. It wraps ErrNoResponse.
+type UnansweredError struct {
+	// Started is set if the member has responded to the startup of the connection.
+	Started bool
+}
+
+func (e *UnansweredError) Error() string {
+	if e.Started {
+		return "the member responded to the startup, but not to the command"
+	}
+	return "the member's host accepted the connection, but the member did not respond"
+}
+
+// Unwrap implements the interface of errors.Is.
+func (e *UnansweredError) Unwrap() error { return ErrNoResponse }
+
 // Target identifies a member and its address.
 type Target struct {
 	Group   core.DatabaseName
@@ -58,7 +75,8 @@
 // platform. Each method makes one attempt, limited by ctx.
 type MemberControl interface {
 	// Status returns the member's state. It returns ErrConnectionRefused,
-	// ErrNoResponse or ErrRejected, wrapped, or a *BusyError; so do Pause and StepDown.
+	// ErrNoResponse or ErrRejected, wrapped, a *BusyError or an *UnansweredError; so do
+	// Pause and StepDown.
 	Status(ctx context.Context, t Target) (MemberState, error)
 	// Pause stops a replica from receiving in terms up to the given one.
 	Pause(ctx context.Context, t Target, term core.Term) (MemberState, error)
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -21,6 +21,8 @@
 	dead bool
 	// statusPending is set while a check of the suspected member is in progress.
 	statusPending bool
+	// liveness is the state of that check, and the evidence of the last one.
+	liveness livenessCheck
 }
 
 // updateMember applies an announcement. One older than the known announcement is
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -23,7 +23,9 @@
 	reason  string
 	old     core.MemberID
 	planned bool
-	claim   Claim
+	// evidence is why the old primary was declared dead, empty if it was not.
+	evidence string
+	claim    Claim
 	// candidate is the replica with the most advanced log in the last survey.
 	candidate MemberState
 	// surveyed holds the states of the replicas that responded to the last survey.
@@ -176,12 +178,15 @@
 	if p.state == e.settledState {
 		p.neededAt = e.now
 		p.claimedAt, p.surveyedAt, p.orderedAt = time.Time{}, time.Time{}, time.Time{}
-		p.candidate = MemberState{}
+		p.candidate, p.evidence = MemberState{}, ""
 		e.out.Log(LogEvent{Warning: true, Event: "primary_needed", Message: reason, Fields: map[string]any{
-			"group": p.group, "old": old, "planned": planned, "turn": e.rankOf(p.group),
+			"group": p.group, "old": old, "planned": planned, "turn": e.rankOf(p.group), "evidence": e.deathEvidenceOf(old),
 		}})
 	}
 	p.reason, p.old, p.planned = reason, old, planned
+	if evidence := e.deathEvidenceOf(old); evidence != "" {
+		p.evidence = evidence
+	}
 	p.fire(e.primaryChangeEvents.needed)
 }
 
@@ -348,7 +353,7 @@
 func (p *primaryChange) promotionDone(d *JobDone) {
 	p.orderedAt = p.e.now
 	p.e.out.Log(LogEvent{Event: "promotion_ordered", Message: "promotion requested", Fields: map[string]any{
-		"group": p.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": p.reason,
+		"group": p.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": p.reason, "evidence": p.evidence,
 		"position": p.candidate.Received.String(), "answered": len(p.surveyed), "failed": d.Err != nil,
 	}})
 	switch {
@@ -366,7 +371,7 @@
 func (p *primaryChange) logPrimaryChange() {
 	e := p.e
 	e.out.Log(LogEvent{Warning: true, Event: "primary_changed", Message: "the group has a new primary", Fields: map[string]any{
-		"group": p.group, "reason": p.reason, "old": p.old, "candidate": p.candidate.Member,
+		"group": p.group, "reason": p.reason, "evidence": p.evidence, "old": p.old, "candidate": p.candidate.Member,
 		"claim_ms":    stepMillis(p.neededAt, p.claimedAt),
 		"survey_ms":   stepMillis(p.claimedAt, p.surveyedAt),
 		"order_ms":    stepMillis(p.surveyedAt, p.orderedAt),
--- a/pkg/fleet/primary_revocation_test.go
+++ b/pkg/fleet/primary_revocation_test.go
@@ -130,7 +130,7 @@
 	h := newHarnessWithLease(t, testLease)
 	h.advance(4 * time.Second)
 	h.handle(StoreChanges{AsOf: h.now})
-	h.e.declareDead(h.e.members["p"], "test")
+	h.e.declareDead(h.e.members["p"], "test", deathEvidence{})
 	h.advance(400 * time.Millisecond)
 	h.handle(JobDone{Job: h.lastJob(), Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
 	record, down := h.jobs[len(h.jobs)-2], h.lastJob()
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -242,6 +242,8 @@
 		e.homesUpdate(in)
 	case KeysRevoked:
 		e.keysRevoked(in.Keys)
+	case MemberAlive:
+		e.memberAlive(in)
 	case KeysValidUntil:
 		e.keysValidUntil = in.Time
 	case PrimaryLease:
--- a/pkg/session/liveness.go
+++ b/pkg/session/liveness.go
@@ -44,8 +44,40 @@
 
 func (LivenessReport) peerCommand() {}
 
+// MemberAlive reports that the member has answered a status request of this instance.
+type MemberAlive struct {
+	Member core.MemberID
+}
+
+func (MemberAlive) sessionInput() {}
+
+// memberAlive records that the member is alive. The responses that are due count from now:
+// a crowded member that answers status requests is not suspected again at once, because each
+// check costs it another connection.
+func (e *Engine) memberAlive(in MemberAlive) {
+	for _, db := range e.databases {
+		m := db.member(in.Member)
+		if m == nil {
+			continue
+		}
+		m.lastResponse, m.responseDueSince = e.now, time.Time{}
+		if m.awaitsResponse() {
+			m.responseExpected()
+		}
+	}
+}
+
+// awaitsResponse reports whether a connection waits for a response of the member.
+func (m *member) awaitsResponse() bool {
+	states := &m.db.e.targetStates
+	return m.stateCounts[states.busy]+m.stateCounts[states.probing]+m.stateCounts[states.opening] > 0
+}
+
 // responseReceived records a response of the member.
 func (m *member) responseReceived() {
+	if m == m.db.primary && m.unansweredFor() > memberResponseTimeout {
+		m.db.e.outbox.out.Control(MemberResponded{Member: m.id})
+	}
 	m.lastResponse = m.db.e.now
 	m.responseDueSince = time.Time{}
 }
@@ -70,7 +102,7 @@
 func (db *database) checkPrimaryResponds() {
 	p := db.primary
 	if p != nil && p.unansweredFor() > memberResponseTimeout {
-		db.e.outbox.out.Control(MemberSuspected{Database: db.name, Member: p.id})
+		db.e.outbox.out.Control(MemberSuspected{Database: db.name, Member: p.id, UnansweredFor: p.unansweredFor()})
 	}
 }
 
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -239,10 +239,20 @@
 	Position core.Position
 }
 
-// MemberSuspected reports that a connection to the member failed.
+// MemberSuspected reports that a connection to the member failed, or that it does not
+// respond.
 type MemberSuspected struct {
 	Database core.DatabaseName
 	Member   core.MemberID
+	// UnansweredFor is how long the member has left a request without a response, zero if
+	// a connection failed.
+	UnansweredFor time.Duration
+}
+
+// MemberResponded reports a response of a primary that had been unresponsive for long
+// enough to be suspected.
+type MemberResponded struct {
+	Member core.MemberID
 }
 
 // TermObserved reports the term of a database's newest primary that a member has
@@ -289,6 +299,7 @@
 func (ConfirmRequest) controlReport()   {}
 func (AppliedRequest) controlReport()   {}
 func (MemberSuspected) controlReport()  {}
+func (MemberResponded) controlReport()  {}
 func (TermObserved) controlReport()     {}
 func (Demand) controlReport()           {}
 func (HomeUnresponsive) controlReport() {}
