--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -270,8 +270,10 @@
 	case session.MemberSuspected:
 		// A member of an evacuated failure domain gets no status requests either.
 		if m := e.members[r.Member]; m == nil || !e.withdrawn(m) {
-			e.checkSuspect(r.Member)
+			e.checkSuspect(r)
 		}
+	case session.MemberResponded:
+		e.memberResponded(r.Member)
 	case session.TermObserved:
 		e.termObserved(r.Database, r.Term)
 	}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -246,6 +246,8 @@
 		e.homesUpdate(in)
 	case KeysRevoked:
 		e.keysRevoked(in.Keys)
+	case MemberAlive:
+		e.memberAlive(in)
 	case KeysValidUntil:
 		e.keysValidUntil = in.Time
 	case PrimaryLease:
