Send to a member only what its pacer permits, the most urgent first

On hosted instances every home sent as many statements as the member has slots; the member refused most of them as BUSY and its own queue ignored urgency. Statements without a connection of their account left the queue for a list in order of arrival, so an urgent one waited behind others. Each member now has a pacer that its answers feed, waiting statements stay in the queue, and the queue serves the most urgent one whose account has a connection. A member that appears, comes back, restarts or cannot be connected to starts slowly, a promoted one with the home's part of its capacity; the members of the first view count as running. A replica without an allowance gets no reads while another member can serve them. Statements of open transactions are not delayed. The log has member_pace, the inspection the allowance, limited members and delayed statements by group. WarmupPerSecond, ColdUntil and Started are inputs that nothing fills yet.

--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -66,7 +66,10 @@
 	// Connections bounds the target connections of the whole fleet.
 	Connections int           `json:"connections"`
 	State       DatabaseState `json:"state"`
-	Members     []Member      `json:"members"`
+	// WarmupPerSecond bounds the statements per second that all instances together
+	// send to a cold member; 0 for no bound.
+	WarmupPerSecond float64  `json:"warmup_per_second,omitempty"`
+	Members         []Member `json:"members"`
 }
 
 // Member is one target of a database.
--- a/pkg/fairqueue/fair.go
+++ b/pkg/fairqueue/fair.go
@@ -1,6 +1,8 @@
 package fairqueue
 
 import (
+	"slices"
+
 	"github.com/sassafrasshunt/sassafrasshunt/lib/indexheap"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
@@ -27,7 +29,7 @@
 	flows map[core.AccountName]*flow[T]
 	// backlogged orders the flows that have items.
 	backlogged indexheap.Heap[*flow[T]]
-	// virtualTime is the start tag of the item served last.
+	// virtualTime is the highest start tag of the items served.
 	virtualTime float64
 	// activeWeight is the sum of the weights of the backlogged flows.
 	activeWeight int
@@ -120,14 +122,76 @@
 	if chosen < 0 {
 		return nil, false
 	}
+	f, _ := q.classQueues[chosen].backlogged.First()
+	return q.take(chosen, f), true
+}
+
+// PopWhere implements Queue. It takes time proportional to the number of accounts.
+func (q *Fair[T]) PopWhere(may func(core.AccountName) bool) (*Item[T], bool) {
+	if first := q.nextClass(); first >= 0 {
+		if f := q.classQueues[first].firstWhere(may); f != nil {
+			return q.take(first, f), true
+		}
+	}
+	for i := range q.classQueues {
+		if f := q.classQueues[i].firstWhere(may); f != nil {
+			return q.take(i, f), true
+		}
+	}
+	return nil, false
+}
+
+// firstWhere returns the flow to serve next among those of the accounts for which
+// the function returns true, or nil.
+func (c *classQueue[T]) firstWhere(may func(core.AccountName) bool) *flow[T] {
+	if c.length == 0 {
+		return nil
+	}
+	var first *flow[T]
+	for account, f := range c.flows {
+		if f.items.Len() > 0 && (first == nil || f.Before(first)) && may(account) {
+			first = f
+		}
+	}
+	return first
+}
+
+// Waiting implements Queue.
+func (q *Fair[T]) Waiting(visit func(account core.AccountName, items int) bool) {
+	for i := range q.classQueues {
+		c := &q.classQueues[i]
+		if c.length == 0 {
+			continue
+		}
+		var waiting []core.AccountName
+		for account, f := range c.flows {
+			if f.items.Len() > 0 {
+				waiting = append(waiting, account)
+			}
+		}
+		slices.SortFunc(waiting, func(a, b core.AccountName) int {
+			if c.flows[a].Before(c.flows[b]) {
+				return -1
+			}
+			return 1
+		})
+		for _, account := range waiting {
+			if !visit(account, c.flows[account].items.Len()) {
+				return
+			}
+		}
+	}
+}
+
+// take removes the first item of the flow, which is the next one served of the class.
+func (q *Fair[T]) take(chosen int, f *flow[T]) *Item[T] {
 	q.countBypassed(chosen)
 	c := &q.classQueues[chosen]
-	f, _ := c.backlogged.First()
-	c.virtualTime = f.startTag
+	c.virtualTime = max(c.virtualTime, f.startTag)
 	f.startTag += 1 / float64(f.weight)
 	item, _ := f.items.First()
 	q.detach(item)
-	return item, true
+	return item
 }
 
 // nextClass returns the class to serve: the least urgent one that was bypassed
--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -39,6 +39,13 @@
 	// Pop removes and returns the item to serve next; false when the queue is
 	// empty.
 	Pop() (*Item[T], bool)
+	// PopWhere removes and returns the item to serve next among those of the
+	// accounts for which the function returns true.
+	PopWhere(func(core.AccountName) bool) (*Item[T], bool)
+	// Waiting calls the function for the accounts of waiting items, in about the
+	// order of service, until it returns false. An account with items of several
+	// classes is passed once for each class, with their number.
+	Waiting(func(account core.AccountName, items int) bool)
 	// Remove removes a queued item; it has no effect on any other item.
 	Remove(*Item[T])
 	// Len returns the number of queued items.
--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -195,3 +195,45 @@
 	}
 	require.Equal(t, []core.Class{core.ClassCritical, core.ClassUrgent, core.ClassInteractive, core.ClassBrowse}, order)
 }
+
+// Guards against an account that is passed over because it cannot be served and
+// loses its turn, and against another one that is served out of turn instead.
+func TestPopWhereKeepsTheOrder(t *testing.T) {
+	for _, kind := range []Kind{KindFair, KindFIFO} {
+		q := New[int](kind)
+		for i, account := range []core.AccountName{"blocked", "a", "b", "blocked", "a", "b"} {
+			q.Push(&Item[int]{Account: account, Value: i, Class: core.ClassUrgent})
+		}
+		notBlocked := func(a core.AccountName) bool { return a != "blocked" }
+		for _, want := range []int{1, 2, 4, 5} {
+			item, ok := q.PopWhere(notBlocked)
+			require.True(t, ok)
+			require.Equal(t, want, item.Value, kind)
+		}
+		_, ok := q.PopWhere(notBlocked)
+		require.False(t, ok)
+		var waiting []core.AccountName
+		q.Waiting(func(account core.AccountName, items int) bool {
+			waiting = append(waiting, account)
+			require.Equal(t, 2, items)
+			return true
+		})
+		require.Equal(t, []core.AccountName{"blocked"}, waiting)
+		q.Push(&Item[int]{Account: "a", Value: 6, Class: core.ClassUrgent})
+		item, _ := q.Pop()
+		require.Equal(t, 0, item.Value, kind)
+	}
+}
+
+// Guards against a less urgent item that is served before a more urgent one of an
+// account that can be served too.
+func TestPopWhereServesTheMostUrgentClass(t *testing.T) {
+	q := NewFair[int](DefaultMaxBypass)
+	q.Push(&Item[int]{Account: "a", Class: core.ClassInteractive})
+	q.Push(&Item[int]{Account: "blocked", Class: core.ClassCritical})
+	q.Push(&Item[int]{Account: "a", Class: core.ClassUrgent})
+	notBlocked := func(a core.AccountName) bool { return a != "blocked" }
+	first, _ := q.PopWhere(notBlocked)
+	second, _ := q.PopWhere(notBlocked)
+	require.Equal(t, []core.Class{core.ClassUrgent, core.ClassInteractive}, []core.Class{first.Class, second.Class})
+}
--- a/pkg/fairqueue/fifo.go
+++ b/pkg/fairqueue/fifo.go
@@ -35,6 +35,51 @@
 	return item, true
 }
 
+// PopWhere implements Queue.
+func (q *FIFO[T]) PopWhere(may func(core.AccountName) bool) (*Item[T], bool) {
+	var skipped []byArrival[T]
+	var found *Item[T]
+	for found == nil && q.items.Len() > 0 {
+		first := q.items.Pop()
+		if may(first.Account) {
+			found = first.Item
+			continue
+		}
+		skipped = append(skipped, first)
+	}
+	for _, item := range skipped {
+		q.items.Push(item)
+	}
+	if found == nil {
+		return nil, false
+	}
+	found.queued = false
+	return found, true
+}
+
+// Waiting implements Queue.
+func (q *FIFO[T]) Waiting(visit func(account core.AccountName, items int) bool) {
+	var accounts []core.AccountName
+	count := map[core.AccountName]int{}
+	var all []byArrival[T]
+	for q.items.Len() > 0 {
+		item := q.items.Pop()
+		all = append(all, item)
+		if count[item.Account] == 0 {
+			accounts = append(accounts, item.Account)
+		}
+		count[item.Account]++
+	}
+	for _, item := range all {
+		q.items.Push(item)
+	}
+	for _, account := range accounts {
+		if !visit(account, count[account]) {
+			return
+		}
+	}
+}
+
 // Remove implements Queue.
 func (q *FIFO[T]) Remove(item *Item[T]) {
 	if !item.queued {
--- a/pkg/fleet/home_sim_node_test.go
+++ b/pkg/fleet/home_sim_node_test.go
@@ -340,3 +340,4 @@
 func (o homeSessionOutputs) Classify(session.ClassifyRequest) bool { return false }
 func (o homeSessionOutputs) Span(session.Span)                     {}
 func (o homeSessionOutputs) LogDecision(session.Decision)          {}
+func (o homeSessionOutputs) LogMemberPace(session.MemberPace)      {}
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -54,6 +54,11 @@
 	o.hosted.log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
 }
 
+// LogMemberPace logs how much work a member gets.
+func (o *hostedSessionOutputs) LogMemberPace(p session.MemberPace) {
+	o.hosted.log(logrus.InfoLevel, eventMemberPace, p.Reason, memberPaceFields(&p))
+}
+
 // hostedFleetOutputs carries out the outputs of the fleet engine.
 type hostedFleetOutputs struct {
 	hosted  *Hosted
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -77,6 +77,9 @@
 	o.telemetry.Log(logrus.InfoLevel, eventRequest, decisionMessage(&d), decisionFields(&d))
 }
 
+// LogMemberPace is not used: this kind of instance has no pacers.
+func (o *sessionOutputs) LogMemberPace(session.MemberPace) {}
+
 // controlOutputs writes the outputs of the control engine to the rings of other
 // duties.
 type controlOutputs struct {
--- a/pkg/pace/lifecycle.go
+++ b/pkg/pace/lifecycle.go
@@ -107,10 +107,14 @@
 	}
 }
 
-// startAtCapacity sets the allowance to this home's part of the member's slots.
+// startAtCapacity sets the allowance to this home's part of the statements that
+// occupy the member fully.
 func (p *Pacer) startAtCapacity() { p.start(p.capacityShare()) }
 
-func (p *Pacer) capacityShare() float64 { return float64(p.limits.Slots) / float64(p.limits.Homes) }
+// capacityShare returns this home's part of inFlightPerSlot.
+func (p *Pacer) capacityShare() float64 {
+	return inFlightPerSlot * float64(p.limits.Slots) / float64(p.limits.Homes)
+}
 
 // start begins a recovery with the given allowance. The first statements of the
 // homes are spread over the mean time between two starts.
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -16,6 +16,9 @@
 	// startPerSlot is the number of statements per second and slot that all homes
 	// together send to a returning member at first.
 	startPerSlot = 10.0
+	// inFlightPerSlot is the number of statements per slot that all homes together
+	// have in flight at a promoted member at first: one runs, the others queue.
+	inFlightPerSlot = 2
 	// unknownTime stands for the answer time of a member while neither its own
 	// nor that of its peers is known.
 	unknownTime = 10 * time.Millisecond
@@ -37,6 +40,9 @@
 	// allowance below one statement. Without a refusal they may have another
 	// cause, such as a change of the statements or a slow home.
 	refusedMemory = 10 * time.Second
+	// busyPause is the mean pause after a refusal; a full queue drains within some
+	// tens of milliseconds.
+	busyPause = 20 * time.Millisecond
 	// raisePerAnswer is how much an allowance of one statement or more grows with
 	// each answer, divided by the allowance; raiseFactor is the growth of a smaller one.
 	raisePerAnswer = 0.25
@@ -65,6 +71,9 @@
 	Failed
 	// Lost is a connection that ended, or could not be opened, without an answer.
 	Lost
+	// Abandoned is a statement without an answer until its deadline, or until its
+	// caller left; Took is the time until then.
+	Abandoned
 )
 
 // Answer describes one answer of the member.
@@ -113,8 +122,10 @@
 	// phase determines the next pause within its interval.
 	phase float64
 	// nextStart is the earliest next start while the allowance is below 1, and
-	// nextBounded that of the configured bound.
+	// nextBounded that of the configured bound. resumeAt is the earliest start
+	// after a refusal.
 	nextStart   time.Time
+	resumeAt    time.Time
 	nextBounded time.Time
 	// since is when the current state began, changedAt when the allowance last
 	// changed by a factor, quietSince when overload was last seen.
@@ -171,12 +182,18 @@
 		p.judgeTime(now, a.Peers)
 	case Busy:
 		p.refusedAt = now
+		p.resumeAt = now.Add(p.spread(busyPause))
 		p.overloaded(now, "the member refuses statements as BUSY")
 	case Failed:
 		p.failedPart += (1 - p.failedPart) / failedWeight
 		if p.state == p.table.recovering || p.failedPart > maxFailedPart {
 			p.overloaded(now, "the member fails statements")
 		}
+	case Abandoned:
+		if a.Took > p.times.recent {
+			p.times.add(now, a.Took)
+			p.judgeTime(now, a.Peers)
+		}
 	case Lost:
 		p.refusedAt = now
 		p.overloaded(now, "a connection to the member was lost")
@@ -235,9 +252,9 @@
 	if inFlight >= p.MaxInFlight() {
 		return false, time.Time{}
 	}
-	at := time.Time{}
+	at := p.resumeAt
 	if p.allowance < 1 {
-		at = p.nextStart
+		at = clock.Later(at, p.nextStart)
 	}
 	if p.bounded() {
 		at = clock.Later(at, p.nextBounded)
@@ -294,13 +311,13 @@
 // MaxInFlight returns the number of statements that may be in flight, at least 1.
 func (p *Pacer) MaxInFlight() int { return max(int(p.allowance), 1) }
 
-// Wait returns the time after which a statement with the given number of
-// statements ahead of it may start, if each takes the given time.
-func (p *Pacer) Wait(now time.Time, ahead int, service time.Duration) time.Duration {
+// Wait returns how long the pauses between starts keep a statement waiting that
+// has the given number of statements ahead of it.
+func (p *Pacer) Wait(now time.Time, ahead int) time.Duration {
 	p.advance(now)
-	wait := time.Duration(float64(ahead) / max(p.allowance, 1) * float64(service))
+	wait := max(p.resumeAt.Sub(now), 0)
 	if p.allowance < 1 {
-		wait = max(p.nextStart.Sub(now), 0) + time.Duration(ahead)*p.pause()
+		wait = max(wait, p.nextStart.Sub(now)) + p.pausesFor(ahead)
 	}
 	if p.bounded() {
 		pause := time.Duration(float64(time.Second) / p.bound.PerSecond)
@@ -309,6 +326,16 @@
 	return wait
 }
 
+// pausesFor returns the sum of the pauses after the given number of statements.
+// During a recovery each is expected to be half of the one before.
+func (p *Pacer) pausesFor(statements int) time.Duration {
+	pauses := float64(statements)
+	if p.state == p.table.recovering {
+		pauses = 1 - math.Pow(0.5, pauses)
+	}
+	return time.Duration(pauses * float64(p.pause()))
+}
+
 // Limits reports whether the pacer limits the member's work beyond its slots.
 func (p *Pacer) Limits() bool { return p.state != p.table.steady || p.bounded() }
 
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -38,6 +38,9 @@
 	// Running and Queued count this instance's statements on the member.
 	Running int
 	Queued  int
+	// Exhausted is set when this instance may send no further statement to the
+	// member at present.
+	Exhausted bool
 	// Connections counts this instance's open and opening connections to the
 	// member.
 	Connections int
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -42,6 +42,7 @@
 		"slow":             func(c *Candidate) { c.Latency = time.Second },
 		"suspected":        func(c *Candidate) { c.Reachable = false },
 		"unknown":          func(c *Candidate) { c.Status = nil },
+		"no allowance":     func(c *Candidate) { c.Exhausted = true },
 		"primary":          func(c *Candidate) { c.Primary = true },
 	}
 	for name, worsen := range cases {
--- a/pkg/session/accountpool.go
+++ b/pkg/session/accountpool.go
@@ -1,64 +1,35 @@
 package session
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 // With AsyncReplication each connection belongs to one account. A statement
-// whose account has no free connection is parked while one is opened, and does
-// not block others.
+// whose account has no free connection stays in the queue while one is opened,
+// and does not block those of other accounts.
 
 // dispatchByAccount sends waiting statements to the connections of their
-// accounts.
+// accounts, the most urgent first, while the slots and the pacer permit it.
 func (m *member) dispatchByAccount() {
 	m.dispatchPinned()
-	m.serveParked()
-	for m.queue.Len() > 0 && m.running() < m.slots {
-		item, _ := m.queue.Pop()
-		m.serveOrPark(item.Value)
-	}
-	m.openForParked()
-}
-
-// serveOrPark sends the statement on an idle connection of its account, or
-// parks it.
-func (m *member) serveOrPark(s *statement) {
-	t := m.idleFor(s.c.account.name)
-	if t == nil {
-		s.parked = true
-		m.parked = append(m.parked, s)
+	if m.queue.Len() == 0 {
 		return
 	}
-	m.serveOn(s, t)
-}
-
-// serveParked sends parked statements whose account has an idle connection
-// again.
-func (m *member) serveParked() {
-	for i := 0; i < len(m.parked) && m.running() < m.slots; {
-		s := m.parked[i]
-		t := m.idleFor(s.c.account.name)
-		if t == nil {
-			i++
-			continue
+	m.openForQueued()
+	for m.running() < m.slots && m.mayStart() {
+		item, ok := m.queue.PopWhere(m.hasIdle)
+		if !ok {
+			break
 		}
-		s.unpark()
-		m.serveOn(s, t)
+		s := item.Value
+		m.serveOn(s, m.idleFor(s.c.account.name))
 	}
 }
 
-// unpark removes the statement from the parked list of its member.
-func (s *statement) unpark() {
-	if !s.parked {
-		return
-	}
-	s.parked = false
-	i := slices.Index(s.member.parked, s)
-	s.member.parked = slices.Delete(s.member.parked, i, i+1)
-}
+// hasIdle reports whether the account has an idle connection.
+func (m *member) hasIdle(account core.AccountName) bool { return m.idleFor(account) != nil }
 
 // idleFor returns the account's most recently used idle connection, or nil.
 func (m *member) idleFor(account core.AccountName) *target {
@@ -71,54 +42,94 @@
 	return newest
 }
 
-// openForParked opens connections for the accounts of parked statements. At the
-// connection limit it closes idle connections of other accounts to free one.
-func (m *member) openForParked() {
+// mayOpen reports whether a connection to the member may be opened now. While the
+// pacer limits the member's work, only when a statement may start, since opening
+// one occupies a slot too.
+func (m *member) mayOpen() bool {
 	db := m.db
-	if len(m.parked) == 0 || db.leaving || m.removed || db.e.now.Before(m.retryAt) {
-		return
+	if db.leaving || m.removed || db.e.now.Before(m.retryAt) {
+		return false
 	}
 	if db.e.now.Before(m.limitRetryAt) {
 		db.armCheck(m.limitRetryAt)
+		return false
+	}
+	return m.pace == nil || !m.pace.Limits() || m.mayStart()
+}
+
+// openForQueued opens connections for the accounts whose statements come next
+// and that have no free one. At the connection limit it closes idle connections
+// of other accounts to free one.
+func (m *member) openForQueued() {
+	if !m.mayOpen() {
 		return
 	}
-	seen := map[core.AccountName]bool{}
-	for _, s := range m.parked {
-		account := s.c.account.name
-		if seen[account] || !m.needsConnection(account) {
-			continue
+	limited := m.pace != nil && m.pace.Limits()
+	free := m.freeSlots()
+	m.queue.Waiting(func(account core.AccountName, items int) bool {
+		if free <= 0 {
+			return false
 		}
-		seen[account] = true
-		if m.connections < db.memberBound {
-			m.open(account)
-			continue
+		if idle := m.idleCount(account); idle > 0 {
+			free -= min(idle, items)
+			return true
+		}
+		if !m.needsConnection(account, items) {
+			return true
+		}
+		if m.connections >= m.db.memberBound {
+			m.retireIdleOfOther(account)
+			return true
+		}
+		m.open(account)
+		if limited {
+			free--
+		}
+		return true
+	})
+}
+
+// freeSlots returns how many more statements may run on the member. While the
+// pacer limits its work, connections that are being opened count too.
+func (m *member) freeSlots() int {
+	if m.pace == nil || !m.pace.Limits() {
+		return m.slots - m.running()
+	}
+	opening := m.stateCounts[m.db.e.targetStates.opening]
+	return min(m.slots, m.pace.MaxInFlight()) - m.running() - opening
+}
+
+// idleCount returns the number of the account's idle connections.
+func (m *member) idleCount(account core.AccountName) int {
+	count := 0
+	for _, t := range m.idleConns {
+		if t.account == account {
+			count++
 		}
-		m.retireIdleOfOther(account)
 	}
+	return count
 }
 
-// needsConnection reports whether the account has more parked statements than
-// its opening and busy connections will soon serve.
-func (m *member) needsConnection(account core.AccountName) bool {
+// needsConnection reports whether the account has more queued statements than its
+// connections will soon serve.
+func (m *member) needsConnection(account core.AccountName, queued int) bool {
 	states := &m.db.e.targetStates
-	connections, parked := 0, 0
+	connections := 0
 	for _, t := range m.db.targets {
 		if t.member != m || t.account != account {
 			continue
 		}
-		if t.state == states.opening || t.state == states.busy {
+		switch t.state {
+		case states.idle:
+			return false
+		case states.opening, states.busy:
 			connections++
 		}
 	}
-	for _, s := range m.parked {
-		if s.c.account.name == account {
-			parked++
-		}
-	}
 	if connections == 0 {
 		return true
 	}
-	return connections < m.slots && parked > m.capacity(connections)
+	return connections < m.slots && queued > m.capacity(connections)
 }
 
 // retireIdleOfOther closes the connection of another account that has been idle
--- a/pkg/session/charts.go
+++ b/pkg/session/charts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafrasshunt/sassafrasshunt/charts"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // chartTables holds the compiled charts and their events.
@@ -10,6 +11,7 @@
 	caller      *chart.Table[*caller]
 	statement   *chart.Table[*statement]
 	target      *chart.Table[*target]
+	pace        *pace.Table
 	onCaller    callerEvents
 	onStatement statementEvents
 	onTarget    targetEvents
@@ -46,7 +48,7 @@
 	}
 }
 
-// loadTables compiles the three charts. It returns the errors of charts.Load
+// loadTables compiles the charts. It returns the errors of charts.Load
 // and chart.Compile.
 func loadTables(b *Bounds) (*chartTables, error) {
 	t := &chartTables{}
@@ -60,10 +62,22 @@
 	if t.target, err = compile("target", targetRegistry(b)); err != nil {
 		return nil, err
 	}
+	if t.pace, err = loadPaceTable(); err != nil {
+		return nil, err
+	}
 	t.resolveEvents()
 	return t, nil
 }
 
+// loadPaceTable compiles the chart of the pacers.
+func loadPaceTable() (*pace.Table, error) {
+	definition, err := charts.Load("member_pace")
+	if err != nil {
+		return nil, err
+	}
+	return pace.NewTable(definition)
+}
+
 // compile loads the named chart and binds it to the registry.
 func compile[S any](name string, r chart.Registry[S]) (*chart.Table[S], error) {
 	definition, err := charts.Load(name)
@@ -104,6 +118,8 @@
 		return e.charts.statement.TransitionCounts()
 	case "target":
 		return e.charts.target.TransitionCounts()
+	case "member_pace":
+		return e.charts.pace.TransitionCounts()
 	}
 	return nil
 }
--- a/pkg/session/connectionrelease.go
+++ b/pkg/session/connectionrelease.go
@@ -92,7 +92,7 @@
 func (e *Engine) releaseUnusedConnection(id core.MemberID) {
 	for _, db := range e.databases {
 		m := db.member(id)
-		if m == nil || len(m.parked) > 0 {
+		if m == nil || m.lacksConnection() {
 			continue
 		}
 		var oldest *target
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -344,5 +344,7 @@
 
 func (*discardOutputs) LogDecision(Decision) {}
 
+func (*discardOutputs) LogMemberPace(MemberPace) {}
+
 // Peer implements Outputs.
 func (*discardOutputs) Peer(PeerCommand) bool { return true }
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -51,6 +51,16 @@
 	probeTimer  timer
 	usedAt      time.Time
 	connections int
+	// warmupPerSecond is the configured bound of a cold member over all instances,
+	// in statements per second; 0 without one.
+	warmupPerSecond float64
+	// viewSeen is set once a view of a member has arrived, hadPrimary once a
+	// primary was known; pacedPrimary is the last one.
+	viewSeen     bool
+	hadPrimary   bool
+	pacedPrimary *member
+	// delayed counts the statements that had to wait because of a pacer.
+	delayed uint64
 	// openTime is the smoothed time that it takes to open a connection.
 	openTime   time.Duration
 	checkTimer timer
@@ -83,6 +93,7 @@
 
 // configure applies the database's definition in the catalogue.
 func (db *database) configure(def *catalogue.Database) {
+	db.warmupPerSecond = def.WarmupPerSecond
 	for _, m := range db.members {
 		m.removed = true
 	}
@@ -119,6 +130,9 @@
 		if db.lastPrimary == m {
 			db.lastPrimary = nil
 		}
+		if db.pacedPrimary == m {
+			db.pacedPrimary = nil
+		}
 	}
 	clear(db.members[len(kept):])
 	db.members = kept
@@ -273,13 +287,14 @@
 		c := m.candidate()
 		c.Age = 0
 		c.Reachable = c.Reachable && !m.hasFallenBehind(required) && !e.now.Before(m.busyUntil)
+		c.Exhausted = m.allowanceUsedUp()
 		c.Connections = 0
 		if m.idleFor(s.c.account.name) != nil {
 			c.Connections = 1
 		}
 		e.candidates = append(e.candidates, c)
 	}
-	choice := e.policy.Choose(&route.Request{MaxAge: unboundedAge, LocalDomain: e.cfg.Domain}, e.candidates)
+	choice := s.chooseWithAllowance()
 	s.reason = choice.Reason
 	if choice.Index < 0 {
 		return
@@ -288,6 +303,30 @@
 	s.meetsDeadline = s.member.canMeetDeadline(s)
 }
 
+// chooseWithAllowance chooses among the candidates one whose allowance is not used
+// up, else one at which the read need not wait longer than for a fresh replica. If
+// there is none and the primary's allowance is used up too, the read waits for any.
+func (s *statement) chooseWithAllowance() route.Choice {
+	e := s.c.e
+	db := s.c.db
+	r := route.Request{MaxAge: unboundedAge, LocalDomain: e.cfg.Domain}
+	choice := e.policy.Choose(&r, e.candidates)
+	if choice.Index >= 0 {
+		return choice
+	}
+	for i, m := range db.members {
+		e.candidates[i].Exhausted = m.paceWait(m.queue.Len()) > e.cfg.Bounds.ReplicaWait
+	}
+	choice = e.policy.Choose(&r, e.candidates)
+	if choice.Index >= 0 || db.primary != nil && db.primary.reachable() && !db.primary.allowanceUsedUp() {
+		return choice
+	}
+	for i := range e.candidates {
+		e.candidates[i].Exhausted = false
+	}
+	return e.policy.Choose(&r, e.candidates)
+}
+
 // candidate describes the member for the routing policy.
 func (m *member) candidate() route.Candidate {
 	db := m.db
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -25,12 +25,17 @@
 
 // applyView stores the members' statuses and applies the term and the primary.
 func (db *database) applyView(in GroupView) {
+	previous := map[*member]MemberView{}
 	for _, view := range in.Members {
 		if m := db.member(view.Status.Member); m != nil {
+			if m.hasView {
+				previous[m] = m.view
+			}
 			m.view = view
 			m.hasView = true
 		}
 	}
+	db.paceViews(previous)
 	if db.e.cfg.AsyncReplication {
 		db.followAnnouncements()
 		return
@@ -43,6 +48,7 @@
 	changed := term > db.term
 	db.term = term
 	db.primary = primary
+	db.pacePromotion()
 	if changed && db.e.cfg.AsyncReplication {
 		// A report that finds no space is made up for by those of other instances.
 		db.e.outbox.out.Control(TermObserved{Database: db.name, Term: term})
@@ -79,6 +85,7 @@
 // reroute places the queued statements again that the new view does not allow
 // on their member.
 func (db *database) reroute() {
+	db.pacePromotion()
 	for _, m := range db.members {
 		deposed := m.wasDeposed()
 		if m.waiting() > 0 && (deposed || !m.reachable()) {
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -23,6 +23,7 @@
 	classify  []ClassifyRequest
 	spans     []Span
 	peers     []PeerCommand
+	paces     []MemberPace
 	// firstInTransaction makes the requests of remote callers the first of a
 	// transaction.
 	firstInTransaction bool
@@ -205,6 +206,8 @@
 
 func (h *harness) LogDecision(Decision) {}
 
+func (h *harness) LogMemberPace(p MemberPace) { h.paces = append(h.paces, p) }
+
 func (h *harness) Peer(c PeerCommand) bool {
 	h.peers = append(h.peers, c)
 	return true
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -215,6 +215,11 @@
 	Announced uint64
 	// RespondedAt is when the status was received.
 	RespondedAt time.Time
+	// Started is when the member's process started, zero if unknown.
+	Started time.Time
+	// ColdUntil is the time until which the bound catalogue.Database.WarmupPerSecond
+	// applies to the member; zero if it does not.
+	ColdUntil time.Time
 }
 
 // GroupView publishes the state of one database group.
--- a/pkg/session/inspect.go
+++ b/pkg/session/inspect.go
@@ -35,6 +35,8 @@
 	Connections          int                                    `json:"connections"`
 	Queued               int                                    `json:"queued"`
 	Accounts             map[core.AccountName]AccountInspection `json:"accounts"`
+	// Pace describes how much work the members of each database get.
+	Pace map[core.DatabaseName]PaceMetrics `json:"pace"`
 	// Transitions counts the transitions taken, by chart.
 	Transitions map[string]map[string]uint64 `json:"transitions"`
 	// Explanations holds one line for each caller of the requested account: why
@@ -97,6 +99,7 @@
 		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost, RefusedAtLimit: m.RefusedAtLimit, ConnectionsReleased: m.ConnectionsReleased,
 		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
 		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
+		Pace:        m.Pace,
 		Transitions: e.charts.transitionCounts(),
 	}
 	for reason, n := range m.Refusals {
@@ -131,8 +134,9 @@
 // transitionCounts returns how often each transition was taken, by chart.
 func (t *chartTables) transitionCounts() map[string]map[string]uint64 {
 	return map[string]map[string]uint64{
-		"caller":    t.caller.TransitionCounts(),
-		"statement": t.statement.TransitionCounts(),
-		"target":    t.target.TransitionCounts(),
+		"caller":      t.caller.TransitionCounts(),
+		"statement":   t.statement.TransitionCounts(),
+		"target":      t.target.TransitionCounts(),
+		"member_pace": t.pace.TransitionCounts(),
 	}
 }
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -1,13 +1,13 @@
 package session
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/fairqueue"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // member is one target of a database: its queue, the connections of this
@@ -38,8 +38,8 @@
 	// lastStart is when a queued statement was last sent.
 	lastStart         time.Time
 	dispatchScheduled bool
-	// parked holds the statements whose account has no free connection.
-	parked []*statement
+	// pace limits the work for the member with AsyncReplication, nil without.
+	pace *memberPace
 	// logEnd is the newest log position that the member reported with an
 	// answer.
 	logEnd core.Position
@@ -69,6 +69,9 @@
 	created := &member{db: db, id: m.ID, queue: fairqueue.New[*statement](db.e.cfg.Queue)}
 	created.stateCounts = make([]int, maxStates)
 	created.configure(m)
+	if db.e.cfg.AsyncReplication {
+		created.pace = newMemberPace(created)
+	}
 	return created
 }
 
@@ -85,12 +88,21 @@
 	m.domain = def.Domain
 	m.slots = max(def.Slots, 1)
 	m.removed = false
+	if m.pace != nil {
+		m.pace.SetLimits(m.paceLimits())
+	}
 }
 
 // connectionChanged updates the counts and the list of idle connections after a
 // connection changed its state.
 func (m *member) connectionChanged(t *target, before chart.State) {
 	states := &m.db.e.targetStates
+	if before == states.busy && t.state == states.closing && !t.answered {
+		m.paceAnswer(pace.Answer{Kind: pace.Abandoned, Took: m.db.e.now.Sub(t.sentAt)})
+	}
+	if t.state == states.busy {
+		t.sentAt, t.answered = m.db.e.now, false
+	}
 	m.stateCounts[before]--
 	m.stateCounts[t.state]++
 	if before == states.idle {
@@ -134,7 +146,7 @@
 
 // waitingCount returns the number of statements that wait for the member.
 func (m *member) waitingCount() int {
-	return m.queue.Len() + len(m.pinned) + len(m.parked)
+	return m.queue.Len() + len(m.pinned)
 }
 
 // reachable reports whether new work may be sent to the member.
@@ -154,12 +166,13 @@
 	m.failures++
 	e.outbox.out.Control(MemberSuspected{Database: m.db.name, Member: m.id})
 	m.db.armCheck(m.retryAt)
+	m.setAside()
 	m.reroute()
 }
 
 // waiting returns the number of statements that wait for the member outside a
 // transaction.
-func (m *member) waiting() int { return m.queue.Len() + len(m.parked) }
+func (m *member) waiting() int { return m.queue.Len() }
 
 // reroute places the queued statements again. Statements of open transactions
 // stay with their connection.
@@ -169,10 +182,7 @@
 
 // evictQueue empties the queue and fires the event at each of its statements.
 func (m *member) evictQueue(ev event) {
-	evicted := slices.Clone(m.parked)
-	for _, s := range evicted {
-		s.unpark()
-	}
+	var evicted []*statement
 	for {
 		item, ok := m.queue.Pop()
 		if !ok {
@@ -191,19 +201,21 @@
 }
 
 // canMeetDeadline reports whether a new statement can be served before its
-// deadline, judging by recent service times. A statement with nothing ahead of
-// it is always accepted, so that an overestimate corrects itself.
+// deadline, judging by recent service times and the allowance. A statement with
+// nothing ahead of it is always accepted unless the allowance delays it beyond its
+// deadline, so that an overestimate corrects itself.
 func (m *member) canMeetDeadline(s *statement) bool {
 	if m.queue.Len() >= m.db.e.cfg.QueueLimit {
 		return false
 	}
 	c := s.c
-	ahead := len(m.parked) + m.queue.Ahead(c.account.name, c.account.weight, c.entry.definition.Class)
+	ahead := m.queue.Ahead(c.account.name, c.account.weight, c.entry.definition.Class)
+	paceWait := m.paceWait(ahead)
 	if ahead == 0 {
-		return true
+		return paceWait == 0 || !m.db.e.now.Add(paceWait).After(s.deadline)
 	}
 	rounds := (ahead+m.running())/m.concurrency() + 1
-	wait := time.Duration(rounds) * m.service
+	wait := max(time.Duration(rounds)*m.service, paceWait)
 	if m.connections == 0 {
 		wait += m.db.openTime
 	}
@@ -214,7 +226,7 @@
 // member at the same time.
 func (m *member) concurrency() int {
 	if m.db.e.cfg.AsyncReplication {
-		return m.slots
+		return min(m.slots, m.pace.MaxInFlight())
 	}
 	spare := max(m.db.bound-m.db.connections, 0)
 	return max(min(m.slots, m.usableConnections()+spare), 1)
--- a/pkg/session/metrics.go
+++ b/pkg/session/metrics.go
@@ -50,6 +50,8 @@
 	Connections int
 	Queued      int
 	Accounts    map[core.AccountName]*AccountMetrics
+	// Pace describes how much work the members of each database get.
+	Pace map[core.DatabaseName]PaceMetrics
 }
 
 // AccountMetrics counts the requests of one client account.
@@ -94,6 +96,7 @@
 			e.metrics.Queued += m.waitingCount()
 		}
 	}
+	e.metrics.Pace = e.paceMetrics()
 	return &e.metrics
 }
 
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -19,6 +19,8 @@
 	Peer(PeerCommand) bool
 	// LogDecision offers a decision to the log. It never blocks.
 	LogDecision(Decision)
+	// LogMemberPace offers a change of a member's pacer to the log. It never blocks.
+	LogMemberPace(MemberPace)
 }
 
 // CallerCommand is an item of the callerio duty's ring.
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -123,6 +123,9 @@
 // startOn sends the statement on an idle connection.
 func (m *member) startOn(s *statement, t *target) {
 	m.lastStart = m.db.e.now
+	if m.pace != nil {
+		m.pace.Started(m.db.e.now)
+	}
 	s.c.pinTo(t)
 	s.fire(m.db.e.charts.onStatement.dispatched)
 }
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // notPrimaryBackoff is the time during which a member that reported not being the
@@ -143,11 +144,20 @@
 // rejectedByMember reports whether the member rejected the last attempt and
 // another member may be tried.
 func (s *statement) rejectedByMember() bool {
-	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < maxRejectedRetries && !s.c.e.now.After(s.deadline)
+	limit := maxRejectedRetries
+	if s.rejection == RejectionBusy {
+		limit = maxBusyRetries
+	}
+	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < limit && !s.c.e.now.After(s.deadline)
 }
 
-// maxRejectedRetries bounds the attempts of a statement that members reject.
-const maxRejectedRetries = 4
+// maxRejectedRetries bounds the attempts of a statement that members reject, and
+// maxBusyRetries those of one that finds their queues full; the pacer puts a pause
+// between these.
+const (
+	maxRejectedRetries = 4
+	maxBusyRetries     = 16
+)
 
 // recordRejection keeps later attempts away from the member for a while.
 func (m *member) recordRejection(d Rejection) {
@@ -234,6 +244,9 @@
 
 // probeAnswered handles the response to a probe.
 func (t *target) probeAnswered(in *TargetReady) {
+	if in.Rejection == RejectionBusy {
+		t.member.paceAnswer(pace.Answer{Kind: pace.Busy})
+	}
 	t.member.recordRejection(in.Rejection)
 	t.member.observeLogEnd(t.requestedAt, in)
 	t.fire(t.engine().charts.onTarget.readyIdle)
--- a/pkg/session/simulation_outputs_test.go
+++ b/pkg/session/simulation_outputs_test.go
@@ -182,5 +182,8 @@
 // LogDecision implements Outputs.
 func (sim *simulation) LogDecision(Decision) {}
 
+// LogMemberPace implements Outputs.
+func (sim *simulation) LogMemberPace(MemberPace) {}
+
 // Peer implements Outputs.
 func (sim *simulation) Peer(PeerCommand) bool { return true }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -41,8 +41,6 @@
 	startedInTx bool
 	// rejection is why the member did not run the last attempt.
 	rejection Rejection
-	// parked is set while the statement waits for a connection of its account.
-	parked bool
 	// waitsForSlot is set while a statement of a transaction waits for a slot
 	// of its member, waitsForToken while it waits for a token of its account.
 	waitsForSlot  bool
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -85,6 +85,9 @@
 	s.queueItem.Weight = s.c.account.weight
 	s.queueItem.Class = s.c.entry.definition.Class
 	s.queueItem.Deadline = s.deadline
+	if s.member.allowanceUsedUp() {
+		s.c.db.delayed++
+	}
 	s.member.queue.Push(&s.queueItem)
 	s.c.e.scheduleDispatch(s.member)
 }
@@ -99,15 +102,13 @@
 	s.c.e.scheduleDispatch(s.member)
 }
 
-// dequeue removes the statement from the queue, the parked list and the slot
-// list of its member.
+// dequeue removes the statement from the queue and the slot list of its member.
 func (s *statement) dequeue() {
 	if s.waitsForSlot {
 		s.waitsForSlot = false
 		i := slices.Index(s.member.pinned, s)
 		s.member.pinned = slices.Delete(s.member.pinned, i, i+1)
 	}
-	s.unpark()
 	if s.queueItem.Queued() {
 		s.member.queue.Remove(&s.queueItem)
 	}
--- a/pkg/session/target.go
+++ b/pkg/session/target.go
@@ -7,6 +7,7 @@
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // target is one target connection. One caller uses it at a time: for one
@@ -27,6 +28,10 @@
 	// has.
 	appliedSettings string
 	retiring        bool
+	// sentAt is when the current request was sent; answered is set once it was
+	// answered.
+	sentAt   time.Time
+	answered bool
 	// paused is set while reading from the connection is paused.
 	paused      bool
 	openedAt    time.Time
@@ -136,6 +141,7 @@
 	}
 	e := t.engine()
 	e.outbox.out.Control(MemberSuspected{Database: t.member.db.name, Member: t.member.id})
+	t.member.paceAnswer(pace.Answer{Kind: pace.Lost})
 	c.unpin()
 	c.stmt.fire(e.charts.onStatement.lost)
 	c.fire(e.charts.onCaller.targetLost)
@@ -217,6 +223,8 @@
 	s.memberReadOnly = in.ReadOnly
 	s.rejection = in.Rejection
 	sentAt := s.sentAt
+	t.answered = true
+	t.member.paceReady(s, &in)
 	t.member.recordRejection(in.Rejection)
 	t.member.recordServiceTime(e.now.Sub(sentAt))
 	c.applyTxStatus(s, in.TxStatus)
