Pause after a refusal, and lower the allowance once for each sign of overload

Answers to statements that were sent before the allowance was lowered lowered it again, so that 40 homes fell to a third of the member's capacity together. Only later answers count now. Small allowances grow by addition, so that homes converge.

--- a/pkg/pace/lifecycle.go
+++ b/pkg/pace/lifecycle.go
@@ -142,7 +142,7 @@
 // raised returns the allowance after one more answer in time.
 func (p *Pacer) raised() float64 {
 	if p.allowance < 1 {
-		return p.allowance * raiseFactor
+		return min(p.allowance+raiseBelowOne, p.allowance*maxRaise)
 	}
 	return p.allowance + raisePerAnswer/p.allowance
 }
@@ -151,7 +151,8 @@
 // statement in flight, or the initial allowance of a recovery.
 func (p *Pacer) halve() {
 	p.allowance = max(p.allowance/2, min(p.lowest(), p.allowance))
-	p.changedAt = p.now
+	p.changedAt, p.loweredAt = p.now, p.now
+	p.times.forgetRecent()
 	if p.allowance < 1 {
 		p.nextStart = p.now.Add(p.spread(p.pause()))
 	}
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -44,9 +44,11 @@
 	// tens of milliseconds.
 	busyPause = 20 * time.Millisecond
 	// raisePerAnswer is how much an allowance of one statement or more grows with
-	// each answer, divided by the allowance; raiseFactor is the growth of a smaller one.
+	// each answer, divided by the allowance; raiseBelowOne is how much a smaller one
+	// grows, but at most by the factor maxRaise.
 	raisePerAnswer = 0.25
-	raiseFactor    = 1.05
+	raiseBelowOne  = 0.03
+	maxRaise       = 2
 	// minStartPart is the part of the initial allowance to which refusals can
 	// lower it during a recovery.
 	minStartPart = 1.0 / 8
@@ -132,6 +134,9 @@
 	since      time.Time
 	changedAt  time.Time
 	quietSince time.Time
+	// loweredAt is when the allowance was last lowered; answers to statements that
+	// were sent before say nothing about the time since.
+	loweredAt time.Time
 	// refusedAt is when the member last refused a statement or failed.
 	refusedAt time.Time
 	reason    string
@@ -177,9 +182,11 @@
 	p.advance(now)
 	switch a.Kind {
 	case OK:
-		p.times.add(now, a.Took)
 		p.failedPart -= p.failedPart / failedWeight
-		p.judgeTime(now, a.Peers)
+		if !now.Add(-a.Took).Before(p.loweredAt) {
+			p.times.add(now, a.Took)
+			p.judgeTime(now, a.Peers)
+		}
 	case Busy:
 		p.refusedAt = now
 		p.resumeAt = now.Add(p.spread(busyPause))
--- a/pkg/pace/times.go
+++ b/pkg/pace/times.go
@@ -73,6 +73,9 @@
 	return min(t.current, t.previous)
 }
 
+// forgetRecent makes the next answer the only recent one.
+func (t *times) forgetRecent() { t.recent = 0 }
+
 // restart forgets the recent time, but not the usual one, and starts a window.
 func (t *times) restart(now time.Time) {
 	usual := t.usual()
--- a/pkg/session/accountpool.go
+++ b/pkg/session/accountpool.go
@@ -96,7 +96,7 @@
 		return m.slots - m.running()
 	}
 	opening := m.stateCounts[m.db.e.targetStates.opening]
-	return min(m.slots, m.pace.MaxInFlight()) - m.running() - opening
+	return m.maxInFlight() - m.running() - opening
 }
 
 // idleCount returns the number of the account's idle connections.
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -226,7 +226,7 @@
 // member at the same time.
 func (m *member) concurrency() int {
 	if m.db.e.cfg.AsyncReplication {
-		return min(m.slots, m.pace.MaxInFlight())
+		return m.maxInFlight()
 	}
 	spare := max(m.db.bound-m.db.connections, 0)
 	return max(min(m.slots, m.usableConnections()+spare), 1)
--- a/pkg/session/memberpace.go
+++ b/pkg/session/memberpace.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// maxInFlight returns how many statements of this instance may be in flight on the
+// member.
+func (m *member) maxInFlight() int {
+	if m.pace == nil {
+		return m.slots
+	}
+	return min(m.slots, m.pace.MaxInFlight())
+}
+
 // mayStart reports whether the pacer permits another queued statement now. If
 // not, it arranges a dispatch for the time from which it does.
 func (m *member) mayStart() bool {
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -145,7 +145,7 @@
 // another member may be tried.
 func (s *statement) rejectedByMember() bool {
 	limit := maxRejectedRetries
-	if s.rejection == RejectionBusy {
+	if s.rejection == RejectionBusy && s.member.pace != nil {
 		limit = maxBusyRetries
 	}
 	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < limit && !s.c.e.now.After(s.deadline)
