Take the usual answer time of a member from longer means

Short statements alone set the usual time, so that ordinary long ones looked late. Tests of the session's use of pacers: only members that return recover, reads avoid them, transactions are not delayed, and a statement that cannot start before its deadline is refused at once.

--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -241,7 +241,7 @@
 		return false
 	}
 	if p.state == p.table.steady {
-		return p.times.recent > 3*reference+10*time.Millisecond
+		return p.times.recent > 3*reference+20*time.Millisecond
 	}
 	return p.times.recent > 2*reference+5*time.Millisecond
 }
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -206,3 +207,33 @@
 	sim.runFor(time.Second)
 	require.Greater(t, len(sim.started), 90)
 }
+
+// Guards against an allowance that is lowered on a calm day, because short and long
+// statements alternate or their times vary.
+func TestOrdinaryVariationChangesNothing(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	cases := map[string]func(i int) time.Duration{
+		"short and long in blocks of ten": func(i int) time.Duration {
+			if i/10%2 == 0 {
+				return 2 * time.Millisecond
+			}
+			return 15 * time.Millisecond
+		},
+		"one long of ten": func(i int) time.Duration {
+			if i%10 == 0 {
+				return 60 * time.Millisecond
+			}
+			return 5 * time.Millisecond
+		},
+		"exponential": func(int) time.Duration { return time.Duration(random.ExpFloat64() * float64(8*time.Millisecond)) },
+	}
+	for name, took := range cases {
+		p := New(newTable(t), startTime, Limits{Slots: 4, Homes: 10}, 0)
+		now := startTime
+		for i := range 5000 {
+			now = now.Add(20 * time.Millisecond)
+			p.Answer(now, Answer{Kind: OK, Took: took(i)})
+			require.Equal(t, "steady", p.Status().State, name)
+		}
+	}
+}
--- a/pkg/pace/times.go
+++ b/pkg/pace/times.go
@@ -3,16 +3,19 @@
 import "time"
 
 const (
-	// usualWindow is the length of one of the two windows whose lowest smoothed
-	// answer time is the usual one. A member that stays slow is judged by its new
+	// usualWindow is the length of one of the two windows whose lowest mean answer
+	// time is the usual one. A member that stays slow is judged by its new
 	// answer time after at most two windows.
 	usualWindow = 15 * time.Second
-	// recentWeight is the number of answers over which the recent time is smoothed.
+	// recentWeight is the number of answers over which the recent time is smoothed,
+	// meanWeight that of the mean from which the usual time is taken. The mean has
+	// to contain short and long statements alike.
 	recentWeight = 4
+	meanWeight   = 16
 	// staleAfter is the time after which an older answer says nothing about the
 	// present.
 	staleAfter = 500 * time.Millisecond
-	// minSamples is the number of answers after which a window's lowest time counts.
+	// minSamples is the number of answers after which the mean counts.
 	minSamples = 4
 )
 
@@ -22,11 +25,13 @@
 	recent time.Duration
 	// lastAt is the time of the last answer.
 	lastAt time.Time
-	// samples counts the answers in recent, up to minSamples.
+	// mean is the smoothed time of more answers, and samples their number, up to
+	// meanWeight.
+	mean    time.Duration
 	samples int
-	// least is the lowest smoothed time since the last restart.
+	// least is the lowest mean since the last restart, 0 without an answer.
 	least time.Duration
-	// current and previous are the lowest smoothed times of the two windows, 0
+	// current and previous are the lowest means of the two windows, 0
 	// without one; the current window began at windowStart.
 	current, previous time.Duration
 	windowStart       time.Time
@@ -41,12 +46,13 @@
 	}
 	t.lastAt = now
 	t.recent += (took - t.recent) / recentWeight
-	if t.least <= 0 || t.recent < t.least {
-		t.least = t.recent
+	t.samples = min(t.samples+1, meanWeight)
+	t.mean += (took - t.mean) / time.Duration(t.samples)
+	if t.least <= 0 || t.mean < t.least {
+		t.least = t.mean
 	}
-	t.samples = min(t.samples+1, minSamples)
-	if t.samples >= minSamples && (t.current <= 0 || t.recent < t.current) {
-		t.current = t.recent
+	if t.samples >= minSamples && (t.current <= 0 || t.mean < t.current) {
+		t.current = t.mean
 	}
 }
 
@@ -62,7 +68,7 @@
 	t.windowStart = now
 }
 
-// usual returns the lowest smoothed answer time of the windows, 0 if unknown.
+// usual returns the lowest mean answer time of the windows, 0 if unknown.
 func (t *times) usual() time.Duration {
 	switch {
 	case t.current <= 0:
@@ -79,7 +85,7 @@
 // restart forgets the recent time, but not the usual one, and starts a window.
 func (t *times) restart(now time.Time) {
 	usual := t.usual()
-	t.recent, t.least, t.samples = 0, 0, 0
+	t.recent, t.mean, t.least, t.samples = 0, 0, 0, 0
 	t.previous, t.current = usual, 0
 	t.windowStart = now
 }
--- a/pkg/session/memberpace_test.go
+++ b/pkg/session/memberpace_test.go
@@ -277,3 +277,117 @@
 	require.Greater(t, with.sent-with.busy, 3400, "of a capacity of 4000")
 	require.Less(t, with.busy*10, with.sent)
 }
+
+// paceOf returns the status of the member's pacer.
+func (h *harness) paceOf(id core.MemberID) string {
+	return h.e.databases["db"].member(id).pace.Status().State
+}
+
+// publishReachable announces m0 as the primary and one member as reachable or not.
+func (h *harness) publishReachable(revision uint64, id core.MemberID, reachable bool) {
+	v := GroupView{Database: "db"}
+	for i := range h.catalogue.Databases[0].Members {
+		member := h.catalogue.Databases[0].Members[i].ID
+		status := core.MemberStatus{Member: member, Role: core.RoleReplica}
+		if member == "m0" {
+			status.Role = core.RolePrimary
+		}
+		v.Members = append(v.Members, MemberView{Status: status, Reachable: member != id || reachable, Announced: revision, RespondedAt: h.now})
+	}
+	h.do(v)
+}
+
+// newManyHomesHarness returns a harness of one of 100 instances, so that a member
+// that returns gets 0.2 statements per second from it at first.
+func newManyHomesHarness(t testing.TB) *harness {
+	h := newAsyncHarness(t)
+	instances := map[core.InstanceID]bool{}
+	for i := range 100 {
+		instances[core.InstanceID(fmt.Sprint("i", i))] = true
+	}
+	h.do(ShareUpdate{
+		Accounts:  map[core.AccountName]RateShare{"acct": {Rate: 1000, Burst: 1000}},
+		Instances: instances, Connections: map[core.DatabaseName]int{"db": 4}, ValidUntil: h.now.Add(time.Hour),
+	})
+	return h
+}
+
+// returnOf makes the member unreachable and reachable again.
+func (h *harness) returnOf(id core.MemberID) {
+	h.publishReachable(2, id, false)
+	h.wait(time.Second)
+	h.publishReachable(3, id, true)
+}
+
+// Guards against a start of the instance, or the first primary that it sees, that
+// counts as the return of the members, and against returns that go unnoticed.
+func TestOnlyMembersThatReturnRecover(t *testing.T) {
+	h := newManyHomesHarness(t)
+	for _, id := range []core.MemberID{"m0", "m1", "m2"} {
+		require.Equal(t, "steady", h.paceOf(id), id)
+	}
+	h.returnOf("m1")
+	require.Equal(t, "recovering", h.paceOf("m1"))
+	require.Equal(t, "steady", h.paceOf("m2"))
+	last := h.paces[len(h.paces)-1]
+	require.Equal(t, core.MemberID("m1"), last.Member)
+	require.Equal(t, "the member is reachable again", last.Reason)
+	require.Equal(t, 1, h.e.Metrics().Pace["db"].Limited)
+	h.announce(4, "m2")
+	require.Equal(t, "recovering", h.paceOf("m2"), "it was promoted")
+	require.Equal(t, "steady", h.paceOf("m0"))
+	h.catalogue = testCatalogue()
+	h.catalogue.Version = 2
+	h.catalogue.Databases[0].Members = append(h.catalogue.Databases[0].Members, catalogue.Member{ID: "m3", Address: "127.0.0.1:103", Slots: 2})
+	h.do(CatalogueUpdate{Catalogue: h.catalogue})
+	h.announce(5, "m2")
+	require.Equal(t, "recovering", h.paceOf("m3"), "it is new")
+}
+
+// Guards against reads that wait for a member which returns while another one can
+// serve them, and against a member that stays without work after its return.
+func TestReadsAvoidAMemberThatReturns(t *testing.T) {
+	h := newManyHomesHarness(t)
+	h.open(1, core.Position{})
+	h.sendClassified(1, "read", read)
+	h.primaryAnswers(h.lastSent().Target, TxIdle, position(1, 120))
+	h.returnOf("m1")
+	served := map[core.MemberID]int{}
+	for range 250 {
+		h.wait(200 * time.Millisecond)
+		before := h.countSent()
+		h.sendClassified(1, "read", read)
+		require.Greater(t, h.countSent(), before, "a member with an allowance serves the read at once")
+		s := h.lastSent()
+		served[h.memberOf(s.Target)]++
+		h.wait(5 * time.Millisecond)
+		h.do(TargetReady{Target: s.Target, Frames: []byte("ready"), TxStatus: TxIdle, LogEnd: position(1, 120), VerifiedPrimary: h.memberOf(s.Target) == "m0"})
+	}
+	require.Equal(t, "steady", h.paceOf("m1"))
+	require.Positive(t, served["m2"])
+}
+
+// Guards against a statement that waits for its deadline at a member whose
+// allowance does not permit it before, and against one of an open transaction that
+// the allowance delays.
+func TestAllowanceRefusesAtOnceAndSparesTransactions(t *testing.T) {
+	h := newManyHomesHarness(t)
+	h.open(1, core.Position{})
+	h.sendClassified(1, "begin", begin)
+	h.sendClassified(1, "write", write)
+	target := h.lastSent().Target
+	h.primaryAnswers(target, 'T', position(1, 100))
+	for range 20 {
+		h.e.databases["db"].member("m0").memberReturned("test")
+	}
+	p := h.e.databases["db"].member("m0").pace
+	p.Started(h.now)
+	h.open(2, core.Position{})
+	sent := h.countSent()
+	h.sendClassified(2, "write", write)
+	require.Equal(t, sent, h.countSent())
+	h.requireRefused(core.ReasonDeadline, core.OutcomeNotRun)
+	h.sendClassified(1, "write", write)
+	require.Equal(t, target, h.lastSent().Target)
+	require.Equal(t, sent+1, h.countSent(), "the transaction goes on")
+}
