--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -162,8 +162,16 @@
 	p.limits = l
 }
 
-// SetBound applies the configured bound of a cold member.
-func (p *Pacer) SetBound(b Bound) { p.bound = b }
+// SetBound applies the configured bound of a cold member. The first statements of
+// the homes are spread over the time between two of them.
+func (p *Pacer) SetBound(now time.Time, b Bound) {
+	p.advance(now)
+	began := !p.Bounded()
+	p.bound = b
+	if began && p.Bounded() && p.limits.Homes > 1 {
+		p.nextBounded = now.Add(time.Duration(float64(p.boundPause()) * p.nextPhase()))
+	}
+}
 
 // Return records that the member appeared, came back or was set aside as
 // failing: it starts slowly.
@@ -263,7 +271,7 @@
 	if p.allowance < 1 {
 		at = clock.Later(at, p.nextStart)
 	}
-	if p.bounded() {
+	if p.Bounded() {
 		at = clock.Later(at, p.nextBounded)
 	}
 	if now.Before(at) {
@@ -275,17 +283,21 @@
 // Started records that a statement was sent.
 func (p *Pacer) Started(now time.Time) {
 	p.advance(now)
-	if p.bounded() {
-		pause := time.Duration(float64(time.Second) / p.bound.PerSecond)
-		p.nextBounded = clock.Later(p.nextBounded, now).Add(pause)
+	if p.Bounded() {
+		p.nextBounded = clock.Later(p.nextBounded, now).Add(p.boundPause())
 	}
 	if p.allowance < 1 {
 		p.nextStart = now.Add(p.spread(p.pause()))
 	}
 }
 
-// bounded reports whether the configured bound applies.
-func (p *Pacer) bounded() bool { return p.bound.PerSecond > 0 && p.now.Before(p.bound.Until) }
+// Bounded reports whether the configured bound of a cold member applies.
+func (p *Pacer) Bounded() bool { return p.bound.PerSecond > 0 && p.now.Before(p.bound.Until) }
+
+// boundPause returns the time between two starts under the configured bound.
+func (p *Pacer) boundPause() time.Duration {
+	return time.Duration(float64(time.Second) / p.bound.PerSecond)
+}
 
 // pause returns the mean time between two starts with an allowance below 1.
 func (p *Pacer) pause() time.Duration {
@@ -326,9 +338,8 @@
 	if p.allowance < 1 {
 		wait = max(wait, p.nextStart.Sub(now)) + p.pausesFor(ahead)
 	}
-	if p.bounded() {
-		pause := time.Duration(float64(time.Second) / p.bound.PerSecond)
-		wait = max(wait, max(p.nextBounded.Sub(now), 0)+time.Duration(ahead)*pause)
+	if p.Bounded() {
+		wait = max(wait, max(p.nextBounded.Sub(now), 0)+time.Duration(ahead)*p.boundPause())
 	}
 	return wait
 }
@@ -344,7 +355,7 @@
 }
 
 // Limits reports whether the pacer limits the member's work beyond its slots.
-func (p *Pacer) Limits() bool { return p.state != p.table.steady || p.bounded() }
+func (p *Pacer) Limits() bool { return p.state != p.table.steady || p.Bounded() }
 
 // Usual returns the usual answer time, 0 if unknown.
 func (p *Pacer) Usual() time.Duration { return p.times.usual() }
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -196,7 +196,7 @@
 // member, also after a pause, and against a bound that outlasts its time.
 func TestConfiguredBound(t *testing.T) {
 	sim := newSimulation(t, 1, 1, 10*time.Millisecond, steadyService(usualTime))
-	sim.homes[0].pacer.SetBound(Bound{PerSecond: 5, Until: startTime.Add(4 * time.Second)})
+	sim.homes[0].pacer.SetBound(startTime, Bound{PerSecond: 5, Until: startTime.Add(4 * time.Second)})
 	sim.runFor(3900 * time.Millisecond)
 	require.InDelta(t, 20, len(sim.started), 1)
 	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
@@ -237,3 +237,21 @@
 		}
 	}
 }
+
+// Guards against homes that together exceed the configured bound of a cold member,
+// because they begin at the same time.
+func TestConfiguredBoundOverAllHomes(t *testing.T) {
+	const (
+		homes     = 100
+		perSecond = 50
+	)
+	sim := newSimulation(t, homes, homes, 20*time.Millisecond, steadyService(time.Millisecond))
+	sim.eachPacer(func(p *Pacer) {
+		p.SetBound(startTime, Bound{PerSecond: perSecond / float64(homes), Until: startTime.Add(10 * time.Second)})
+	})
+	sim.runFor(9 * time.Second)
+	for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+		require.LessOrEqual(t, sim.startedWithin(at, at+time.Second), perSecond*11/10, at)
+	}
+	require.Greater(t, len(sim.started), perSecond*8)
+}
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -215,8 +215,11 @@
 	Announced uint64
 	// RespondedAt is when the status was received.
 	RespondedAt time.Time
-	// Started is when the member's process started, zero if unknown.
+	// Started is when the member's process started by the member's own clock, zero
+	// if unknown; a later value shows a restart.
 	Started time.Time
+	// JustStarted is set if that was a few seconds before the announcement was read.
+	JustStarted bool
 	// ColdUntil is the time until which the bound catalogue.Database.WarmupPerSecond
 	// applies to the member; zero if it does not.
 	ColdUntil time.Time
--- a/pkg/session/member.go
+++ b/pkg/session/member.go
@@ -166,7 +166,7 @@
 	m.failures++
 	e.outbox.out.Control(MemberSuspected{Database: m.db.name, Member: m.id})
 	m.db.armCheck(m.retryAt)
-	m.setAside()
+	m.memberFailed("no connection to the member could be opened")
 	m.reroute()
 }
 
--- a/pkg/session/memberpace.go
+++ b/pkg/session/memberpace.go
@@ -13,11 +13,8 @@
 // queue here, which knows their urgency, client account and deadline.
 
 const (
-	// recentStart is the age of a member's process up to which the member counts
-	// as just started when this instance sees it for the first time.
-	recentStart = 10 * time.Second
-	// recentResponse is the time after a response during which a connection that
-	// cannot be opened does not count as an outage of the member.
+	// recentResponse is the time after a response during which a failure of the
+	// member does not count as an outage.
 	recentResponse = time.Second
 	// paceLogInterval is the minimum time between two log lines about a member
 	// whose state does not change.
@@ -92,15 +89,15 @@
 	m.paceChanged()
 }
 
-// setAside records that no connection to the member could be opened. If the member
-// has responded just now, it counts as overloaded only.
-func (m *member) setAside() {
+// memberFailed records that the member was set aside, or is used again after that.
+// If it has responded just now, it was overloaded rather than away.
+func (m *member) memberFailed(reason string) {
 	e := m.db.e
 	if !m.lastResponse.IsZero() && e.now.Sub(m.lastResponse) < recentResponse {
 		m.paceAnswer(pace.Answer{Kind: pace.Lost})
 		return
 	}
-	m.memberReturned("no connection to the member could be opened")
+	m.memberReturned(reason)
 }
 
 // paceViews compares the new views of the members with the previous ones. Nothing
@@ -120,27 +117,27 @@
 // paceView compares the view of the member with the previous one, if it had one.
 func (m *member) paceView(previous MemberView, had, firstOfGroup bool) {
 	view := &m.view
-	m.pace.SetBound(m.db.warmupBound(view))
+	m.pace.SetLimits(m.paceLimits())
+	m.pace.SetBound(m.db.e.now, m.db.warmupBound(view))
 	switch {
-	case had && !previous.Reachable && view.Reachable:
-		m.memberReturned("the member is reachable again")
 	case had && !previous.Started.IsZero() && view.Started.After(previous.Started):
 		m.memberReturned("the member has restarted")
+	case had && !previous.Reachable && view.Reachable:
+		m.memberFailed("the member is reachable again")
 	case !had && (!firstOfGroup || m.startedRecently()):
 		m.memberReturned("the member is new")
 	}
 }
 
-// startedRecently reports whether the member's process started a short time ago
-// and another member of its group is older. A group that starts as a whole has no
+// startedRecently reports whether the member's process has just started and
+// another member of its group is older. A group that starts as a whole has no
 // member that could take over the work.
 func (m *member) startedRecently() bool {
-	recent := m.db.e.now.Add(-recentStart)
-	if !m.view.Started.After(recent) {
+	if !m.view.JustStarted {
 		return false
 	}
 	for _, other := range m.db.members {
-		if other.hasView && !other.view.Started.IsZero() && !other.view.Started.After(recent) {
+		if other.hasView && !other.view.JustStarted {
 			return true
 		}
 	}
@@ -246,6 +243,26 @@
 	return lacks
 }
 
+// paceStarted records that a statement was sent to the member.
+func (m *member) paceStarted() {
+	if m.pace != nil {
+		m.pace.Started(m.db.e.now)
+	}
+}
+
+// mayProbe reports whether the member may be probed. A probe counts as a statement
+// of the configured bound of a cold member.
+func (m *member) mayProbe() bool {
+	if m.pace == nil || !m.pace.Bounded() {
+		return true
+	}
+	if !m.mayStart() {
+		return false
+	}
+	m.paceStarted()
+	return true
+}
+
 // allowanceUsedUp reports whether a new statement would have to wait because of
 // the pacer.
 func (m *member) allowanceUsedUp() bool {
--- a/pkg/session/memberpace_test.go
+++ b/pkg/session/memberpace_test.go
@@ -391,3 +391,74 @@
 	require.Equal(t, target, h.lastSent().Target)
 	require.Equal(t, sent+1, h.countSent(), "the transaction goes on")
 }
+
+// Guards against a member that restarted without having been unreachable, or that
+// had just started when the instance started, and is used like one in regular use;
+// and against a group that started as a whole and is throttled.
+func TestStartedMembersRecover(t *testing.T) {
+	view := func(started ...bool) GroupView {
+		v := GroupView{Database: "db"}
+		for i, just := range started {
+			v.Members = append(v.Members, MemberView{
+				Status: core.MemberStatus{Member: core.MemberID(fmt.Sprint("m", i))}, Reachable: true,
+				Started: startTime, JustStarted: just,
+			})
+		}
+		return v
+	}
+	fresh := func(v GroupView) *harness {
+		h := newAsyncHarness(t)
+		e, err := New(h.e.cfg, h)
+		require.NoError(t, err)
+		h.e = e
+		h.do(CatalogueUpdate{Catalogue: h.catalogue})
+		h.do(v)
+		return h
+	}
+	h := fresh(view(true, false, false))
+	require.Equal(t, "recovering", h.paceOf("m0"))
+	require.Equal(t, "steady", h.paceOf("m1"))
+	h = fresh(view(true, true, true))
+	require.Equal(t, "steady", h.paceOf("m0"))
+	restarted := view(false, false, false)
+	restarted.Members[1].Started = startTime.Add(time.Minute)
+	h.do(restarted)
+	require.Equal(t, "recovering", h.paceOf("m1"))
+	require.Equal(t, "steady", h.paceOf("m2"))
+}
+
+// Guards against a configured bound of a cold member that statements or probes
+// exceed, and against one that applies without configuration.
+func TestColdMemberIsBounded(t *testing.T) {
+	h := newManyHomesHarness(t)
+	h.catalogue = testCatalogue()
+	h.catalogue.Version, h.catalogue.Databases[0].WarmupPerSecond = 2, 200
+	h.do(CatalogueUpdate{Catalogue: h.catalogue})
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	h.primaryAnswers(h.lastSent().Target, TxIdle, position(1, 100))
+	v := GroupView{Database: "db", Members: []MemberView{{
+		Status: core.MemberStatus{Member: "m0", Role: core.RolePrimary}, Reachable: true, Announced: 2, ColdUntil: h.now.Add(10 * time.Second),
+	}}}
+	h.do(v)
+	handled, requests, answered := len(h.targets), 0, 0
+	for range 1000 {
+		if len(h.callers) > answered {
+			answered = len(h.callers)
+			h.sendClassified(1, "write", write)
+		}
+		h.wait(10 * time.Millisecond)
+		for ; handled < len(h.targets); handled++ {
+			switch c := h.targets[handled].(type) {
+			case TargetSend:
+				requests++
+				h.primaryAnswers(c.Target, TxIdle, position(1, 100))
+			case TargetProbe:
+				requests++
+				h.primaryAnswers(c.Target, TxIdle, position(1, 100))
+			}
+		}
+	}
+	require.LessOrEqual(t, requests, 21, "two a second are this home's part")
+	require.Greater(t, requests, 10)
+}
--- a/pkg/session/pool.go
+++ b/pkg/session/pool.go
@@ -123,9 +123,7 @@
 // startOn sends the statement on an idle connection.
 func (m *member) startOn(s *statement, t *target) {
 	m.lastStart = m.db.e.now
-	if m.pace != nil {
-		m.pace.Started(m.db.e.now)
-	}
+	m.paceStarted()
 	s.c.pinTo(t)
 	s.fire(m.db.e.charts.onStatement.dispatched)
 }
@@ -135,6 +133,7 @@
 	for len(m.pinned) > 0 && m.running() < m.slots {
 		s := m.pinned[0]
 		s.dequeue()
+		m.paceStarted()
 		s.fire(m.db.e.charts.onStatement.dispatched)
 	}
 }
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -204,7 +204,7 @@
 		return
 	}
 	idle := db.primary.idleConns
-	if len(idle) > 0 {
+	if len(idle) > 0 && db.primary.mayProbe() {
 		idle[len(idle)-1].fire(e.charts.onTarget.probed)
 	}
 }
@@ -217,6 +217,9 @@
 	if db.term > 0 || !e.cfg.AsyncReplication {
 		return
 	}
+	if len(p.idleConns) > 0 && !p.mayProbe() {
+		return
+	}
 	if len(p.idleConns) > 0 {
 		p.idleConns[len(p.idleConns)-1].fire(e.charts.onTarget.probed)
 		return
@@ -231,7 +234,7 @@
 // term is not known.
 func (db *database) learnTermFrom(t *target) {
 	waits := db.term == 0 && len(db.waiting) > 0 && t.member == db.primary
-	if waits && t.state == db.e.targetStates.idle {
+	if waits && t.state == db.e.targetStates.idle && t.member.mayProbe() {
 		t.fire(db.e.charts.onTarget.probed)
 	}
 }
