Refuse a statement at once that a busy member refused and that has no time left

It waited for its deadline in the state for databases without a primary and was refused with that reason. TestBusyStatementWithoutTimeIsRefusedAtOnce fails without the change.

--- a/pkg/session/memberpace_test.go
+++ b/pkg/session/memberpace_test.go
@@ -462,3 +462,44 @@
 	require.LessOrEqual(t, requests, 21, "two a second are this home's part")
 	require.Greater(t, requests, 10)
 }
+
+// Guards against a statement that its member refuses as busy and that waits for its
+// deadline, although the allowance does not permit it before, and is then refused
+// with the reason that the database has no primary.
+func TestBusyStatementWithoutTimeIsRefusedAtOnce(t *testing.T) {
+	h := newManyHomesHarness(t)
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	target := h.lastSent().Target
+	m := h.e.databases["db"].member("m0")
+	m.memberReturned("test")
+	m.pace.Started(h.now)
+	h.reject(target, RejectionBusy)
+	h.requireRefused(core.ReasonDeadline, core.OutcomeNotRun)
+}
+
+// Guards against a statement that is sent to a busy member again at once, and
+// against one that is given up after a few refusals although it has time.
+func TestBusyStatementIsRepeatedAfterPauses(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.sendClassified(1, "write", write)
+	handled := len(h.targets)
+	for range 8 {
+		sent := h.countSent()
+		h.reject(h.lastSent().Target, RejectionBusy)
+		require.Equal(t, sent, h.countSent(), "it waits")
+		for h.countSent() == sent {
+			h.wait(busyBackoff)
+			for ; handled < len(h.targets); handled++ {
+				if probe, ok := h.targets[handled].(TargetProbe); ok {
+					h.primaryAnswers(probe.Target, TxIdle, position(1, 100))
+				}
+			}
+			require.Empty(t, h.callers[1:], "it is not given up")
+		}
+	}
+	h.primaryAnswers(h.lastSent().Target, TxIdle, position(1, 100))
+	_, ok := h.lastCallerCommand().(CallerWrite)
+	require.True(t, ok)
+}
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -241,6 +241,7 @@
 			"retry_on_replica":         func(s *statement) bool { return s.retryable() && s.mayUseReplica() },
 			"retryable":                (*statement).retryable,
 			"rejected_placeable":       func(s *statement) bool { return s.rejectedByMember() && s.placeable() },
+			"rejected_without_time":    func(s *statement) bool { return s.rejectedByMember() && s.cannotFinishInTime() },
 			"rejected_retryable":       (*statement).rejectedByMember,
 			"may_run_locally":          (*statement).mayRunLocally,
 			"unsent":                   func(s *statement) bool { return s.unsent },
