Count members that appear within 10 s of a group's first view as present

Members and instances of a deployment start together, and an instance may see the first member before the others; each later one would have started slowly. Tests of pkg, platform, charts and lib, session and pace with the race detector, and TestHostedCalm and TestHostedPromotion pass.

--- a/pkg/session/accountpool.go
+++ b/pkg/session/accountpool.go
@@ -18,7 +18,7 @@
 		return
 	}
 	m.openForQueued()
-	for m.running() < m.slots && m.mayStart() {
+	for m.queue.Len() > 0 && m.running() < m.slots && m.mayStart() {
 		item, ok := m.queue.PopWhere(m.hasIdle)
 		if !ok {
 			break
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -54,9 +54,9 @@
 	// warmupPerSecond is the configured bound of a cold member over all instances,
 	// in statements per second; 0 without one.
 	warmupPerSecond float64
-	// viewSeen is set once a view of a member has arrived, hadPrimary once a
-	// primary was known; pacedPrimary is the last one.
-	viewSeen     bool
+	// viewSince is when the first view of a member arrived, hadPrimary is set once
+	// a primary was known, and pacedPrimary is the last one.
+	viewSince    time.Time
 	hadPrimary   bool
 	pacedPrimary *member
 	// delayed counts the statements that had to wait because of a pacer.
--- a/pkg/session/memberpace.go
+++ b/pkg/session/memberpace.go
@@ -16,6 +16,10 @@
 	// recentResponse is the time after a response during which a failure of the
 	// member does not count as an outage.
 	recentResponse = time.Second
+	// groupStart is the time after the first view of a group during which new
+	// members count as present from the start: members and instances of a
+	// deployment start within some seconds.
+	groupStart = 10 * time.Second
 	// paceLogInterval is the minimum time between two log lines about a member
 	// whose state does not change.
 	paceLogInterval = time.Second
@@ -101,14 +105,16 @@
 }
 
 // paceViews compares the new views of the members with the previous ones. Nothing
-// says that the members of the first view have just started.
+// says that the members of the first views have just started.
 func (db *database) paceViews(previous map[*member]MemberView) {
-	first := !db.viewSeen
+	first := db.viewSince.IsZero() || db.e.now.Sub(db.viewSince) < groupStart
 	for _, m := range db.members {
 		if !m.hasView || m.pace == nil {
 			continue
 		}
-		db.viewSeen = true
+		if db.viewSince.IsZero() {
+			db.viewSince = db.e.now
+		}
 		before, had := previous[m]
 		m.paceView(before, had, first)
 	}
