--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -137,7 +137,7 @@
 	// loweredAt is when the allowance was last lowered; answers to statements that
 	// were sent before say nothing about the time since.
 	loweredAt time.Time
-	// refusedAt is when the member last refused a statement or failed.
+	// refusedAt is when the member last refused a statement or a connection was lost.
 	refusedAt time.Time
 	reason    string
 }
