Merge the pace of members, and fill its inputs

The view of a member says when it started and until when it warms up, also where it comes from a feeder; feeders now pass requests to evacuate on with everything else.

--- a/pkg/fleet/feedsnapshot.go
+++ b/pkg/fleet/feedsnapshot.go
@@ -7,7 +7,7 @@
 	s := &Snapshot{Configuration: e.configuration, Revision: revision}
 	for _, m := range e.members {
 		if !m.missing {
-			s.Members = append(s.Members, m.Announcement)
+			s.Members = append(s.Members, e.announcementOf(m))
 		}
 	}
 	for _, i := range e.instances {
@@ -23,6 +23,9 @@
 	for _, succession := range e.successions {
 		s.Successions = append(s.Successions, succession)
 	}
+	for domain := range e.evacuations {
+		s.Evacuations = append(s.Evacuations, domain)
+	}
 	for group, term := range e.recordedTerms {
 		s.Terms = append(s.Terms, GroupTerm{Group: group, Term: term})
 	}
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -22,6 +22,10 @@
 	dead bool
 	// statusPending is set while a check of the suspected member is in progress.
 	statusPending bool
+	// justStartedUntil is the time until which the member counts as just started, and
+	// coldUntil the time until which it warms up; zero if it does not.
+	justStartedUntil time.Time
+	coldUntil        time.Time
 	// liveness is the state of that check, and the evidence of the last one.
 	liveness livenessCheck
 }
@@ -43,6 +47,7 @@
 		}})
 	}
 	m.dead = m.dead && a.Revision == m.Revision
+	e.recordStart(m, a)
 	moved := m.Group != a.Group
 	if moved {
 		e.leaveGroup(m)
@@ -71,6 +76,50 @@
 	}
 }
 
+// justStartedTime is how long a member counts as just started after its announcement
+// said so.
+const justStartedTime = 10 * time.Second
+
+// recordStart records until when the member counts as just started and warms up. An
+// announcement that is read again does not move these times forward.
+func (e *Engine) recordStart(m *member, a *Announcement) {
+	restarted := !m.Started.Equal(a.Started)
+	if restarted {
+		m.justStartedUntil, m.coldUntil = time.Time{}, time.Time{}
+	}
+	if restarted && a.JustStarted {
+		m.justStartedUntil = e.now.Add(justStartedTime)
+		m.coldUntil = e.now.Add(e.warmupOf(a.Group))
+	}
+	if a.WarmupLeft > 0 && (m.coldUntil.IsZero() || a.Revision > m.Revision) {
+		m.coldUntil = e.now.Add(a.WarmupLeft)
+	}
+}
+
+// warmupOf returns how long the group's members warm up after their start.
+func (e *Engine) warmupOf(group core.DatabaseName) time.Duration {
+	if e.configuration == nil {
+		return 0
+	}
+	for i := range e.configuration.Groups {
+		if g := &e.configuration.Groups[i]; g.Name == group {
+			return g.Warmup
+		}
+	}
+	return 0
+}
+
+// announcementOf returns the member's announcement as a follower should apply it now.
+func (e *Engine) announcementOf(m *member) Announcement {
+	a := m.Announcement
+	a.JustStarted = e.now.Before(m.justStartedUntil)
+	a.WarmupLeft = max(m.coldUntil.Sub(e.now), 0)
+	if m.coldUntil.IsZero() {
+		a.WarmupLeft = 0
+	}
+	return a
+}
+
 // removeMember removes a member whose announcement was deleted. During the grace
 // period after a store outage the lease of a running member may have ended, so it
 // is only marked missing and can announce itself again.
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -45,7 +45,7 @@
 		Entries:         e.configuration.Entries,
 	}
 	for _, g := range e.configuration.Groups {
-		db := catalogue.Database{Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive}
+		db := catalogue.Database{Name: g.Name, Connections: g.MemberConnections, WarmupPerSecond: g.WarmupPerSecond, State: catalogue.DatabaseActive}
 		for _, m := range e.groups[g.Name] {
 			db.Members = append(db.Members, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
 		}
@@ -64,6 +64,9 @@
 			Reachable:   e.usable(m),
 			Withdrawn:   e.withdrawn(m),
 			SendUntil:   e.sendUntil(m),
+			Started:     m.Started,
+			JustStarted: e.now.Before(m.justStartedUntil),
+			ColdUntil:   m.coldUntil,
 			Announced:   uint64(m.Revision),
 			RespondedAt: e.now,
 		})
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -36,6 +36,11 @@
 	// SyncReplicas is the number of replicas that must have received a commit
 	// before it is acknowledged.
 	SyncReplicas int
+	// WarmupPerSecond limits the requests per second of all instances together to a member
+	// that warms up, and Warmup is how long a member does so after its start. Zero if
+	// the operator states no limit.
+	WarmupPerSecond float64
+	Warmup          time.Duration
 }
 
 // Announcement is the record that a member publishes about itself.
@@ -51,6 +56,10 @@
 	// Started is when the member's process started. A process that started later
 	// under the same ID has kept nothing of the earlier one.
 	Started time.Time
+	// JustStarted is set if that was a few seconds before the announcement was read.
+	JustStarted bool
+	// WarmupLeft is how much longer the member warms up, counted from the announcement.
+	WarmupLeft time.Duration
 	// Revision is the store revision of the announcement.
 	Revision Revision
 }
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -124,6 +124,12 @@
 			p.add("sassafrasshunt_transitions_total", labels, float64(i.Transitions[name][transition]))
 		}
 	}
+	for _, group := range sortedKeys(i.Pace) {
+		labels := label("group", string(group))
+		p.add("sassafrasshunt_pace_allowance", labels, i.Pace[group].Allowance)
+		p.add("sassafrasshunt_pace_limited", labels, float64(i.Pace[group].Limited))
+		p.add("sassafrasshunt_pace_delayed_total", labels, float64(i.Pace[group].Delayed))
+	}
 }
 
 // closes adds the counters of caller connections that ended before everything was delivered.
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -220,6 +220,14 @@
 	// are open on the member end, and its connections close.
 	SendUntil time.Time
 	Withdrawn bool
+	// Started is when the member's process started by the member's own clock, zero
+	// if unknown; a later value shows a restart.
+	Started time.Time
+	// JustStarted is set if that was a few seconds before the announcement was read.
+	JustStarted bool
+	// ColdUntil is the time until which the bound catalogue.Database.WarmupPerSecond
+	// applies to the member; zero if it does not.
+	ColdUntil time.Time
 }
 
 // GroupView publishes the state of one database group.
--- a/pkg/session/keyschedule_node_test.go
+++ b/pkg/session/keyschedule_node_test.go
@@ -287,3 +287,6 @@
 
 // LogDecision implements Outputs.
 func (n *keyNode) LogDecision(Decision) {}
+
+// LogMemberPace implements Outputs.
+func (n *keyNode) LogMemberPace(MemberPace) {}
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // notPrimaryBackoff is the time during which a member that reported not being the
@@ -163,11 +164,20 @@
 // rejectedByMember reports whether the member rejected the last attempt and
 // another member may be tried.
 func (s *statement) rejectedByMember() bool {
-	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < maxRejectedRetries && !s.c.e.now.After(s.deadline)
+	limit := maxRejectedRetries
+	if s.rejection == RejectionBusy && s.member.pace != nil {
+		limit = maxBusyRetries
+	}
+	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < limit && !s.c.e.now.After(s.deadline)
 }
 
-// maxRejectedRetries bounds the attempts of a statement that members reject.
-const maxRejectedRetries = 4
+// maxRejectedRetries bounds the attempts of a statement that members reject, and
+// maxBusyRetries those of one that finds their queues full; the pacer puts a pause
+// between these.
+const (
+	maxRejectedRetries = 4
+	maxBusyRetries     = 16
+)
 
 // recordRejection keeps later attempts away from the member for a while.
 func (m *member) recordRejection(d Rejection) {
@@ -214,7 +224,7 @@
 		return
 	}
 	idle := db.primary.idleConns
-	if len(idle) > 0 {
+	if len(idle) > 0 && db.primary.mayProbe() {
 		idle[len(idle)-1].fire(e.charts.onTarget.probed)
 	}
 }
@@ -227,6 +237,9 @@
 	if db.term > 0 || !e.cfg.AsyncReplication {
 		return
 	}
+	if len(p.idleConns) > 0 && !p.mayProbe() {
+		return
+	}
 	if len(p.idleConns) > 0 {
 		p.idleConns[len(p.idleConns)-1].fire(e.charts.onTarget.probed)
 		return
@@ -241,7 +254,7 @@
 // term is not known.
 func (db *database) learnTermFrom(t *target) {
 	waits := db.term == 0 && len(db.waiting) > 0 && t.member == db.primary
-	if waits && t.state == db.e.targetStates.idle {
+	if waits && t.state == db.e.targetStates.idle && t.member.mayProbe() {
 		t.fire(db.e.charts.onTarget.probed)
 	}
 }
@@ -254,6 +267,9 @@
 
 // probeAnswered handles the response to a probe.
 func (t *target) probeAnswered(in *TargetReady) {
+	if in.Rejection == RejectionBusy {
+		t.member.paceAnswer(pace.Answer{Kind: pace.Busy})
+	}
 	t.member.recordRejection(in.Rejection)
 	t.member.observeLogEnd(t.requestedAt, in)
 	t.fire(t.engine().charts.onTarget.readyIdle)
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -41,8 +41,6 @@
 	startedInTx bool
 	// rejection is why the member did not run the last attempt.
 	rejection Rejection
-	// parked is set while the statement waits for a connection of its account.
-	parked bool
 	// waitsForSlot is set while a statement of a transaction waits for a slot
 	// of its member, waitsForToken while it waits for a token of its account.
 	waitsForSlot  bool
@@ -244,6 +242,7 @@
 			"retry_on_replica":         func(s *statement) bool { return s.retryable() && s.mayUseReplica() },
 			"retryable":                (*statement).retryable,
 			"rejected_placeable":       func(s *statement) bool { return s.rejectedByMember() && s.placeable() },
+			"rejected_without_time":    func(s *statement) bool { return s.rejectedByMember() && s.cannotFinishInTime() },
 			"rejected_retryable":       (*statement).rejectedByMember,
 			"may_run_locally":          (*statement).mayRunLocally,
 			"unsent":                   func(s *statement) bool { return s.unsent },
