--- a/pkg/linkio/targets_test.go
+++ b/pkg/linkio/targets_test.go
@@ -75,6 +75,7 @@
 			}
 			_, _ = conn.Write([]byte(reply + "\n"))
 		}
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
 		_, _ = reader.ReadString('\n')
 	}()
 	signal := ring.NewSignal()
