Refuse rejected and lost statements at once while the primary is withheld

A statement that a member had rejected, or that was lost unsent, waited for a primary until its deadline although an evacuation allowed none. It is answered at once now; one that may have run is answered as uncertain.

--- a/pkg/session/evacuation.go
+++ b/pkg/session/evacuation.go
@@ -86,6 +86,9 @@
 	return len(db.members) > 0
 }
 
+// primaryWithheld reports whether an evacuation withholds the primary.
+func (s *statement) primaryWithheld() bool { return s.c.e.primaryWithheld[s.c.db.name] }
+
 // setPrimaryWithheld records whether no member may be used as the primary until an
 // evacuation ends.
 func (db *database) setPrimaryWithheld(withheld bool) {
--- a/pkg/session/evacuation_test.go
+++ b/pkg/session/evacuation_test.go
@@ -191,6 +191,32 @@
 	require.Equal(t, core.MemberID("m0"), h.memberOf(h.lastSent().Target))
 }
 
+// Guards against a statement that a member has rejected, or whose connection was lost, and
+// that waits for a primary although none can be had; and against a wrong "not run" about one
+// that may have run.
+func TestWithheldPrimaryEndsRetries(t *testing.T) {
+	h := newAsyncHarness(t)
+	for id := range CallerID(3) {
+		h.open(id+1, core.Position{})
+	}
+	h.sendClassified(1, "write", write)
+	rejected := h.lastSent().Target
+	h.sendClassified(2, "write", write)
+	unsent := h.lastSent().Target
+	h.evacuationView(true, "m0", "m1", "m2")
+	h.reject(rejected, RejectionBusy)
+	h.requireRefused(core.ReasonNoPrimary, core.OutcomeNotRun)
+	h.do(TargetClosed{Target: unsent, Unsent: true})
+	h.requireRefused(core.ReasonNoPrimary, core.OutcomeNotRun)
+	h.evacuationView(false)
+	h.e.entries["entry"].definition.Idempotent = true
+	h.sendClassified(3, "write", write)
+	sent := h.lastSent().Target
+	h.evacuationView(true, "m0", "m1", "m2")
+	h.do(TargetClosed{Target: sent})
+	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
+}
+
 // Guards against reads that wait for a replica although every member is withdrawn.
 func TestReadsAreRefusedWhenAllMembersAreWithdrawn(t *testing.T) {
 	h := newAsyncHarness(t)
--- a/pkg/session/primarylease.go
+++ b/pkg/session/primarylease.go
@@ -177,5 +177,5 @@
 // instance may use none. Waiting would not help: callers that are refused at once can
 // still turn to another instance, unless an evacuation withholds the primary everywhere.
 func (s *statement) lacksPrimaryAccess() bool {
-	return !s.c.e.mayUsePrimaries() || s.c.e.primaryWithheld[s.c.db.name]
+	return !s.c.e.mayUsePrimaries() || s.primaryWithheld()
 }
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -245,8 +245,11 @@
 			"retryable":                (*statement).retryable,
 			"rejected_placeable":       func(s *statement) bool { return s.rejectedByMember() && s.placeable() },
 			"rejected_retryable":       (*statement).rejectedByMember,
-			"may_run_locally":          (*statement).mayRunLocally,
-			"unsent":                   func(s *statement) bool { return s.unsent },
+			// Waiting for a primary would not help.
+			"rejected_primary_withheld": func(s *statement) bool { return s.rejectedByMember() && s.primaryWithheld() },
+			"retry_primary_withheld":    func(s *statement) bool { return s.retryable() && s.primaryWithheld() },
+			"may_run_locally":           (*statement).mayRunLocally,
+			"unsent":                    func(s *statement) bool { return s.unsent },
 		},
 		Actions:  statementActions(),
 		Timeouts: b.statementTimeouts(),
