Check the end of sending in the session duty

A process that was paused beyond the end of sending could handle an input, or send a probe, before fleet's next view. The session duty checks the time itself, as it does for the lease on primaries.

--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -73,6 +73,9 @@
 	stopping       bool
 	stop           stopState
 	primaryLease   primaryLease
+	// nextWithdrawal is the earliest end of sending of a member that is not withdrawn, zero
+	// if there is none.
+	nextWithdrawal time.Time
 	// primaryWithheld holds the databases with GroupView.PrimaryWithheld.
 	primaryWithheld   map[core.DatabaseName]bool
 	demandTimer       timer
@@ -173,6 +176,7 @@
 		e.startDemandReports()
 	}
 	e.checkPrimaryLease()
+	e.checkWithdrawals()
 	e.handle(in)
 	e.runDispatch()
 	e.finishStop()
@@ -270,6 +274,7 @@
 func (e *Engine) Tick(now time.Time) {
 	e.now = now
 	e.checkPrimaryLease()
+	e.checkWithdrawals()
 	e.Flush()
 	for {
 		item, ok := e.timers.PopDue(now)
--- a/pkg/session/evacuation.go
+++ b/pkg/session/evacuation.go
@@ -7,12 +7,43 @@
 )
 
 // A member whose failure domain is evacuated is withdrawn: nothing is sent to it any more,
-// not even the next statement of an open transaction. Fleet decides when. Until then a
-// limit on the time of sending covers requests that are handed over just before.
+// not even the next statement of an open transaction. Fleet decides when and tells the
+// time in advance; this duty checks it before each input and each timer, because the
+// process may have been paused since. The duty that owns the sockets checks it too, for
+// requests that were handed over before.
 
 // withdrawn reports whether nothing may be sent to the member any more.
 func (m *member) withdrawn() bool { return m.hasView && m.view.Withdrawn }
 
+// noteSendEnd withdraws the member if its end of sending has passed, and otherwise notes
+// the time.
+func (m *member) noteSendEnd() {
+	e, until := m.db.e, m.view.SendUntil
+	switch {
+	case until.IsZero() || m.view.Withdrawn:
+	case !e.now.Before(until):
+		m.view.Withdrawn, m.view.Reachable = true, false
+	case e.nextWithdrawal.IsZero() || until.Before(e.nextWithdrawal):
+		e.nextWithdrawal = until
+	}
+}
+
+// checkWithdrawals withdraws the members whose end of sending has passed.
+func (e *Engine) checkWithdrawals() {
+	if e.nextWithdrawal.IsZero() || e.now.Before(e.nextWithdrawal) {
+		return
+	}
+	e.nextWithdrawal = time.Time{}
+	for _, db := range e.databases {
+		for _, m := range db.members {
+			m.noteSendEnd()
+		}
+		db.withdrawMembers()
+		db.reroute()
+		db.notifyViewChanged()
+	}
+}
+
 // withdrawMembers ends the open transactions on withdrawn members and closes their
 // connections.
 func (db *database) withdrawMembers() {
--- a/pkg/session/evacuation_test.go
+++ b/pkg/session/evacuation_test.go
@@ -159,6 +159,30 @@
 	require.Equal(t, core.MemberID("m0"), h.memberOf(h.lastSent().Target))
 }
 
+// Guards against a process that was paused beyond the end of sending and then handles an
+// input, before fleet's next view or with an older one, as if the time had not come.
+func TestPausedProcessNoticesTheEndOfSending(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.open(2, core.Position{})
+	target := h.inTransaction(1)
+	older := GroupView{Database: "db", Members: []MemberView{{
+		Status: core.MemberStatus{Member: "m0", Role: core.RolePrimary}, Reachable: true, Announced: 1, RespondedAt: h.now,
+		SendUntil: h.now.Add(time.Second),
+	}}}
+	h.do(older)
+	h.wait(999 * time.Millisecond)
+	require.False(t, h.closing(target))
+	h.now = h.now.Add(time.Minute)
+	sent := h.countSent()
+	h.sendClassified(1, "write", write)
+	h.requireRefused(core.ReasonTransactionAborted, core.OutcomeNotRun)
+	require.True(t, h.closing(target))
+	h.do(older)
+	h.sendClassified(2, "write", write)
+	require.Equal(t, sent, h.countSent())
+}
+
 // Guards against a request that is handed over in time and written too late.
 func TestRequestsCarryTheEndOfSending(t *testing.T) {
 	h := newAsyncHarness(t)
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -30,6 +30,7 @@
 		if m := db.member(view.Status.Member); m != nil {
 			m.view = view
 			m.hasView = true
+			m.noteSendEnd()
 		}
 	}
 	db.setPrimaryWithheld(in.PrimaryWithheld)
