--- a/pkg/session/evacuation_test.go
+++ b/pkg/session/evacuation_test.go
@@ -159,6 +159,30 @@
 	require.Equal(t, core.MemberID("m0"), h.memberOf(h.lastSent().Target))
 }
 
+// Guards against a process that was paused beyond the end of sending and then handles an
+// input, before fleet's next view or with an older one, as if the time had not come.
+func TestPausedProcessNoticesTheEndOfSending(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.open(2, core.Position{})
+	target := h.inTransaction(1)
+	older := GroupView{Database: "db", Members: []MemberView{{
+		Status: core.MemberStatus{Member: "m0", Role: core.RolePrimary}, Reachable: true, Announced: 1, RespondedAt: h.now,
+		SendUntil: h.now.Add(time.Second),
+	}}}
+	h.do(older)
+	h.wait(999 * time.Millisecond)
+	require.False(t, h.closing(target))
+	h.now = h.now.Add(time.Minute)
+	sent := h.countSent()
+	h.sendClassified(1, "write", write)
+	h.requireRefused(core.ReasonTransactionAborted, core.OutcomeNotRun)
+	require.True(t, h.closing(target))
+	h.do(older)
+	h.sendClassified(2, "write", write)
+	require.Equal(t, sent, h.countSent())
+}
+
 // Guards against a request that is handed over in time and written too late.
 func TestRequestsCarryTheEndOfSending(t *testing.T) {
 	h := newAsyncHarness(t)
@@ -191,6 +215,32 @@
 	require.Equal(t, core.MemberID("m0"), h.memberOf(h.lastSent().Target))
 }
 
+// Guards against a statement that a member has rejected, or whose connection was lost, and
+// that waits for a primary although none can be had; and against a wrong "not run" about one
+// that may have run.
+func TestWithheldPrimaryEndsRetries(t *testing.T) {
+	h := newAsyncHarness(t)
+	for id := range CallerID(3) {
+		h.open(id+1, core.Position{})
+	}
+	h.sendClassified(1, "write", write)
+	rejected := h.lastSent().Target
+	h.sendClassified(2, "write", write)
+	unsent := h.lastSent().Target
+	h.evacuationView(true, "m0", "m1", "m2")
+	h.reject(rejected, RejectionBusy)
+	h.requireRefused(core.ReasonNoPrimary, core.OutcomeNotRun)
+	h.do(TargetClosed{Target: unsent, Unsent: true})
+	h.requireRefused(core.ReasonNoPrimary, core.OutcomeNotRun)
+	h.evacuationView(false)
+	h.e.entries["entry"].definition.Idempotent = true
+	h.sendClassified(3, "write", write)
+	sent := h.lastSent().Target
+	h.evacuationView(true, "m0", "m1", "m2")
+	h.do(TargetClosed{Target: sent})
+	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
+}
+
 // Guards against reads that wait for a replica although every member is withdrawn.
 func TestReadsAreRefusedWhenAllMembersAreWithdrawn(t *testing.T) {
 	h := newAsyncHarness(t)
--- a/pkg/session/group.go
+++ b/pkg/session/group.go
@@ -34,6 +34,7 @@
 			}
 			m.view = view
 			m.hasView = true
+			m.noteSendEnd()
 		}
 	}
 	db.setPrimaryWithheld(in.PrimaryWithheld)
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -244,8 +244,11 @@
 			"rejected_placeable":       func(s *statement) bool { return s.rejectedByMember() && s.placeable() },
 			"rejected_without_time":    func(s *statement) bool { return s.rejectedByMember() && s.cannotFinishInTime() },
 			"rejected_retryable":       (*statement).rejectedByMember,
-			"may_run_locally":          (*statement).mayRunLocally,
-			"unsent":                   func(s *statement) bool { return s.unsent },
+			// Waiting for a primary would not help.
+			"rejected_primary_withheld": func(s *statement) bool { return s.rejectedByMember() && s.primaryWithheld() },
+			"retry_primary_withheld":    func(s *statement) bool { return s.retryable() && s.primaryWithheld() },
+			"may_run_locally":           (*statement).mayRunLocally,
+			"unsent":                    func(s *statement) bool { return s.unsent },
 		},
 		Actions:  statementActions(),
 		Timeouts: b.statementTimeouts(),
