Tests of feeders that are lost, behind or not ready; ask a lost feeder without a wait

Cause: a feeder that has just been chosen did not know how old its news were, so that its first followers refused them. Change: followers deliver responses without changes too, and a new feeder reads the store at once. A follower's reads of a store that its feeders have lost are spread over up to 4 s.

--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"encoding/json"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
 func (h *harness) storeChanges(next Revision, changes ...Change) {
@@ -79,3 +83,69 @@
 	h.handle(FeedRequest{ReplyTo: "kept", After: 210, Wait: time.Second})
 	require.Len(t, h.feedResponses["kept"].Changes, maxFeedHistory)
 }
+
+// Guards against feeders whose followers read everything from the store: a request for
+// everything gets the records as of the feeder's revision, without those that the store
+// lacks.
+func TestFeederSendsEverything(t *testing.T) {
+	h := newFeedingHarness(t)
+	h.advance(h.e.config.Bounds.ReregistrationGrace / 2)
+	h.storeChanges(203, registration("n1"), Change{RemovedInstance: "a"}, Change{RemovedMember: "r1"})
+	h.handle(FeedRequest{ReplyTo: "all"})
+	a := h.feedResponses["all"]
+	require.EqualValues(t, 203, a.Next)
+	require.EqualValues(t, 203, a.Snapshot.Revision)
+	var nodes []string
+	for _, i := range a.Snapshot.Instances {
+		nodes = append(nodes, i.Node)
+	}
+	require.ElementsMatch(t, []string{"self", "b", "n1"}, nodes)
+	require.Contains(t, h.e.instances, "a", "kept for the grace period, but the store lacks it")
+	require.Len(t, a.Snapshot.Members, 2)
+	h.handle(StoreUnavailable{Reason: "silent"})
+	h.handle(FeedRequest{ReplyTo: "lost"})
+	require.True(t, h.feedResponses["lost"].Unavailable)
+	require.True(t, h.feedResponses["lost"].StoreLost)
+	h.e.feed.serving = false
+	h.handle(FeedRequest{ReplyTo: "no feeder"})
+	require.Equal(t, FeedResponse{Unavailable: true}, h.feedResponses["no feeder"])
+}
+
+// Guards against records that a snapshot from a feeder lacks, for instance of a kind that
+// was added later: an engine that applies the feeder's snapshot, after it was sent as
+// JSON, knows as much as the feeder.
+func TestSnapshotOfAFeederIsComplete(t *testing.T) {
+	h := newFeedingHarness(t)
+	want := &Snapshot{
+		Configuration: configuration(7),
+		Members:       []Announcement{{Member: "p", Group: "g", Address: "p:1", Domain: "d", Slots: 2, Role: core.RolePrimary, Started: startTime, Revision: 300}},
+		Instances:     []Instance{{Node: "n9", ID: "n9-1", Domain: "d", Peer: "n9:1"}},
+		Homes:         []Home{{Account: "acct", Node: "n9", Instance: "n9-1", Revision: 301}},
+		Successions:   []Succession{{Group: "g", Revoked: "r1", Promoted: "p", Revision: 302}},
+		Terms:         []GroupTerm{{Group: "g", Term: 4}},
+		Revision:      310,
+	}
+	fields := reflect.ValueOf(*want)
+	for i := range fields.NumField() {
+		require.False(t, fields.Field(i).IsZero(), "the test must set field %s", fields.Type().Field(i).Name)
+	}
+	h.handle(StoreSnapshot{Snapshot: want, AsOf: h.now})
+	h.handle(FeedRequest{ReplyTo: "all"})
+	text, err := json.Marshal(h.feedResponses["all"])
+	require.NoError(t, err)
+	var got FeedResponse
+	require.NoError(t, json.Unmarshal(text, &got))
+	got.Snapshot.Members[0].Started = got.Snapshot.Members[0].Started.Local()
+	require.Equal(t, want, got.Snapshot)
+}
+
+// Guards against feeders that follow another one and pass on older news than that has: a
+// waiting request is answered when the store was read again, also without changes.
+func TestFollowerLearnsThatThereAreNoChanges(t *testing.T) {
+	h := newFeedingHarness(t)
+	h.advance(800 * time.Millisecond)
+	h.handle(FeedRequest{ReplyTo: "waits", After: 200, Wait: 5 * time.Second})
+	h.advance(300 * time.Millisecond)
+	h.storeChanges(200)
+	require.Equal(t, FeedResponse{Next: 200, Held: 300 * time.Millisecond}, h.feedResponses["waits"])
+}
--- a/pkg/fleet/sourceselector_test.go
+++ b/pkg/fleet/sourceselector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -95,3 +96,67 @@
 	h.advance(h.e.config.Bounds.ReregistrationGrace)
 	require.NotContains(t, h.e.members, core.MemberID("r1"))
 }
+
+// sourceWithRank registers the instance under a name with which it has the given rank
+// among the feeders, and returns the source that it then selects.
+func (h *harness) sourceWithRank(rank int) ChangeSource {
+	for i := range 4000 {
+		delete(h.e.instances, h.e.config.Self.Node)
+		h.e.config.Self.Node = fmt.Sprintf("%c%d", 'c'+i%23, 100+i)
+		h.e.topology.invalidate()
+		self := h.e.config.Self
+		h.handle(StoreChanges{Changes: []Change{{Instance: &self}}})
+		feeders := h.e.currentTopology().feeders
+		if slices.Index(feeders, self.Node) == rank {
+			return h.currentSource()
+		}
+	}
+	require.Fail(h.t, "no node name has the rank")
+	return ChangeSource{}
+}
+
+// Guards against several instances of a failure domain that watch the store, and against
+// feeders that follow each other: only the first one reads the store, and each other one
+// follows those before it.
+func TestOnlyTheFirstFeederReadsTheStore(t *testing.T) {
+	h := newHarness(t)
+	h.growDomain(45)
+	require.Equal(t, ChangeSource{Feeding: true}, h.sourceWithRank(0))
+	require.True(t, h.e.feed.serving)
+	for rank := 1; rank < 4; rank++ {
+		source := h.sourceWithRank(rank)
+		feeders := h.e.currentTopology().feeders
+		require.True(t, source.Feeding)
+		require.True(t, h.e.feed.serving)
+		require.Equal(t, feeders[0], h.nodeAtPeer(string(source.Feeder)))
+		if rank == 1 {
+			require.Empty(t, source.Standby, "no other feeder is before it")
+			continue
+		}
+		require.Equal(t, feeders[1], h.nodeAtPeer(string(source.Standby)))
+	}
+}
+
+// Guards against a feeder that rejects its followers when the first feeder is lost, and
+// against one that goes on reading the store when that is back.
+func TestFeederBridgesTheLossOfTheFirst(t *testing.T) {
+	h := newHarness(t)
+	h.growDomain(45)
+	source := h.sourceWithRank(2)
+	h.handle(FeederFailed{Feeder: source.Feeder, Reason: "silent"})
+	require.Equal(t, ChangeSource{Feeding: true}, h.currentSource())
+	require.True(t, h.e.feed.serving)
+	h.advance(feederRetryDelay)
+	require.Equal(t, source, h.currentSource())
+	require.True(t, h.e.feed.serving)
+}
+
+// Guards against a follower without a second feeder, or with the same one twice.
+func TestFollowerHasAStandby(t *testing.T) {
+	h := newHarness(t)
+	h.growDomain(45)
+	source := h.currentSource()
+	require.False(t, source.Feeding)
+	require.NotEqual(t, source.Feeder, source.Standby)
+	require.Contains(t, h.e.currentTopology().feeders, h.nodeAtPeer(string(source.Standby)))
+}
--- a/pkg/fleet/storeload_test.go
+++ b/pkg/fleet/storeload_test.go
@@ -42,7 +42,7 @@
 		schedule(t, w)
 		time.Sleep(loadTime - time.Since(began))
 		then = w.cost().minus(start)
-		require.Less(t, w.configure(9), loadConfigurationBound, "at the end a configuration is known everywhere")
+		w.requireConfigured(t, 9)
 	})
 	t.Logf("start: %v", start)
 	t.Logf("then: %v", then)
@@ -113,7 +113,7 @@
 func TestStoreLoadWithoutAFeeder(t *testing.T) {
 	_, then := runStoreLoad(t, func(t *testing.T, w *loadWorld) {
 		w.feeders("d1", func(n *loadNode) bool { return !n.following.Load() })[0].kill()
-		require.Less(t, w.configure(2), loadConfigurationBound)
+		w.requireConfigured(t, 2)
 	})
 	quiet := loadDomains * loadTime.Seconds()
 	// The other feeders of the domain read the store until the lease has ended. With a
@@ -122,6 +122,27 @@
 	require.LessOrEqual(t, then.reads()-quiet, 40.0)
 }
 
+// Guards against a failure domain that misses a configuration, or counts the store as
+// lost, because its first feeder alone does not reach the store.
+func TestStoreLoadWithAFeederThatLostTheStore(t *testing.T) {
+	_, then := runStoreLoad(t, func(t *testing.T, w *loadWorld) {
+		first := w.feeders("d1", func(n *loadNode) bool { return !n.following.Load() })[0]
+		first.cut.Store(true)
+		w.requireConfiguredExcept(t, 2, first)
+		time.Sleep(5 * time.Second)
+		lost := 0
+		for _, n := range w.nodes {
+			if n.storeLost.Load() {
+				lost++
+			}
+		}
+		require.LessOrEqual(t, lost, 1)
+		first.cut.Store(false)
+	})
+	quiet := loadDomains * loadTime.Seconds()
+	require.LessOrEqual(t, then.reads()-quiet, 1.0*loadInstances)
+}
+
 // Guards against a configuration that the followers miss when all feeders of their
 // failure domain are lost at once.
 func TestStoreLoadWithoutTheFeedersOfADomain(t *testing.T) {
@@ -129,7 +150,7 @@
 		for _, n := range w.feeders("d1", func(*loadNode) bool { return true }) {
 			n.kill()
 		}
-		require.Less(t, w.configure(2), loadConfigurationBound)
+		w.requireConfigured(t, 2)
 	})
 	quiet := loadDomains * loadTime.Seconds()
 	require.LessOrEqual(t, then.reads()-quiet, 5.0*loadInstances)
@@ -149,6 +170,19 @@
 	require.LessOrEqual(t, then[CallSnapshot], 2.0*drops*loadDomains*snapshotRequests)
 }
 
+// requireConfigured publishes a version of the configuration, which all instances must
+// know within the bound.
+func (w *loadWorld) requireConfigured(t *testing.T, version uint64) {
+	w.requireConfiguredExcept(t, version, nil)
+}
+
+// requireConfiguredExcept is requireConfigured for all instances but one.
+func (w *loadWorld) requireConfiguredExcept(t *testing.T, version uint64, except *loadNode) {
+	took := w.configure(version, except)
+	t.Logf("version %d of the configuration is known everywhere after %v", version, took)
+	require.Less(t, took, loadConfigurationBound)
+}
+
 // feeders returns the running feeders of a failure domain that fulfil a condition.
 func (w *loadWorld) feeders(domain string, fulfils func(*loadNode) bool) []*loadNode {
 	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *loadNode) bool {
--- a/pkg/fleet/storeload_world_test.go
+++ b/pkg/fleet/storeload_world_test.go
@@ -417,10 +417,10 @@
 }
 
 // configure publishes a new version of the configuration and returns how long it takes
-// until every running instance has it.
-func (w *loadWorld) configure(version uint64) time.Duration {
+// until every running instance has it, except one.
+func (w *loadWorld) configure(version uint64, except *loadNode) time.Duration {
 	w.store.putConfiguration(loadConfiguration(version))
-	return w.await(func(n *loadNode) bool { return n.version.Load() >= version })
+	return w.await(func(n *loadNode) bool { return n == except || n.version.Load() >= version })
 }
 
 // await returns how long it takes until the condition holds for every running instance.
@@ -449,8 +449,35 @@
 	return most
 }
 
+// cuttableStore is the store for an instance that may be cut off from it. A call of that
+// instance gets no response.
+type cuttableStore struct {
+	*loadStore
+	cut *atomic.Bool
+}
+
+func (s cuttableStore) Snapshot(ctx context.Context) (*Snapshot, error) {
+	snapshot, err := s.loadStore.Snapshot(ctx)
+	return snapshot, s.response(ctx, err)
+}
+
+func (s cuttableStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
+	changes, next, err := s.loadStore.Watch(ctx, after, wait)
+	return changes, next, s.response(ctx, err)
+}
+
+func (s cuttableStore) response(ctx context.Context, err error) error {
+	if !s.cut.Load() {
+		return err
+	}
+	<-ctx.Done()
+	return eris.Wrap(ErrUnknownOutcome, "cut off")
+}
+
 // loadNode is one instance.
 type loadNode struct {
+	// cut is set while the instance gets no response to its reads of the store.
+	cut     atomic.Bool
 	w       *loadWorld
 	self    Instance
 	e       *Engine
@@ -469,9 +496,10 @@
 func (w *loadWorld) newNode(i int) *loadNode {
 	name := fmt.Sprintf("n%03d", i)
 	n := &loadNode{
-		w: w, inputs: make(chan Input, 4096), claims: make(chan HomeClaim, 64), store: w.calls.Count(w.store),
+		w: w, inputs: make(chan Input, 4096), claims: make(chan HomeClaim, 64),
 		self: Instance{Node: name, ID: core.InstanceID(name + "-1"), Peer: name + ":1", Domain: core.Domain(fmt.Sprintf("d%d", i%loadDomains))},
 	}
+	n.store = w.calls.Count(cuttableStore{w.store, &n.cut})
 	n.ctx, n.cancel = context.WithCancel(w.ctx)
 	var err error
 	n.e, err = New(Config{
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -55,6 +55,9 @@
 	// whether this instance itself reaches the store decides whether it is isolated.
 	feeders     feederHealth
 	checkFailed bool
+	// refresh is set when this instance has become a feeder and does not know yet how
+	// old its news are.
+	refresh bool
 	// now and random are the clock and a random number below a limit; tests replace
 	// them.
 	now    func() time.Time
@@ -179,16 +182,12 @@
 		return delay/2 + w.jitter(delay)
 	}
 	w.overloads = 0
-	delay := w.backoff(w.failures, max(w.bounds.MaxRetryDelay, w.bounds.RetryInterval))
+	longest := max(w.bounds.MaxRetryDelay, w.bounds.RetryInterval)
+	delay := w.jitter(min(w.bounds.RetryInterval<<w.failures, longest))
 	w.failures = min(w.failures+1, maxFailures)
 	return delay
 }
 
-// backoff returns a random delay whose limit doubles with each failure up to a maximum.
-func (w *Watcher) backoff(failures int, longest time.Duration) time.Duration {
-	return w.jitter(min(w.bounds.RetryInterval<<failures, longest))
-}
-
 // readAll reads and delivers everything, the first time from the store and later from a
 // feeder if one is assigned.
 func (w *Watcher) readAll() error {
@@ -215,7 +214,7 @@
 	if w.followsLostFeeder() {
 		w.leaveFeeders("the feeder has lost the store")
 	}
-	first := w.after == 0
+	first := w.after == 0 && w.assigned == ChangeSource{}
 	w.checkFailed = false
 	w.deliverSnapshot(snapshot, sentAt)
 	if first {
@@ -253,7 +252,7 @@
 		default:
 			return err
 		}
-		if !w.deliverChanges(changes, w.assigned.Feeding) {
+		if !w.deliverChanges(changes, w.assigned != ChangeSource{}) {
 			return w.ctx.Err()
 		}
 		if fromStore && len(changes.Changes) > 0 && !anyUrgent(changes.Changes) {
@@ -263,8 +262,9 @@
 	return w.ctx.Err()
 }
 
-// deliverChanges delivers changes, and none only if evenNone is set. It returns false
-// once the instance stops.
+// deliverChanges delivers changes, and none only if evenNone is set: a feeder, and a
+// follower that may become one, needs to know how old its news are. It returns false once
+// the instance stops.
 func (w *Watcher) deliverChanges(changes StoreChanges, evenNone bool) bool {
 	changes.Since = w.asOf
 	w.after = changes.Next
@@ -291,6 +291,11 @@
 			return
 		}
 		w.reassigned.Store(false)
+		select {
+		case <-w.assignment:
+		default:
+		}
+		w.refresh = source.Feeding && !w.assigned.Feeding
 		if source.Feeder != w.assigned.Feeder {
 			w.feeders = feederHealth{storeLost: w.feeders.storeLost, storeAttemptAt: w.feeders.storeAttemptAt}
 		}
@@ -303,7 +308,10 @@
 func (w *Watcher) nextChanges() (StoreChanges, error) {
 	if w.assigned.Feeder == "" {
 		wait := w.bounds.Wait
-		if w.assigned.Feeding {
+		switch {
+		case w.refresh:
+			w.refresh, wait = false, 0
+		case w.assigned.Feeding:
 			wait = w.bounds.Feed
 		}
 		return w.watchStore(wait)
--- a/pkg/fleet/watchfeeders.go
+++ b/pkg/fleet/watchfeeders.go
@@ -32,12 +32,10 @@
 	// one to read the store ends the wait of all.
 	minFeederReadyTime = 200 * time.Millisecond
 	maxFeederReadyTime = 1200 * time.Millisecond
-	// followerMaxRetryFactor is how many times longer than MaxRetryDelay a follower
-	// waits between two reads of a store that its feeders have lost too.
-	followerMaxRetryFactor = 5
-	// followerFirstFailures makes the first of these delays longer: the feeders
-	// retry meanwhile.
-	followerFirstFailures = 4
+	// followerRetryFactor is how many times longer than MaxRetryDelay a follower waits
+	// at most between two reads of a store that its feeders have lost too. The feeders
+	// retry meanwhile, so that the limit does not have to grow from a short one.
+	followerRetryFactor = 5
 )
 
 var (
@@ -68,7 +66,6 @@
 func (w *Watcher) feedersLostStore() {
 	w.feeders.storeLost = true
 	w.feeders.storeAttemptAt = w.now().Add(w.jitter(lostStoreSpread))
-	w.failures = followerFirstFailures
 }
 
 // followsLostFeeder reports whether this instance follows feeders that cannot read the
@@ -87,9 +84,7 @@
 	if !w.followsLostFeeder() {
 		return
 	}
-	longest := max(w.bounds.MaxRetryDelay, w.bounds.RetryInterval) * followerMaxRetryFactor
-	w.feeders.storeAttemptAt = w.now().Add(w.backoff(w.failures, longest))
-	w.failures = min(w.failures+1, maxFailures)
+	w.feeders.storeAttemptAt = w.now().Add(w.jitter(w.bounds.MaxRetryDelay * followerRetryFactor))
 }
 
 // leaveFeeders reports that the feeders failed. The store is read until the engine
