--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -54,6 +54,9 @@
 	// serving is set while this instance is a feeder. storeReadable is set from a
 	// complete read of the store until it is lost.
 	serving, storeReadable bool
+	// outdated is set from the selection as a feeder until the next read: until then it
+	// is not known that the store has no newer changes.
+	outdated bool
 	// changes are the changes after revision base, up to revision head. At asOf the
 	// store had no later ones.
 	changes    []Change
@@ -81,12 +84,19 @@
 	f.rejectAll()
 	f.changes = nil
 	f.base, f.head, f.asOf = revision, revision, asOf
-	f.storeReadable = true
+	f.storeReadable, f.outdated = true, false
+}
+
+// start makes this instance a feeder.
+func (f *feed) start() {
+	f.outdated = f.outdated || !f.serving
+	f.serving = true
 }
 
 // record adds the changes up to revision next, possibly none.
 func (f *feed) record(changes []Change, next Revision, asOf time.Time) {
 	newer := asOf.After(f.asOf)
+	f.outdated = false
 	f.head = max(f.head, next)
 	f.asOf = clock.Later(f.asOf, asOf)
 	if !f.serving {
@@ -127,9 +137,9 @@
 	switch {
 	case f.serving && !f.storeReadable:
 		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true, StoreLost: true})
-	case f.serving && in.After == 0:
+	case f.serving && !f.outdated && in.After == 0:
 		f.e.out.SendFeed(req.replyTo, FeedResponse{Snapshot: f.e.recordsSnapshot(f.head), Next: f.head, Age: now.Sub(f.asOf)})
-	case !f.serving, in.After < f.base, len(f.pending) >= maxPendingFeedRequests:
+	case !f.serving, f.outdated, in.After < f.base, len(f.pending) >= maxPendingFeedRequests:
 		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true})
 	case in.After < f.head || in.Wait <= 0:
 		f.respond(&req)
--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -149,3 +149,18 @@
 	h.storeChanges(200)
 	require.Equal(t, FeedResponse{Next: 200, Held: 300 * time.Millisecond}, h.feedResponses["waits"])
 }
+
+// Guards against a new feeder that answers as if the store had no changes since it last
+// learned of some: it does not serve before the next read.
+func TestNewFeederServesAfterARead(t *testing.T) {
+	h := newHarness(t)
+	h.storeChanges(200)
+	h.advance(10 * time.Second)
+	h.e.feed.start()
+	h.handle(FeedRequest{ReplyTo: "early", After: 200, Wait: time.Second})
+	require.Equal(t, FeedResponse{Unavailable: true}, h.feedResponses["early"])
+	h.storeChanges(200)
+	h.e.feed.start()
+	h.handle(FeedRequest{ReplyTo: "next", After: 200})
+	require.Equal(t, FeedResponse{Next: 200}, h.feedResponses["next"])
+}
--- a/pkg/fleet/sourceselector.go
+++ b/pkg/fleet/sourceselector.go
@@ -73,11 +73,11 @@
 	table, err := chart.Compile(d, chart.Registry[*sourceSelector]{
 		Actions: map[string]func(*sourceSelector){
 			"serve_followers": func(s *sourceSelector) {
-				s.e.feed.serving = true
+				s.e.feed.start()
 				s.setSource(ChangeSource{Feeding: true})
 			},
 			"relay_changes": func(s *sourceSelector) {
-				s.e.feed.serving = true
+				s.e.feed.start()
 				s.setSource(ChangeSource{Feeder: s.feeder, Standby: s.standby, Feeding: true})
 			},
 			"reject_followers": func(s *sourceSelector) { s.e.feed.stop() },
--- a/pkg/fleet/storeload_world_test.go
+++ b/pkg/fleet/storeload_world_test.go
@@ -311,12 +311,12 @@
 	for i := range loadInstances {
 		w.nodes = append(w.nodes, w.newNode(i))
 	}
-	for i, n := range w.nodes {
-		go func() {
-			time.Sleep(time.Duration(i) * 300 * time.Millisecond / loadInstances)
+	go func() {
+		for _, n := range w.nodes {
 			n.start()
-		}()
-	}
+			time.Sleep(300 * time.Millisecond / loadInstances)
+		}
+	}()
 	go w.every(100*time.Millisecond, w.store.expireLeases)
 	return w
 }
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -55,8 +55,8 @@
 	// whether this instance itself reaches the store decides whether it is isolated.
 	feeders     feederHealth
 	checkFailed bool
-	// refresh is set when this instance has become a feeder and does not know yet how
-	// old its news are.
+	// refresh is set when this instance has become a feeder: the engine does not know yet
+	// how old its news are.
 	refresh bool
 	// now and random are the clock and a random number below a limit; tests replace
 	// them.
@@ -252,7 +252,7 @@
 		default:
 			return err
 		}
-		if !w.deliverChanges(changes, w.assigned != ChangeSource{}) {
+		if !w.deliverChanges(changes, w.assigned.Feeding) {
 			return w.ctx.Err()
 		}
 		if fromStore && len(changes.Changes) > 0 && !anyUrgent(changes.Changes) {
@@ -262,8 +262,7 @@
 	return w.ctx.Err()
 }
 
-// deliverChanges delivers changes, and none only if evenNone is set: a feeder, and a
-// follower that may become one, needs to know how old its news are. It returns false once
+// deliverChanges delivers changes, and none only if evenNone is set. It returns false once
 // the instance stops.
 func (w *Watcher) deliverChanges(changes StoreChanges, evenNone bool) bool {
 	changes.Since = w.asOf
@@ -295,7 +294,9 @@
 		case <-w.assignment:
 		default:
 		}
-		w.refresh = source.Feeding && !w.assigned.Feeding
+		if source.Feeding && !w.assigned.Feeding {
+			w.refresh, w.feeders.answered = true, ""
+		}
 		if source.Feeder != w.assigned.Feeder {
 			w.feeders = feederHealth{storeLost: w.feeders.storeLost, storeAttemptAt: w.feeders.storeAttemptAt}
 		}
--- a/pkg/fleet/watchfeeders_test.go
+++ b/pkg/fleet/watchfeeders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -88,6 +89,13 @@
 	return answer(after)
 }
 
+// watchWaits returns the waits of the watches of the store.
+func (w *watcherWorld) watchWaits() []time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.watches)
+}
+
 // run starts the watcher, lets the test act and stops the watcher.
 func (w *watcherWorld) run(t *testing.T, act func()) {
 	w.watcher.Start(&w.duties)
@@ -119,7 +127,7 @@
 		w.watcher.SetSource(ChangeSource{Feeder: "feeder", Standby: "standby"})
 		w.run(t, func() { time.Sleep(20 * time.Second) })
 		require.Empty(t, delivered[FeederFailed](w))
-		require.Empty(t, w.watches)
+		require.Empty(t, w.watchWaits())
 		silent := 0
 		for _, call := range w.feedCalls {
 			if call.feeder == "feeder" {
@@ -148,7 +156,7 @@
 		w.watcher.SetSource(ChangeSource{Feeder: "feeder"})
 		w.run(t, func() { time.Sleep(10 * time.Second) })
 		require.Equal(t, 1, w.snapshots)
-		require.Empty(t, w.watches)
+		require.Empty(t, w.watchWaits())
 		snapshots := delivered[StoreSnapshot](w)
 		require.Len(t, snapshots, 2)
 		require.EqualValues(t, 50, snapshots[1].Snapshot.Revision)
@@ -171,7 +179,7 @@
 		w.run(t, func() { time.Sleep(3 * time.Second) })
 		require.Len(t, delivered[StoreSnapshot](w), 1)
 		require.Len(t, delivered[FeederFailed](w), 1, "the store is read instead")
-		require.Zero(t, w.watches[0], "at once")
+		require.Zero(t, w.watchWaits()[0], "at once")
 	})
 }
 
@@ -215,7 +223,7 @@
 			time.Sleep(2500 * time.Millisecond)
 			w.watcher.RereadStore()
 			time.Sleep(time.Second)
-			require.Equal(t, []time.Duration{0}, w.watches, "a check is one call that does not wait")
+			require.Equal(t, []time.Duration{0}, w.watchWaits(), "a check is one call that does not wait")
 			require.Empty(t, delivered[StoreUnavailable](w))
 			setStore(ErrUnavailable)
 			w.watcher.RereadStore()
