Do not take a pause of this process for unresponsive homes

The check of a home compares the time since its last message with 480 ms. After a pause of the process, the check can run before the messages of the pause have been read: every home in use was marked lost, and the writes relayed there were answered as uncertain. A check that runs 100 ms late now only sends a probe, and the next one, 200 ms later, decides.

TestPauseOfTheProcessLosesNoHome fails without the change.

--- a/pkg/session/homepeer.go
+++ b/pkg/session/homepeer.go
@@ -25,6 +25,9 @@
 	// handle the messages. It is less than the 100 ms that a planned stop leaves between the
 	// last deadline and the end of all statements.
 	relayMargin = 80 * time.Millisecond
+	// lateCheck is how late a check of a home may be before it counts as a pause of this
+	// process. The messages of the pause have not been read then.
+	lateCheck = 100 * time.Millisecond
 )
 
 // homePeer is the state of an instance that is the home of accounts.
@@ -46,7 +49,9 @@
 	// refusedConnection is set when the home's host refused a connection.
 	refusedConnection bool
 	// probing is set while the probe timer runs.
-	probing   bool
+	probing bool
+	// checkAt is the time for which the timer is armed.
+	checkAt   time.Time
 	timerItem timerq.Item[timed]
 }
 
@@ -84,7 +89,8 @@
 // arm sets the timer for the time at which the next probe is due if no messages
 // are exchanged until then.
 func (p *homePeer) arm() {
-	p.e.timers.Arm(&p.timerItem, p.lastExchange().Add(peerProbeInterval))
+	p.checkAt = p.lastExchange().Add(peerProbeInterval)
+	p.e.timers.Arm(&p.timerItem, p.checkAt)
 }
 
 // lastExchange returns the time up to which messages went in both directions,
@@ -94,13 +100,15 @@
 }
 
 // timeOut implements timed. It probes a home without recent messages and marks
-// an unresponsive one as lost.
+// an unresponsive one as lost, unless this process was paused: then the home has until the
+// next check to respond.
 func (p *homePeer) timeOut() {
 	if len(p.relayed) == 0 && p.e.now.Sub(p.lastUsed) > peerUseWindow {
 		p.probing = false
 		return
 	}
-	if p.e.now.Sub(p.lastContact) > peerTimeout {
+	paused := p.e.now.Sub(p.checkAt) > lateCheck
+	if p.e.now.Sub(p.lastContact) > peerTimeout && !paused {
 		p.markLost()
 		p.endRelayed()
 	}
--- a/pkg/session/relaylimit_test.go
+++ b/pkg/session/relaylimit_test.go
@@ -59,3 +59,21 @@
 	}
 	h.requireRefused(core.ReasonUncertain, core.OutcomeUncertain)
 }
+
+// Guards against uncertain answers because this process was paused: the responses of the
+// homes that came during the pause are read after the check that finds no message.
+func TestPauseOfTheProcessLosesNoHome(t *testing.T) {
+	h := newOriginHarness(t)
+	h.sendClassified(1, "write", write)
+	v := h.lastRelayed()
+	h.wait(peerTimeout + 300*time.Millisecond)
+	h.homeResponds(v, RelayResponse{Frames: []byte("done"), TxStatus: TxIdle, Position: position(1, 101)})
+	require.IsType(t, CallerWrite{}, h.lastCallerCommand())
+	require.False(t, h.e.peer(homeAddress).lost)
+	require.NotContains(t, h.control, HomeUnresponsive{Address: homeAddress})
+
+	h.sendClassified(1, "write", write)
+	h.wait(peerTimeout + 300*time.Millisecond)
+	h.wait(peerProbeInterval)
+	require.True(t, h.e.peer(homeAddress).lost, "it has not responded to the probe after the pause either")
+}
