Hand the homes of a stopping instance over to successors

A planned stop ended the registration at once, and for about half a second the accounts of the instance had no home: requests were refused once what may be used without a home was used up. Now each home moves first (chart home_handover): the successor is asked whether it is ready and for its lease, the session duty stops admitting requests of the account and makes new ones wait, the record is changed under the successor's lease, and the successor is told, with the account's remaining tokens. The old home then forwards the requests that others still send to it. Where a step fails, the registration ends as before.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -90,6 +90,7 @@
 	feed             feed
 	sourceSelector   sourceSelector
 	homes            homes
+	handovers        handovers
 
 	// These chart states are compared with in code.
 	settledState  chart.State
@@ -116,6 +117,8 @@
 	Instance   *chart.Definition
 	Succession *chart.Definition
 	News       *chart.Definition
+	// HomeHandover may be nil: homes then end with the registration.
+	HomeHandover *chart.Definition
 }
 
 // New returns an engine. It returns the chart loader's error if a chart does not
@@ -160,6 +163,9 @@
 		return nil, err
 	}
 	e.homes.init(e)
+	if err := e.handovers.load(e, charts.HomeHandover); err != nil {
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -201,10 +207,16 @@
 	case ConfigurationReceived:
 		e.configurationReceived(in.Configuration)
 	case LeaseUpdated:
-		e.homes.leaseUntil = in.Until
+		e.homes.leaseUntil, e.handovers.lease = in.Until, in.Lease
 		if e.configuration != nil {
 			e.publishHomes()
 		}
+	case HandoverRequested:
+		e.handovers.requested(in)
+	case HandoverAnswered:
+		e.handovers.answered(in)
+	case HomeTransferred:
+		e.handovers.transferred(in)
 	case JobDone:
 		e.jobDone(&in)
 	case Inspect:
@@ -258,6 +270,8 @@
 		e.homes.allowReplacement(r.Address, "the home's host refuses connections", endedReplaceWindow)
 	case session.MemberSuspected:
 		e.checkSuspect(r.Member)
+	case session.AccountHeld:
+		e.handovers.held(r)
 	case session.TermObserved:
 		e.termObserved(r.Database, r.Term)
 	}
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -31,12 +31,16 @@
 	Replaces Revision
 	// Release deletes the record instead of replacing it.
 	Release bool
+	// Successor is the instance that the record is to name if that is not this one.
+	Successor Successor
 }
 
 // LeaseUpdated reports the time until which the registration of this instance is
 // guaranteed to last. Until is the zero time after the lease was lost.
 type LeaseUpdated struct {
 	Until time.Time
+	// Lease is the lease of the registration, 0 after it was lost.
+	Lease Lease
 }
 
 func (LeaseUpdated) fleetInput() {}
@@ -141,7 +145,8 @@
 // valid.
 func (h *homes) isLocal(account core.AccountName) bool {
 	s := h.records[account]
-	return s != nil && s.record != nil && s.record.Instance == h.e.config.Self.ID && h.e.now.Before(h.leaseUntil)
+	return s != nil && s.record != nil && s.record.Instance == h.e.config.Self.ID && h.e.now.Before(h.leaseUntil) &&
+		!h.e.handovers.isLost(account)
 }
 
 // replaceable reports whether the holder was found dead or unreachable, so that
@@ -248,12 +253,18 @@
 
 // claimOrder returns the order for the registered instances.
 func (e *Engine) claimOrder() claimOrder {
+	nodes := e.placementNodes()
+	return claimOrder{nodes: nodes, assigned: placement.Assign(e.accountsToPlace(), nodes)}
+}
+
+// placementNodes returns the registered instances as input for package placement.
+func (e *Engine) placementNodes() []placement.Node {
 	nodes := slices.Clone(e.currentTopology().candidates)
 	gone := e.homes.goneNodes()
 	for i := range nodes {
 		nodes[i].Gone = gone[nodes[i].Name]
 	}
-	return claimOrder{nodes: nodes, assigned: placement.Assign(e.accountsToPlace(), nodes)}
+	return nodes
 }
 
 // goneNodes returns the registered nodes that were found dead or unreachable as homes.
--- a/pkg/fleet/lifecycle.go
+++ b/pkg/fleet/lifecycle.go
@@ -29,7 +29,8 @@
 		Actions: map[string]func(*Engine){
 			"set_ready":            func(e *Engine) { e.setReady(true) },
 			"set_not_ready":        func(e *Engine) { e.setReady(false) },
-			"deregister":           func(e *Engine) { e.out.Deregister() },
+			"deregister":           func(e *Engine) { e.handovers.deregister() },
+			"hand_over_homes":      func(e *Engine) { e.handovers.start() },
 			"release_idle_callers": func(e *Engine) { e.out.Session(session.ReleaseIdle{}) },
 			"drain_sessions":       (*Engine).drainSessions,
 			"end_transactions":     func(e *Engine) { e.out.Session(session.EndTransactions{}) },
@@ -69,8 +70,10 @@
 }
 
 // drainSessions starts the drain. Statements have deadlines that the plan of the stop
-// allows.
+// allows. The handover of homes has ended by then, also where the time before the drain is
+// short.
 func (e *Engine) drainSessions() {
+	e.handovers.finish()
 	plan := e.config.Bounds.Stop
 	e.out.Session(session.Drain{StatementsEnd: e.now.Add(plan.Statements - plan.Sessions)})
 }
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -100,6 +100,10 @@
 	// CheckStore makes the watcher read the store at once, which shows whether it
 	// is readable.
 	CheckStore()
+	// RequestHandover sends a request to the successor of a home. The response is
+	// delivered as a HandoverAnswered. AnswerHandover responds to such a request.
+	RequestHandover(Instance, HandoverRequest)
+	AnswerHandover(replyTo any, response HandoverResponse)
 	// Deregister ends the registration of the instance and with it its homes.
 	Deregister()
 	// SubmitJob hands a job to the worker and reports whether its ring had free
--- a/pkg/fleet/primary_sim_node_test.go
+++ b/pkg/fleet/primary_sim_node_test.go
@@ -307,12 +307,14 @@
 	}
 }
 
-func (n *simNode) CheckStore()                              { n.reread = true }
-func (n *simNode) ClaimHome(HomeClaim)                      {}
-func (n *simNode) Deregister()                              {}
-func (n *simNode) SetReady(bool)                            {}
-func (n *simNode) Finish()                                  {}
-func (n *simNode) RequestConfiguration(session.PeerAddress) {}
-func (n *simNode) SendConfiguration(any, *Configuration)    {}
-func (n *simNode) SetChangeSource(ChangeSource)             {}
-func (n *simNode) SendFeed(any, FeedResponse)               {}
+func (n *simNode) CheckStore()                               { n.reread = true }
+func (n *simNode) ClaimHome(HomeClaim)                       {}
+func (n *simNode) Deregister()                               {}
+func (n *simNode) SetReady(bool)                             {}
+func (n *simNode) Finish()                                   {}
+func (n *simNode) RequestConfiguration(session.PeerAddress)  {}
+func (n *simNode) SendConfiguration(any, *Configuration)     {}
+func (n *simNode) SetChangeSource(ChangeSource)              {}
+func (n *simNode) SendFeed(any, FeedResponse)                {}
+func (n *simNode) RequestHandover(Instance, HandoverRequest) {}
+func (n *simNode) AnswerHandover(any, HandoverResponse)      {}
--- a/pkg/fleet/registrar.go
+++ b/pkg/fleet/registrar.go
@@ -160,11 +160,15 @@
 
 // reportLease delivers the time until which the lease may be relied on.
 func (r *Registrar) reportLease(sentAt time.Time) {
-	r.deliver(LeaseUpdated{Until: sentAt.Add(r.bounds.TTL - r.bounds.Margin)})
+	r.deliver(LeaseUpdated{Until: sentAt.Add(r.bounds.TTL - r.bounds.Margin), Lease: r.lease})
 }
 
 // claim executes a home claim. The engine retries a failed claim.
 func (r *Registrar) claim(c HomeClaim) {
+	if c.Successor.Lease != 0 {
+		r.transfer(c)
+		return
+	}
 	if !r.leaseHeld {
 		return
 	}
@@ -176,6 +180,18 @@
 	}
 }
 
+// transfer names the successor in the record of a home of this instance, under the
+// successor's lease.
+func (r *Registrar) transfer(c HomeClaim) {
+	ctx, cancel := context.WithTimeout(r.ctx, r.bounds.ResponseTimeout)
+	defer cancel()
+	err := r.registry.ClaimHome(ctx, c, c.Successor.Instance, c.Successor.Lease)
+	if err != nil {
+		r.log(LogEvent{Warning: true, Event: "home_not_transferred", Message: err.Error(), Fields: map[string]any{"account": c.Account}})
+	}
+	r.deliver(HomeTransferred{Account: c.Account, Err: err})
+}
+
 // deregister revokes the lease so that others need not wait for it to expire.
 func (r *Registrar) deregister() {
 	if !r.leaseHeld {
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -92,7 +92,7 @@
 func loadFleetCharts() (fleet.Charts, error) {
 	var c fleet.Charts
 	for name, definition := range map[string]**chart.Definition{
-		"hosted_instance": &c.Instance, "succession": &c.Succession, "news": &c.News,
+		"hosted_instance": &c.Instance, "succession": &c.Succession, "news": &c.News, "home_handover": &c.HomeHandover,
 	} {
 		loaded, err := charts.Load(name)
 		if err != nil {
--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -138,6 +138,8 @@
 			if e.Err == nil {
 				h.fleetDuty.input.TryPush(fleet.RevocationConfirmed{Node: tag.node, Member: tag.member})
 			}
+		case handoverTag:
+			h.handleHandoverResponse(tag, e)
 		case configurationTag:
 			h.handleConfiguration(e)
 		case feedTag:
@@ -184,6 +186,9 @@
 	case relay.MethodFeed:
 		h.handleFeedRequest(r)
 		return nil
+	case relay.MethodHandover:
+		h.handleHandoverRequest(r)
+		return nil
 	case relay.MethodConfiguration:
 		if !h.fleetDuty.input.TryPush(fleet.ConfigurationRequest{ReplyTo: replyHandle{conn: r.Conn, id: r.ID}}) {
 			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -33,6 +33,9 @@
 	// MethodRevokePrimary ends the use of a primary that is about to be replaced:
 	// RevokePrimary -> {}, sent once the receiver no longer uses it.
 	MethodRevokePrimary = "revoke_primary"
+	// MethodHandover is a step of the handover of a home to the receiver:
+	// fleet.HandoverRequest -> fleet.HandoverResponse.
+	MethodHandover = "hand_over"
 	// MethodPing tells the receiver that the sender is alive, and checks that the
 	// receiver is: Ping -> {}.
 	MethodPing = "ping"
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -42,6 +42,11 @@
 	// reserveUpdatedAt is when the home last computed the reserve for
 	// unresponsive instances.
 	reserveUpdatedAt time.Time
+	// moving is set while the account's home moves from this instance to another; held
+	// are the statements that wait for it. forwards is set once it has moved.
+	moving   bool
+	held     []heldStatement
+	forwards bool
 	// demandCount counts the statements since the last demand report.
 	demandCount int
 	metrics     *AccountMetrics
@@ -77,6 +82,9 @@
 	if s.c.account.unlimited {
 		return true
 	}
+	if s.c.account.moving {
+		return false
+	}
 	s.c.account.updateReserve()
 	b := s.bucket()
 	if !b.Take(e.now, e.shareValidUntil) {
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -240,6 +240,8 @@
 		}
 	case HomesUpdate:
 		e.homesUpdate(in)
+	case homeMove:
+		in.apply(e)
 	case KeysRevoked:
 		e.keysRevoked(in.Keys)
 	case KeysValidUntil:
--- a/pkg/session/relay.go
+++ b/pkg/session/relay.go
@@ -133,7 +133,7 @@
 // transaction there, or it is outside a transaction and the home can be
 // reached.
 func (c *caller) isRelayed(r *Request) bool {
-	if c.remote != nil || r.Classification == nil {
+	if r.Classification == nil {
 		return false
 	}
 	if c.inTransaction() {
@@ -143,7 +143,7 @@
 		return false
 	}
 	home, known := c.home()
-	if !known || home.Local {
+	if !known || home.Local || c.remote != nil && !c.isForwarded() {
 		return false
 	}
 	p := c.e.peer(home.Address)
@@ -293,7 +293,11 @@
 	c.floorKnown = true
 	s.outcome = "answered"
 	s.errorCode = response.ErrorCode
-	c.e.toCaller(c.id, CallerWrite{Caller: c.id, Frames: response.Frames, Done: true, TxStatus: c.txStatus})
+	write := CallerWrite{Caller: c.id, Frames: response.Frames, Done: true, TxStatus: c.txStatus}
+	if c.remote != nil {
+		write.Position = response.Position
+	}
+	c.e.toCaller(c.id, write)
 	if response.Closing {
 		c.endReason = core.NotRun(core.ReasonStopping, "the account's home ended the session")
 	}
--- a/pkg/session/remotecallers.go
+++ b/pkg/session/remotecallers.go
@@ -138,7 +138,7 @@
 			return
 		}
 	}
-	if in.OutsideTransaction && !c.account.unlimited && !e.homes[c.account.name].Local {
+	if in.OutsideTransaction && !c.account.unlimited && !e.homes[c.account.name].Local && !c.isForwarded() {
 		e.outbox.out.Peer(RelayResponse{ReplyTo: in.ReplyTo, NotServed: true})
 		return
 	}
--- a/pkg/session/statement_actions.go
+++ b/pkg/session/statement_actions.go
@@ -16,6 +16,14 @@
 		return
 	}
 	s.takeDeferredBegin()
+	if !s.hold() {
+		s.place()
+	}
+}
+
+// place runs the statement at the home of its account, or here once it is admitted.
+func (s *statement) place() {
+	c := s.c
 	if c.isRelayed(s.request) {
 		s.classification = *s.request.Classification
 		s.fire(c.e.charts.onStatement.relay)
