--- a/pkg/fleet/homehandover_test.go
+++ b/pkg/fleet/homehandover_test.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
@@ -145,3 +147,175 @@
 		})
 	}
 }
+
+// offer sends the instance an offer of the account's home, and returns the response.
+func (h *harness) offer(in HandoverRequest) HandoverResponse {
+	h.handle(HandoverRequested{Request: in})
+	return h.handoverResponses[len(h.handoverResponses)-1]
+}
+
+// isHome reports whether the last homes that session got name this instance.
+func (h *harness) isHome() bool { return h.currentHomes().Homes["acct"].Local }
+
+// newSuccessor returns an instance with a lease, for which the account's home is elsewhere.
+func newSuccessor(t *testing.T) *harness {
+	h := newHarness(t)
+	h.handle(LeaseUpdated{Until: h.now.Add(10 * time.Second), Lease: 7})
+	h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "a", Instance: "a-1", Revision: 50}}}})
+	return h
+}
+
+// Guards against a successor that is not ready: it stops, has no lease or not for long
+// enough, has lost the store, or does not know the account.
+func TestSuccessorDeclinesUnlessItIsReady(t *testing.T) {
+	ask := HandoverRequest{Account: "acct", Revision: 50}
+	require.Equal(t, HandoverResponse{Accepted: true, Lease: 7}, newSuccessor(t).offer(ask))
+	for name, prepare := range map[string]func(*harness){
+		"stopping":      func(h *harness) { h.handle(StopRequested{}) },
+		"no lease":      func(h *harness) { h.handle(LeaseUpdated{}) },
+		"lease ends":    func(h *harness) { h.advance(9500 * time.Millisecond) },
+		"store lost":    func(h *harness) { h.handle(StoreUnavailable{Reason: "test"}) },
+		"other account": func(*harness) { ask.Account = "unknown" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ask = HandoverRequest{Account: "acct", Revision: 50}
+			h := newSuccessor(t)
+			prepare(h)
+			require.False(t, h.offer(ask).Accepted)
+		})
+	}
+}
+
+// Guards against a successor that becomes the home by a message that is late: it was paused,
+// its lease is another, it has not been asked, or the record has changed since.
+func TestSuccessorTakesOverOnlyWhatItWasAskedFor(t *testing.T) {
+	ask := HandoverRequest{Account: "acct", Revision: 50}
+	take := HandoverRequest{Account: "acct", Revision: 50, Recorded: true, Tokens: 12}
+	h := newSuccessor(t)
+	h.offer(ask)
+	require.False(t, h.isHome(), "the old home still is")
+	require.True(t, h.offer(take).Accepted)
+	require.True(t, h.isHome())
+	require.Contains(t, h.sessionInputs, session.TakeTokens{Account: "acct", Tokens: 12})
+	for name, prepare := range map[string]func(*harness){
+		"not asked": func(*harness) {},
+		"paused": func(h *harness) {
+			h.offer(ask)
+			h.advance(offerValidity + time.Millisecond)
+		},
+		"another lease": func(h *harness) {
+			h.offer(ask)
+			h.handle(LeaseUpdated{Until: h.now.Add(10 * time.Second), Lease: 8})
+		},
+		"another record": func(h *harness) {
+			h.offer(ask)
+			h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "b", Instance: "b-1", Revision: 60}}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSuccessor(t)
+			prepare(h)
+			require.False(t, h.offer(take).Accepted)
+			require.False(t, h.isHome())
+		})
+	}
+}
+
+// Guards against a record that names the successor before the old home has stopped admitting
+// requests, or without the lease that the successor stated, and against a registration that
+// ends before.
+func TestHandoverKeepsItsOrder(t *testing.T) {
+	h := newHarness(t)
+	h.handle(LeaseUpdated{Until: h.now.Add(10 * time.Second), Lease: 7})
+	h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 50}}}})
+	h.handle(StopRequested{})
+	require.Len(t, h.handovers, 1)
+	first := h.handovers[0]
+	require.NotContains(t, h.sessionInputs, session.HoldAccount{Account: "acct"})
+	h.handle(first)
+	require.Len(t, h.handovers, 2, "the next instance is asked")
+	second := h.handovers[1]
+	require.NotEqual(t, first.Node, second.Node)
+	second.Response = HandoverResponse{Accepted: true, Lease: 9}
+	h.handle(second)
+	require.Contains(t, h.sessionInputs, session.HoldAccount{Account: "acct"})
+	require.Empty(t, h.claims)
+	h.handle(SessionReport{Report: session.AccountHeld{Account: "acct", Tokens: 5}})
+	require.Len(t, h.claims, 1)
+	require.Equal(t, Revision(50), h.claims[0].Replaces)
+	require.Equal(t, Lease(9), h.claims[0].Successor.Lease)
+	require.Equal(t, second.Node, h.claims[0].Successor.Instance.Node)
+	require.True(t, h.isHome())
+	h.handle(HomeTransferred{Account: "acct"})
+	require.Equal(t, HandoverRequest{Account: "acct", Revision: 50, Recorded: true, Tokens: 5}, h.handovers[2].Request)
+	require.False(t, h.deregistered)
+	h.handle(HandoverAnswered{Node: second.Node, Request: h.handovers[2].Request, Response: HandoverResponse{Accepted: true}})
+	require.False(t, h.isHome())
+	require.Contains(t, h.sessionInputs, session.ReleaseAccount{Account: "acct", Forward: true})
+	require.True(t, h.deregistered)
+}
+
+// Guards against a stop that waits for a handover which gets no answer, and against requests
+// that are held beyond it.
+func TestUnansweredHandoverEndsTheRegistration(t *testing.T) {
+	for _, answers := range []int{0, 1, 2, 3} {
+		h := newHarness(t)
+		h.handle(LeaseUpdated{Until: h.now.Add(10 * time.Second), Lease: 7})
+		h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 50}}}})
+		h.handle(StopRequested{})
+		steps := []func(){
+			func() {
+				in := h.handovers[0]
+				in.Response = HandoverResponse{Accepted: true, Lease: 9}
+				h.handle(in)
+			},
+			func() { h.handle(SessionReport{Report: session.AccountHeld{Account: "acct"}}) },
+			func() { h.handle(HomeTransferred{Account: "acct"}) },
+		}
+		for _, step := range steps[:answers] {
+			step()
+		}
+		h.advance(handoverAskTimeout*handoverCandidates + handoverRecordTimeout)
+		require.True(t, h.deregistered, "%d answers", answers)
+		holds, releases := 0, 0
+		for _, in := range h.sessionInputs {
+			switch in.(type) {
+			case session.HoldAccount:
+				holds++
+			case session.ReleaseAccount:
+				releases++
+			}
+		}
+		require.Equal(t, min(answers, 1), holds, "%d answers", answers)
+		require.Equal(t, holds, releases, "%d answers", answers)
+		// After the write was sent, this instance must not act as the home any more.
+		require.Equal(t, answers < 2, h.e.homes.isLocal("acct"), "%d answers", answers)
+	}
+}
+
+// transferRegistry records under which lease a home is claimed.
+type transferRegistry struct {
+	leaseRegistry
+	holder Instance
+	lease  Lease
+}
+
+func (r *transferRegistry) ClaimHome(_ context.Context, _ HomeClaim, holder Instance, lease Lease) error {
+	r.holder, r.lease = holder, lease
+	return ErrConflict
+}
+
+// Guards against a record that names the successor under the lease of the old home, and
+// against an outcome that is not reported.
+func TestTransferIsBoundToTheSuccessorsLease(t *testing.T) {
+	registry := &transferRegistry{}
+	var delivered []Input
+	deliver := func(in Input) bool { delivered = append(delivered, in); return true }
+	r := NewRegistrar(registry, Instance{Node: "self"}, RegistrarBounds{TTL: 12 * time.Second, ResponseTimeout: time.Second}, deliver, func(LogEvent) {})
+	successor := Successor{Instance: Instance{Node: "a", ID: core.InstanceID("a-1")}, Lease: 9}
+	r.claim(HomeClaim{Account: "acct", Replaces: 50, Successor: successor})
+	require.Equal(t, successor.Instance, registry.holder)
+	require.Equal(t, Lease(9), registry.lease)
+	require.Len(t, delivered, 1)
+	require.ErrorIs(t, delivered[0].(HomeTransferred).Err, ErrConflict)
+}
