--- a/pkg/fleet/crowd_sim_node_test.go
+++ b/pkg/fleet/crowd_sim_node_test.go
@@ -285,3 +285,11 @@
 	}
 	return true
 }
+
+// RequestHandover implements Outputs.
+func (n *crowdNode) RequestHandover(Instance, HandoverRequest) {}
+
+// AnswerHandover implements Outputs.
+func (n *crowdNode) AnswerHandover(any, HandoverResponse) {}
+
+func (o crowdSessionOutputs) LogMemberPace(session.MemberPace) {}
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -93,6 +93,7 @@
 	feed             feed
 	sourceSelector   sourceSelector
 	homes            homes
+	handovers        handovers
 
 	// These chart states are compared with in code.
 	settledState  chart.State
@@ -126,6 +127,8 @@
 	Instance   *chart.Definition
 	Succession *chart.Definition
 	News       *chart.Definition
+	// HomeHandover may be nil: homes then end with the registration.
+	HomeHandover *chart.Definition
 }
 
 // New returns an engine. It returns the chart loader's error if a chart does not
@@ -171,6 +174,9 @@
 		return nil, err
 	}
 	e.homes.init(e)
+	if err := e.handovers.load(e, charts.HomeHandover); err != nil {
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -212,10 +218,16 @@
 	case ConfigurationReceived:
 		e.configurationReceived(in.Configuration)
 	case LeaseUpdated:
-		e.homes.leaseUntil = in.Until
+		e.homes.leaseUntil, e.handovers.lease = in.Until, in.Lease
 		if e.configuration != nil {
 			e.publishHomes()
 		}
+	case HandoverRequested:
+		e.handovers.requested(in)
+	case HandoverAnswered:
+		e.handovers.answered(in)
+	case HomeTransferred:
+		e.handovers.transferred(in)
 	case JobDone:
 		e.jobDone(&in)
 	case Inspect:
@@ -274,6 +286,8 @@
 		}
 	case session.MemberResponded:
 		e.memberResponded(r.Member)
+	case session.AccountHeld:
+		e.handovers.held(r)
 	case session.TermObserved:
 		e.termObserved(r.Database, r.Term)
 	}
--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -123,6 +123,7 @@
 		Homes:         []Home{{Account: "acct", Node: "n9", Instance: "n9-1", Revision: 301}},
 		Successions:   []Succession{{Group: "g", Revoked: "r1", Promoted: "p", Revision: 302}},
 		Terms:         []GroupTerm{{Group: "g", Term: 4}},
+		Evacuations:   []core.Domain{"d"},
 		Revision:      310,
 	}
 	fields := reflect.ValueOf(*want)
--- a/pkg/fleet/storeload_world_test.go
+++ b/pkg/fleet/storeload_world_test.go
@@ -659,3 +659,6 @@
 func (n *loadNode) SetReady(bool)                                                               {}
 func (n *loadNode) Finish()                                                                     {}
 func (n *loadNode) Log(LogEvent)                                                                {}
+
+func (n *loadNode) RequestHandover(Instance, HandoverRequest) {}
+func (n *loadNode) AnswerHandover(any, HandoverResponse)      {}
--- a/pkg/session/evacuation_test.go
+++ b/pkg/session/evacuation_test.go
@@ -233,6 +233,7 @@
 	h.do(TargetClosed{Target: unsent, Unsent: true})
 	h.requireRefused(core.ReasonNoPrimary, core.OutcomeNotRun)
 	h.evacuationView(false)
+	h.wait(time.Second) // the pacer delays statements after a refusal
 	h.e.entries["entry"].definition.Idempotent = true
 	h.sendClassified(3, "write", write)
 	sent := h.lastSent().Target
--- a/pkg/session/memberpace.go
+++ b/pkg/session/memberpace.go
@@ -51,6 +51,11 @@
 	return p
 }
 
+// paced reports whether the members have pacers.
+func (db *database) paced() bool {
+	return len(db.members) > 0 && db.members[0].pace != nil
+}
+
 // pacePhase returns a number from 0 to 1 that differs from instance to instance:
 // no two create the state of a member at the same nanosecond.
 func pacePhase(id core.MemberID, now time.Time) float64 {
