--- a/pkg/fleet/crowd_sim_world_test.go
+++ b/pkg/fleet/crowd_sim_world_test.go
@@ -15,7 +15,8 @@
 )
 
 // crowdWorld runs the fleet and session engines of many instances in virtual time against
-// one primary with a few slots and a queue.
+// one primary with a few slots and a queue. The order of Go's maps
+// makes two runs with the same seed differ a little.
 type crowdWorld struct {
 	t      testing.TB
 	rng    *rand.Rand
--- a/pkg/session/keyschedule_world_test.go
+++ b/pkg/session/keyschedule_world_test.go
@@ -15,7 +15,8 @@
 // keyWorld runs two engines in virtual time: the home of an account, and an instance whose
 // callers' requests are relayed to it. Configurations withdraw and restore keys while
 // requests run. It models the callers, the members and the calls between the instances, and
-// records each broken guarantee as a violation.
+// records each broken guarantee as a violation. The order of Go's maps
+// makes two runs with the same seed differ a little.
 type keyWorld struct {
 	t          testing.TB
 	rng        *rand.Rand
