--- a/standin/e2e/hosted_evacuation_test.go
+++ b/standin/e2e/hosted_evacuation_test.go
@@ -26,6 +26,26 @@
 	return time.Now().Add(evacuationBound)
 }
 
+// keepStoreChanging writes a key that nothing reads five times a second until the test
+// ends. Instances count an evacuation from their previous read of the store; without other
+// changes that may be seconds back, and members would be left long before the bound.
+func (f *hostedFleet) keepStoreChanging() {
+	done := make(chan struct{})
+	f.t.Cleanup(func() { close(done) })
+	go func() {
+		ticker := time.NewTicker(200 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				f.store.put("other/tick", "")
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
 // requireEvacuated watches the members of the failure domains after the bound.
 func (f *hostedFleet) requireEvacuated(end time.Time, domains ...string) {
 	time.Sleep(time.Until(end.Add(evacuationWatch)))
@@ -48,6 +68,7 @@
 		m.domain = fmt.Sprintf("z%d", i)
 		m.register()
 	}
+	f.keepStoreChanging()
 	l := f.startLoad(8)
 	time.Sleep(time.Second)
 
