Leave the replaced primary out of the survey of evacuated replicas

Where the old primary steps down before the promotion, it is a replica of the evacuated domain at the survey, and its log may be ahead with what was not acknowledged. The change waited for that until the evacuation ended. Its own log is not asked any more; the new test fails without the change.

--- a/pkg/fleet/evacuation.go
+++ b/pkg/fleet/evacuation.go
@@ -195,11 +195,13 @@
 }
 
 // evacuatedReplicas returns the replicas of the group that may not be promoted because
-// of an evacuation.
-func (e *Engine) evacuatedReplicas(group core.DatabaseName) []Target {
+// of an evacuation. The member that is replaced is none of them: it is a replica once it has
+// stepped down, and what it alone has received was not acknowledged.
+func (p *primaryChange) evacuatedReplicas() []Target {
+	e, replaced := p.e, p.replaced().Member
 	var targets []Target
-	for _, m := range e.groups[group] {
-		if !m.dead && e.evacuated(m) && e.effectiveRole(m) != core.RolePrimary {
+	for _, m := range e.groups[p.group] {
+		if !m.dead && m.Member != replaced && e.evacuated(m) && e.effectiveRole(m) != core.RolePrimary {
 			targets = append(targets, m.target())
 		}
 	}
--- a/pkg/fleet/evacuation_test.go
+++ b/pkg/fleet/evacuation_test.go
@@ -355,6 +355,23 @@
 	require.Equal(t, 1, h.countLogged("promotion_waits"))
 }
 
+// Guards against a change that waits for the old primary's own log: where it steps down
+// before the promotion, it is a replica of the evacuated domain then, and may be ahead.
+func TestSurveyWithoutTheEvacuatedOldPrimary(t *testing.T) {
+	h := newEvacuationHarness(t)
+	c := configuration(2)
+	c.Groups[0].SyncReplicas = 1
+	h.handle(StoreChanges{Changes: []Change{{Configuration: c}, {EvacuatedDomain: "zp"}}, Since: h.now})
+	h.advance(time.Duration(maxRank+1) * rankDelay)
+	claim := h.lastJob()
+	h.announceMember(h.announceIn("p", core.RoleReplica))
+	h.handle(JobDone{Job: claim, Claim: Claim{Group: "g", Holder: "self-1", Token: 5}})
+	require.Equal(t, JobSurvey, h.lastJob().Kind)
+	for _, target := range h.lastJob().Targets {
+		require.NotEqual(t, core.MemberID("p"), target.Member)
+	}
+}
+
 // Guards against an evacuation of a domain that does not exist and that has an effect, or
 // is logged repeatedly or not at all.
 func TestEvacuationOfAnUnknownDomain(t *testing.T) {
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -212,7 +212,7 @@
 func (p *primaryChange) requestSurvey() {
 	j := Job{Kind: JobSurvey, Group: p.group, Targets: p.e.promotionCandidates(p.group)}
 	if p.needsEvacuated() {
-		j.Targets = append(j.Targets, p.e.evacuatedReplicas(p.group)...)
+		j.Targets = append(j.Targets, p.evacuatedReplicas()...)
 	}
 	if p.e.syncReplicas(p.group) > 0 && !p.planned {
 		j.Term = p.term + 1
