--- a/pkg/fleet/primary_sim_evacuation_test.go
+++ b/pkg/fleet/primary_sim_evacuation_test.go
@@ -66,7 +66,7 @@
 // Guards against an acknowledged write that is lost, and against writes to an evacuated
 // member after the bound, when evacuations are requested and withdrawn during changes of
 // primary, cuts, pauses, crashes and restarts. SIM_SEEDS sets the number of seeds. The test
-// fails if sendUntil and withdrawn use 1.5 times the bound.
+// fails if evacuationEndFraction is 1.5.
 func TestEvacuationsUnderFaults(t *testing.T) {
 	promotions, acknowledged := 0, 0
 	for seed := range simSeeds(t, 60) {
