Close the connections of a partition once the homes respond again

An instance now closes connections of accounts whose home responds after half a second without use. TestSubstituteConnectionsCloseOnceTheHomeResponds fails without the change.

--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -219,6 +219,7 @@
 		Accounts:    make(map[core.AccountName]float64, len(e.accounts)),
 		Connections: make(map[core.DatabaseName]int, len(e.databases)),
 	}
+	e.closeSubstituteConnections()
 	demand.Isolated = e.isolatedAccounts()
 	demand.UnresponsiveHomes, demand.HomesUsed = e.unresponsiveHomes()
 	for name, a := range e.accounts {
--- a/pkg/session/connectionrelease.go
+++ b/pkg/session/connectionrelease.go
@@ -107,3 +107,35 @@
 		}
 	}
 }
+
+// substituteIdleTime is how long a connection of an account whose home is elsewhere may be
+// unused. It is longer than the silence after which a home counts as lost, so that short
+// interruptions do not open and close connections.
+const substituteIdleTime = 500 * time.Millisecond
+
+// closeSubstituteConnections closes unused connections of accounts whose requests run at
+// another instance: this instance opened them while it could not reach the home, or was
+// the home before. The members' connections are divided among the homes, and would run
+// out after a partition of the instances.
+func (e *Engine) closeSubstituteConnections() {
+	if !e.cfg.AsyncReplication {
+		return
+	}
+	for _, t := range e.targets {
+		if t.isIdle() && e.now.Sub(t.lastUsed) >= substituteIdleTime && e.runsElsewhere(t.account) {
+			e.metrics.ConnectionsReleased++
+			t.fire(e.charts.onTarget.retire)
+		}
+	}
+}
+
+// runsElsewhere reports whether the account's requests run at another instance, which
+// responds.
+func (e *Engine) runsElsewhere(account core.AccountName) bool {
+	home, known := e.homes[account]
+	if !known || home.Local {
+		return false
+	}
+	p := e.peers[home.Address]
+	return p == nil || !p.lost
+}
--- a/pkg/session/connectionrelease_test.go
+++ b/pkg/session/connectionrelease_test.go
@@ -97,3 +97,33 @@
 	h.do(ReleaseConnectionRequested{Member: "m0"})
 	require.Contains(t, h.targets, TargetClose{Target: used})
 }
+
+// Guards against members that stay at their connection limit after a partition of the
+// instances: each instance kept the connections that it had opened while it could not
+// reach the accounts' homes, and the homes waited for one until their deadlines.
+func TestSubstituteConnectionsCloseOnceTheHomeResponds(t *testing.T) {
+	h := newAsyncHarness(t)
+	h.open(1, core.Position{})
+	h.do(HomesUpdate{Homes: map[core.AccountName]Home{"acct": {Local: true}}})
+	h.sendClassified(1, "write", write)
+	used := h.lastSent().Target
+	h.primaryAnswers(used, TxIdle, position(1, 120))
+	idle := h.e.targets[used]
+	h.e.now = idle.lastUsed.Add(substituteIdleTime)
+	h.e.closeSubstituteConnections()
+	require.True(t, idle.isIdle(), "the home keeps its connections")
+
+	h.e.homes["acct"] = Home{Address: "10.0.0.2:1"}
+	home := h.e.peer("10.0.0.2:1")
+	home.lost = true
+	h.e.closeSubstituteConnections()
+	require.True(t, idle.isIdle(), "the home does not respond")
+
+	home.lost = false
+	h.e.now = idle.lastUsed.Add(substituteIdleTime - time.Millisecond)
+	h.e.closeSubstituteConnections()
+	require.True(t, idle.isIdle(), "it was used shortly before")
+	h.e.now = idle.lastUsed.Add(substituteIdleTime)
+	h.e.reportDemand()
+	require.False(t, idle.isIdle())
+}
