A feeder that leaves the first one reads the store without a wait in each case

Cause: the engine's answer to a failed feeder cancelled the first read of the store, and the read after it waited for up to 1 s; the followers' news became old meanwhile. Change: the read is repeated without a wait until one succeeds.

--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -55,8 +55,8 @@
 	// whether this instance itself reaches the store decides whether it is isolated.
 	feeders     feederHealth
 	checkFailed bool
-	// refresh is set when this instance has become a feeder: the engine does not know yet
-	// how old its news are.
+	// refresh is set when the next read of the store must not wait: this instance has
+	// become a feeder or has left its own, and does not know how old its news are.
 	refresh bool
 	// now and random are the clock and a random number below a limit; tests replace
 	// them.
@@ -308,14 +308,7 @@
 // and asks the store instead.
 func (w *Watcher) nextChanges() (StoreChanges, error) {
 	if w.assigned.Feeder == "" {
-		wait := w.bounds.Wait
-		switch {
-		case w.refresh:
-			w.refresh, wait = false, 0
-		case w.assigned.Feeding:
-			wait = w.bounds.Feed
-		}
-		return w.watchStore(wait)
+		return w.nextFromStore()
 	}
 	changes, err := w.nextFromFeeders()
 	if err == nil || w.ctx.Err() != nil || w.rechecking.Load() || w.reassigned.Load() {
@@ -336,7 +329,21 @@
 		// All followers of the feeders may notice their failure at the same time.
 		w.pause(w.jitter(fallbackSpread))
 	}
-	return w.watchStore(0)
+	return w.nextFromStore()
+}
+
+// nextFromStore waits for the next changes from the store.
+func (w *Watcher) nextFromStore() (StoreChanges, error) {
+	wait := w.bounds.Wait
+	switch {
+	case w.refresh:
+		wait = 0
+	case w.assigned.Feeding:
+		wait = w.bounds.Feed
+	}
+	changes, err := w.watchStore(wait)
+	w.refresh = w.refresh && err != nil
+	return changes, err
 }
 
 // watchStore asks the store for the changes and waits for them up to the given time.
--- a/pkg/fleet/watchfeeders.go
+++ b/pkg/fleet/watchfeeders.go
@@ -93,6 +93,7 @@
 	w.deliver(FeederFailed{Feeder: w.assigned.Feeder, Reason: reason})
 	w.assigned = ChangeSource{Feeding: w.assigned.Feeding}
 	w.feeders = feederHealth{}
+	w.refresh = true
 }
 
 // awaitFeeder pauses before the next request to feeders that are not ready. It returns
