--- a/pkg/fleet/registrar.go
+++ b/pkg/fleet/registrar.go
@@ -90,7 +90,10 @@
 		}
 		if !clock.Now().Before(r.renewAt) {
 			r.renewAt = clock.Now().Add(r.bounds.RenewInterval)
-			r.logFailure(r.renewOrRegister())
+			if err := r.renewOrRegister(); err != nil {
+				r.renewAt = clock.Earlier(r.renewAt, clock.Now().Add(r.bounds.RenewInterval/2))
+				r.logFailure(err)
+			}
 		}
 		if claim, ok := r.claims.Pop(); ok {
 			r.claim(claim)
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -101,11 +101,12 @@
 	// storeBatchDelay is how long changes that nothing waits for are collected into
 	// one batch.
 	storeBatchDelay = 250 * time.Millisecond
-	// leaseTTL is longer than a store outage of 9 s, and leaseRenewInterval leaves time
-	// for several attempts. leaseSafetyMargin covers the latency of a late renewal and
-	// clock drift.
-	leaseTTL           = 12 * time.Second
-	leaseRenewInterval = 1500 * time.Millisecond
+	// leaseTTL is longer than a store outage of 9 s that begins just before a renewal.
+	// Most calls of a calm fleet are renewals, every leaseRenewInterval; after a failure
+	// the next attempt follows sooner. leaseSafetyMargin covers the latency of a late
+	// renewal and clock drift.
+	leaseTTL           = 13500 * time.Millisecond
+	leaseRenewInterval = 3 * time.Second
 	leaseSafetyMargin  = 1500 * time.Millisecond
 	// platformCallTimeout bounds one call to the store or the platform.
 	platformCallTimeout = time.Second
