--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 )
 
@@ -21,6 +22,12 @@
 	dead bool
 	// statusPending is set while a check of the suspected member is in progress.
 	statusPending bool
+	// justStartedUntil is the time until which the member counts as just started, and
+	// coldUntil the time until which it warms up; zero if it does not.
+	justStartedUntil time.Time
+	coldUntil        time.Time
+	// liveness is the state of that check, and the evidence of the last one.
+	liveness livenessCheck
 }
 
 // updateMember applies an announcement. One older than the known announcement is
@@ -40,6 +47,7 @@
 		}})
 	}
 	m.dead = m.dead && a.Revision == m.Revision
+	e.recordStart(m, a)
 	moved := m.Group != a.Group
 	if moved {
 		e.leaveGroup(m)
@@ -68,6 +76,50 @@
 	}
 }
 
+// justStartedTime is how long a member counts as just started after its announcement
+// said so.
+const justStartedTime = 10 * time.Second
+
+// recordStart records until when the member counts as just started and warms up. An
+// announcement that is read again does not move these times forward.
+func (e *Engine) recordStart(m *member, a *Announcement) {
+	restarted := !m.Started.Equal(a.Started)
+	if restarted {
+		m.justStartedUntil, m.coldUntil = time.Time{}, time.Time{}
+	}
+	if restarted && a.JustStarted {
+		m.justStartedUntil = e.now.Add(justStartedTime)
+		m.coldUntil = e.now.Add(e.warmupOf(a.Group))
+	}
+	if a.WarmupLeft > 0 && (m.coldUntil.IsZero() || a.Revision > m.Revision) {
+		m.coldUntil = e.now.Add(a.WarmupLeft)
+	}
+}
+
+// warmupOf returns how long the group's members warm up after their start.
+func (e *Engine) warmupOf(group core.DatabaseName) time.Duration {
+	if e.configuration == nil {
+		return 0
+	}
+	for i := range e.configuration.Groups {
+		if g := &e.configuration.Groups[i]; g.Name == group {
+			return g.Warmup
+		}
+	}
+	return 0
+}
+
+// announcementOf returns the member's announcement as a follower should apply it now.
+func (e *Engine) announcementOf(m *member) Announcement {
+	a := m.Announcement
+	a.JustStarted = e.now.Before(m.justStartedUntil)
+	a.WarmupLeft = max(m.coldUntil.Sub(e.now), 0)
+	if m.coldUntil.IsZero() {
+		a.WarmupLeft = 0
+	}
+	return a
+}
+
 // removeMember removes a member whose announcement was deleted. During the grace
 // period after a store outage the lease of a running member may have ended, so it
 // is only marked missing and can announce itself again.
@@ -115,7 +167,8 @@
 func (e *Engine) armSweep() {
 	next := earliestFuture(time.Time{}, e.reannounceDeadline(), e.now)
 	for _, m := range e.members {
-		next = earliestFuture(next, e.unusableAt(m), e.now)
+		next = earliestFuture(next, e.workEnd(m), e.now)
+		next = earliestFuture(next, e.sendUntil(m), e.now)
 	}
 	if !next.IsZero() {
 		e.timers.Arm(&e.sweepTimer, next)
@@ -131,23 +184,26 @@
 	return at
 }
 
-// unusableAt returns when a draining or missing member stops being used, the zero
-// time for other members.
-func (e *Engine) unusableAt(m *member) time.Time {
-	if m.missing {
-		return e.reannounceDeadline()
+// workEnd returns when a member that drains or whose failure domain is evacuated stops
+// getting new work, the zero time for other members. If both apply, the earlier time
+// counts.
+func (e *Engine) workEnd(m *member) time.Time {
+	end := e.evacuationWorkEnd(m)
+	if !m.Draining {
+		return end
 	}
-	if m.Draining {
-		return m.drainingSince.Add(e.config.Limits.TargetDrain)
+	drained := m.drainingSince.Add(e.config.Limits.TargetDrain)
+	if end.IsZero() {
+		return drained
 	}
-	return time.Time{}
+	return clock.Earlier(end, drained)
 }
 
 // sweep drops the missing members and instances whose grace period is over, and
 // publishes the members that are still usable.
 func (e *Engine) sweep() {
 	for _, m := range e.members {
-		if m.missing && !e.storeLost && !e.now.Before(e.unusableAt(m)) {
+		if m.missing && !e.storeLost && !e.now.Before(e.reannounceDeadline()) {
 			e.dropMember(m)
 		}
 	}
@@ -159,13 +215,8 @@
 // usable reports whether the member may get new work. A draining member stays
 // usable until its deadline: a group of three has no spare capacity.
 func (e *Engine) usable(m *member) bool {
-	if m.dead {
-		return false
-	}
-	if !m.Draining {
-		return true
-	}
-	return e.now.Before(e.unusableAt(m))
+	end := e.workEnd(m)
+	return !m.dead && (end.IsZero() || e.now.Before(end))
 }
 
 // effectiveRole returns the announced role, or replica for a primary that is dead or that
--- a/pkg/fleet/members_test.go
+++ b/pkg/fleet/members_test.go
@@ -24,3 +24,33 @@
 	h.advance(3100 * time.Millisecond)
 	require.False(t, h.usable("r1"))
 }
+
+// Guards against a warm-up that starts again whenever the same announcement is read, and
+// against one that a follower does not learn from its feeder.
+func TestWarmupEndsOnce(t *testing.T) {
+	h := newHarness(t)
+	r := h.announce("r1", core.RoleReplica)
+	r.Started = time.UnixMilli(5_000)
+	r.JustStarted, r.WarmupLeft = true, 2*time.Second
+	h.announceMember(r)
+	end := h.now.Add(2 * time.Second)
+	m := h.e.members["r1"]
+	require.Equal(t, end, m.coldUntil)
+	h.advance(time.Second)
+	h.handle(StoreChanges{Changes: []Change{{Revision: m.Revision, Member: &m.Announcement}}})
+	require.Equal(t, end, h.e.members["r1"].coldUntil)
+	for _, a := range h.e.recordsSnapshot(1).Members {
+		if a.Member == "r1" {
+			require.Equal(t, time.Second, a.WarmupLeft)
+			require.True(t, a.JustStarted)
+		}
+	}
+}
+
+// Guards against a follower that uses the members of an evacuated failure domain because
+// it took everything from a feeder.
+func TestSnapshotOfAFeederHasTheEvacuations(t *testing.T) {
+	h := newHarness(t)
+	h.handle(StoreChanges{Changes: []Change{{Revision: 90, EvacuatedDomain: "b"}}})
+	require.Equal(t, []core.Domain{"b"}, h.e.recordsSnapshot(90).Evacuations)
+}
--- a/pkg/fleet/primary_change.go
+++ b/pkg/fleet/primary_change.go
@@ -23,7 +23,9 @@
 	reason  string
 	old     core.MemberID
 	planned bool
-	claim   Claim
+	// evidence is why the old primary was declared dead, empty if it was not.
+	evidence string
+	claim    Claim
 	// candidate is the replica with the most advanced log in the last survey.
 	candidate MemberState
 	// surveyed holds the states of the replicas that responded to the last survey.
@@ -110,7 +112,12 @@
 	}
 	event := table.Event
 	e.primaryChangeTable = table
-	e.settledState, e.revokingState = table.StateID("settled"), table.StateID("revoking")
+	e.settledState, e.standbyState = table.StateID("settled"), table.StateID("standby")
+	e.revokingState, e.awaitingState = table.StateID("revoking"), table.StateID("awaiting")
+	e.changeUnderWay = map[chart.State]bool{}
+	for _, name := range []string{"demoting", "recording", "revoking", "surveying", "resurveying", "ordering", "awaiting"} {
+		e.changeUnderWay[table.StateID(name)] = true
+	}
 	e.primaryChangeEvents = primaryChangeEvents{
 		needed: event("needed"), settled: event("settled"), claimed: event("claimed"),
 		claimFailed: event("claim_failed"), surveyed: event("surveyed"), surveyFailed: event("survey_failed"),
@@ -176,12 +183,15 @@
 	if p.state == e.settledState {
 		p.neededAt = e.now
 		p.claimedAt, p.surveyedAt, p.orderedAt = time.Time{}, time.Time{}, time.Time{}
-		p.candidate = MemberState{}
+		p.candidate, p.evidence = MemberState{}, ""
 		e.out.Log(LogEvent{Warning: true, Event: "primary_needed", Message: reason, Fields: map[string]any{
-			"group": p.group, "old": old, "planned": planned, "turn": e.rankOf(p.group),
+			"group": p.group, "old": old, "planned": planned, "turn": e.rankOf(p.group), "evidence": e.deathEvidenceOf(old),
 		}})
 	}
 	p.reason, p.old, p.planned = reason, old, planned
+	if evidence := e.deathEvidenceOf(old); evidence != "" {
+		p.evidence = evidence
+	}
 	p.fire(e.primaryChangeEvents.needed)
 }
 
@@ -206,6 +216,9 @@
 // that the old primary can acknowledge nothing after the survey.
 func (p *primaryChange) requestSurvey() {
 	j := Job{Kind: JobSurvey, Group: p.group, Targets: p.e.promotionCandidates(p.group)}
+	if p.needsEvacuated() {
+		j.Targets = append(j.Targets, p.evacuatedReplicas()...)
+	}
 	if p.e.syncReplicas(p.group) > 0 && !p.planned {
 		j.Term = p.term + 1
 	}
@@ -213,11 +226,11 @@
 }
 
 // promotionCandidates returns the replicas that may be promoted. Draining ones are
-// returned only if there are no others.
+// returned only if there are no others, those of evacuated failure domains never.
 func (e *Engine) promotionCandidates(group core.DatabaseName) []Target {
 	var ready, draining []Target
 	for _, m := range e.groups[group] {
-		if m.dead || e.effectiveRole(m) == core.RolePrimary {
+		if m.dead || e.evacuated(m) || e.effectiveRole(m) == core.RolePrimary {
 			continue
 		}
 		if m.Draining {
@@ -293,6 +306,25 @@
 	case JobRecordTerm:
 		p.observeStates(d.States)
 	}
+	if p.planned && p.state == e.standbyState {
+		// The change may have become needless while it was under way.
+		e.reviewGroup(&Group{Name: p.group})
+	}
+}
+
+// underWay reports whether the change has begun to act on members.
+func (p *primaryChange) underWay() bool { return p.e.changeUnderWay[p.state] }
+
+// replaces reports whether a planned change that replaces the primary has to be
+// completed although it has become needless: without its last step, the step-down of the
+// old primary, a promotion that was requested could lose commits.
+func (p *primaryChange) replaces(primary *member) bool {
+	return p.planned && p.old == primary.Member && p.underWay()
+}
+
+// hasPromoted reports whether the primary is the one that this change has promoted.
+func (p *primaryChange) hasPromoted(primary *member) bool {
+	return p.state == p.e.awaitingState && p.candidate.Member == primary.Member
 }
 
 func (p *primaryChange) claimDone(d *JobDone) {
@@ -317,7 +349,7 @@
 		p.fire(p.e.primaryChangeEvents.surveyFailed)
 		return
 	}
-	p.candidate = mostAdvanced(d.States)
+	p.candidate = p.electCandidate(d.States)
 	p.surveyedAt = p.e.now
 	p.fire(p.e.primaryChangeEvents.surveyed)
 }
@@ -348,7 +380,7 @@
 func (p *primaryChange) promotionDone(d *JobDone) {
 	p.orderedAt = p.e.now
 	p.e.out.Log(LogEvent{Event: "promotion_ordered", Message: "promotion requested", Fields: map[string]any{
-		"group": p.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": p.reason,
+		"group": p.group, "member": d.Job.Targets[0].Member, "token": d.Job.Claim.Token, "reason": p.reason, "evidence": p.evidence,
 		"position": p.candidate.Received.String(), "answered": len(p.surveyed), "failed": d.Err != nil,
 	}})
 	switch {
@@ -366,7 +398,7 @@
 func (p *primaryChange) logPrimaryChange() {
 	e := p.e
 	e.out.Log(LogEvent{Warning: true, Event: "primary_changed", Message: "the group has a new primary", Fields: map[string]any{
-		"group": p.group, "reason": p.reason, "old": p.old, "candidate": p.candidate.Member,
+		"group": p.group, "reason": p.reason, "evidence": p.evidence, "old": p.old, "candidate": p.candidate.Member,
 		"claim_ms":    stepMillis(p.neededAt, p.claimedAt),
 		"survey_ms":   stepMillis(p.claimedAt, p.surveyedAt),
 		"order_ms":    stepMillis(p.surveyedAt, p.orderedAt),
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -45,7 +45,7 @@
 		Entries:         e.configuration.Entries,
 	}
 	for _, g := range e.configuration.Groups {
-		db := catalogue.Database{Name: g.Name, Connections: g.MemberConnections, State: catalogue.DatabaseActive}
+		db := catalogue.Database{Name: g.Name, Connections: g.MemberConnections, WarmupPerSecond: g.WarmupPerSecond, State: catalogue.DatabaseActive}
 		for _, m := range e.groups[g.Name] {
 			db.Members = append(db.Members, catalogue.Member{ID: m.Member, Address: m.Address, Domain: m.Domain, Slots: m.Slots})
 		}
@@ -56,12 +56,17 @@
 
 // view returns the state of the members of one group.
 func (e *Engine) view(db *catalogue.Database) session.GroupView {
-	view := session.GroupView{Database: db.Name}
+	view := session.GroupView{Database: db.Name, PrimaryWithheld: e.primaryWithheld(db.Name)}
 	for i := range db.Members {
 		m := e.members[db.Members[i].ID]
 		view.Members = append(view.Members, session.MemberView{
 			Status:      core.MemberStatus{Member: m.Member, Role: e.effectiveRole(m)},
 			Reachable:   e.usable(m),
+			Withdrawn:   e.withdrawn(m),
+			SendUntil:   e.sendUntil(m),
+			Started:     m.Started,
+			JustStarted: e.now.Before(m.justStartedUntil),
+			ColdUntil:   m.coldUntil,
 			Announced:   uint64(m.Revision),
 			RespondedAt: e.now,
 		})
--- a/pkg/instance/hostedbuild.go
+++ b/pkg/instance/hostedbuild.go
@@ -130,7 +130,8 @@
 	h.fleetDuty.writers = []outputWriter{out.session}
 	h.feedClient = newFeedClient(h.rpc)
 	h.watcher = fleet.NewWatcher(h.newStore(), h.feedClient, fleet.WatcherBounds{
-		Wait: storeWatchWait, Feed: feedWatchWait, ResponseTimeout: storeResponseTimeout, RetryInterval: storeRetryDelay, BatchDelay: storeBatchDelay,
+		Wait: storeWatchWait, Feed: feedWatchWait, ResponseTimeout: storeResponseTimeout,
+		RetryInterval: storeRetryDelay, MaxRetryDelay: storeMaxRetryDelay, BatchDelay: storeBatchDelay,
 	}, h.deliverFleet)
 	h.registrar = fleet.NewRegistrar(h.newStore(), h.self, fleet.RegistrarBounds{
 		TTL: leaseTTL, RenewInterval: leaseRenewInterval, ResponseTimeout: platformCallTimeout, Margin: leaseSafetyMargin,
@@ -151,12 +152,12 @@
 	return primaryLeaseTime
 }
 
-// newStore returns a store client for one duty; a changed store address reaches
-// all of them.
-func (h *Hosted) newStore() *platform.Store {
+// newStore returns a store client for one duty, whose calls are counted; a changed
+// store address reaches all of them.
+func (h *Hosted) newStore() fleet.StoreClient {
 	store := platform.NewStore(h.settings.StoreAddress, h.logSkippedValue)
 	h.stores = append(h.stores, store)
-	return store
+	return h.storeCalls.Count(store)
 }
 
 // buildReadyServer binds the address of the readiness probe.
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -67,12 +67,17 @@
 	dispatchQueue []*member
 	// pendingReports holds the databases with reports that found control's ring
 	// full.
-	pendingReports    []*database
-	targetStates      targetStates
-	keysValidUntil    time.Time
-	stopping          bool
-	stop              stopState
-	primaryLease      primaryLease
+	pendingReports []*database
+	targetStates   targetStates
+	keysValidUntil time.Time
+	stopping       bool
+	stop           stopState
+	primaryLease   primaryLease
+	// nextWithdrawal is the earliest end of sending of a member that is not withdrawn, zero
+	// if there is none.
+	nextWithdrawal time.Time
+	// primaryWithheld holds the databases with GroupView.PrimaryWithheld.
+	primaryWithheld   map[core.DatabaseName]bool
 	demandTimer       timer
 	pendingAdmissions pendingAdmissions
 	demandSince       time.Time
@@ -129,6 +134,8 @@
 		remotes:      map[RemoteID]CallerID{},
 		remoteEnds:   map[RemoteID]remoteEnd{},
 
+		primaryWithheld: map[core.DatabaseName]bool{},
+
 		transactionIdle: cfg.Bounds.TransactionIdle,
 
 		retryBudget: retry.NewBudget(cfg.RetryFraction, cfg.RetryBurst),
@@ -169,6 +176,7 @@
 		e.startDemandReports()
 	}
 	e.checkPrimaryLease()
+	e.checkWithdrawals()
 	e.handle(in)
 	e.runDispatch()
 	e.finishStop()
@@ -244,6 +252,8 @@
 		in.apply(e)
 	case KeysRevoked:
 		e.keysRevoked(in.Keys)
+	case MemberAlive:
+		e.memberAlive(in)
 	case KeysValidUntil:
 		e.keysValidUntil = in.Time
 	case PrimaryLease:
@@ -268,6 +278,7 @@
 func (e *Engine) Tick(now time.Time) {
 	e.now = now
 	e.checkPrimaryLease()
+	e.checkWithdrawals()
 	e.Flush()
 	for {
 		item, ok := e.timers.PopDue(now)
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -215,6 +215,19 @@
 	Announced uint64
 	// RespondedAt is when the status was received.
 	RespondedAt time.Time
+	// SendUntil is the time after which no request may be sent to the member, zero if
+	// there is no limit. Withdrawn is set once that time has passed: transactions that
+	// are open on the member end, and its connections close.
+	SendUntil time.Time
+	Withdrawn bool
+	// Started is when the member's process started by the member's own clock, zero
+	// if unknown; a later value shows a restart.
+	Started time.Time
+	// JustStarted is set if that was a few seconds before the announcement was read.
+	JustStarted bool
+	// ColdUntil is the time until which the bound catalogue.Database.WarmupPerSecond
+	// applies to the member; zero if it does not.
+	ColdUntil time.Time
 }
 
 // GroupView publishes the state of one database group.
@@ -225,6 +238,9 @@
 	// Primary is empty while there is none.
 	Primary core.MemberID
 	Members []MemberView
+	// PrimaryWithheld is set while no member may be used as the primary and none may
+	// become it, so that statements which need the primary are refused at once.
+	PrimaryWithheld bool
 }
 
 // FloorResult publishes the position that a majority of members held in a round
--- a/pkg/session/primary.go
+++ b/pkg/session/primary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
+	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
 // notPrimaryBackoff is the time during which a member that reported not being the
@@ -29,6 +30,9 @@
 // announcement of it arrives.
 func (db *database) updateTerm(m *member, in *TargetReady) {
 	if in.LogEnd.Term < db.term {
+		if m == db.primary {
+			db.deposeOutdated(m)
+		}
 		return
 	}
 	if in.LogEnd.Term > db.term {
@@ -38,7 +42,7 @@
 	switch {
 	case in.VerifiedPrimary && m.usableAsPrimary():
 		primary = m
-	case in.LogEnd.Term > db.term && primary != nil && primary.logEnd.Term < in.LogEnd.Term:
+	case in.LogEnd.Term > db.term && primary != nil && primary.isOlderThan(in.LogEnd.Term):
 		primary.markNotPrimary()
 		primary = db.announcedPrimary()
 	}
@@ -49,6 +53,23 @@
 	}
 }
 
+// isOlderThan reports whether the primary is one of an older term than the one that another
+// member has answered with. While no term of the group was known, the first answer of a
+// replica says nothing about a primary that has not answered yet.
+func (m *member) isOlderThan(term core.Term) bool {
+	if m.db.term == 0 && m.logEnd.IsZero() {
+		return false
+	}
+	return m.logEnd.Term < term
+}
+
+// deposeOutdated ends the work on a primary whose first answer shows an older term than the
+// group has reached, and stops using it as the primary.
+func (db *database) deposeOutdated(m *member) {
+	db.demote(m)
+	m.depose()
+}
+
 // markNotPrimary ignores the member's announcements as primary for
 // notPrimaryBackoff.
 func (m *member) markNotPrimary() {
@@ -143,11 +164,20 @@
 // rejectedByMember reports whether the member rejected the last attempt and
 // another member may be tried.
 func (s *statement) rejectedByMember() bool {
-	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < maxRejectedRetries && !s.c.e.now.After(s.deadline)
+	limit := maxRejectedRetries
+	if s.rejection == RejectionBusy && s.c.db.paced() {
+		limit = maxBusyRetries
+	}
+	return s.rejection != RejectionNone && !s.startedInTx && !s.c.inTransaction() && s.retries < limit && !s.c.e.now.After(s.deadline)
 }
 
-// maxRejectedRetries bounds the attempts of a statement that members reject.
-const maxRejectedRetries = 4
+// maxRejectedRetries bounds the attempts of a statement that members reject, and
+// maxBusyRetries those of one that finds their queues full; the pacer puts a pause
+// between these.
+const (
+	maxRejectedRetries = 4
+	maxBusyRetries     = 16
+)
 
 // recordRejection keeps later attempts away from the member for a while.
 func (m *member) recordRejection(d Rejection) {
@@ -194,7 +224,7 @@
 		return
 	}
 	idle := db.primary.idleConns
-	if len(idle) > 0 {
+	if len(idle) > 0 && db.primary.mayProbe() {
 		idle[len(idle)-1].fire(e.charts.onTarget.probed)
 	}
 }
@@ -207,6 +237,9 @@
 	if db.term > 0 || !e.cfg.AsyncReplication {
 		return
 	}
+	if len(p.idleConns) > 0 && !p.mayProbe() {
+		return
+	}
 	if len(p.idleConns) > 0 {
 		p.idleConns[len(p.idleConns)-1].fire(e.charts.onTarget.probed)
 		return
@@ -221,7 +254,7 @@
 // term is not known.
 func (db *database) learnTermFrom(t *target) {
 	waits := db.term == 0 && len(db.waiting) > 0 && t.member == db.primary
-	if waits && t.state == db.e.targetStates.idle {
+	if waits && t.state == db.e.targetStates.idle && t.member.mayProbe() {
 		t.fire(db.e.charts.onTarget.probed)
 	}
 }
@@ -234,6 +267,9 @@
 
 // probeAnswered handles the response to a probe.
 func (t *target) probeAnswered(in *TargetReady) {
+	if in.Rejection == RejectionBusy {
+		t.member.paceAnswer(pace.Answer{Kind: pace.Busy})
+	}
 	t.member.recordRejection(in.Rejection)
 	t.member.observeLogEnd(t.requestedAt, in)
 	t.fire(t.engine().charts.onTarget.readyIdle)
--- a/pkg/session/statement.go
+++ b/pkg/session/statement.go
@@ -41,8 +41,6 @@
 	startedInTx bool
 	// rejection is why the member did not run the last attempt.
 	rejection Rejection
-	// parked is set while the statement waits for a connection of its account.
-	parked bool
 	// waitsForSlot is set while a statement of a transaction waits for a slot
 	// of its member, waitsForToken while it waits for a token of its account.
 	waitsForSlot  bool
@@ -230,6 +228,7 @@
 			"placeable":                (*statement).placeable,
 			"cannot_finish_in_time":    (*statement).cannotFinishInTime,
 			"lacks_primary_access":     (*statement).lacksPrimaryAccess,
+			"all_withdrawn":            func(s *statement) bool { return s.c.db.allWithdrawn() },
 			"may_use_replica":          (*statement).mayUseReplica,
 			"falls_back_to_primary":    (*statement).fallsBackToPrimary,
 			"from_replaced_primary":    (*statement).fromReplacedPrimary,
@@ -243,9 +242,13 @@
 			"retry_on_replica":         func(s *statement) bool { return s.retryable() && s.mayUseReplica() },
 			"retryable":                (*statement).retryable,
 			"rejected_placeable":       func(s *statement) bool { return s.rejectedByMember() && s.placeable() },
+			"rejected_without_time":    func(s *statement) bool { return s.rejectedByMember() && s.cannotFinishInTime() },
 			"rejected_retryable":       (*statement).rejectedByMember,
-			"may_run_locally":          (*statement).mayRunLocally,
-			"unsent":                   func(s *statement) bool { return s.unsent },
+			// Waiting for a primary would not help.
+			"rejected_primary_withheld": func(s *statement) bool { return s.rejectedByMember() && s.primaryWithheld() },
+			"retry_primary_withheld":    func(s *statement) bool { return s.retryable() && s.primaryWithheld() },
+			"may_run_locally":           (*statement).mayRunLocally,
+			"unsent":                    func(s *statement) bool { return s.unsent },
 		},
 		Actions:  statementActions(),
 		Timeouts: b.statementTimeouts(),
@@ -292,6 +295,7 @@
 		"refuse_deadline":            (*statement).refuseDeadline,
 		"refuse_no_member":           (*statement).refuseNoMember,
 		"refuse_no_primary":          (*statement).refuseNoPrimary,
+		"refuse_evacuated":           (*statement).refuseEvacuated,
 		"refuse_cancelled":           (*statement).refuseCancelled,
 	}
 }
