Fetch a newer configuration from another instance at most every 300 ms

On a fleet with links of 2 Mbit/s and a quick succession of configurations, instances that survived the kill of half of the fleet stayed behind for up to 5 s: each forwarded request showed the newer version, and each one fetched the whole configuration again (43 failed fetches in 5 s at one instance), which kept the store's answers and the probes off its link. One fetch at a time is enough, because later requests show the version again. TestConfigurationIsFetchedOnceInAWhile fails without the change (50 requests).

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -84,7 +84,10 @@
 	// changesSince is the time after which the changes being applied were made, as
 	// in StoreSnapshot.Since.
 	changesSince time.Time
-	sweepTimer   timerq.Item[func()]
+	// configurationRequestedAt is when another instance's configuration was last requested.
+	configurationRequestedAt time.Time
+
+	sweepTimer timerq.Item[func()]
 	// publishedVersion counts the published catalogues.
 	publishedVersion uint64
 	shares           shares
@@ -274,9 +277,7 @@
 			e.pollHome(r.Address)
 		}
 	case session.NewerVersion:
-		if e.configuration == nil || r.Version > e.configuration.Version {
-			e.out.RequestConfiguration(r.Address)
-		}
+		e.requestConfiguration(r)
 	case session.PeerConnectionRefused:
 		e.homes.allowReplacement(r.Address, "the home's host refuses connections", endedReplaceWindow)
 	case session.MemberSuspected:
--- a/pkg/fleet/engine_test.go
+++ b/pkg/fleet/engine_test.go
@@ -193,6 +193,19 @@
 	require.Equal(t, []string{"x:1"}, h.requested)
 }
 
+// Guards against a configuration that is fetched again for every forwarded request that
+// shows a newer version: on a thin link the repeated transfers kept the store's answers
+// away, so that the instance stayed behind for seconds.
+func TestConfigurationIsFetchedOnceInAWhile(t *testing.T) {
+	h := newHarness(t)
+	h.handle(ConfigurationReceived{Configuration: configuration(12)})
+	for range 50 {
+		h.handle(SessionReport{Report: session.NewerVersion{Address: "x:1", Version: 13}})
+		h.advance(10 * time.Millisecond)
+	}
+	require.Len(t, h.requested, 2, "one in configurationFetchInterval")
+}
+
 // Guards against work for a draining member beyond its deadline: the change that
 // announces the draining may be read late, so the drain time counts from the
 // previous read of the store.
