--- a/pkg/fleet/crowd_sim_node_test.go
+++ b/pkg/fleet/overload_sim_node_test.go
@@ -7,38 +7,38 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// crowdNode is an instance of a crowdWorld: its fleet engine, whose Outputs it implements,
+// overloadNode is an instance of a overloadWorld: its fleet engine, whose Outputs it implements,
 // and its session engine.
-type crowdNode struct {
-	w           *crowdWorld
+type overloadNode struct {
+	w           *overloadWorld
 	name        string
 	fleet       *Engine
 	session     *session.Engine
-	connections map[session.TargetID]*crowdConnection
+	connections map[session.TargetID]*overloadConnection
 	// jobs holds the jobs of the worker, the first of which is being executed.
 	jobs []Job
 	// fleetTick and sessionTick are the times of the armed timer events.
 	fleetTick, sessionTick time.Time
 }
 
-// crowdConnection is a connection to a member.
-type crowdConnection struct {
+// overloadConnection is a connection to a member.
+type overloadConnection struct {
 	member core.MemberID
 	closed bool
 }
 
-func (n *crowdNode) handle(in Input) {
+func (n *overloadNode) handle(in Input) {
 	n.fleet.Handle(n.w.now, in)
 	n.armFleet()
 }
 
-func (n *crowdNode) handleSession(in session.Input) {
+func (n *overloadNode) handleSession(in session.Input) {
 	n.session.Handle(n.w.now, in)
 	n.armSession()
 }
 
 // armFleet schedules the engine's next timer.
-func (n *crowdNode) armFleet() {
+func (n *overloadNode) armFleet() {
 	at, ok := n.fleet.NextDeadline()
 	if !ok || n.fleetTick.Equal(at) {
 		return
@@ -54,7 +54,7 @@
 }
 
 // armSession schedules the engine's next timer.
-func (n *crowdNode) armSession() {
+func (n *overloadNode) armSession() {
 	at, ok := n.session.NextDeadline()
 	if !ok || n.sessionTick.Equal(at) {
 		return
@@ -70,10 +70,10 @@
 }
 
 // Session implements Outputs.
-func (n *crowdNode) Session(in session.Input) { n.w.after(0, func() { n.handleSession(in) }) }
+func (n *overloadNode) Session(in session.Input) { n.w.after(0, func() { n.handleSession(in) }) }
 
 // SubmitJob implements Outputs. The worker executes one job after the other.
-func (n *crowdNode) SubmitJob(j Job) bool {
+func (n *overloadNode) SubmitJob(j Job) bool {
 	n.jobs = append(n.jobs, j)
 	if len(n.jobs) == 1 {
 		n.executeJob(j)
@@ -82,7 +82,7 @@
 }
 
 // executeJob executes a status request; other jobs fail.
-func (n *crowdNode) executeJob(j Job) {
+func (n *overloadNode) executeJob(j Job) {
 	over := false
 	finish := func(err error) {
 		if over {
@@ -103,7 +103,7 @@
 	m := &n.w.member
 	reply := func(err error) { n.w.after(n.w.latency(), func() { finish(err) }) }
 	started := false
-	n.w.after(crowdStatusLimit, func() {
+	n.w.after(overloadStatusLimit, func() {
 		if m.cut {
 			finish(ErrNoResponse)
 			return
@@ -132,7 +132,7 @@
 }
 
 // RequestLiveness implements Outputs.
-func (n *crowdNode) RequestLiveness(node string, _ session.PeerAddress, subject session.LivenessSubject) {
+func (n *overloadNode) RequestLiveness(node string, _ session.PeerAddress, subject session.LivenessSubject) {
 	to := n.w.byName[node]
 	n.w.after(n.w.latency(), func() {
 		to.handleSession(session.LivenessQuery{Subject: subject, ReplyTo: func(r session.LivenessReport) {
@@ -144,7 +144,7 @@
 }
 
 // Log implements Outputs.
-func (n *crowdNode) Log(l LogEvent) {
+func (n *overloadNode) Log(l LogEvent) {
 	simLog(n.w.now, n.name, l.Event, l.Message, l.Fields)
 	if l.Event == "primary_dead" {
 		n.w.deaths = append(n.w.deaths, n.w.now.Sub(startTime))
@@ -152,29 +152,29 @@
 }
 
 // ClaimHome implements Outputs.
-func (n *crowdNode) ClaimHome(c HomeClaim) {
+func (n *overloadNode) ClaimHome(c HomeClaim) {
 	if c.Release {
 		n.w.released++
 	}
 }
 
-func (n *crowdNode) ProbeInstance(session.PeerAddress) {}
-func (n *crowdNode) RevokePrimary(string, session.PeerAddress, core.DatabaseName, core.MemberID) {
+func (n *overloadNode) ProbeInstance(session.PeerAddress) {}
+func (n *overloadNode) RevokePrimary(string, session.PeerAddress, core.DatabaseName, core.MemberID) {
 }
-func (n *crowdNode) CheckStore()                              {}
-func (n *crowdNode) Deregister()                              {}
-func (n *crowdNode) SetReady(bool)                            {}
-func (n *crowdNode) Finish()                                  {}
-func (n *crowdNode) RequestConfiguration(session.PeerAddress) {}
-func (n *crowdNode) SendConfiguration(any, *Configuration)    {}
-func (n *crowdNode) SetChangeSource(ChangeSource)             {}
-func (n *crowdNode) SendFeed(any, FeedResponse)               {}
+func (n *overloadNode) CheckStore()                              {}
+func (n *overloadNode) Deregister()                              {}
+func (n *overloadNode) SetReady(bool)                            {}
+func (n *overloadNode) Finish()                                  {}
+func (n *overloadNode) RequestConfiguration(session.PeerAddress) {}
+func (n *overloadNode) SendConfiguration(any, *Configuration)    {}
+func (n *overloadNode) SetChangeSource(ChangeSource)             {}
+func (n *overloadNode) SendFeed(any, FeedResponse)               {}
 
-// crowdSessionOutputs implements the outputs of a node's session engine.
-type crowdSessionOutputs struct{ n *crowdNode }
+// overloadSessionOutputs implements the outputs of a node's session engine.
+type overloadSessionOutputs struct{ n *overloadNode }
 
 // Caller implements session.Outputs. A caller sends its next request soon after an answer.
-func (o crowdSessionOutputs) Caller(c session.CallerCommand) bool {
+func (o overloadSessionOutputs) Caller(c session.CallerCommand) bool {
 	n, id := o.n, session.CallerID(0)
 	switch v := c.(type) {
 	case session.CallerWrite:
@@ -190,11 +190,11 @@
 }
 
 // Target implements session.Outputs.
-func (o crowdSessionOutputs) Target(c session.TargetCommand) bool {
+func (o overloadSessionOutputs) Target(c session.TargetCommand) bool {
 	n, w, m := o.n, o.n.w, &o.n.w.member
 	switch v := c.(type) {
 	case session.TargetOpen:
-		conn := &crowdConnection{member: v.Member}
+		conn := &overloadConnection{member: v.Member}
 		n.connections[v.Target] = conn
 		w.after(w.latency(), func() { n.open(v.Target, conn) })
 	case session.TargetSend:
@@ -210,7 +210,7 @@
 }
 
 // open opens the connection at the member; replicas are idle.
-func (n *crowdNode) open(id session.TargetID, conn *crowdConnection) {
+func (n *overloadNode) open(id session.TargetID, conn *overloadConnection) {
 	w, m := n.w, &n.w.member
 	opened := func() {
 		w.after(w.latency(), func() {
@@ -234,7 +234,7 @@
 }
 
 // closed reports the end of the connection.
-func (n *crowdNode) closed(id session.TargetID, conn *crowdConnection, in session.TargetClosed) {
+func (n *overloadNode) closed(id session.TargetID, conn *overloadConnection, in session.TargetClosed) {
 	if conn.member == "m0" && !in.Refused {
 		n.w.member.connections--
 	}
@@ -243,7 +243,7 @@
 }
 
 // run runs a statement or a probe on the connection.
-func (n *crowdNode) run(id session.TargetID, cost time.Duration) {
+func (n *overloadNode) run(id session.TargetID, cost time.Duration) {
 	w, conn := n.w, n.connections[id]
 	answer := func(busy bool) {
 		w.after(w.latency(), func() {
@@ -267,19 +267,19 @@
 	})
 }
 
-func (o crowdSessionOutputs) Classify(session.ClassifyRequest) bool { return true }
+func (o overloadSessionOutputs) Classify(session.ClassifyRequest) bool { return true }
 
 // Control implements session.Outputs.
-func (o crowdSessionOutputs) Control(r session.ControlReport) bool {
+func (o overloadSessionOutputs) Control(r session.ControlReport) bool {
 	o.n.w.after(0, func() { o.n.handle(SessionReport{Report: r}) })
 	return true
 }
 
-func (o crowdSessionOutputs) Span(session.Span)            {}
-func (o crowdSessionOutputs) LogDecision(session.Decision) {}
+func (o overloadSessionOutputs) Span(session.Span)            {}
+func (o overloadSessionOutputs) LogDecision(session.Decision) {}
 
 // Peer implements session.Outputs.
-func (o crowdSessionOutputs) Peer(c session.PeerCommand) bool {
+func (o overloadSessionOutputs) Peer(c session.PeerCommand) bool {
 	if report, ok := c.(session.LivenessReport); ok {
 		report.ReplyTo.(func(session.LivenessReport))(report)
 	}
@@ -287,9 +287,9 @@
 }
 
 // RequestHandover implements Outputs.
-func (n *crowdNode) RequestHandover(Instance, HandoverRequest) {}
+func (n *overloadNode) RequestHandover(Instance, HandoverRequest) {}
 
 // AnswerHandover implements Outputs.
-func (n *crowdNode) AnswerHandover(any, HandoverResponse) {}
+func (n *overloadNode) AnswerHandover(any, HandoverResponse) {}
 
-func (o crowdSessionOutputs) LogMemberPace(session.MemberPace) {}
+func (o overloadSessionOutputs) LogMemberPace(session.MemberPace) {}
--- a/pkg/fleet/crowd_sim_world_test.go
+++ b/pkg/fleet/overload_sim_world_test.go
@@ -14,18 +14,18 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
 
-// crowdWorld runs the fleet and session engines of many instances in virtual time against
+// overloadWorld runs the fleet and session engines of many instances in virtual time against
 // one primary with a few slots and a queue. The order of Go's maps
 // makes two runs with the same seed differ a little.
-type crowdWorld struct {
+type overloadWorld struct {
 	t      testing.TB
 	rng    *rand.Rand
 	now    time.Time
-	events crowdEvents
+	events overloadEvents
 	order  uint64
-	nodes  []*crowdNode
-	byName map[string]*crowdNode
-	member crowdMember
+	nodes  []*overloadNode
+	byName map[string]*overloadNode
+	member overloadMember
 	// deaths holds the times at which an instance declared the primary dead.
 	deaths []time.Duration
 	// released counts the homes that were given up, checks the status requests, answers the
@@ -34,55 +34,55 @@
 }
 
 const (
-	crowdNodes = 100
-	// crowdCallers is the number of callers of all homes together.
-	crowdCallers = 120
-	// crowdStatusLimit is the time limit of a status request, as an instance has it.
-	crowdStatusLimit = 300 * time.Millisecond
+	overloadNodes = 100
+	// overloadCallers is the number of callers of all homes together.
+	overloadCallers = 120
+	// overloadStatusLimit is the time limit of a status request, as an instance has it.
+	overloadStatusLimit = 300 * time.Millisecond
 )
 
-type crowdEvent struct {
+type overloadEvent struct {
 	at    time.Time
 	order uint64
 	run   func()
 }
 
-type crowdEvents []crowdEvent
+type overloadEvents []overloadEvent
 
-func (q crowdEvents) Len() int { return len(q) }
-func (q crowdEvents) Less(i, j int) bool {
+func (q overloadEvents) Len() int { return len(q) }
+func (q overloadEvents) Less(i, j int) bool {
 	if q[i].at.Equal(q[j].at) {
 		return q[i].order < q[j].order
 	}
 	return q[i].at.Before(q[j].at)
 }
-func (q crowdEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *crowdEvents) Push(x any)   { *q = append(*q, x.(crowdEvent)) }
-func (q *crowdEvents) Pop() any {
+func (q overloadEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *overloadEvents) Push(x any)   { *q = append(*q, x.(overloadEvent)) }
+func (q *overloadEvents) Pop() any {
 	old := *q
 	last := old[len(old)-1]
 	*q = old[:len(old)-1]
 	return last
 }
 
-func (w *crowdWorld) after(d time.Duration, run func()) {
+func (w *overloadWorld) after(d time.Duration, run func()) {
 	w.order++
-	heap.Push(&w.events, crowdEvent{at: w.now.Add(d), order: w.order, run: run})
+	heap.Push(&w.events, overloadEvent{at: w.now.Add(d), order: w.order, run: run})
 }
 
 // latency returns the time of a message.
-func (w *crowdWorld) latency() time.Duration {
+func (w *overloadWorld) latency() time.Duration {
 	return time.Millisecond + time.Duration(w.rng.Int64N(int64(3*time.Millisecond)))
 }
 
-// newCrowdWorld returns the world of the seed with the number of homes, whose primary runs a
+// newOverloadWorld returns the world of the seed with the number of homes, whose primary runs a
 // statement in the time.
-func newCrowdWorld(t testing.TB, seed uint64, homes int, service time.Duration) *crowdWorld {
-	w := &crowdWorld{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, byName: map[string]*crowdNode{}}
-	w.member = crowdMember{w: w, slots: 4, service: service, maxConnections: 113}
-	snapshot := crowdSnapshot(homes)
-	for i := range crowdNodes {
-		n := newCrowdNode(w, snapshot.Instances[i])
+func newOverloadWorld(t testing.TB, seed uint64, homes int, service time.Duration) *overloadWorld {
+	w := &overloadWorld{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, byName: map[string]*overloadNode{}}
+	w.member = overloadMember{w: w, slots: 4, service: service, maxConnections: 113}
+	snapshot := overloadSnapshot(homes)
+	for i := range overloadNodes {
+		n := newOverloadNode(w, snapshot.Instances[i])
 		w.nodes = append(w.nodes, n)
 		w.byName[n.name] = n
 	}
@@ -90,20 +90,20 @@
 		n.handle(LeaseUpdated{Until: w.now.Add(time.Hour)})
 		n.handle(StoreSnapshot{Snapshot: snapshot, AsOf: w.now})
 		if i < homes {
-			w.after(time.Duration(w.rng.Int64N(int64(200*time.Millisecond))), func() { n.openCallers(i, crowdCallers/homes) })
+			w.after(time.Duration(w.rng.Int64N(int64(200*time.Millisecond))), func() { n.openCallers(i, overloadCallers/homes) })
 		}
 	}
 	return w
 }
 
-// crowdSnapshot returns a store in which each of the first instances is the home of an
+// overloadSnapshot returns a store in which each of the first instances is the home of an
 // account.
-func crowdSnapshot(homes int) *Snapshot {
+func overloadSnapshot(homes int) *Snapshot {
 	s := &Snapshot{Revision: 100, Configuration: &Configuration{
 		Version: 1, Groups: []Group{{Name: "g", MemberConnections: 113}},
 		Entries: []catalogue.Entry{{Name: "entry", Database: "g", DeadlineMillis: 800}},
 	}}
-	for i := range crowdNodes {
+	for i := range overloadNodes {
 		node := fmt.Sprint("n", i)
 		s.Instances = append(s.Instances, Instance{Node: node, ID: core.InstanceID(node), Peer: node})
 	}
@@ -123,48 +123,48 @@
 }
 
 // run processes the events and the engines' timers for the time.
-func (w *crowdWorld) run(d time.Duration) {
+func (w *overloadWorld) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		ev := heap.Pop(&w.events).(crowdEvent)
+		ev := heap.Pop(&w.events).(overloadEvent)
 		w.now = ev.at
 		ev.run()
 	}
 	w.now = end
 }
 
-// crowdMember is a primary that runs a few statements at a time and queues others.
-type crowdMember struct {
-	w              *crowdWorld
+// overloadMember is a primary that runs a few statements at a time and queues others.
+type overloadMember struct {
+	w              *overloadWorld
 	slots          int
 	service        time.Duration
 	maxConnections int
 	connections    int
 	running        int
-	queue          []crowdWork
+	queue          []overloadWork
 	// frozen stops all answers, cut all connections; down refuses connections.
 	frozen, cut, down bool
 }
 
-type crowdWork struct {
+type overloadWork struct {
 	cost time.Duration
 	done func()
 }
 
 const (
-	// crowdQueue is the number of statements that may wait at the member.
-	crowdQueue = 32
-	// crowdStartup is the time of a slot that a new connection takes.
-	crowdStartup = 20 * time.Millisecond
+	// overloadQueue is the number of statements that may wait at the member.
+	overloadQueue = 32
+	// overloadStartup is the time of a slot that a new connection takes.
+	overloadStartup = 20 * time.Millisecond
 )
 
 // submit runs the work once a slot is free.
-func (m *crowdMember) submit(work crowdWork) {
+func (m *overloadMember) submit(work overloadWork) {
 	m.queue = append(m.queue, work)
 	m.next()
 }
 
-func (m *crowdMember) next() {
+func (m *overloadMember) next() {
 	for m.running < m.slots && len(m.queue) > 0 {
 		work := m.queue[0]
 		m.queue = m.queue[1:]
@@ -181,28 +181,28 @@
 }
 
 // statement runs a statement, or reports that the queue is full.
-func (m *crowdMember) statement(cost time.Duration, done func(busy bool)) {
+func (m *overloadMember) statement(cost time.Duration, done func(busy bool)) {
 	switch {
 	case m.frozen:
-	case len(m.queue) >= crowdQueue:
+	case len(m.queue) >= overloadQueue:
 		done(true)
 	default:
-		m.submit(crowdWork{cost: cost, done: func() { done(false) }})
+		m.submit(overloadWork{cost: cost, done: func() { done(false) }})
 	}
 }
 
 // startup opens a connection.
-func (m *crowdMember) startup(done func()) {
+func (m *overloadMember) startup(done func()) {
 	if !m.frozen {
-		m.submit(crowdWork{cost: crowdStartup, done: done})
+		m.submit(overloadWork{cost: overloadStartup, done: done})
 	}
 }
 
-var _ Outputs = (*crowdNode)(nil)
-var _ session.Outputs = crowdSessionOutputs{}
+var _ Outputs = (*overloadNode)(nil)
+var _ session.Outputs = overloadSessionOutputs{}
 
 // openCallers connects callers of the account with the number.
-func (n *crowdNode) openCallers(account, callers int) {
+func (n *overloadNode) openCallers(account, callers int) {
 	for i := range callers {
 		id := session.CallerID(i + 1)
 		n.handleSession(session.CallerOpened{Caller: id, Entry: "entry", Key: core.KeyID(fmt.Sprint("k", account))})
@@ -211,16 +211,16 @@
 }
 
 // request sends a write of the caller.
-func (n *crowdNode) request(id session.CallerID) {
+func (n *overloadNode) request(id session.CallerID) {
 	n.handleSession(session.CallerRequest{Caller: id, Request: &session.Request{
 		Classification: &session.Classification{Kind: session.KindWrite, Hints: session.Hints{MaxAge: -1}},
 		Payload:        &session.Payload{ID: "w", Frames: []byte("w")}, Arrived: n.w.now,
 	}})
 }
 
-// newCrowdNode returns a running instance.
-func newCrowdNode(w *crowdWorld, self Instance) *crowdNode {
-	n := &crowdNode{w: w, name: self.Node, connections: map[session.TargetID]*crowdConnection{}}
+// newOverloadNode returns a running instance.
+func newOverloadNode(w *overloadWorld, self Instance) *overloadNode {
+	n := &overloadNode{w: w, name: self.Node, connections: map[session.TargetID]*overloadConnection{}}
 	config := Config{
 		Self:   self,
 		Limits: Limits{TargetDrain: 5 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20},
@@ -238,7 +238,7 @@
 	sessionConfig.AckAtCommit, sessionConfig.AsyncReplication = true, true
 	sessionConfig.RatePerOperation, sessionConfig.FinishOnRevocation = true, true
 	sessionConfig.MemberConnections = 2
-	n.session, err = session.New(sessionConfig, crowdSessionOutputs{n})
+	n.session, err = session.New(sessionConfig, overloadSessionOutputs{n})
 	require.NoError(t, err)
 	return n
 }
--- a/pkg/fleet/primarycheck.go
+++ b/pkg/fleet/primarycheck.go
@@ -23,15 +23,15 @@
 //	a response to another instance within 600 ms          alive; this instance is cut off
 //	                                                      from it and releases its homes, but
 //	                                                      not while the host accepts its
-//	                                                      connections, for maxCrowding
+//	                                                      connections, for maxOverloadTime
 //	none of these, a majority of the polled instances     dead
 //	responded and one of them waits for a response too
 //	fewer than a majority responded                       unknown, checked again
 
-// maxCrowding is how long an instance keeps its homes without a response of a primary that
+// maxOverloadTime is how long an instance keeps its homes without a response of a primary that
 // responds to others and whose host accepts connections. A full queue of 32 statements of
 // 30 ms on 2 slots takes half a second, and several times as long on a slow member.
-const maxCrowding = 2 * time.Second
+const maxOverloadTime = 2 * time.Second
 
 // livenessCheck is the state of the check of a suspected primary.
 type livenessCheck struct {
@@ -125,7 +125,7 @@
 	}
 	switch {
 	case m.liveness.respondedAt.After(m.liveness.suspectedAt):
-	case result.responsive > 0 && accepted && m.liveness.unansweredFor < maxCrowding:
+	case result.responsive > 0 && accepted && m.liveness.unansweredFor < maxOverloadTime:
 	case result.responsive > 0:
 		e.homes.releaseAll("a primary responds to other instances but not to this one")
 	case result.unresponsive():
--- a/pkg/fleet/primarycheck_test.go
+++ b/pkg/fleet/primarycheck_test.go
@@ -50,7 +50,7 @@
 		{name: "startup answered, status not", err: &UnansweredError{Started: true}, other: waiting},
 		{name: "accepted, nobody heard", err: &UnansweredError{}, other: waiting, dead: true},
 		{name: "accepted, another heard", err: &UnansweredError{}, other: heard, unansweredFor: 400 * time.Millisecond},
-		{name: "accepted, another heard, for long", err: &UnansweredError{}, other: heard, unansweredFor: maxCrowding, released: true},
+		{name: "accepted, another heard, for long", err: &UnansweredError{}, other: heard, unansweredFor: maxOverloadTime, released: true},
 		{name: "accepted, responded meanwhile", err: &UnansweredError{}, other: waiting, responds: true},
 		{name: "accepted, no report", err: &UnansweredError{}, other: silent},
 		{name: "no connection, nobody heard", err: ErrNoResponse, other: waiting, dead: true},
--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -63,8 +63,8 @@
 	return max(capacity, processor*minCapacityFraction)
 }
 
-// fleet holds the nodes by name, all with a capacity.
-type fleet struct {
+// nodeSet holds the nodes by name, all with a capacity.
+type nodeSet struct {
 	nodes []Node
 	// total is the sum of the capacities.
 	total float64
@@ -74,10 +74,10 @@
 	domains int
 }
 
-// newFleet sorts the nodes, so that sums do not depend on their order, and gives those
+// newNodeSet sorts the nodes, so that sums do not depend on their order, and gives those
 // without a capacity the mean of the others.
-func newFleet(nodes []Node) fleet {
-	f := fleet{nodes: slices.SortedFunc(slices.Values(nodes), func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })}
+func newNodeSet(nodes []Node) nodeSet {
+	f := nodeSet{nodes: slices.SortedFunc(slices.Values(nodes), func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })}
 	known, sum := 0, 0.0
 	domains := map[core.Domain]bool{}
 	for i := range f.nodes {
@@ -109,17 +109,18 @@
 }
 
 // withoutGone returns the nodes that are not gone, or all if none is left.
-func (f *fleet) withoutGone() fleet {
+func (f *nodeSet) withoutGone() nodeSet {
 	present := slices.DeleteFunc(slices.Clone(f.nodes), func(n Node) bool { return n.Gone })
 	if len(present) == 0 {
 		return *f
 	}
-	return newFleet(present)
+	return newNodeSet(present)
 }
 
-// large returns the nodes with at least half of the largest capacity, or all nodes if
-// these are too few.
-func (f *fleet) large() fleet {
+// large returns the nodes with at least preferredFraction of the largest capacity, or all
+// nodes if these are fewer than minLargeNodes or in fewer failure domains than
+// minLargeDomains.
+func (f *nodeSet) large() nodeSet {
 	most := f.largestCapacity()
 	domains := map[core.Domain]bool{}
 	var large []Node
@@ -132,10 +133,10 @@
 	if len(large) < minLargeNodes || len(domains) < min(minLargeDomains, f.domains) {
 		return *f
 	}
-	return newFleet(large)
+	return newNodeSet(large)
 }
 
-func (f *fleet) largestCapacity() float64 {
+func (f *nodeSet) largestCapacity() float64 {
 	most := 0.0
 	for i := range f.nodes {
 		most = max(most, f.nodes[i].Capacity)
@@ -143,11 +144,11 @@
 	return most
 }
 
-func (f *fleet) has(name string) bool {
+func (f *nodeSet) has(name string) bool {
 	return slices.ContainsFunc(f.nodes, func(n Node) bool { return n.Name == name })
 }
 
-func (f *fleet) names() []string {
+func (f *nodeSet) names() []string {
 	names := make([]string, len(f.nodes))
 	for i := range f.nodes {
 		names[i] = f.nodes[i].Name
@@ -158,7 +159,7 @@
 // rank returns the indexes of the nodes by descending weighted score for the name: a node
 // with twice the capacity is first for twice as many names. A change of the nodes or of a
 // capacity moves only the names that the changed nodes lose or gain.
-func (f *fleet) rank(name string) []int {
+func (f *nodeSet) rank(name string) []int {
 	scores := make([]float64, len(f.nodes))
 	order := make([]int, len(f.nodes))
 	for i := range f.nodes {
@@ -181,7 +182,7 @@
 // Rank returns the names of the nodes in the order in which they should be the home of
 // the named account, if the limits of Assign are left out.
 func Rank(name string, nodes []Node) []string {
-	f := newFleet(nodes)
+	f := newNodeSet(nodes)
 	if f.uniform {
 		return RankNodes(name, f.names())
 	}
@@ -193,21 +194,22 @@
 }
 
 // Prefer returns the names of the nodes in the order in which they should take a duty of
-// the whole fleet under the given name: first those with at least half of the largest
-// capacity, then the others.
+// the whole fleet under the given name: first those with at least preferredFraction of the
+// largest capacity, then the others.
 func Prefer(name string, nodes []Node) []string {
-	f := newFleet(nodes)
+	f := newNodeSet(nodes)
 	if f.uniform {
 		return RankNodes(name, f.names())
 	}
 	most := f.largestCapacity()
 	var large, others []string
 	for _, i := range f.rank(name) {
-		if n := &f.nodes[i]; n.Capacity >= most*preferredFraction {
+		n := &f.nodes[i]
+		if n.Capacity >= most*preferredFraction {
 			large = append(large, n.Name)
 			continue
 		}
-		others = append(others, f.nodes[i].Name)
+		others = append(others, n.Name)
 	}
 	return append(large, others...)
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -6,7 +6,7 @@
 // hashing with a limit on the accounts per instance. A change of the fleet moves few
 // accounts, and no instance gets two large accounts while others have none. Where the
 // capacities differ, the hashing is weighted by capacity and the limits are those of
-// type limits.
+// type assignment.
 package placement
 
 import (
@@ -38,7 +38,7 @@
 	sorted := slices.SortedFunc(slices.Values(accounts), func(a, b Account) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
 	})
-	f := newFleet(nodes)
+	f := newNodeSet(nodes)
 	if f.uniform {
 		return assignUniform(sorted, f.names())
 	}
--- a/pkg/placement/weighted.go
+++ b/pkg/placement/weighted.go
@@ -15,10 +15,11 @@
 	// more. Where there are few nodes it is smallFleetFactor divided by their number.
 	maxNodeFraction  = 0.125
 	smallFleetFactor = 1.5
-	// limitPrice is the factor by which the relative load of an account that fits nowhere
-	// may be larger on a node that keeps the other limits: a large account on a small
-	// node would do more harm than the loss of one node with many accounts.
-	limitPrice = 3
+	// limitsFactor limits the load of an account that has no room on any node: the limits on
+	// accounts and failure domains are kept only on a node whose load relative to its
+	// capacity is at most limitsFactor times the lowest possible one. A large account on a
+	// small node would do more harm than the loss of one node with many accounts.
+	limitsFactor = 3
 	// domainFactor divided by the number of failure domains is the part of all rates whose
 	// homes may be in one failure domain.
 	domainFactor = 1.5
@@ -40,9 +41,9 @@
 // by at most loadTolerance and is at most maxNodeFraction, and a failure domain's part of
 // all rates is at most domainFactor divided by the number of failure domains. An
 // account that fits nowhere goes where it makes the smallest load relative to the capacity.
-// The limits on accounts and on failure domains are then kept at the limitPrice only.
+// The limits on accounts and on failure domains are then kept as far as limitsFactor allows.
 type assignment struct {
-	fleet       fleet
+	nodes       nodeSet
 	loads       []nodeLoad
 	domainRates map[core.Domain]float64
 	// maxDomainRate limits the values of domainRates.
@@ -52,7 +53,7 @@
 // assignWeighted assigns accounts, sorted by descending rate. New homes are on the large
 // nodes if there are enough of them: every instance exchanges probes with each home that
 // its callers use, so fewer homes take less of the small instances' processor time.
-func assignWeighted(sorted []Account, all fleet) map[core.AccountName]string {
+func assignWeighted(sorted []Account, all nodeSet) map[core.AccountName]string {
 	f := all.large()
 	a := newAssignment(sorted, f)
 	homes := make(map[core.AccountName]string, len(sorted))
@@ -79,7 +80,7 @@
 	return homes
 }
 
-func newAssignment(accounts []Account, f fleet) *assignment {
+func newAssignment(accounts []Account, f nodeSet) *assignment {
 	total := 0.0
 	for _, account := range accounts {
 		total += account.Rate
@@ -87,7 +88,7 @@
 	nodeCount := float64(len(f.nodes))
 	maxFraction := max(maxNodeFraction, smallFleetFactor/nodeCount)
 	a := &assignment{
-		fleet: f, loads: make([]nodeLoad, len(f.nodes)), domainRates: map[core.Domain]float64{},
+		nodes: f, loads: make([]nodeLoad, len(f.nodes)), domainRates: map[core.Domain]float64{},
 		maxDomainRate: total * min(domainFactor/float64(f.domains), 1),
 	}
 	if f.domains == 1 {
@@ -112,7 +113,7 @@
 // choose returns the index of the node for an account: the first in the account's order
 // with room for it, or else the one on which it makes the smallest relative load.
 func (a *assignment) choose(account Account) int {
-	order := a.fleet.rank(string(account.Name))
+	order := a.nodes.rank(string(account.Name))
 	for _, i := range order {
 		if a.loads[i].hasRoom(account.Rate) && a.domainHasRoom(i, account.Rate) {
 			return i
@@ -120,10 +121,10 @@
 	}
 	best, least := a.leastLoaded(order, account.Rate, func(int) bool { return true })
 	for _, admissible := range []func(int) bool{
-		func(i int) bool { return a.loads[i].hasSeat() && a.domainHasRoom(i, account.Rate) },
-		func(i int) bool { return a.loads[i].hasSeat() },
+		func(i int) bool { return a.loads[i].acceptsAccount() && a.domainHasRoom(i, account.Rate) },
+		func(i int) bool { return a.loads[i].acceptsAccount() },
 	} {
-		if i, load := a.leastLoaded(order, account.Rate, admissible); load <= least*limitPrice {
+		if i, load := a.leastLoaded(order, account.Rate, admissible); load <= least*limitsFactor {
 			return i
 		}
 	}
@@ -143,9 +144,9 @@
 	return best, least
 }
 
-func (l *nodeLoad) hasSeat() bool { return l.accounts < l.maxAccounts }
+func (l *nodeLoad) acceptsAccount() bool { return l.accounts < l.maxAccounts }
 
-func (l *nodeLoad) hasRoom(rate float64) bool { return l.hasSeat() && l.rate+rate <= l.maxRate }
+func (l *nodeLoad) hasRoom(rate float64) bool { return l.acceptsAccount() && l.rate+rate <= l.maxRate }
 
 func (a *assignment) domainHasRoom(i int, rate float64) bool {
 	return a.domainRates[a.loads[i].node.Domain]+rate <= a.maxDomainRate
--- a/pkg/placement/weighted_test.go
+++ b/pkg/placement/weighted_test.go
@@ -156,7 +156,7 @@
 		for i := range accounts {
 			accounts[i].Rate *= 0.5 + rng.Float64()
 		}
-		f := newFleet(fleet)
+		f := newNodeSet(fleet)
 		total := 0.0
 		for _, a := range accounts {
 			total += a.Rate
--- a/pkg/session/liveness.go
+++ b/pkg/session/liveness.go
@@ -52,7 +52,7 @@
 func (MemberAlive) sessionInput() {}
 
 // memberAlive records that the member is alive. The responses that are due count from now:
-// a crowded member that answers status requests is not suspected again at once, because each
+// an overloaded member that answers status requests is not suspected again at once, because each
 // check costs it another connection.
 func (e *Engine) memberAlive(in MemberAlive) {
 	for _, db := range e.databases {
