--- a/pkg/pace/lifecycle.go
+++ b/pkg/pace/lifecycle.go
@@ -122,7 +122,7 @@
 	p.allowance = min(allowance, float64(p.limits.Slots))
 	p.startAllowance = p.allowance
 	p.times.restart(p.now)
-	p.failedPart = 0
+	p.failedFraction = 0
 	p.changedAt, p.quietSince = p.now, p.now
 	p.nextStart = p.now
 	if p.limits.Homes > 1 {
@@ -164,7 +164,7 @@
 		if p.withoutRefusal {
 			return p.startAllowance
 		}
-		return p.startAllowance * minStartPart
+		return p.startAllowance * minStartFraction
 	}
 	if p.withoutRefusal && p.now.Sub(p.refusedAt) > refusedMemory {
 		return 1
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -14,7 +14,8 @@
 
 const (
 	// startPerSlot is the number of statements per second and slot that all homes
-	// together send to a returning member at first.
+	// together send to a returning member at first. With statements of 10 ms, a member
+	// at a fifth of its speed uses half of its slots for them.
 	startPerSlot = 10.0
 	// inFlightPerSlot is the number of statements per slot that all homes together
 	// have in flight at a promoted member at first: one runs, the others queue.
@@ -26,12 +27,13 @@
 	// factor of two to the next one, so that its effect on the answers is seen.
 	doubleInterval = 200 * time.Millisecond
 	halveInterval  = 100 * time.Millisecond
-	// quietTime and restTime are the times without signs of overload after which
-	// the allowance doubles without answers, for homes that send little, during a
-	// recovery and after an overload.
+	// quietTime, during a recovery, and restTime, after an overload, are the times
+	// without a sign of overload after which the allowance doubles without answers, so
+	// that a home that sends little does not keep a low one.
 	quietTime = 4 * time.Second
 	restTime  = 2 * time.Second
-	// reviewTime is the timeout of the state without a limit.
+	// reviewTime is the timeout of the state "steady". It has no effect; the chart
+	// requires each state to have a timeout.
 	reviewTime = time.Minute
 	// maxPause is the longest pause between two statements in the state
 	// "backing_off", so that every home notices when the overload ends.
@@ -44,18 +46,20 @@
 	// busyPause is the mean pause after a refusal; a full queue drains within some
 	// tens of milliseconds.
 	busyPause = 20 * time.Millisecond
-	// raisePerAnswer is how much an allowance of one statement or more grows with
-	// each answer, divided by the allowance; raiseBelowOne is how much a smaller one
-	// grows, but at most by the factor maxRaise.
+	// raisePerAnswer, divided by the allowance, is the growth of an allowance of one
+	// statement or more with each answer in time. raiseBelowOne is the growth of a
+	// smaller one, which grows at most by the factor maxRaise.
 	raisePerAnswer = 0.25
 	raiseBelowOne  = 0.03
 	maxRaise       = 2
-	// minStartPart is the part of the initial allowance to which refusals can
+	// minStartFraction is the fraction of the initial allowance to which refusals can
 	// lower it during a recovery.
-	minStartPart = 1.0 / 8
-	// maxFailedPart is the smoothed part of failed answers above which the
+	minStartFraction = 1.0 / 8
+	// failedWeight is the number of answers over which failures are smoothed.
+	failedWeight = 8
+	// maxFailedFraction is the smoothed fraction of failed answers above which the
 	// member counts as overloaded in the states other than "recovering".
-	maxFailedPart = 0.4
+	maxFailedFraction = 0.4
 	// phaseStep spreads the pauses over their interval; its multiples are evenly
 	// distributed between 0 and 1.
 	phaseStep = 0.6180339887498949
@@ -82,7 +86,7 @@
 // Answer describes one answer of the member.
 type Answer struct {
 	Kind Kind
-	// Took is the time from sending to the answer.
+	// Took is the time from sending to the answer. Only OK and Abandoned need it.
 	Took time.Duration
 	// Peers is the usual answer time of the group's other members, 0 if unknown.
 	Peers time.Duration
@@ -114,16 +118,16 @@
 	times  times
 	// now is the time of the current call.
 	now time.Time
-	// allowance is the number of statements that may be in flight; below 1, the
-	// mean number, and startAllowance its value at the start of a recovery.
+	// allowance is the number of statements that may be in flight; below 1, it is the
+	// mean number. startAllowance is its value at the start of a recovery.
 	allowance      float64
 	startAllowance float64
-	// failedPart is the smoothed part of failed answers.
-	failedPart float64
+	// failedFraction is the smoothed fraction of failed answers.
+	failedFraction float64
 	// withoutRefusal is set while the event being applied is a late answer or a lost
 	// connection.
 	withoutRefusal bool
-	// phase determines the next pause within its interval.
+	// phase, from 0 to 1, determines the next pause within its interval.
 	phase float64
 	// nextStart is the earliest next start while the allowance is below 1, and
 	// nextBounded that of the configured bound. resumeAt is the earliest start
@@ -131,8 +135,9 @@
 	nextStart   time.Time
 	resumeAt    time.Time
 	nextBounded time.Time
-	// since is when the current state began, changedAt when the allowance last
-	// changed by a factor, quietSince when overload was last seen.
+	// since is when the current state began, changedAt when the allowance was last
+	// set, doubled or halved. quietSince is the time of the last sign of overload or
+	// timeout of the chart.
 	since      time.Time
 	changedAt  time.Time
 	quietSince time.Time
@@ -141,7 +146,8 @@
 	loweredAt time.Time
 	// refusedAt is when the member last refused a statement.
 	refusedAt time.Time
-	reason    string
+	// reason is why the state or the allowance last changed.
+	reason string
 }
 
 // New returns a pacer without a limit beyond the slots. phase, from 0 to 1,
@@ -192,7 +198,7 @@
 	p.advance(now)
 	switch a.Kind {
 	case OK:
-		p.failedPart -= p.failedPart / failedWeight
+		p.failedFraction -= p.failedFraction / failedWeight
 		if !now.Add(-a.Took).Before(p.loweredAt) {
 			p.times.add(now, a.Took)
 			p.judgeTime(now, a.Peers)
@@ -202,8 +208,8 @@
 		p.resumeAt = now.Add(p.spread(busyPause))
 		p.overloaded(now, "the member refuses statements as BUSY")
 	case Failed:
-		p.failedPart += (1 - p.failedPart) / failedWeight
-		if p.state == p.table.recovering || p.failedPart > maxFailedPart {
+		p.failedFraction += (1 - p.failedFraction) / failedWeight
+		if p.state == p.table.recovering || p.failedFraction > maxFailedFraction {
 			p.overloaded(now, "the member fails statements")
 		}
 	case Abandoned:
@@ -218,9 +224,6 @@
 	}
 }
 
-// failedWeight is the number of answers over which failures are smoothed.
-const failedWeight = 8
-
 // judgeTime compares the recent answer time with the usual one.
 func (p *Pacer) judgeTime(now time.Time, peers time.Duration) {
 	if p.isLate(p.reference(peers)) {
@@ -246,7 +249,7 @@
 }
 
 // isLate reports whether recent answers took clearly longer than the reference.
-// A member in regular use may have short queues; otherwise less is accepted.
+// In the state "steady" the member may have short queues, so more is accepted.
 func (p *Pacer) isLate(reference time.Duration) bool {
 	if reference <= 0 {
 		return false
@@ -257,6 +260,7 @@
 	return p.times.recent > 2*reference+5*time.Millisecond
 }
 
+// overloaded applies a sign of overload.
 func (p *Pacer) overloaded(now time.Time, reason string) {
 	p.quietSince = now
 	p.fire(now, p.table.overloaded, reason)
@@ -317,6 +321,8 @@
 	return time.Duration(float64(pause) * (0.5 + p.nextPhase()))
 }
 
+// nextPhase returns the next number of a sequence that is evenly distributed between 0
+// and 1.
 func (p *Pacer) nextPhase() float64 {
 	_, p.phase = math.Modf(p.phase + phaseStep)
 	return p.phase
