--- a/pkg/fleet/evacuation.go
+++ b/pkg/fleet/evacuation.go
@@ -12,6 +12,10 @@
 // and replicating, but within Limits.EvacuationBound no request reaches them any more,
 // until the request is withdrawn. The requests are records of the store; each instance
 // carries them out on its own.
+//
+// "Withdrawn" has two meanings here and in package session: a request is withdrawn when the
+// operator removes its key, and a member is withdrawn while an evacuation permits nothing to
+// be sent to it.
 
 const (
 	// evacuationReplicaFraction is the fraction of the bound during which a replica of an
@@ -29,8 +33,8 @@
 type evacuation struct {
 	// since is the earliest time at which the store may have acknowledged the request.
 	since time.Time
-	// requestLogged is set once the request was logged, ignoredLogged once it was logged
-	// that no member or instance is in the domain.
+	// requestLogged is set once evacuation_requested was logged, ignoredLogged once
+	// evacuation_ignored was: no member or instance is in the domain.
 	requestLogged, ignoredLogged bool
 }
 
@@ -107,6 +111,7 @@
 	return ids
 }
 
+// hasInstanceIn reports whether a registered instance is in the failure domain.
 func (e *Engine) hasInstanceIn(domain core.Domain) bool {
 	for _, i := range e.instances {
 		if i.Domain == domain {
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -54,8 +54,8 @@
 	// serving is set while this instance is a feeder. storeReadable is set from a
 	// complete read of the store until it is lost.
 	serving, storeReadable bool
-	// outdated is set from the selection as a feeder until the next read: until then it
-	// is not known that the store has no newer changes.
+	// outdated is set from the selection as a feeder until the next read: until then
+	// the store may have newer changes.
 	outdated bool
 	// changes are the changes after revision base, up to revision head. At asOf the
 	// store had no later ones.
@@ -110,8 +110,8 @@
 		f.base = f.changes[surplus-1].Revision
 		f.changes = slices.Delete(f.changes, 0, surplus)
 	}
-	// Without changes, the followers learn that there are none. Those that feed others
-	// would otherwise pass on older news than this instance has.
+	// Without changes, the followers learn that there are none. Otherwise the
+	// feeders among them would serve their own followers with an older age than they could.
 	if len(changes) > 0 || newer {
 		f.respondPending(func(*pendingRequest) bool { return true })
 	}
--- a/pkg/fleet/homehandover.go
+++ b/pkg/fleet/homehandover.go
@@ -82,7 +82,8 @@
 	handoverRecordTimeout = 300 * time.Millisecond
 	// handoverNotifyTimeout bounds the wait for the successor to take over.
 	handoverNotifyTimeout = 100 * time.Millisecond
-	// handoverCandidates is the number of instances that are asked for one home.
+	// handoverCandidates is the maximum number of instances that are asked for one home.
+	// With two, a handover ends within 800 ms.
 	handoverCandidates = 2
 )
 
@@ -97,7 +98,8 @@
 	e      *Engine
 	table  *chart.Table[*homeHandover]
 	events handoverEvents
-	// lostState is compared with in code.
+	// lostState is the state in which the home is given up although the store may still
+	// name this instance.
 	lostState chart.State
 	// running holds the handovers by account; it is nil unless the instance stops.
 	running map[core.AccountName]*homeHandover
@@ -119,11 +121,14 @@
 	revision Revision
 	// candidates are the nodes that were not asked yet.
 	candidates []string
-	successor  Successor
-	tokens     float64
+	// successor is the instance that was asked last; its lease is set once it has accepted.
+	successor Successor
+	// tokens are those that the account had left when its requests began to wait.
+	tokens float64
 }
 
-// load compiles the chart. Without one, homes end with the registration.
+// load compiles the chart. Without one, homes end with the registration. It returns the
+// errors of chart.Compile.
 func (h *handovers) load(e *Engine, d *chart.Definition) error {
 	h.e, h.offers = e, map[core.AccountName]handoverOffer{}
 	if d == nil {
@@ -259,6 +264,7 @@
 	h.deregister()
 }
 
+// deregister ends the registration once.
 func (h *handovers) deregister() {
 	if h.deregistered {
 		return
--- a/pkg/fleet/livenesspoll.go
+++ b/pkg/fleet/livenesspoll.go
@@ -25,9 +25,9 @@
 	// trip between failure domains is about 2 ms.
 	pollTimeout = 120 * time.Millisecond
 	// maxPolledInstances limits the number of instances polled, except about a member whose
-	// host accepts connections: every home is asked about it. If an overloaded member has
-	// answered 7 of 60 homes within responsiveWithin, 24 polled ones miss that in one of 46
-	// polls, and each of the homes polls.
+	// host accepts connections: every home is asked about it, because an overloaded member
+	// may have answered only a few homes within responsiveWithin, and a sample could miss
+	// them.
 	maxPolledInstances = 24
 	// minUnresponsive is how long the subject must have left a request of another
 	// instance unanswered to count as unresponsive there.
@@ -69,7 +69,8 @@
 	// majorityResponded is set when more than half of the polled instances have
 	// responded. This instance counts as one that was polled and responded.
 	majorityResponded bool
-	// asked and answered count the other instances.
+	// asked and answered are the numbers of other instances that were polled and that
+	// responded.
 	asked, answered int
 }
 
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -22,12 +22,12 @@
 	dead bool
 	// statusPending is set while a check of the suspected member is in progress.
 	statusPending bool
+	// liveness is the state of that check, and the evidence of the last one.
+	liveness livenessCheck
 	// justStartedUntil is the time until which the member counts as just started, and
 	// coldUntil the time until which it warms up; zero if it does not.
 	justStartedUntil time.Time
 	coldUntil        time.Time
-	// liveness is the state of that check, and the evidence of the last one.
-	liveness livenessCheck
 }
 
 // updateMember applies an announcement. One older than the known announcement is
--- a/pkg/fleet/primarycheck.go
+++ b/pkg/fleet/primarycheck.go
@@ -30,27 +30,30 @@
 
 // maxOverloadTime is how long an instance keeps its homes without a response of a primary that
 // responds to others and whose host accepts connections. A full queue of 32 statements of
-// 30 ms on 2 slots takes half a second, and several times as long on a slow member.
+// 30 ms on 2 slots takes half a second, and several times as long on a slow member: such a
+// member is overloaded, not out of reach.
 const maxOverloadTime = 2 * time.Second
 
 // livenessCheck is the state of the check of a suspected primary.
 type livenessCheck struct {
 	// suspectedAt is when the check in progress, or the last one, began. unansweredFor is
-	// how long a response had been due then.
+	// how long a response had been due then, zero if a connection had failed.
 	suspectedAt   time.Time
 	unansweredFor time.Duration
 	// respondedAt is when the primary last responded to the session after a suspicion.
 	respondedAt time.Time
-	// evidence is what the primary was declared dead for.
+	// evidence is why the primary was declared dead.
 	evidence deathEvidence
 }
 
-// deathEvidence is the evidence for which a primary is declared dead.
+// deathEvidence is the evidence on which a primary is declared dead.
 type deathEvidence struct {
 	// check is the result of this instance's status request.
-	check         string
+	check string
+	// unansweredFor is how long a response to this instance had been due.
 	unansweredFor time.Duration
-	poll          pollResult
+	// poll is the result of the poll, the zero value without one.
+	poll pollResult
 }
 
 // String returns the evidence as log lines name it.
--- a/pkg/fleet/sourceselector.go
+++ b/pkg/fleet/sourceselector.go
@@ -16,7 +16,8 @@
 // each instance, and the rates that it can serve grow more slowly than the fleet. All
 // instances of a domain select the same feeders from the registrations. A follower
 // whose feeder does not serve asks a second one, the standby, and reads the store
-// itself for a while if that does not serve either. The chart is "news".
+// itself for a while if that does not serve either. The chart is "news"; in its terms a
+// feeder other than the first relays.
 
 // ChangeSource states where the watcher reads the store's changes.
 type ChangeSource struct {
@@ -59,7 +60,7 @@
 	table *chart.Table[*sourceSelector]
 	state chart.State
 	timer timerq.Item[func()]
-	// feeder and standby are the instances to follow.
+	// feeder and standby are the instances to follow, as determined by reselect.
 	feeder, standby session.PeerAddress
 	// current is the source last sent to the watcher.
 	current ChangeSource
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -30,7 +30,7 @@
 	feeder Feeder
 	bounds WatcherBounds
 	// assignments are the sources set by SetSource. assigned is the latest one taken
-	// from the ring. assignment is signalled for each, so that a pause ends.
+	// from the ring. assignment gets a value with each, which ends pauseUntilAssigned.
 	assignments *ring.Ring[ChangeSource]
 	assigned    ChangeSource
 	assignment  chan struct{}
@@ -42,8 +42,8 @@
 	cancelCall atomic.Pointer[context.CancelFunc]
 	rechecking atomic.Bool
 	reassigned atomic.Bool
-	// overloads counts the consecutive failures that indicated an overloaded store,
-	// failures those of a store that could not be reached.
+	// overloads counts the consecutive failures that indicated an overloaded store, and
+	// failures the others since the last complete read. retryDelay limits both.
 	overloads int
 	failures  int
 	// after is the revision up to which everything was delivered, 0 before the first
@@ -56,7 +56,7 @@
 	feeders     feederHealth
 	checkFailed bool
 	// refresh is set when the next read of the store must not wait: this instance has
-	// become a feeder or has left its own, and does not know how old its news are.
+	// become a feeder or has left its own, and does not know how old its records are.
 	refresh bool
 	// now and random are the clock and a random number below a limit; tests replace
 	// them.
--- a/pkg/fleet/watchfeeders.go
+++ b/pkg/fleet/watchfeeders.go
@@ -15,8 +15,8 @@
 
 const (
 	// fallbackSpread is the time over which the followers of failed feeders spread
-	// their first reads of the store. With the detection of two silent feeders, 1.55 s
-	// and 0.3 s, a configuration is still found within 3 s.
+	// their first reads of the store. Two unresponsive feeders are noticed after
+	// 1.55 s and 0.3 s, so that a configuration is still found within 3 s.
 	fallbackSpread = 300 * time.Millisecond
 	// lostStoreSpread is the time over which the followers of feeders that have lost
 	// the store spread their first reads of it. Feeders notice an unresponsive store
@@ -57,7 +57,7 @@
 	// zero if they serve.
 	readyUntil time.Time
 	// storeLost is set while the feeders cannot read the store. The follower itself
-	// tries that at storeAttemptAt.
+	// tries to read it at storeAttemptAt.
 	storeLost      bool
 	storeAttemptAt time.Time
 }
@@ -137,8 +137,8 @@
 	if standbyFirst {
 		first, second = second, first
 	}
-	// A feeder that was lost before is asked without a wait: those that follow this
-	// instance wait for its news meanwhile.
+	// A feeder that did not answer the last request is asked without a wait: the
+	// followers of this instance wait for its answer meanwhile.
 	wait := time.Duration(0)
 	if first == w.feeders.answered {
 		wait = w.feedWait()
@@ -204,7 +204,8 @@
 }
 
 // callFeeder sends a request to a feeder. It returns the response and the time at which
-// the store held nothing newer.
+// the store held nothing newer. The error is that of Feeder.Feed, errFeederLostStore,
+// errFeederNotReady or ErrUnavailable, wrapped, for a response that is too old.
 func (w *Watcher) callFeeder(feeder session.PeerAddress, after Revision, wait time.Duration) (FeedResponse, time.Time, error) {
 	ctx, cancel := w.callContext(wait)
 	defer cancel()
@@ -218,7 +219,7 @@
 	case response.Unavailable:
 		return response, sentAt, errFeederNotReady
 	case response.Age > 2*w.bounds.Feed+w.bounds.ResponseTimeout:
-		// The age counts from the beginning of a watch that has ended.
+		// The age counts from the beginning of the last watch of the store that has ended.
 		return response, sentAt, eris.Wrap(ErrUnavailable, "the feeder's news are old")
 	}
 	// The transfer took the time that the feeder did not hold the request, at most.
--- a/pkg/fleet/watchretry.go
+++ b/pkg/fleet/watchretry.go
@@ -14,7 +14,7 @@
 // so that the doubling does not overflow. MaxRetryDelay is reached earlier.
 const maxFailures = 16
 
-// jitter returns a random duration up to the limit.
+// jitter returns a random duration above zero and up to the limit, zero without a limit.
 func (w *Watcher) jitter(limit time.Duration) time.Duration {
 	if limit <= 0 {
 		return 0
@@ -22,11 +22,11 @@
 	return time.Duration(w.random(int64(limit))) + 1
 }
 
-// retryDelay returns the delay before the next attempt. Its limit doubles with each
-// failure, and the delay is randomized, so that instances that failed together do not
-// retry together. At an overloaded store it is at least half of its limit: without that,
-// many instances that read everything again would keep the store overloaded. A follower
-// asks its feeders instead.
+// retryDelay counts the failure and returns the delay before the next attempt. Its limit
+// doubles with each failure, and the delay is random, so that instances that failed
+// together do not retry together. At an overloaded store it is at least half of the doubled
+// interval: with shorter delays, many instances that read everything again would keep the
+// store overloaded. A follower of feeders that have lost the store asks these instead.
 func (w *Watcher) retryDelay(err error) time.Duration {
 	if w.followsLostFeeder() {
 		return w.jitter(feederPollInterval)
