--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -40,11 +40,12 @@
 	// empty.
 	Pop() (*Item[T], bool)
 	// PopWhere removes and returns the item to serve next among those of the
-	// accounts for which the function returns true.
+	// accounts for which the function returns true; false when there is none.
 	PopWhere(func(core.AccountName) bool) (*Item[T], bool)
 	// Waiting calls the function for the accounts of waiting items, in about the
 	// order of service, until it returns false. An account with items of several
-	// classes is passed once for each class, with their number.
+	// classes may be passed once for each class, with the number of its items. The
+	// function must not change the queue.
 	Waiting(func(account core.AccountName, items int) bool)
 	// Remove removes a queued item; it has no effect on any other item.
 	Remove(*Item[T])
--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -43,7 +43,8 @@
 	// unresponsive instances.
 	reserveUpdatedAt time.Time
 	// moving is set while the account's home moves from this instance to another; held
-	// are the statements that wait for it. forwards is set once it has moved.
+	// are the statements that wait for that. forwards is set once the home has moved:
+	// requests that other instances still send here are then passed on to it.
 	moving   bool
 	held     []heldStatement
 	forwards bool
--- a/pkg/session/caller.go
+++ b/pkg/session/caller.go
@@ -79,7 +79,7 @@
 			"in_transaction":      (*caller).inTransaction,
 			"transaction_lost":    func(c *caller) bool { return c.inTransaction() && c.target == nil && c.relayedTo == nil },
 			"transaction_expired": (*caller).transactionExpired,
-			// The answer was that of a statement that ran when its member was withdrawn.
+			// The member was withdrawn while the answered statement ran on it.
 			"transaction_withdrawn": (*caller).transactionWithdrawn,
 			"begin_deferred":        func(c *caller) bool { return c.deferredBegin != nil },
 			"access_withdrawn":      (*caller).accessWithdrawn,
--- a/pkg/session/connectionrelease.go
+++ b/pkg/session/connectionrelease.go
@@ -109,7 +109,7 @@
 }
 
 // substituteIdleTime is how long a connection of an account whose home is elsewhere may be
-// unused. It is longer than the silence after which a home counts as lost, so that short
+// unused. It is longer than peerTimeout, after which a home counts as lost, so that short
 // interruptions do not open and close connections.
 const substituteIdleTime = 500 * time.Millisecond
 
--- a/pkg/session/database.go
+++ b/pkg/session/database.go
@@ -303,9 +303,10 @@
 	s.meetsDeadline = s.member.canMeetDeadline(s)
 }
 
-// chooseWithAllowance chooses among the candidates one whose allowance is not used
-// up, else one at which the read need not wait longer than for a fresh replica. If
-// there is none and the primary's allowance is used up too, the read waits for any.
+// chooseWithAllowance chooses a candidate whose allowance is not used up, else one at which
+// the pacer keeps the read waiting no longer than Bounds.ReplicaWait. If there is none, it
+// chooses no replica, which leaves the read to the primary, or, if the primary's allowance
+// is used up too, any candidate. It changes Exhausted of the candidates.
 func (s *statement) chooseWithAllowance() route.Choice {
 	e := s.c.e
 	db := s.c.db
--- a/pkg/session/liveness.go
+++ b/pkg/session/liveness.go
@@ -52,8 +52,8 @@
 func (MemberAlive) sessionInput() {}
 
 // memberAlive records that the member is alive. The responses that are due count from now:
-// an overloaded member that answers status requests is not suspected again at once, because each
-// check costs it another connection.
+// an overloaded member that answers status requests is not suspected again at once, because
+// each check costs it another connection.
 func (e *Engine) memberAlive(in MemberAlive) {
 	for _, db := range e.databases {
 		m := db.member(in.Member)
--- a/pkg/session/memberpace.go
+++ b/pkg/session/memberpace.go
@@ -8,9 +8,9 @@
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/pace"
 )
 
-// With AsyncReplication a pacer for each member decides from its answers how
-// many statements of this instance may be in flight. The others wait in the
-// queue here, which knows their urgency, client account and deadline.
+// With AsyncReplication a pacer for each member (package pace) decides from the member's
+// answers how many statements of this instance may be in flight. The others wait in the
+// member's queue here, which knows their urgency, client account and deadline.
 
 const (
 	// recentResponse is the time after a response during which a failure of the
@@ -23,13 +23,16 @@
 	// paceLogInterval is the minimum time between two log lines about a member
 	// whose state does not change.
 	paceLogInterval = time.Second
-	// paceLogFactor is the change of the allowance that is logged.
+	// paceLogFactor is the factor of a change of the allowance from which it is logged
+	// although the state does not change.
 	paceLogFactor = 2
 )
 
-// memberPace is the pacer of one member and what was last logged about it.
+// memberPace is the pacer of one member.
 type memberPace struct {
 	*pace.Pacer
+	// logged is the status that was last logged, at loggedAt; at first it is the initial
+	// status, which is not logged.
 	logged   pace.Status
 	loggedAt time.Time
 }
@@ -56,8 +59,9 @@
 	return len(db.members) > 0 && db.members[0].pace != nil
 }
 
-// pacePhase returns a number from 0 to 1 that differs from instance to instance:
-// no two create the state of a member at the same nanosecond.
+// pacePhase returns a number from 0 to 1 that differs from instance to instance, without
+// an exchange of messages: a hash of the member and of the time in nanoseconds at which
+// this instance creates the member's state.
 func pacePhase(id core.MemberID, now time.Time) float64 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
@@ -98,8 +102,8 @@
 	m.paceChanged()
 }
 
-// memberFailed records that the member was set aside, or is used again after that.
-// If it has responded just now, it was overloaded rather than away.
+// memberFailed records that the member was set aside, or is used again after that. If it
+// has responded within recentResponse, it counts as overloaded, otherwise as returned.
 func (m *member) memberFailed(reason string) {
 	e := m.db.e
 	if !m.lastResponse.IsZero() && e.now.Sub(m.lastResponse) < recentResponse {
@@ -109,8 +113,8 @@
 	m.memberReturned(reason)
 }
 
-// paceViews compares the new views of the members with the previous ones. Nothing
-// says that the members of the first views have just started.
+// paceViews compares the new views of the members with the previous ones. Members of the
+// views during groupStart count as running for long, unless they have just started.
 func (db *database) paceViews(previous map[*member]MemberView) {
 	first := db.viewSince.IsZero() || db.e.now.Sub(db.viewSince) < groupStart
 	for _, m := range db.members {
