--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -140,7 +140,7 @@
 	require.Equal(t, want, got.Snapshot)
 }
 
-// Guards against feeders that follow another one and pass on older changes than that has: a
+// Guards against feeders that follow another one and pass on older records than that one has: a
 // waiting request is answered when the store was read again, also without changes.
 func TestFollowerLearnsThatThereAreNoChanges(t *testing.T) {
 	h := newFeedingHarness(t)
--- a/pkg/fleet/sourceselector.go
+++ b/pkg/fleet/sourceselector.go
@@ -167,12 +167,11 @@
 	s.fire(s.failed)
 }
 
-// chooseFeeders returns the nodes of a failure domain that act as feeders, none if
-// every instance reads the store.
-func chooseFeeders(nodes []string) []string {
-	if len(nodes) <= maxDirectInstances {
-		return nil
+// feederCount returns the number of feeders in a failure domain with the given number of
+// instances, 0 if every instance reads the store.
+func feederCount(instances int) int {
+	if instances <= maxDirectInstances {
+		return 0
 	}
-	count := max((len(nodes)+followersPerFeeder)/(followersPerFeeder+1), minFeeders)
-	return placement.RankNodes(feederRankKey, nodes)[:count]
+	return max((instances+followersPerFeeder)/(followersPerFeeder+1), minFeeders)
 }
--- a/pkg/fleet/topology.go
+++ b/pkg/fleet/topology.go
@@ -49,7 +49,7 @@
 	slices.Sort(t.localNodes)
 	t.domainCount = len(domains)
 	t.candidates, t.localCandidates = e.candidates(t.nodes), e.candidates(t.localNodes)
-	t.feeders = placement.Prefer(feederRankKey, t.localCandidates)[:len(chooseFeeders(t.localNodes))]
+	t.feeders = placement.Prefer(feederRankKey, t.localCandidates)[:feederCount(len(t.localNodes))]
 	return t
 }
 
