--- a/pkg/fleet/homehandover.go
+++ b/pkg/fleet/homehandover.go
@@ -98,7 +98,7 @@
 	e      *Engine
 	table  *chart.Table[*homeHandover]
 	events handoverEvents
-	// lostState is the state in which the home is given up although the store may still
+	// lostState is the state in which this instance has left the home although the store may still
 	// name this instance.
 	lostState chart.State
 	// running holds the handovers by account; it is nil unless the instance stops.
@@ -236,7 +236,7 @@
 	}
 }
 
-// isLost reports whether this instance has given up the home of the account although the
+// isLost reports whether this instance has left the home of the account although the
 // store may still name it.
 func (h *handovers) isLost(account core.AccountName) bool {
 	m := h.running[account]
--- a/pkg/fleet/overload_sim_test.go
+++ b/pkg/fleet/overload_sim_test.go
@@ -10,12 +10,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a primary that is declared dead, or homes that are given up, because its
+// Guards against a primary that is declared dead, or homes that are released, because its
 // queue is full or it is slow: some homes of 100 instances send it more than it can run.
 // OVERLOAD_SEEDS sets the number of seeds.
 //
 // At 300 ms a statement, no new connection opens within its limit of 2 s. The homes without
-// one hear nothing for longer than maxOverloadTime while others do, and are given up.
+// one get no response for longer than maxOverloadTime while others do, and are released.
 func TestOverloadedPrimaryIsKept(t *testing.T) {
 	overloads := []struct {
 		homes   int
@@ -35,7 +35,7 @@
 				answers += w.answers
 				released += w.released
 			}
-			t.Logf("%d status requests, %d answers, %d homes given up", checks, answers, released)
+			t.Logf("%d status requests, %d answers, %d homes released", checks, answers, released)
 			require.NotZero(t, answers)
 		})
 	}
--- a/pkg/fleet/overload_sim_world_test.go
+++ b/pkg/fleet/overload_sim_world_test.go
@@ -28,7 +28,7 @@
 	member overloadMember
 	// deaths holds the times at which an instance declared the primary dead.
 	deaths []time.Duration
-	// released counts the homes that were given up, checks the status requests, answers the
+	// released counts the homes that were released, checks the status requests, answers the
 	// requests that the primary ran.
 	released, checks, answers int
 }
--- a/pkg/fleet/primarycheck_test.go
+++ b/pkg/fleet/primarycheck_test.go
@@ -29,7 +29,7 @@
 	h.claims = nil
 }
 
-// Guards against a primary that is declared dead, or whose homes are given up, because it is
+// Guards against a primary that is declared dead, or whose homes are released, because it is
 // overloaded, and against one that is dead, cut off or frozen and is not found.
 func TestEvidenceAboutAPrimary(t *testing.T) {
 	const waiting, heard, silent = "waiting", "heard", ""
