--- a/pkg/fleet/homehandover.go
+++ b/pkg/fleet/homehandover.go
@@ -9,7 +9,6 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/chart"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
-	"github.com/sassafrasshunt/sassafrasshunt/pkg/catalogue"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/placement"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
@@ -83,12 +82,9 @@
 	handoverRecordTimeout = 300 * time.Millisecond
 	// handoverNotifyTimeout bounds the wait for the successor to take over.
 	handoverNotifyTimeout = 100 * time.Millisecond
-	// handoverCandidates is the number of instances that are asked for one home.
+	// handoverCandidates is the maximum number of instances that are asked for one home.
+	// With two, a handover ends within 800 ms.
 	handoverCandidates = 2
-	// offerValidity is how long a successor that has declared itself ready accepts to be
-	// told that it is the home. Its lease lasts much longer, so no other instance can have
-	// become the home meanwhile.
-	offerValidity = time.Second
 )
 
 // handoverEvents are the compiled events of the chart "home_handover".
@@ -102,7 +98,8 @@
 	e      *Engine
 	table  *chart.Table[*homeHandover]
 	events handoverEvents
-	// lostState is compared with in code.
+	// lostState is the state in which this instance has left the home although the store may still
+	// name this instance.
 	lostState chart.State
 	// running holds the handovers by account; it is nil unless the instance stops.
 	running map[core.AccountName]*homeHandover
@@ -114,13 +111,6 @@
 	lease Lease
 }
 
-// handoverOffer is a home for which this instance has declared itself ready.
-type handoverOffer struct {
-	revision Revision
-	at       time.Time
-	lease    Lease
-}
-
 // homeHandover is the handover of one home.
 type homeHandover struct {
 	h       *handovers
@@ -131,11 +121,14 @@
 	revision Revision
 	// candidates are the nodes that were not asked yet.
 	candidates []string
-	successor  Successor
-	tokens     float64
+	// successor is the instance that was asked last; its lease is set once it has accepted.
+	successor Successor
+	// tokens are those that the account had left when its requests began to wait.
+	tokens float64
 }
 
-// load compiles the chart. Without one, homes end with the registration.
+// load compiles the chart. Without one, homes end with the registration. It returns the
+// errors of chart.Compile.
 func (h *handovers) load(e *Engine, d *chart.Definition) error {
 	h.e, h.offers = e, map[core.AccountName]handoverOffer{}
 	if d == nil {
@@ -243,7 +236,7 @@
 	}
 }
 
-// isLost reports whether this instance has given up the home of the account although the
+// isLost reports whether this instance has left the home of the account although the
 // store may still name it.
 func (h *handovers) isLost(account core.AccountName) bool {
 	m := h.running[account]
@@ -271,6 +264,7 @@
 	h.deregister()
 }
 
+// deregister ends the registration once.
 func (h *handovers) deregister() {
 	if h.deregistered {
 		return
@@ -369,47 +363,3 @@
 		m.fire(h.events.notRecorded)
 	}
 }
-
-// requested answers another instance that offers a home to this one.
-func (h *handovers) requested(in HandoverRequested) {
-	response := HandoverResponse{Lease: h.lease}
-	if in.Request.Recorded {
-		response.Accepted = h.takeOver(&in.Request)
-	} else {
-		response.Accepted = h.acceptOffer(&in.Request)
-	}
-	h.e.out.AnswerHandover(in.ReplyTo, response)
-}
-
-// acceptOffer reports whether this instance is ready to become the home of the account.
-func (h *handovers) acceptOffer(in *HandoverRequest) bool {
-	e := h.e
-	if !e.homes.mayClaim() || h.lease == 0 || !e.now.Add(offerValidity).Before(e.homes.leaseUntil) {
-		return false
-	}
-	known := e.configuration != nil && slices.ContainsFunc(e.configuration.Accounts, func(a catalogue.Account) bool { return a.Name == in.Account })
-	if !known {
-		return false
-	}
-	h.offers[in.Account] = handoverOffer{revision: in.Revision, at: e.now, lease: h.lease}
-	return true
-}
-
-// takeOver makes this instance the home of the account, which the old home has recorded.
-// It reports false if this instance has not declared itself ready within offerValidity
-// under its present lease; the record in the store then decides.
-func (h *handovers) takeOver(in *HandoverRequest) bool {
-	e := h.e
-	offer, offered := h.offers[in.Account]
-	delete(h.offers, in.Account)
-	if !offered || offer.revision != in.Revision || offer.lease != h.lease || e.now.Sub(offer.at) > offerValidity {
-		return false
-	}
-	e.homes.set(in.Account, &Home{Account: in.Account, Node: e.config.Self.Node, Instance: e.config.Self.ID, Revision: in.Revision + 1})
-	if e.configuration == nil || !e.homes.isLocal(in.Account) {
-		return false
-	}
-	e.publishHomes()
-	e.out.Session(session.TakeTokens{Account: in.Account, Tokens: in.Tokens})
-	return true
-}
