End the watcher when the fleet duty refuses its changes

In a planned stop the fleet duty refuses inputs shortly before the watcher is stopped. The watcher then had no error to report and dereferenced nil, which ended the process before its last answers were out. Found by reading; not seen in a run. TestWatcherEndsWhenItsChangesAreRefused panics without the change.

--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -139,7 +139,8 @@
 			err = w.followChanges()
 		}
 		switch {
-		case w.ctx.Err() != nil:
+		case w.ctx.Err() != nil, err == nil:
+			// Without an error the fleet duty has stopped taking changes.
 			return
 		case eris.Is(err, ErrCompacted):
 			// All instances that read the store notice this at the same time.
--- a/pkg/fleet/watcher_test.go
+++ b/pkg/fleet/watcher_test.go
@@ -51,6 +51,26 @@
 	require.Greater(t, readsWithin(t, ErrUnavailable, pause, during), int64(during/pause/4))
 }
 
+// changingSource has a change at each read.
+type changingSource struct{}
+
+func (changingSource) Snapshot(context.Context) (*Snapshot, error) { return &Snapshot{Revision: 5}, nil }
+
+func (changingSource) Watch(context.Context, Revision, time.Duration) ([]Change, Revision, error) {
+	return []Change{{Revision: 6, RemovedHome: "acct"}}, 6, nil
+}
+
+// Guards against a process that ends with a nil dereference in a planned stop: the fleet
+// duty refuses changes shortly before the watcher is stopped.
+func TestWatcherEndsWhenItsChangesAreRefused(t *testing.T) {
+	w := NewWatcher(changingSource{}, nil, WatcherBounds{Wait: time.Second, ResponseTimeout: time.Second, RetryInterval: time.Millisecond},
+		func(in Input) bool { _, changes := in.(StoreChanges); return !changes })
+	var g duty.Group
+	w.Start(&g)
+	require.Empty(t, g.WaitFor(5*time.Second))
+	w.Stop()
+}
+
 // scriptedStore returns an empty snapshot at revision 5 and reports where its watch
 // begins.
 type scriptedStore struct{ watched chan Revision }
