Give a home up when its handover conflicts

A conflict of the conditional write means that another writer, or a late attempt of this one, has changed the record. The old home took it as not recorded and went on admitting until its watch showed the change. Found by reading; not seen in a run. TestConflictOfAHandoverEndsTheHome fails without the change.

--- a/pkg/fleet/homehandover.go
+++ b/pkg/fleet/homehandover.go
@@ -357,7 +357,9 @@
 	case m == nil:
 	case in.Err == nil:
 		m.fire(h.events.recorded)
-	case eris.Is(in.Err, ErrUnknownOutcome):
+	case eris.Is(in.Err, ErrUnknownOutcome), eris.Is(in.Err, ErrConflict):
+		// After a conflict another writer, or an earlier attempt of this one, has changed
+		// the record, so that this instance may not act as the home any more.
 		m.fire(h.events.outcomeUnknown)
 	default:
 		m.fire(h.events.notRecorded)
--- a/pkg/fleet/homehandover_test.go
+++ b/pkg/fleet/homehandover_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/core"
@@ -293,6 +294,22 @@
 	}
 }
 
+// Guards against an old home that goes on admitting although another writer has changed
+// the record: two instances would then spend the account's rate.
+func TestConflictOfAHandoverEndsTheHome(t *testing.T) {
+	h := newHarness(t)
+	h.handle(LeaseUpdated{Until: h.now.Add(10 * time.Second), Lease: 7})
+	h.handle(StoreChanges{Changes: []Change{{Home: &Home{Account: "acct", Node: "self", Instance: "self-1", Revision: 50}}}})
+	h.handle(StopRequested{})
+	accepted := h.handovers[0]
+	accepted.Response = HandoverResponse{Accepted: true, Lease: 9}
+	h.handle(accepted)
+	h.handle(SessionReport{Report: session.AccountHeld{Account: "acct", Tokens: 5}})
+	h.handle(HomeTransferred{Account: "acct", Err: eris.Wrap(ErrConflict, "test")})
+	require.False(t, h.isHome())
+	require.True(t, h.deregistered)
+}
+
 // transferRegistry records under which lease a home is claimed.
 type transferRegistry struct {
 	leaseRegistry
