--- a/pkg/fleet/watcher_test.go
+++ b/pkg/fleet/watcher_test.go
@@ -54,7 +54,9 @@
 // changingSource has a change at each read.
 type changingSource struct{}
 
-func (changingSource) Snapshot(context.Context) (*Snapshot, error) { return &Snapshot{Revision: 5}, nil }
+func (changingSource) Snapshot(context.Context) (*Snapshot, error) {
+	return &Snapshot{Revision: 5}, nil
+}
 
 func (changingSource) Watch(context.Context, Revision, time.Duration) ([]Change, Revision, error) {
 	return []Change{{Revision: 6, RemovedHome: "acct"}}, 6, nil
