Arm no token timer while an account's home moves, and name the move in the refusal

While the home moves no token is taken, although tokens accrue: a statement of a transaction that waits for one would have armed the timer again every microsecond. It cannot happen where operations are counted once, as on the users' platform; found by reading. A request that waited for the move until its deadline was refused as over the account's rate, which also lowered what may be spent after a loss of the home. It is now refused as overloaded, still as not run.

--- a/pkg/session/account.go
+++ b/pkg/session/account.go
@@ -137,7 +137,8 @@
 // armTokenTimer sets the timer for the token that the first waiter waits for.
 func (e *Engine) armTokenTimer(a *account) {
 	a.dropStaleWaiters()
-	if len(a.waiters) == 0 {
+	if len(a.waiters) == 0 || a.moving {
+		// While the home moves no token is taken; ReleaseAccount arms the timer again.
 		e.timers.Disarm(&a.timerItem)
 		return
 	}
--- a/pkg/session/answers.go
+++ b/pkg/session/answers.go
@@ -35,6 +35,10 @@
 		s.notRun(core.ReasonKeyRevoked, "it cannot be checked at present whether the key was revoked")
 		return
 	}
+	if s.c.account.moving {
+		s.notRun(core.ReasonOverloaded, "the account's home is being moved to another instance")
+		return
+	}
 	if e.now.After(e.shareValidUntil) || s.c.account.bucket.Rate <= 0 {
 		e.metrics.RefusalsWithoutShare++
 	}
--- a/pkg/session/homemove.go
+++ b/pkg/session/homemove.go
@@ -81,6 +81,7 @@
 	// What has accrued during the wait belongs to the time of the home that it moved to.
 	a.bucket.Refill(e.now, e.shareValidUntil)
 	a.bucket.Tokens = min(in.Tokens, a.bucket.Burst)
+	e.armTokenTimer(a)
 	held := a.held
 	a.held = nil
 	for _, h := range held {
