Decide in fleet whether a member has just started

The decoder of the platform's records decided it, by an age of its own, and a follower that took the record from a feeder could not tell how old it was. The record now states the time since the start, and fleet compares it. TestWarmupEndsOnce fails when a repeated announcement moves the warm-up forward and when a feeder passes the first age on.

--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -24,10 +24,10 @@
 	statusPending bool
 	// liveness is the state of that check, and the evidence of the last one.
 	liveness livenessCheck
-	// justStartedUntil is the time until which the member counts as just started, and
-	// coldUntil the time until which it warms up; zero if it does not.
-	justStartedUntil time.Time
-	coldUntil        time.Time
+	// startedAt is when the member's process started, zero if it is not known. coldUntil is
+	// the time until which it warms up, zero if it does not.
+	startedAt time.Time
+	coldUntil time.Time
 }
 
 // updateMember applies an announcement. One older than the known announcement is
@@ -76,26 +76,32 @@
 	}
 }
 
-// justStartedTime is how long a member counts as just started after its announcement
-// said so.
-const justStartedTime = 10 * time.Second
+// recentStart is the age up to which a member has just started. It covers the few seconds
+// by which the clocks of members and instances differ.
+const recentStart = 10 * time.Second
 
-// recordStart records until when the member counts as just started and warms up. An
-// announcement that is read again does not move these times forward.
+// recordStart records when the member started and until when it warms up. An announcement
+// that is read again does not move these times forward.
 func (e *Engine) recordStart(m *member, a *Announcement) {
-	restarted := !m.Started.Equal(a.Started)
-	if restarted {
-		m.justStartedUntil, m.coldUntil = time.Time{}, time.Time{}
-	}
-	if restarted && a.JustStarted {
-		m.justStartedUntil = e.now.Add(justStartedTime)
-		m.coldUntil = e.now.Add(e.warmupOf(a.Group))
+	if !m.Started.Equal(a.Started) {
+		m.startedAt, m.coldUntil = time.Time{}, time.Time{}
+		if a.StartedAgo > 0 {
+			m.startedAt = e.now.Add(-a.StartedAgo)
+		}
+		if warmup := e.warmupOf(a.Group); warmup > 0 && !m.startedAt.IsZero() {
+			m.coldUntil = m.startedAt.Add(warmup)
+		}
 	}
 	if a.WarmupLeft > 0 && (m.coldUntil.IsZero() || a.Revision > m.Revision) {
 		m.coldUntil = e.now.Add(a.WarmupLeft)
 	}
 }
 
+// hasJustStarted reports whether the member's process started a few seconds ago.
+func (e *Engine) hasJustStarted(m *member) bool {
+	return !m.startedAt.IsZero() && e.now.Sub(m.startedAt) < recentStart
+}
+
 // warmupOf returns how long the group's members warm up after their start.
 func (e *Engine) warmupOf(group core.DatabaseName) time.Duration {
 	if e.configuration == nil {
@@ -112,10 +118,12 @@
 // announcementOf returns the member's announcement as a follower should apply it now.
 func (e *Engine) announcementOf(m *member) Announcement {
 	a := m.Announcement
-	a.JustStarted = e.now.Before(m.justStartedUntil)
-	a.WarmupLeft = max(m.coldUntil.Sub(e.now), 0)
-	if m.coldUntil.IsZero() {
-		a.WarmupLeft = 0
+	a.StartedAgo, a.WarmupLeft = 0, 0
+	if !m.startedAt.IsZero() {
+		a.StartedAgo = e.now.Sub(m.startedAt)
+	}
+	if m.coldUntil.After(e.now) {
+		a.WarmupLeft = m.coldUntil.Sub(e.now)
 	}
 	return a
 }
--- a/pkg/fleet/members_test.go
+++ b/pkg/fleet/members_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	h := newHarness(t)
 	r := h.announce("r1", core.RoleReplica)
 	r.Started = time.UnixMilli(5_000)
-	r.JustStarted, r.WarmupLeft = true, 2*time.Second
+	r.StartedAgo, r.WarmupLeft = time.Second, 2*time.Second
 	h.announceMember(r)
 	end := h.now.Add(2 * time.Second)
 	m := h.e.members["r1"]
@@ -39,12 +40,13 @@
 	h.advance(time.Second)
 	h.handle(StoreChanges{Changes: []Change{{Revision: m.Revision, Member: &m.Announcement}}})
 	require.Equal(t, end, h.e.members["r1"].coldUntil)
-	for _, a := range h.e.recordsSnapshot(1).Members {
-		if a.Member == "r1" {
-			require.Equal(t, time.Second, a.WarmupLeft)
-			require.True(t, a.JustStarted)
-		}
-	}
+	members := h.e.recordsSnapshot(1).Members
+	i := slices.IndexFunc(members, func(a Announcement) bool { return a.Member == "r1" })
+	require.Equal(t, time.Second, members[i].WarmupLeft)
+	require.Equal(t, 2*time.Second, members[i].StartedAgo)
+	require.True(t, h.e.hasJustStarted(m))
+	h.advance(recentStart)
+	require.False(t, h.e.hasJustStarted(m))
 }
 
 // Guards against a follower that uses the members of an evacuated failure domain because
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -65,7 +65,7 @@
 			Withdrawn:   e.withdrawn(m),
 			SendUntil:   e.sendUntil(m),
 			Started:     m.Started,
-			JustStarted: e.now.Before(m.justStartedUntil),
+			JustStarted: e.hasJustStarted(m),
 			ColdUntil:   m.coldUntil,
 			Announced:   uint64(m.Revision),
 			RespondedAt: e.now,
--- a/pkg/fleet/types.go
+++ b/pkg/fleet/types.go
@@ -56,8 +56,9 @@
 	// Started is when the member's process started. A process that started later
 	// under the same ID has kept nothing of the earlier one.
 	Started time.Time
-	// JustStarted is set if that was a few seconds before the announcement was read.
-	JustStarted bool
+	// StartedAgo is the time from the start to the reading of the announcement, by the
+	// clocks of both; zero if it is not known.
+	StartedAgo time.Duration
 	// WarmupLeft is how much longer the member warms up, counted from the announcement.
 	WarmupLeft time.Duration
 	// Revision is the store revision of the announcement.
