Claim homes as soon as this instance is registered

After a restart of all instances homes returned 0.25 s later than before: the store is read in one call, which precedes the instance's own registration, and an instance claimed nothing until it had read that back with the next batch of changes. A lease means that it is registered. TestInstanceClaimsItsHomesOnceItIsRegistered fails without the change. Tests of fleet and instance pass.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -221,10 +221,7 @@
 	case ConfigurationReceived:
 		e.configurationReceived(in.Configuration)
 	case LeaseUpdated:
-		e.homes.leaseUntil, e.handovers.lease = in.Until, in.Lease
-		if e.configuration != nil {
-			e.publishHomes()
-		}
+		e.leaseUpdated(in)
 	case HandoverRequested:
 		e.handovers.requested(in)
 	case HandoverAnswered:
--- a/pkg/fleet/instances.go
+++ b/pkg/fleet/instances.go
@@ -30,6 +30,26 @@
 	e.topology.invalidate()
 }
 
+// leaseUpdated applies the end of this instance's lease. A lease means that the instance is
+// registered: it need not wait until its own registration is read back to claim homes.
+func (e *Engine) leaseUpdated(in LeaseUpdated) {
+	e.homes.leaseUntil, e.handovers.lease = in.Until, in.Lease
+	self := e.config.Self
+	known := e.instances[self.Node]
+	registered := in.Lease != 0 && (known == nil || known.ID != self.ID)
+	if registered {
+		e.updateInstance(self)
+	}
+	if e.configuration == nil {
+		return
+	}
+	e.publishHomes()
+	if registered {
+		e.sourceSelector.reselect()
+		e.homes.claimVacant()
+	}
+}
+
 // removeInstance removes an instance whose registration was deleted. During the
 // grace period after a store outage it is only marked missing.
 func (e *Engine) removeInstance(node string) {
