Let a returning member that fails some statements get its share

While a member recovered, every failed statement halved its allowance. Failures now count as in the other states, above two fifths. TestReturningMemberThatFailsSometimesGetsItsShare fails without the change; the member that fails fast for all is still held (TestFastFailures and the other tests of pace pass).

--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -57,8 +57,9 @@
 	minStartFraction = 1.0 / 8
 	// failedWeight is the number of answers over which failures are smoothed.
 	failedWeight = 8
-	// maxFailedFraction is the smoothed fraction of failed answers above which the
-	// member counts as overloaded in the states other than "recovering".
+	// maxFailedFraction is the smoothed fraction of failed answers above which the member
+	// counts as overloaded. A member that fails fewer is ill rather than overloaded: less
+	// work would not help it, and would delay callers that it alone may serve.
 	maxFailedFraction = 0.4
 	// phaseStep spreads the pauses over their interval; its multiples are evenly
 	// distributed between 0 and 1.
@@ -209,7 +210,7 @@
 		p.overloaded(now, "the member refuses statements as BUSY")
 	case Failed:
 		p.failedFraction += (1 - p.failedFraction) / failedWeight
-		if p.state == p.table.recovering || p.failedFraction > maxFailedFraction {
+		if p.failedFraction > maxFailedFraction {
 			p.overloaded(now, "the member fails statements")
 		}
 	case Abandoned:
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -275,3 +275,26 @@
 	require.True(t, ok)
 	require.GreaterOrEqual(t, p.Status().Allowance, 1.0)
 }
+
+// Guards against a returning member that fails a third of its statements, is the only one
+// that may run them, and therefore never gets beyond its slow start: its callers waited for
+// seconds although it had room.
+func TestReturningMemberThatFailsSometimesGetsItsShare(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := New(newTable(t), now, Limits{Slots: 4, Homes: 80}, 0)
+	p.Return(now, "the member is reachable again")
+	started := 0
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if ok, _ := p.MayStart(now, 0); !ok {
+			continue
+		}
+		started++
+		p.Started(now)
+		kind := OK
+		if started%3 == 0 {
+			kind = Failed
+		}
+		p.Answer(now, Answer{Kind: kind, Took: 10 * time.Millisecond})
+	}
+	require.Equal(t, "steady", p.Status().State)
+}
