--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # no network. The build of the deploy file comes before it.
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
-GOWORK=off go build -o ../../target/review2 .
+GOWORK=off GOFLAGS="-buildvcs=false" GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/review2 .
--- a/review/standin-2/lost.go
+++ b/review/standin-2/lost.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 )
 
@@ -29,24 +28,7 @@
 	g.arrived = func(m *Member, tenant, id, text string, first bool) {
 		note("member", "%s runs %s for %s: %s", m.id, id, tenant, text)
 	}
-	type promotion struct {
-		member string
-		held   map[string]bool
-		at     time.Time
-	}
-	var mu sync.Mutex
-	var promotions []promotion
-	g.promoted = func(m *Member) {
-		p := promotion{member: m.id, held: map[string]bool{}, at: time.Now()}
-		for _, entry := range m.log {
-			for _, w := range entry.writes {
-				p.held[w.id] = true
-			}
-		}
-		mu.Lock()
-		promotions = append(promotions, p)
-		mu.Unlock()
-	}
+	promotions := watchPromotions(g)
 	store.put("op/config", configuration(2, 1000, 1000, 1))
 	f, err := newFleet(e.repository, e.dir, store.address, []string{"za", "zb", "zc"})
 	if err != nil {
@@ -93,28 +75,8 @@
 	l.stop()
 	f.stop()
 
-	mu.Lock()
-	defer mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	result("promotions: %d", len(promotions))
-	broken := false
-	for _, p := range promotions {
-		acked, missing := 0, 0
-		for id, outcome := range l.outcomes {
-			if outcome != "success" || l.answeredAt[id].After(p.at) {
-				continue
-			}
-			acked++
-			if !p.held[id] {
-				missing++
-				note("result", "%s was acknowledged and is not in the log of %s, which was promoted", id, p.member)
-			}
-		}
-		result("LOST: of %d commits acknowledged before the promotion of %s, %d are not in its log", acked, p.member, missing)
-		broken = broken || missing > 0
-	}
-	if e.trouble && len(promotions) == 0 {
+	broken := promotions.check(l)
+	if e.trouble && promotions.count() == 0 {
 		return false, fmt.Errorf("no member was promoted")
 	}
 	return broken, nil
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 	"late_registration": lateRegistration,
 	"draining_replica":  drainingReplica,
 	"drain_clock":       drainClock,
+	"unanswered_status": unansweredStatus,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/member.go
+++ b/review/standin-2/member.go
@@ -67,11 +67,13 @@
 	// cutFromStore is set while the member's messages do not reach the store, deaf while
 	// it receives nothing from the primary, paused after PAUSE.
 	cutFromStore, deaf, paused bool
-	running                    bool
-	lastBeat                   time.Time
-	conns                      map[net.Conn]bool
-	busy                       int
-	entry                      string
+	// loseStatusAnswers is how many answers to STATUS are lost from now on.
+	loseStatusAnswers int
+	running           bool
+	lastBeat          time.Time
+	conns             map[net.Conn]bool
+	busy              int
+	entry             string
 }
 
 func newGroup(store *Store, name string, zones []string) (*Group, error) {
@@ -243,6 +245,10 @@
 		case started && word == "QUERY":
 			id, text, _ := strings.Cut(rest, " ")
 			answer = c.query(id, text)
+			if text == "STATUS" && m.losesAnswer() {
+				note("network", "the answer of %s to STATUS is lost", m.id)
+				continue
+			}
 		default:
 			answer = []string{"ERROR MALFORMED"}
 		}
@@ -438,7 +444,8 @@
 			time.AfterFunc(linkDelay, func() {
 				g.mu.Lock()
 				defer g.mu.Unlock()
-				if m.running && g.primary == m && g.term == term && r.receive(m, number) {
+				// What was sent before a crash or a step-down still arrives.
+				if g.term == term && r.receive(m, number) {
 					received <- struct{}{}
 				}
 			})
@@ -499,6 +506,17 @@
 	return []string{fmt.Sprintf("DATAROW %s %d %d.%d 0 0 %d %d", role, g.term, m.logTerm, len(m.log), m.busy, len(m.conns)), "COMPLETE -"}
 }
 
+// losesAnswer reports whether the answer to a STATUS is lost.
+func (m *Member) losesAnswer() bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	if m.loseStatusAnswers == 0 {
+		return false
+	}
+	m.loseStatusAnswers--
+	return true
+}
+
 // promote carries out POST /promotion.
 func (g *Group) promote(_, id, holder string, token uint64) int {
 	g.mu.Lock()
