Log where a configuration was read and when it is in force

Cause: a late configuration could not be traced. The log said when the fleet duty adopted it, not where it was read, for how long the instance had not known the store's state, nor when the session duty applied it; a line of a request did not say which version decided.

Change: source, feeder and unread_ms on the configuration line, a line configuration_applied of the session duty, version on each request line, the metric configuration_version, and counts of a feeder's responses on /status. No decision changes.

--- a/pkg/fleet/changes.go
+++ b/pkg/fleet/changes.go
@@ -101,26 +101,3 @@
 		e.withdrawEvacuation(c.RestoredDomain)
 	}
 }
-
-// adoptConfiguration makes c the current configuration unless the current one is at
-// least as new.
-func (e *Engine) adoptConfiguration(c *Configuration) {
-	if c == nil || e.configuration != nil && c.Version <= e.configuration.Version {
-		return
-	}
-	e.configuration = c
-	e.out.Log(LogEvent{Event: "configuration", Message: "configuration adopted", Fields: map[string]any{
-		"version": c.Version, "entries": len(c.Entries), "groups": len(c.Groups), "accounts": len(c.Accounts),
-	}})
-	e.reportLongTimeLimits(c)
-}
-
-// configurationReceived adopts a newer configuration sent by another instance,
-// which may be able to read the store when this one cannot.
-func (e *Engine) configurationReceived(c *Configuration) {
-	if e.configuration != nil && c.Version <= e.configuration.Version {
-		return
-	}
-	e.adoptConfiguration(c)
-	e.publish()
-}
--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -85,6 +85,8 @@
 	// changesSince is the time after which the changes being applied were made, as
 	// in StoreSnapshot.Since.
 	changesSince time.Time
+	// changesFrom is where the records being applied were read.
+	changesFrom recordSource
 	// registeredAt is when this instance last wrote its registration, as far as the engine
 	// knows.
 	registeredAt time.Time
@@ -193,14 +195,14 @@
 	e.now = now
 	switch in := in.(type) {
 	case StoreSnapshot:
-		e.changesSince = in.Since
+		e.changesSince, e.changesFrom = in.Since, sourceOf(in.Feeder)
 		e.applySnapshot(in.Snapshot)
 		e.checkOwnRegistration(in.AsOf)
 		e.feed.reset(in.Snapshot.Revision, in.AsOf)
 		e.sourceSelector.reselect()
 		e.primaryLease.storeRead(in.AsOf)
 	case StoreChanges:
-		e.changesSince = in.Since
+		e.changesSince, e.changesFrom = in.Since, sourceOf(in.Feeder)
 		e.applyChanges(in.Changes)
 		e.checkOwnRegistration(in.AsOf)
 		e.feed.record(in.Changes, in.Next, in.AsOf)
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -64,6 +64,31 @@
 	asOf       time.Time
 	pending    []pendingRequest
 	timer      timerq.Item[func()]
+	responses  FeedCounts
+}
+
+// FeedCounts counts the responses to followers.
+type FeedCounts struct {
+	Changes uint64 `json:"changes"`
+	// Snapshots are responses with all records.
+	Snapshots   uint64 `json:"snapshots"`
+	Unavailable uint64 `json:"unavailable"`
+	StoreLost   uint64 `json:"store_lost"`
+}
+
+// send counts and sends a response.
+func (f *feed) send(replyTo any, response FeedResponse) {
+	switch {
+	case response.StoreLost:
+		f.responses.StoreLost++
+	case response.Unavailable:
+		f.responses.Unavailable++
+	case response.Snapshot != nil:
+		f.responses.Snapshots++
+	default:
+		f.responses.Changes++
+	}
+	f.e.out.SendFeed(replyTo, response)
 }
 
 // pendingRequest is a request that waits for changes.
@@ -136,11 +161,11 @@
 	req := pendingRequest{replyTo: in.ReplyTo, after: in.After, receivedAt: now, deadline: now.Add(in.Wait)}
 	switch {
 	case f.serving && !f.storeReadable:
-		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true, StoreLost: true})
+		f.send(req.replyTo, FeedResponse{Unavailable: true, StoreLost: true})
 	case f.serving && !f.outdated && in.After == 0:
-		f.e.out.SendFeed(req.replyTo, FeedResponse{Snapshot: f.e.recordsSnapshot(f.head), Next: f.head, Age: now.Sub(f.asOf)})
+		f.send(req.replyTo, FeedResponse{Snapshot: f.e.recordsSnapshot(f.head), Next: f.head, Age: now.Sub(f.asOf)})
 	case !f.serving, f.outdated, in.After < f.base, len(f.pending) >= maxPendingFeedRequests:
-		f.e.out.SendFeed(req.replyTo, FeedResponse{Unavailable: true})
+		f.send(req.replyTo, FeedResponse{Unavailable: true})
 	case in.After < f.head || in.Wait <= 0:
 		f.respond(&req)
 	default:
@@ -157,7 +182,7 @@
 		}
 		return 1
 	})
-	f.e.out.SendFeed(req.replyTo, FeedResponse{
+	f.send(req.replyTo, FeedResponse{
 		Changes: slices.Clone(f.changes[first:]), Next: max(f.head, req.after), Age: f.e.now.Sub(f.asOf),
 		Held: f.e.now.Sub(req.receivedAt),
 	})
@@ -180,7 +205,7 @@
 // rejectAll answers the waiting requests that they cannot be served.
 func (f *feed) rejectAll() {
 	for i := range f.pending {
-		f.e.out.SendFeed(f.pending[i].replyTo, FeedResponse{Unavailable: true, StoreLost: !f.storeReadable})
+		f.send(f.pending[i].replyTo, FeedResponse{Unavailable: true, StoreLost: !f.storeReadable})
 	}
 	f.pending = nil
 }
--- a/pkg/fleet/home_sim_node_test.go
+++ b/pkg/fleet/home_sim_node_test.go
@@ -428,3 +428,6 @@
 func (o homeSessionOutputs) Span(session.Span)                     {}
 func (o homeSessionOutputs) LogDecision(session.Decision)          {}
 func (o homeSessionOutputs) LogMemberPace(session.MemberPace)      {}
+
+// LogConfiguration implements session.Outputs.
+func (o homeSessionOutputs) LogConfiguration(session.ConfigurationApplied) {}
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -21,6 +21,8 @@
 	// Since is a time at which the store held nothing newer than what was delivered
 	// before, so the changes were made after it. It is zero at the start.
 	Since time.Time
+	// Feeder is the instance that the records were read from, empty for the store.
+	Feeder session.PeerAddress
 }
 
 // StoreChanges delivers changes in the order of their revisions. An instance that
@@ -31,8 +33,9 @@
 	// which the store held nothing newer.
 	Next Revision
 	AsOf time.Time
-	// Since is as in StoreSnapshot.
-	Since time.Time
+	// Since and Feeder are as in StoreSnapshot.
+	Since  time.Time
+	Feeder session.PeerAddress
 }
 
 // StoreUnavailable reports that the store cannot be read. The next StoreSnapshot
--- a/pkg/fleet/overload_sim_node_test.go
+++ b/pkg/fleet/overload_sim_node_test.go
@@ -294,3 +294,6 @@
 func (n *overloadNode) AnswerHandover(any, HandoverResponse) {}
 
 func (o overloadSessionOutputs) LogMemberPace(session.MemberPace) {}
+
+// LogConfiguration implements session.Outputs.
+func (o overloadSessionOutputs) LogConfiguration(session.ConfigurationApplied) {}
--- a/pkg/fleet/publish.go
+++ b/pkg/fleet/publish.go
@@ -15,7 +15,7 @@
 	}
 	e.publishedVersion++
 	c := e.catalogue()
-	e.out.Session(session.CatalogueUpdate{Catalogue: c})
+	e.out.Session(session.CatalogueUpdate{Catalogue: c, PublishedAt: e.now})
 	e.out.Session(session.LimitsUpdate{TransactionIdle: e.configuration.TransactionIdle})
 	for i := range c.Databases {
 		e.out.Session(e.view(&c.Databases[i]))
--- a/pkg/fleet/status.go
+++ b/pkg/fleet/status.go
@@ -30,6 +30,8 @@
 	// one.
 	Feeder  session.PeerAddress `json:"feeder"`
 	Feeding bool                `json:"feeding"`
+	// FeedResponses counts the responses of this instance to its followers.
+	FeedResponses FeedCounts `json:"feed_responses"`
 	// LeaseSeconds is how long the registration is guaranteed to last, in seconds.
 	LeaseSeconds float64          `json:"lease_seconds"`
 	Instances    []InstanceStatus `json:"instances"`
@@ -86,7 +88,7 @@
 func (e *Engine) inspect() Status {
 	s := Status{
 		Node: e.config.Self.Node, Domain: e.config.Self.Domain, State: e.lifecycle.StateName(e.state), StoreLost: e.storeLost,
-		Feeder: e.sourceSelector.current.Feeder, Feeding: e.sourceSelector.current.Feeding,
+		Feeder: e.sourceSelector.current.Feeder, Feeding: e.sourceSelector.current.Feeding, FeedResponses: e.feed.responses,
 		LeaseSeconds: max(e.homes.leaseUntil.Sub(e.now), 0).Round(time.Millisecond).Seconds(),
 		Evacuations:  e.evacuationStatus(),
 	}
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -180,7 +180,7 @@
 	}
 	first := w.after == 0 && w.assigned == ChangeSource{}
 	w.checkFailed = false
-	w.deliverSnapshot(snapshot, sentAt)
+	w.deliverSnapshot(snapshot, sentAt, "")
 	if first {
 		// Instances that start together register now, and the engine may assign a feeder.
 		w.pauseUntilAssigned(w.bounds.BatchDelay)
@@ -188,9 +188,10 @@
 	return nil
 }
 
-// deliverSnapshot delivers a snapshot that holds everything up to a time.
-func (w *Watcher) deliverSnapshot(snapshot *Snapshot, asOf time.Time) {
-	w.deliver(StoreSnapshot{Snapshot: snapshot, Since: w.asOf, AsOf: asOf})
+// deliverSnapshot delivers a snapshot that holds everything up to a time. It was read from
+// the feeder, or from the store if that is empty.
+func (w *Watcher) deliverSnapshot(snapshot *Snapshot, asOf time.Time, feeder session.PeerAddress) {
+	w.deliver(StoreSnapshot{Snapshot: snapshot, Since: w.asOf, AsOf: asOf, Feeder: feeder})
 	w.after, w.asOf = snapshot.Revision, asOf
 	w.overloads, w.failures = 0, 0
 	w.feeders.storeLost = false
--- a/pkg/fleet/watchfeeders.go
+++ b/pkg/fleet/watchfeeders.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return StoreChanges{}, err
 	}
-	return StoreChanges{Changes: response.Changes, Next: max(w.after, response.Next), AsOf: asOf}, nil
+	return StoreChanges{Changes: response.Changes, Next: max(w.after, response.Next), AsOf: asOf, Feeder: feeder}, nil
 }
 
 // everythingFrom reads everything from a feeder and delivers it. It returns that there
@@ -199,8 +199,8 @@
 	if response.Snapshot == nil || response.Snapshot.Revision < w.after {
 		return StoreChanges{}, errFeederNotReady
 	}
-	w.deliverSnapshot(response.Snapshot, asOf)
-	return StoreChanges{Next: w.after, AsOf: asOf}, nil
+	w.deliverSnapshot(response.Snapshot, asOf, feeder)
+	return StoreChanges{Next: w.after, AsOf: asOf, Feeder: feeder}, nil
 }
 
 // callFeeder sends a request to a feeder. It returns the response and the time at which
--- a/pkg/instance/hostedmetrics.go
+++ b/pkg/instance/hostedmetrics.go
@@ -108,6 +108,7 @@
 		"retries_total": float64(i.Retries), "requeued_total": float64(i.Requeued), "homes_lost_total": float64(i.HomesLost),
 		"connections_refused_full_total": float64(i.RefusedAtLimit), "connections_given_total": float64(i.ConnectionsReleased),
 		"callers": float64(i.Callers), "connections": float64(i.Connections), "queued": float64(i.Queued),
+		"configuration_version": float64(i.ConfigurationVersion),
 	}
 	for _, name := range sortedKeys(counters) {
 		p.add("sassafrasshunt_"+name, "", counters[name])
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -59,6 +59,11 @@
 	o.hosted.log(logrus.InfoLevel, eventMemberPace, p.Reason, memberPaceFields(&p))
 }
 
+// LogConfiguration logs a configuration that is in force for callers.
+func (o *hostedSessionOutputs) LogConfiguration(c session.ConfigurationApplied) {
+	o.hosted.log(logrus.InfoLevel, eventConfigurationApplied, "configuration in force for callers", configurationFields(&c))
+}
+
 // hostedFleetOutputs carries out the outputs of the fleet engine.
 type hostedFleetOutputs struct {
 	hosted  *Hosted
--- a/pkg/instance/outputs.go
+++ b/pkg/instance/outputs.go
@@ -80,6 +80,9 @@
 // LogMemberPace is not used: this kind of instance has no pacers.
 func (o *sessionOutputs) LogMemberPace(session.MemberPace) {}
 
+// LogConfiguration is not used: control logs the adopted configuration.
+func (o *sessionOutputs) LogConfiguration(session.ConfigurationApplied) {}
+
 // controlOutputs writes the outputs of the control engine to the rings of other
 // duties.
 type controlOutputs struct {
--- a/pkg/instance/requestlog.go
+++ b/pkg/instance/requestlog.go
@@ -30,6 +30,16 @@
 	})
 }
 
+// eventConfigurationApplied is the log event of a configuration that is in force for callers.
+const eventConfigurationApplied = "configuration_applied"
+
+// configurationFields returns the fields of the log line. The delay is in milliseconds.
+func configurationFields(c *session.ConfigurationApplied) telemetry.Fields {
+	return telemetry.Fields{
+		"version": c.Version, "delay_ms": c.Delay.Milliseconds(), "callers": c.Callers, "ending": c.Ending,
+	}
+}
+
 // decisionMessage returns the message of the log line for d.
 func decisionMessage(d *session.Decision) string {
 	switch {
@@ -46,7 +56,7 @@
 func decisionFields(d *session.Decision) telemetry.Fields {
 	fields := telemetry.Fields{
 		"request": d.Request, "caller": uint64(d.Caller), "account": string(d.Account), "entry": string(d.Entry),
-		"waited_ms": d.Waited.Milliseconds(),
+		"waited_ms": d.Waited.Milliseconds(), "version": d.Version,
 	}
 	if d.Refusal != nil {
 		fields["reason"] = string(d.Refusal.Reason)
--- a/pkg/session/catalogue.go
+++ b/pkg/session/catalogue.go
@@ -20,13 +20,15 @@
 // catalogueUpdate applies a newer catalogue. Callers whose key was revoked are
 // closed at once, those whose entry was removed or changed at their next clean
 // boundary.
-func (e *Engine) catalogueUpdate(cat *catalogue.Catalogue) {
+func (e *Engine) catalogueUpdate(in CatalogueUpdate) {
+	cat := in.Catalogue
 	if cat == nil || e.catalogue != nil && cat.Version <= e.catalogue.Version {
 		return
 	}
 	if e.catalogue == nil {
 		e.startAdmissionWait()
 	}
+	newConfiguration := cat.OperatorVersion > e.operatorVersion()
 	e.catalogue = cat
 	e.configureAccounts(cat)
 	e.configureDatabases(cat)
@@ -34,6 +36,9 @@
 	for _, c := range e.callers {
 		c.applyCatalogue()
 	}
+	if newConfiguration {
+		e.reportConfigurationApplied(in.PublishedAt)
+	}
 	e.retryPendingAdmissions()
 }
 
--- a/pkg/session/control_test.go
+++ b/pkg/session/control_test.go
@@ -346,5 +346,7 @@
 
 func (*discardOutputs) LogMemberPace(MemberPace) {}
 
+func (*discardOutputs) LogConfiguration(ConfigurationApplied) {}
+
 // Peer implements Outputs.
 func (*discardOutputs) Peer(PeerCommand) bool { return true }
--- a/pkg/session/decision.go
+++ b/pkg/session/decision.go
@@ -13,6 +13,8 @@
 	Caller  CallerID
 	Account core.AccountName
 	Entry   core.EntryName
+	// Version is the version of the operator's configuration at the end of the request.
+	Version uint64
 	// Member is the member that was chosen last, empty if none, and Choice the
 	// reason.
 	Member core.MemberID
@@ -48,7 +50,7 @@
 		return
 	}
 	d := Decision{
-		Caller: s.c.id, Account: s.c.account.name, Entry: s.c.entry.definition.Name,
+		Caller: s.c.id, Account: s.c.account.name, Entry: s.c.entry.definition.Name, Version: e.operatorVersion(),
 		Choice: s.reason, Refusal: s.refusal, MemberError: s.errorCode,
 		Waited: e.now.Sub(s.request.Arrived), Retries: s.retries, PositionAge: -1,
 	}
--- a/pkg/session/engine.go
+++ b/pkg/session/engine.go
@@ -237,7 +237,7 @@
 	case FloorResult:
 		e.floorResult(in)
 	case CatalogueUpdate:
-		e.catalogueUpdate(in.Catalogue)
+		e.catalogueUpdate(in)
 	case ShareUpdate:
 		e.shareUpdate(in)
 	case Inspect:
--- a/pkg/session/harness_test.go
+++ b/pkg/session/harness_test.go
@@ -24,6 +24,8 @@
 	spans     []Span
 	peers     []PeerCommand
 	paces     []MemberPace
+	// configurations are the reports of applied configurations.
+	configurations []ConfigurationApplied
 	// firstInTransaction makes the requests of remote callers the first of a
 	// transaction.
 	firstInTransaction bool
@@ -206,6 +208,10 @@
 
 func (h *harness) LogDecision(Decision) {}
 
+func (h *harness) LogConfiguration(c ConfigurationApplied) {
+	h.configurations = append(h.configurations, c)
+}
+
 func (h *harness) LogMemberPace(p MemberPace) { h.paces = append(h.paces, p) }
 
 func (h *harness) Peer(c PeerCommand) bool {
--- a/pkg/session/input.go
+++ b/pkg/session/input.go
@@ -197,6 +197,8 @@
 // CatalogueUpdate publishes a new catalogue.
 type CatalogueUpdate struct {
 	Catalogue *catalogue.Catalogue
+	// PublishedAt is when it was published, zero if that is not known.
+	PublishedAt time.Time
 }
 
 // MemberView is what control knows about one member.
--- a/pkg/session/inspect.go
+++ b/pkg/session/inspect.go
@@ -20,20 +20,22 @@
 
 // Inspection answers Inspect.
 type Inspection struct {
-	ReplicaReads         uint64                                 `json:"replica_reads"`
-	PrimaryReads         uint64                                 `json:"primary_reads"`
-	WritesAcknowledged   uint64                                 `json:"writes_acknowledged"`
-	WritesUncertain      uint64                                 `json:"writes_uncertain"`
-	Refusals             map[core.Reason]uint64                 `json:"refusals"`
-	RefusalsWithoutShare uint64                                 `json:"rate_refusals_without_share"`
-	Retries              uint64                                 `json:"retries"`
-	Requeued             uint64                                 `json:"requeued"`
-	HomesLost            uint64                                 `json:"homes_lost"`
-	RefusedAtLimit       uint64                                 `json:"refused_full"`
-	ConnectionsReleased  uint64                                 `json:"room_given"`
-	Callers              int                                    `json:"callers"`
-	Connections          int                                    `json:"connections"`
-	Queued               int                                    `json:"queued"`
+	ReplicaReads         uint64                 `json:"replica_reads"`
+	PrimaryReads         uint64                 `json:"primary_reads"`
+	WritesAcknowledged   uint64                 `json:"writes_acknowledged"`
+	WritesUncertain      uint64                 `json:"writes_uncertain"`
+	Refusals             map[core.Reason]uint64 `json:"refusals"`
+	RefusalsWithoutShare uint64                 `json:"rate_refusals_without_share"`
+	Retries              uint64                 `json:"retries"`
+	Requeued             uint64                 `json:"requeued"`
+	HomesLost            uint64                 `json:"homes_lost"`
+	RefusedAtLimit       uint64                 `json:"refused_full"`
+	ConnectionsReleased  uint64                 `json:"room_given"`
+	Callers              int                    `json:"callers"`
+	Connections          int                    `json:"connections"`
+	Queued               int                    `json:"queued"`
+	// ConfigurationVersion is the version of the operator's configuration in force.
+	ConfigurationVersion uint64                                 `json:"configuration_version"`
 	Accounts             map[core.AccountName]AccountInspection `json:"accounts"`
 	// Pace describes how much work the members of each database get.
 	Pace map[core.DatabaseName]PaceMetrics `json:"pace"`
@@ -98,9 +100,10 @@
 		Refusals: make(map[core.Reason]uint64, len(m.Refusals)), RefusalsWithoutShare: m.RefusalsWithoutShare,
 		Retries: m.Retries, Requeued: m.Requeued, HomesLost: m.HomesLost, RefusedAtLimit: m.RefusedAtLimit, ConnectionsReleased: m.ConnectionsReleased,
 		Callers: m.Callers, Connections: m.Connections, Queued: m.Queued,
-		Accounts:    make(map[core.AccountName]AccountInspection, len(m.Accounts)),
-		Pace:        m.Pace,
-		Transitions: e.charts.transitionCounts(),
+		ConfigurationVersion: e.operatorVersion(),
+		Accounts:             make(map[core.AccountName]AccountInspection, len(m.Accounts)),
+		Pace:                 m.Pace,
+		Transitions:          e.charts.transitionCounts(),
 	}
 	for reason, n := range m.Refusals {
 		answer.Refusals[reason] = n
--- a/pkg/session/keyschedule_node_test.go
+++ b/pkg/session/keyschedule_node_test.go
@@ -290,3 +290,6 @@
 
 // LogMemberPace implements Outputs.
 func (n *keyNode) LogMemberPace(MemberPace) {}
+
+// LogConfiguration implements Outputs.
+func (n *keyNode) LogConfiguration(ConfigurationApplied) {}
--- a/pkg/session/output.go
+++ b/pkg/session/output.go
@@ -21,6 +21,8 @@
 	LogDecision(Decision)
 	// LogMemberPace offers a change of a member's pacer to the log. It never blocks.
 	LogMemberPace(MemberPace)
+	// LogConfiguration offers an applied configuration to the log. It never blocks.
+	LogConfiguration(ConfigurationApplied)
 }
 
 // CallerCommand is an item of the callerio duty's ring.
--- a/pkg/session/simulation_outputs_test.go
+++ b/pkg/session/simulation_outputs_test.go
@@ -185,5 +185,8 @@
 // LogMemberPace implements Outputs.
 func (sim *simulation) LogMemberPace(MemberPace) {}
 
+// LogConfiguration implements Outputs.
+func (sim *simulation) LogConfiguration(ConfigurationApplied) {}
+
 // Peer implements Outputs.
 func (sim *simulation) Peer(PeerCommand) bool { return true }
