Bound reads of the store by the progress of the response

Cause: the limit of a read counted the transfer of the response. A large configuration takes longer than the limit on a thin link, so that every attempt was given up, and the bytes of the attempts took the link from each other.

Change: lib/progress. The response must begin within the limit, and its parts must follow each other within the response timeout; a transfer takes 8 s at most.

A response that stops arriving is still given up (TestResponseThatStopsArrivingIsGivenUp). An unresponsive store is noticed as fast as before: TestStoreLoad* pass unchanged.

--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -27,7 +27,8 @@
 	ErrLeaseEnded = eris.New("the lease has ended")
 )
 
-// Source reads the store.
+// Source reads the store. The limits of a call are those of its context; an implementation
+// reports the parts of a response to them with progress.Reader.
 type Source interface {
 	// Snapshot reads all records that the fleet uses. It returns ErrUnavailable,
 	// wrapped, if the store cannot be read, and ErrOverloaded if only a part could
--- a/pkg/fleet/watcher.go
+++ b/pkg/fleet/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/progress"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 	"github.com/sassafrasshunt/sassafrasshunt/pkg/session"
 )
@@ -18,7 +19,7 @@
 // it.
 type Feeder interface {
 	// Feed waits up to the given time for changes after a revision. It returns
-	// ErrUnavailable, wrapped, if no response comes in time.
+	// ErrUnavailable, wrapped, if no response begins soon after that or it stops arriving.
 	Feed(ctx context.Context, feeder session.PeerAddress, after Revision, wait time.Duration) (FeedResponse, error)
 }
 
@@ -70,7 +71,8 @@
 	// feeders and is the wait of their followers.
 	Wait time.Duration
 	Feed time.Duration
-	// ResponseTimeout limits the time of a call beyond its wait.
+	// ResponseTimeout limits the time beyond a call's wait until its response begins, and
+	// then the time between two parts of it.
 	ResponseTimeout time.Duration
 	// RetryInterval limits the delay before the second attempt while the store fails.
 	// The limit doubles with each failure, up to MaxRetryDelay.
@@ -92,6 +94,10 @@
 	}
 }
 
+// maxTransferTime bounds the transfer of a response that arrives slowly: the longest one, all
+// records with a configuration of 1 MB, over a fifth of a link of 10 Mbit/s.
+const maxTransferTime = 8 * time.Second
+
 // assignmentRingCapacity is the number of assignments that can wait while a call is
 // in progress. An assignment follows each change of the instances.
 const assignmentRingCapacity = 256
@@ -167,7 +173,7 @@
 
 // readSnapshot reads everything from the store and delivers it.
 func (w *Watcher) readSnapshot() error {
-	ctx, cancel := context.WithTimeout(w.ctx, w.bounds.ResponseTimeout<<w.overloads)
+	ctx, cancel := progress.WithLimits(w.ctx, w.readLimits(w.bounds.ResponseTimeout<<w.overloads))
 	defer cancel()
 	sentAt := w.now()
 	snapshot, err := w.store.Snapshot(ctx)
@@ -313,17 +319,22 @@
 
 // watchStore asks the store for the changes and waits for them up to the given time.
 func (w *Watcher) watchStore(wait time.Duration) (StoreChanges, error) {
-	ctx, cancel := w.callContext(wait)
+	ctx, cancel := w.callContext(progress.WithLimits(w.ctx, w.readLimits(wait+w.bounds.ResponseTimeout)))
 	defer cancel()
 	sentAt := w.now()
 	changes, next, err := w.store.Watch(ctx, w.after, wait)
 	return StoreChanges{Changes: changes, Next: next, AsOf: sentAt}, err
 }
 
-// callContext returns a context for a call that waits; RereadStore and
-// SetSource can cancel it.
-func (w *Watcher) callContext(wait time.Duration) (context.Context, func()) {
-	ctx, cancel := context.WithTimeout(w.ctx, wait+w.bounds.ResponseTimeout)
+// readLimits returns the limits of a read of the store whose response begins within the given
+// time.
+func (w *Watcher) readLimits(first time.Duration) progress.Limits {
+	return progress.Limits{First: first, Idle: w.bounds.ResponseTimeout, Total: first + maxTransferTime}
+}
+
+// callContext returns the context of a call that waits, which RereadStore and SetSource can
+// cancel from now on, and the function that ends it.
+func (w *Watcher) callContext(ctx context.Context, cancel context.CancelFunc) (context.Context, func()) {
 	w.cancelCall.Store(&cancel)
 	return ctx, func() {
 		w.cancelCall.Store(nil)
--- a/pkg/fleet/watchfeeders.go
+++ b/pkg/fleet/watchfeeders.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -207,7 +208,7 @@
 // the store held nothing newer. The error is that of Feeder.Feed, errFeederLostStore,
 // errFeederNotReady or ErrUnavailable, wrapped, for a response that is too old.
 func (w *Watcher) callFeeder(feeder session.PeerAddress, after Revision, wait time.Duration) (FeedResponse, time.Time, error) {
-	ctx, cancel := w.callContext(wait)
+	ctx, cancel := w.callContext(context.WithTimeout(w.ctx, wait+w.bounds.ResponseTimeout+maxTransferTime))
 	defer cancel()
 	sentAt := w.now()
 	response, err := w.feeder.Feed(ctx, feeder, after, wait)
