Let a response of another instance arrive for longer than the call's timeout

Cause: the timeout of the call, 0.3 s beyond the wait, counted the transfer. A large configuration was given up, its connection closed, and asked for again.

Change: a call may have a transfer time. It goes on while bytes arrive on its connection, up to that time, and fails once they stop for 0.5 s.

--- a/pkg/instance/feedclient.go
+++ b/pkg/instance/feedclient.go
@@ -54,6 +54,7 @@
 	sent := c.rpc.Send(rpc.Call{
 		Tag: feedTag{requestID: c.requestID}, Address: string(feeder), Method: relay.MethodFeed,
 		Params: relay.FeedRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}, Timeout: wait + feedResponseMargin,
+		Transfer: recordsTransferTimeout,
 	})
 	if !sent {
 		return fleet.FeedResponse{}, eris.Wrap(fleet.ErrUnavailable, "the rpc duty's ring is full")
--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -92,6 +92,9 @@
 	// feedResponseMargin is how long a feeder's response may take beyond the requested
 	// wait: a hundred round trips.
 	feedResponseMargin = 300 * time.Millisecond
+	// recordsTransferTimeout bounds the transfer of records or of a configuration from
+	// another instance while it arrives, beyond the time in which it must begin.
+	recordsTransferTimeout = 8 * time.Second
 	// storeRetryDelay limits the delay before the second attempt while the store fails.
 	// The limit doubles with each failure up to storeMaxRetryDelay, so that the store is
 	// read again within 2 s of its return, including storeResponseTimeout and the
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -79,7 +79,7 @@
 // RequestConfiguration requests the configuration of another instance. The request is
 // dropped when the rpc ring is full.
 func (o *hostedFleetOutputs) RequestConfiguration(address session.PeerAddress) {
-	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCallTimeout})
+	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCallTimeout, Transfer: recordsTransferTimeout})
 }
 
 // RequestLiveness requests another instance's liveness report about the subject: when
--- a/pkg/rpc/duty.go
+++ b/pkg/rpc/duty.go
@@ -21,6 +21,9 @@
 	RingCapacity int
 	// IdleTimeout is how long an outgoing connection without calls stays open.
 	IdleTimeout time.Duration
+	// TransferIdle is how long a response that is arriving may stop before calls that wait
+	// for it, or behind it, time out.
+	TransferIdle time.Duration
 	// MaxCallsPerConn limits the unanswered calls on one connection, outgoing or
 	// incoming.
 	MaxCallsPerConn int
@@ -41,6 +44,7 @@
 	return Config{
 		RingCapacity:     8192,
 		IdleTimeout:      time.Minute,
+		TransferIdle:     500 * time.Millisecond,
 		MaxCallsPerConn:  1024,
 		MaxOutputBytes:   2 * MaxMessageBytes,
 		MaxIncoming:      256,
--- a/pkg/rpc/messages.go
+++ b/pkg/rpc/messages.go
@@ -24,6 +24,9 @@
 	Params any
 	// Timeout bounds the call, counted from when it is popped from the ring.
 	Timeout time.Duration
+	// Transfer is how much longer the call may take while responses arrive on its
+	// connection, for calls with large responses.
+	Transfer time.Duration
 }
 
 // Reply is the command to answer a Request. A reply to a closed connection is dropped.
--- a/pkg/rpc/outgoing.go
+++ b/pkg/rpc/outgoing.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/exp/jsonrpc2"
 
+	"github.com/sassafrasshunt/sassafrasshunt/lib/clock"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/netloop"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/timerq"
 )
@@ -36,6 +37,8 @@
 	draining  bool
 	calls     map[int64]*pendingCall
 	idleTimer timerq.Item[func()]
+	// receivedAt is when bytes last arrived.
+	receivedAt time.Time
 }
 
 // call sends a call on the open connection to its address, or on a new one.
@@ -121,14 +124,31 @@
 
 // callTimedOut fails a call and drains its connection, so that further calls open a
 // new one: after a network failure, TCP retransmits on the old connection with growing
-// delays, while a new connection works at once.
+// delays, while a new connection works at once. A call with Call.Transfer goes on while a
+// response arrives.
 func (out *outConn) callTimedOut(id int64) {
+	if p := out.calls[id]; out.extend(p) {
+		return
+	}
 	p := out.removeCall(id)
 	out.startDraining()
 	out.duty.fail(p.call, p.sentAt, &TimeoutError{Address: out.address, Timeout: p.call.Timeout})
 	out.closeOrIdle()
 }
 
+// extend arms the timer of a call again while a response arrives, and reports whether it did.
+// Responses arrive one after the other, so the call's own may be behind another one.
+func (out *outConn) extend(p *pendingCall) bool {
+	now := time.Now()
+	idleAt := out.receivedAt.Add(out.duty.config.TransferIdle)
+	ends := p.sentAt.Add(p.call.Timeout + p.call.Transfer)
+	if len(out.conn.Buffered()) == 0 || !idleAt.After(now) || !ends.After(now) {
+		return false
+	}
+	out.duty.timers.Arm(&p.timer, clock.Earlier(idleAt, ends))
+	return true
+}
+
 // startDraining makes further calls to the address open a new connection.
 func (out *outConn) startDraining() {
 	out.draining = true
@@ -167,6 +187,7 @@
 
 // Data implements netloop.Handler.
 func (out *outConn) Data(*netloop.Conn) {
+	out.receivedAt = time.Now()
 	out.decode()
 }
 
