Compress configurations between instances

Cause: a feeder sends each version to a dozen instances, encoded anew for each, 0.8 MB for 3,000 entries. A feeder on a link of 10 Mbit/s needs 7 s for that, and a small processor most of the limit in which a response must begin.

Change: responses of feeders and of fetched configurations carry the configuration as deflated JSON, which is made once. A requester says whether it reads that form, so that earlier versions get the plain one. The watcher's thread decodes the response; the rpc thread would hold up other messages.

--- a/pkg/instance/feedclient.go
+++ b/pkg/instance/feedclient.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,10 +16,10 @@
 // feedTag matches a feeder's response to its request.
 type feedTag struct{ requestID uint64 }
 
-// feedResult is the response of a feeder, or the error of the request.
+// feedResult is the encoded response of a feeder, or the error of the request.
 type feedResult struct {
 	requestID uint64
-	response  fleet.FeedResponse
+	text      []byte
 	err       error
 }
 
@@ -53,7 +52,7 @@
 	c.requestID++
 	sent := c.rpc.Send(rpc.Call{
 		Tag: feedTag{requestID: c.requestID}, Address: string(feeder), Method: relay.MethodFeed,
-		Params: relay.FeedRequest{After: uint64(after), WaitMillis: wait.Milliseconds()}, Timeout: wait + feedResponseMargin,
+		Params: relay.FeedRequest{After: uint64(after), WaitMillis: wait.Milliseconds(), Packed: true}, Timeout: wait + feedResponseMargin,
 		Transfer: recordsTransferTimeout,
 	})
 	if !sent {
@@ -64,7 +63,7 @@
 		r, ok := c.results.Pop()
 		switch {
 		case ok && r.requestID == c.requestID:
-			return r.response, r.err
+			return r.decode()
 		case ok:
 			// The response to an abandoned request.
 			continue
@@ -77,18 +76,26 @@
 	return fleet.FeedResponse{}, eris.Wrap(fleet.ErrUnavailable, ctx.Err().Error())
 }
 
+// decode returns the response. It runs on the watcher's thread: decoding a large configuration
+// would hold up the messages of the rpc duty.
+func (r *feedResult) decode() (fleet.FeedResponse, error) {
+	if r.err != nil {
+		return fleet.FeedResponse{}, r.err
+	}
+	response, err := unpackFeed(r.text)
+	if err != nil {
+		return fleet.FeedResponse{}, eris.Wrap(fleet.ErrUnavailable, err.Error())
+	}
+	return response, nil
+}
+
 // complete passes the result of a request to the watcher. It drops the result when the
 // ring is full: the watcher empties the ring while it waits, so the request was
 // abandoned.
 func (c *feedClient) complete(tag feedTag, r rpc.Result) {
-	result := feedResult{requestID: tag.requestID}
-	switch {
-	case r.Err != nil:
+	result := feedResult{requestID: tag.requestID, text: r.Raw}
+	if r.Err != nil {
 		result.err = eris.Wrap(fleet.ErrUnavailable, r.Err.Error())
-	default:
-		if err := json.Unmarshal(r.Raw, &result.response); err != nil {
-			result.err = eris.Wrap(fleet.ErrUnavailable, err.Error())
-		}
 	}
 	c.results.TryPush(result)
 }
@@ -100,7 +107,7 @@
 		return
 	}
 	request := fleet.FeedRequest{
-		ReplyTo: replyHandle{conn: r.Conn, id: r.ID}, After: fleet.Revision(params.After),
+		ReplyTo: replyHandle{conn: r.Conn, id: r.ID, packed: params.Packed}, After: fleet.Revision(params.After),
 		Wait: time.Duration(params.WaitMillis) * time.Millisecond,
 	}
 	if !h.fleetDuty.input.TryPush(request) {
--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -68,6 +68,7 @@
 type hostedFleetOutputs struct {
 	hosted  *Hosted
 	session *ringWriter[session.Input]
+	packer  configurationPacker
 }
 
 // Session queues an input to the session duty; a full ring pauses the fleet duty.
@@ -79,7 +80,10 @@
 // RequestConfiguration requests the configuration of another instance. The request is
 // dropped when the rpc ring is full.
 func (o *hostedFleetOutputs) RequestConfiguration(address session.PeerAddress) {
-	o.hosted.rpc.Send(rpc.Call{Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration, Timeout: shortCallTimeout, Transfer: recordsTransferTimeout})
+	o.hosted.rpc.Send(rpc.Call{
+		Tag: configurationTag{}, Address: string(address), Method: relay.MethodConfiguration,
+		Params: relay.ConfigurationRequest{Packed: true}, Timeout: shortCallTimeout, Transfer: recordsTransferTimeout,
+	})
 }
 
 // RequestLiveness requests another instance's liveness report about the subject: when
@@ -108,9 +112,15 @@
 
 // SendConfiguration answers another instance's request for the configuration.
 func (o *hostedFleetOutputs) SendConfiguration(replyTo any, c *fleet.Configuration) {
-	if to, ok := replyTo.(replyHandle); ok {
-		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: c})
+	to, ok := replyTo.(replyHandle)
+	if !ok {
+		return
 	}
+	reply := rpc.Reply{Conn: to.conn, ID: to.id, Result: c}
+	if to.packed {
+		reply.Result = o.packer.packConfiguration(c)
+	}
+	o.hosted.rpc.Send(reply)
 }
 
 // SetChangeSource sets where the watcher reads the store's changes. The watcher reads
@@ -122,9 +132,15 @@
 
 // SendFeed answers a follower's request for store changes.
 func (o *hostedFleetOutputs) SendFeed(replyTo any, response fleet.FeedResponse) {
-	if to, ok := replyTo.(replyHandle); ok {
-		o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: response})
+	to, ok := replyTo.(replyHandle)
+	if !ok {
+		return
+	}
+	reply := rpc.Reply{Conn: to.conn, ID: to.id, Result: response}
+	if to.packed {
+		reply.Result = o.packer.packFeed(response)
 	}
+	o.hosted.rpc.Send(reply)
 }
 
 // CheckStore makes the watcher read the store at once, so that an unresponsive
--- a/pkg/instance/hostedpeers.go
+++ b/pkg/instance/hostedpeers.go
@@ -190,9 +190,7 @@
 		h.handleHandoverRequest(r)
 		return nil
 	case relay.MethodConfiguration:
-		if !h.fleetDuty.input.TryPush(fleet.ConfigurationRequest{ReplyTo: replyHandle{conn: r.Conn, id: r.ID}}) {
-			h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
-		}
+		h.handleConfigurationRequest(r)
 		return nil
 	case relay.MethodEndSession:
 		var end relay.EndSession
@@ -231,15 +229,35 @@
 	})
 }
 
+// handleConfigurationRequest passes another instance's request for the configuration to the
+// fleet duty. Earlier versions send no parameters.
+func (h *Hosted) handleConfigurationRequest(r rpc.Request) {
+	var params relay.ConfigurationRequest
+	if len(r.Params) > 0 && !h.decodeOrReject(r, &params) {
+		return
+	}
+	request := fleet.ConfigurationRequest{ReplyTo: replyHandle{conn: r.Conn, id: r.ID, packed: params.Packed}}
+	if !h.fleetDuty.input.TryPush(request) {
+		h.rpc.Send(rpc.Reply{Conn: r.Conn, ID: r.ID, Error: &rpc.RemoteError{Message: "overloaded"}})
+	}
+}
+
 // handleConfiguration passes another instance's configuration to the fleet duty. It
 // is dropped when the ring is full; the fleet duty requests it again.
 func (h *Hosted) handleConfiguration(r rpc.Result) {
-	var c fleet.Configuration
-	if r.Err != nil || json.Unmarshal(r.Raw, &c) != nil || c.Version == 0 {
-		h.log(logrus.WarnLevel, "configuration_not_fetched", "another instance did not return its configuration", nil)
-		return
+	err := r.Err
+	var c *fleet.Configuration
+	if err == nil {
+		c, err = unpackConfiguration(r.Raw)
+	}
+	switch {
+	case err != nil:
+		h.log(logrus.WarnLevel, "configuration_not_fetched", err.Error(), nil)
+	case c.Version == 0:
+		h.log(logrus.WarnLevel, "configuration_not_fetched", "another instance has no configuration", nil)
+	default:
+		h.fleetDuty.input.TryPush(fleet.ConfigurationReceived{Configuration: c})
 	}
-	h.fleetDuty.input.TryPush(fleet.ConfigurationReceived{Configuration: &c})
 }
 
 // decodeOrReject decodes the parameters of a request into params. When they cannot
--- a/pkg/instance/peercodec.go
+++ b/pkg/instance/peercodec.go
@@ -46,6 +46,8 @@
 type replyHandle struct {
 	conn rpc.ConnID
 	id   rpc.RequestID
+	// packed is set when the requester reads compressed configurations.
+	packed bool
 }
 
 // encodePeerCall returns the rpc call that sends a message to another instance. It
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,8 +18,8 @@
 	// MethodEndSession ends a relayed session or transaction:
 	// EndSession -> {}.
 	MethodEndSession = "leave"
-	// MethodConfiguration requests the current configuration: {} ->
-	// fleet.Configuration.
+	// MethodConfiguration requests the current configuration: ConfigurationRequest ->
+	// fleet.Configuration, or its compressed form.
 	MethodConfiguration = "configuration"
 	// MethodFeed requests the store's changes from a feeder: FeedRequest ->
 	// fleet.FeedResponse.
@@ -105,6 +105,13 @@
 type FeedRequest struct {
 	After      uint64 `json:"after"`
 	WaitMillis int64  `json:"wait_ms"`
+	// Packed is set if the requester reads compressed configurations.
+	Packed bool `json:"packed,omitempty"`
+}
+
+// ConfigurationRequest requests the current configuration. Packed is as in FeedRequest.
+type ConfigurationRequest struct {
+	Packed bool `json:"packed,omitempty"`
 }
 
 // ReleaseConnection requests the release of an unused connection to a member
