Bound reads of the PostgreSQL front's store by the progress of the response

Change: reads and watches go on while the response arrives, for three more timeouts at most, since lease renewals wait behind them; changes keep their limit. Calls between instances get a transfer time of 4 s.

--- a/pkg/instance/peercodec.go
+++ b/pkg/instance/peercodec.go
@@ -28,8 +28,12 @@
 	codeMethodNotFound = -32601
 )
 
-// peerCallTimeout bounds one call to another instance.
-const peerCallTimeout = 2 * time.Second
+// peerCallTimeout bounds one call to another instance. The response, which may be a whole
+// catalogue or share table, may arrive for catalogueTransferTimeout longer.
+const (
+	peerCallTimeout          = 2 * time.Second
+	catalogueTransferTimeout = 4 * time.Second
+)
 
 // errPeerMessage reports a peer message that cannot be decoded.
 var errPeerMessage = eris.New("invalid peer message")
@@ -55,7 +59,7 @@
 func encodePeerCall(c control.PeerCall) (rpc.Call, error) {
 	method := methodOf(c.Message)
 	params, err := encodePeerMessage(c.Message)
-	return rpc.Call{Tag: c, Address: c.Address, Method: method, Params: params, Timeout: peerCallTimeout}, err
+	return rpc.Call{Tag: c, Address: c.Address, Method: method, Params: params, Timeout: peerCallTimeout, Transfer: catalogueTransferTimeout}, err
 }
 
 // methodOf returns the RPC method of a message; "" for one that is not a request.
--- a/pkg/store/call.go
+++ b/pkg/store/call.go
@@ -44,7 +44,7 @@
 	// Tag is returned unchanged in the Result.
 	Tag any
 	// Timeout bounds the call from its start. The timeout of a watch request is
-	// added to it.
+	// added to it. A read may take longer while its response arrives.
 	Timeout time.Duration
 	Op      Operation
 }
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/sassafrasshunt/sassafrasshunt/lib/progress"
 )
 
 // maxResponseBytes bounds a response body. A watch may return several values of
@@ -69,7 +71,7 @@
 		return noResponseError(e.mutates && sent, err.Error())
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(progress.Reader(ctx, response.Body), maxResponseBytes))
 	if err != nil {
 		return noResponseError(e.mutates, err.Error())
 	}
--- a/pkg/store/duty.go
+++ b/pkg/store/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sassafrasshunt/sassafrasshunt/lib/duty"
+	"github.com/sassafrasshunt/sassafrasshunt/lib/progress"
 	"github.com/sassafrasshunt/sassafrasshunt/lib/ring"
 )
 
@@ -124,7 +125,7 @@
 
 // execute runs the call's operation and returns its result.
 func (d *Duty) execute(w *worker, call Call) Result {
-	ctx, cancel := context.WithTimeout(w.ctx, call.totalTimeout())
+	ctx, cancel := progress.WithLimits(w.ctx, call.limits())
 	defer cancel()
 	result := Result{Tag: call.Tag, Op: call.Op, SentAt: time.Now()}
 	result.Value, result.Err = call.Op.run(callContext{ctx: ctx, store: d.store})
@@ -135,12 +136,22 @@
 	return result
 }
 
-// totalTimeout returns the timeout including that of a watch request.
-func (c Call) totalTimeout() time.Duration {
-	if watch, ok := c.Op.(WatchOp); ok {
-		return c.Timeout + watch.Timeout
+// maxTransferTimeouts is how many more timeouts a read may take while its response arrives. It
+// is small because lease renewals wait behind the other calls.
+const maxTransferTimeouts = 3
+
+// limits returns the limits of the call. A change has the same total as before the first byte of
+// its response: its caller waits for the outcome no longer than that.
+func (c Call) limits() progress.Limits {
+	limits := progress.Limits{First: c.Timeout, Idle: c.Timeout, Total: c.Timeout}
+	switch op := c.Op.(type) {
+	case WatchOp:
+		limits.First += op.WatchRequest.Timeout
+		limits.Total = limits.First + maxTransferTimeouts*c.Timeout
+	case GetOp, InstancesOp:
+		limits.Total += maxTransferTimeouts * c.Timeout
 	}
-	return c.Timeout
+	return limits
 }
 
 // deliver passes the result to the consumer and waits while it has no free space.
