Keep only the newest configuration in a feeder's history

Cause: a feeder kept up to 4,096 changes for followers that are behind, each version of the configuration as a whole.

Change: a configuration removes the earlier ones from the history.

Result: TestFollowerGetsTheNewestConfigurationOnly fails without the change.

--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -130,7 +130,7 @@
 		f.base, f.changes = f.head, nil
 		return
 	}
-	f.changes = append(f.changes, changes...)
+	f.changes = withoutSuperseded(append(f.changes, changes...))
 	if surplus := len(f.changes) - maxFeedHistory; surplus > 0 {
 		f.base = f.changes[surplus-1].Revision
 		f.changes = slices.Delete(f.changes, 0, surplus)
@@ -142,6 +142,25 @@
 	}
 }
 
+// withoutSuperseded removes all configurations but the newest: they replace each other, and
+// large ones would fill the memory and the links of followers.
+func withoutSuperseded(changes []Change) []Change {
+	newest := -1
+	for i := range changes {
+		if changes[i].Configuration != nil {
+			newest = i
+		}
+	}
+	kept := changes[:0]
+	for i := range changes {
+		if changes[i].Configuration == nil || i == newest {
+			kept = append(kept, changes[i])
+		}
+	}
+	clear(changes[len(kept):])
+	return kept
+}
+
 // storeLost rejects the waiting requests because the store cannot be read.
 func (f *feed) storeLost() {
 	f.storeReadable = false
--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -165,3 +165,17 @@
 	h.handle(FeedRequest{ReplyTo: "next", After: 200})
 	require.Equal(t, FeedResponse{Next: 200}, h.feedResponses["next"])
 }
+
+// Guards against a history of large configurations that fills the memory of a feeder and the link
+// of a follower that is behind: only the newest one counts.
+func TestFollowerGetsTheNewestConfigurationOnly(t *testing.T) {
+	h := newFeedingHarness(t)
+	h.storeChanges(203, Change{Configuration: configuration(3)}, registration("n1"), Change{Configuration: configuration(4)})
+	h.storeChanges(205, Change{Configuration: configuration(5)}, registration("n2"))
+	h.handle(FeedRequest{ReplyTo: "behind", After: 200, Wait: time.Second})
+	changes := h.feedResponses["behind"].Changes
+	require.Len(t, changes, 3)
+	require.Equal(t, []Revision{202, 204, 205}, []Revision{changes[0].Revision, changes[1].Revision, changes[2].Revision})
+	require.EqualValues(t, 5, changes[1].Configuration.Version)
+	require.Len(t, h.e.feed.changes, 3, "superseded configurations are not kept")
+}
