--- a/pkg/instance/hostedoutputs.go
+++ b/pkg/instance/hostedoutputs.go
@@ -112,15 +112,7 @@
 
 // SendConfiguration answers another instance's request for the configuration.
 func (o *hostedFleetOutputs) SendConfiguration(replyTo any, c *fleet.Configuration) {
-	to, ok := replyTo.(replyHandle)
-	if !ok {
-		return
-	}
-	reply := rpc.Reply{Conn: to.conn, ID: to.id, Result: c}
-	if to.packed {
-		reply.Result = o.packer.packConfiguration(c)
-	}
-	o.hosted.rpc.Send(reply)
+	o.reply(replyTo, c, func() any { return o.packer.packConfiguration(c) })
 }
 
 // SetChangeSource sets where the watcher reads the store's changes. The watcher reads
@@ -132,15 +124,21 @@
 
 // SendFeed answers a follower's request for store changes.
 func (o *hostedFleetOutputs) SendFeed(replyTo any, response fleet.FeedResponse) {
+	o.reply(replyTo, response, func() any { return o.packer.packFeed(response) })
+}
+
+// reply answers a request of another instance with the plain result or, if that instance reads
+// it, the packed one.
+func (o *hostedFleetOutputs) reply(replyTo, plain any, pack func() any) {
 	to, ok := replyTo.(replyHandle)
 	if !ok {
 		return
 	}
-	reply := rpc.Reply{Conn: to.conn, ID: to.id, Result: response}
+	result := plain
 	if to.packed {
-		reply.Result = o.packer.packFeed(response)
+		result = pack()
 	}
-	o.hosted.rpc.Send(reply)
+	o.hosted.rpc.Send(rpc.Reply{Conn: to.conn, ID: to.id, Result: result})
 }
 
 // CheckStore makes the watcher read the store at once, so that an unresponsive
