Give a write of the PostgreSQL front the time that its value takes

Change: the limit of a write grows with its value, by a second for 512 KiB. Small writes, as of leases and claims, keep theirs.

--- a/pkg/store/call.go
+++ b/pkg/store/call.go
@@ -44,7 +44,8 @@
 	// Tag is returned unchanged in the Result.
 	Tag any
 	// Timeout bounds the call from its start. The timeout of a watch request is
-	// added to it. A read may take longer while its response arrives.
+	// added to it. A read may take longer while its response arrives, and a
+	// write by the time that its value takes on a thin link.
 	Timeout time.Duration
 	Op      Operation
 }
--- a/pkg/store/duty.go
+++ b/pkg/store/duty.go
@@ -140,11 +140,20 @@
 // is small because lease renewals wait behind the other calls.
 const maxTransferTimeouts = 3
 
-// limits returns the limits of the call. A change has the same total as before the first byte of
-// its response: its caller waits for the outcome no longer than that.
+// writeRate is the rate, in bytes per second, at which a value is expected to reach the platform
+// at least: under half of a link of 10 Mbit/s. The progress of a write cannot be seen, because the
+// kernel takes all of it at once.
+const writeRate = 512 << 10
+
+// limits returns the limits of the call. A change has one limit for everything, which grows with
+// its value: its caller waits for the outcome no longer than that.
 func (c Call) limits() progress.Limits {
 	limits := progress.Limits{First: c.Timeout, Idle: c.Timeout, Total: c.Timeout}
 	switch op := c.Op.(type) {
+	case PutOp:
+		transfer := time.Second * time.Duration(len(op.Value)) / writeRate
+		limits.First += transfer
+		limits.Total += transfer
 	case WatchOp:
 		limits.First += op.WatchRequest.Timeout
 		limits.Total = limits.First + maxTransferTimeouts*c.Timeout
