--- a/pkg/instance/hostedlimits.go
+++ b/pkg/instance/hostedlimits.go
@@ -89,8 +89,8 @@
 	// follower's own request to the store, this is within the bound of 3 s for applying
 	// a configuration.
 	feedWatchWait = time.Second
-	// feedResponseMargin is how long a feeder's response may take beyond the requested
-	// wait: a hundred round trips.
+	// feedResponseMargin is how long after the requested wait a feeder's response must
+	// begin: a hundred round trips.
 	feedResponseMargin = 300 * time.Millisecond
 	// recordsTransferTimeout bounds the transfer of records or of a configuration from
 	// another instance while it arrives, beyond the time in which it must begin.
